--- /dev/null
+++ b/apps/spurlugctl.cpp
@@ -0,0 +1,337 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the operators' tool
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/config/apply.h"
+#include "spurlug/config/configuration.h"
+#include "spurlug/core/error.h"
+#include "spurlug/core/program.h"
+#include "spurlug/core/text.h"
+#include "spurlug/platform/object_api.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/time/clock.h>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <functional>
+#include <httplib.h>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+
+namespace
+{
+
+namespace options = boost::program_options;
+using namespace spurlug;
+
+constexpr auto PollInterval = absl::Milliseconds(200);
+constexpr int Ok = 200;
+
+/// A command line that cannot be carried out as it stands.
+class UsageError : public core::Error
+{
+public:
+    using core::Error::Error;
+};
+
+std::string text(const options::variables_map &given, const std::string &name)
+{
+    if (!given.contains(name)) {
+        throw UsageError(core::cat("--", name, " is needed"));
+    }
+    return given[name].as<std::string>();
+}
+
+platform::HttpObjectApi openPlatform(const options::variables_map &given)
+{
+    return platform::HttpObjectApi({core::parseAddress(text(given, "platform"))});
+}
+
+std::string randomHex(std::size_t bytes)
+{
+    std::string random(bytes, '\0');
+    RAND_bytes(reinterpret_cast<unsigned char *>(random.data()), static_cast<int>(bytes));
+    return absl::BytesToHexString(random);
+}
+
+nlohmann::json readDocument(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw core::InvalidDocument(path + ": cannot be read");
+    }
+    auto document = nlohmann::json::parse(file, nullptr, false);
+    if (document.is_discarded()) {
+        throw core::InvalidDocument(path + ": expected a JSON document");
+    }
+    return document;
+}
+
+/// Prints every fault. Returns whether there was none.
+bool check(const nlohmann::json &document, const std::string &path)
+{
+    std::vector<core::Fault> faults;
+    const auto configuration = config::readConfiguration(document, 0, faults);
+    for (const auto &fault : faults) {
+        std::cerr << path << ": " << fault.pointer << ": expected " << fault.expected << "\n";
+    }
+    return faults.empty();
+}
+
+nlohmann::json daemonJson(const options::variables_map &given, const std::string &path)
+{
+    const auto address = core::parseAddress(text(given, "daemon"));
+    httplib::Client client(address.host, address.port);
+    const auto result = client.Get(path);
+    if (!result) {
+        throw core::NetworkError(core::cat(address.text(), ": ", httplib::to_string(result.error())));
+    }
+    if (result->status != Ok) {
+        throw core::NetworkError(core::cat(address.text(), ": status ", result->status, " ", result->body));
+    }
+    return nlohmann::json::parse(result->body);
+}
+
+nlohmann::json storedDocument(const platform::HttpObjectApi &api, const config::Root &root)
+{
+    config::PartTexts texts;
+    for (const auto &[name, hash] : root.parts) {
+        if (auto part = api.read(config::partObject(hash))) {
+            texts[hash] = std::move(part->value);
+        }
+    }
+    return config::joinDocument(root, texts);
+}
+
+int validate(const options::variables_map &given)
+{
+    const auto path = text(given, "file");
+    if (!check(readDocument(path), path)) {
+        return core::ExitUsage;
+    }
+    std::cout << path << " is valid\n";
+    return core::ExitOk;
+}
+
+/// Whether a daemon and all live peers it knows have a generation in force.
+bool inForceEverywhere(const nlohmann::json &status, std::int64_t generation)
+{
+    bool everywhere = status.at("generation") >= generation;
+    for (const auto &peer : status.at("peers")) {
+        everywhere = everywhere && peer.at("generation") >= generation;
+    }
+    return everywhere;
+}
+
+int waitInForce(const options::variables_map &given, std::int64_t generation)
+{
+    const auto started = core::now();
+    const auto timeout = absl::Seconds(given["timeout"].as<int>());
+    while (core::now() - started < timeout) {
+        if (inForceEverywhere(daemonJson(given, "/status"), generation)) {
+            std::cout << "in force everywhere after " << core::toMs(core::now() - started) << " ms\n";
+            return core::ExitOk;
+        }
+        absl::SleepFor(PollInterval);
+    }
+    std::cerr << "generation " << generation << " is stored, but not in force everywhere yet; see 'status'\n";
+    return core::ExitFailure;
+}
+
+int apply(const options::variables_map &given)
+{
+    const auto path = text(given, "file");
+    const auto document = readDocument(path);
+    if (!check(document, path)) {
+        return core::ExitUsage;
+    }
+    const auto api = openPlatform(given);
+    const auto stored = config::readStoredRoot(api);
+    if (given.contains("expect") && given["expect"].as<std::int64_t>() != stored.root.generation) {
+        throw core::VersionConflict(
+            core::cat("generation ", stored.root.generation, " by ", stored.root.author, " is in force"));
+    }
+    constexpr std::size_t ChangeIdBytes = 8;
+    const auto generation
+        = config::applyDocument(api, document, stored, randomHex(ChangeIdBytes), given["author"].as<std::string>());
+    std::cout << "generation " << generation << " is stored\n";
+    return given.contains("wait") ? waitInForce(given, generation) : core::ExitOk;
+}
+
+int get(const options::variables_map &given)
+{
+    const auto api = openPlatform(given);
+    const auto stored = config::readStoredRoot(api);
+    std::cerr << "generation " << stored.root.generation << " by " << stored.root.author << "\n";
+    std::cout << storedDocument(api, stored.root).dump(4) << "\n";
+    return core::ExitOk;
+}
+
+int diff(const options::variables_map &given)
+{
+    const auto document = readDocument(text(given, "file"));
+    const auto api = openPlatform(given);
+    auto stored = storedDocument(api, config::readStoredRoot(api).root);
+    const auto byName = [](nlohmann::json &value) {
+        auto &list = value["organisations"];
+        std::sort(list.begin(), list.end(),
+                  [](const auto &left, const auto &right) { return left.at("name") < right.at("name"); });
+    };
+    auto wanted = document;
+    byName(stored);
+    byName(wanted);
+    const auto patch = nlohmann::json::diff(stored, wanted);
+    std::cout << patch.dump(4) << "\n";
+    return patch.empty() ? core::ExitOk : core::ExitFailure;
+}
+
+int status(const options::variables_map &given)
+{
+    std::cout << daemonJson(given, "/status").dump(4) << "\n";
+    return core::ExitOk;
+}
+
+int explain(const options::variables_map &given)
+{
+    std::cout << daemonJson(given, "/explain/" + text(given, "file")).dump(4) << "\n";
+    return core::ExitOk;
+}
+
+int watch(const options::variables_map &given)
+{
+    std::uint64_t last = 0;
+    while (true) {
+        const auto news = daemonJson(given, core::cat("/decisions?after=", last));
+        for (const auto &decision : news.at("decisions")) {
+            std::cout << decision.dump() << std::endl;
+        }
+        last = news.at("last");
+        absl::SleepFor(PollInterval);
+    }
+}
+
+int drain(const options::variables_map &given)
+{
+    const auto address = core::parseAddress(text(given, "daemon"));
+    httplib::Client client(address.host, address.port);
+    if (!client.Post("/drain", "", "text/plain")) {
+        throw core::NetworkError(address.text() + " does not answer");
+    }
+    std::cout << "draining\n";
+    return core::ExitOk;
+}
+
+int newKey(const options::variables_map & /*given*/)
+{
+    constexpr std::size_t SaltBytes = 6;
+    constexpr std::size_t SecretBytes = 24;
+    const auto salt = randomHex(SaltBytes);
+    const auto key = core::cat(salt, ".", randomHex(SecretBytes));
+    std::cout << nlohmann::ordered_json{{"key", key}, {"salt", salt}, {"digest", config::keyDigest(salt, key)}}.dump(4)
+              << "\n";
+    return core::ExitOk;
+}
+
+int hashKey(const options::variables_map &given)
+{
+    const auto key = text(given, "file");
+    const auto salt = key.substr(0, key.find('.'));
+    std::cout << nlohmann::ordered_json{{"salt", salt}, {"digest", config::keyDigest(salt, key)}}.dump() << "\n";
+    return core::ExitOk;
+}
+
+struct Command
+{
+    std::string_view help;
+    std::function<int(const options::variables_map &)> run;
+};
+
+const std::map<std::string, Command> &commands()
+{
+    static const std::map<std::string, Command> all{
+        {"validate", {"FILE: check a configuration and list every fault", validate}},
+        {"apply", {"FILE: put a configuration in force (--platform; --wait with --daemon)", apply}},
+        {"get", {"print the configuration in force (--platform)", get}},
+        {"diff", {"FILE: what applying would change, as a JSON patch (--platform)", diff}},
+        {"status", {"a daemon's view of the fleet (--daemon)", status}},
+        {"explain", {"REQUEST-ID: why a request was served the way it was (--daemon)", explain}},
+        {"watch", {"print decisions as they are made (--daemon)", watch}},
+        {"drain", {"planned stop of a daemon (--daemon)", drain}},
+        {"new-key", {"make an API key and its digest", newKey}},
+        {"hash-key", {"KEY: digest of an API key", hashKey}},
+    };
+    return all;
+}
+
+void printHelp(const options::options_description &description)
+{
+    std::cout << "usage: spurlugctl COMMAND [ARGUMENT] [OPTIONS]\n\ncommands:\n";
+    for (const auto &[name, command] : commands()) {
+        std::cout << "  " << name << " - " << command.help << "\n";
+    }
+    std::cout << "\n" << description << "\n";
+}
+
+int run(int argc, char **argv)
+{
+    options::options_description description("options");
+    description.add_options()("help,h", "show this text")("version", "show the version")(
+        "platform", options::value<std::string>(), "object API, HOST:PORT")("daemon", options::value<std::string>(),
+                                                                            "admin address of any daemon, HOST:PORT")(
+        "author", options::value<std::string>()->default_value("operator"),
+        "who makes the change")("expect", options::value<std::int64_t>(), "apply only on top of this generation")(
+        "wait", "wait until the change is in force everywhere")("timeout", options::value<int>()->default_value(30),
+                                                                "seconds that --wait waits");
+    options::options_description hidden;
+    hidden.add_options()("command", options::value<std::string>())("file", options::value<std::string>());
+    options::options_description all;
+    all.add(description).add(hidden);
+    options::positional_options_description positions;
+    positions.add("command", 1).add("file", 1);
+    options::variables_map given;
+    options::store(options::command_line_parser(argc, argv).options(all).positional(positions).run(), given);
+    if (given.contains("version")) {
+        std::cout << "spurlugctl " << core::Version << "\n";
+        return core::ExitOk;
+    }
+    if (given.contains("help") || !given.contains("command")) {
+        printHelp(description);
+        return given.contains("help") ? core::ExitOk : core::ExitUsage;
+    }
+    const auto command = commands().find(given["command"].as<std::string>());
+    if (command == commands().end()) {
+        throw UsageError(core::cat("there is no command '", given["command"].as<std::string>(), "'"));
+    }
+    return command->second.run(given);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const UsageError &error) {
+        std::cerr << "spurlugctl: " << error.what() << "\n";
+        return core::ExitUsage;
+    } catch (const core::InvalidDocument &error) {
+        std::cerr << "spurlugctl: " << error.what() << "\n";
+        return core::ExitUsage;
+    } catch (const options::error &error) {
+        std::cerr << "spurlugctl: " << error.what() << "\n";
+        return core::ExitUsage;
+    } catch (const core::VersionConflict &error) {
+        std::cerr << "spurlugctl: conflict, nothing was changed: " << error.what()
+                  << "; see 'spurlugctl diff', then apply again\n";
+        return core::ExitFailure;
+    } catch (const core::UnknownResult &error) {
+        std::cerr << "spurlugctl: the change may be in force: " << error.what() << "; see 'spurlugctl get'\n";
+        return core::ExitFailure;
+    } catch (const std::exception &error) {
+        std::cerr << "spurlugctl: " << error.what() << "\n";
+        return core::ExitFailure;
+    }
+}
--- /dev/null
+++ b/apps/spurlugd.cpp
@@ -0,0 +1,78 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the daemon
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/log.h"
+#include "spurlug/core/program.h"
+#include "spurlug/daemon/daemon.h"
+#include "spurlug/settings/settings.h"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace
+{
+
+namespace options = boost::program_options;
+using namespace spurlug;
+
+int run(const settings::DaemonSettings &settings, const std::string &portsFile)
+{
+    core::startLog("spurlugd", settings.logLevel);
+    daemon::Daemon daemon(settings);
+    const auto &identity = daemon.identity();
+    core::writePortsFile(portsFile,
+                         {{"vm", identity.vm},
+                          {"callers", identity.callerAddress.text()},
+                          {"admin", identity.adminAddress.text()},
+                          {"peers", identity.peerAddress.text()},
+                          {"rpc", identity.rpcAddress.text()}});
+    core::waitForStopSignal();
+    daemon.drain();
+    return core::ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description("spurlugd - serves prompts of very different lengths");
+    description.add_options()("help,h", "show this text")("version", "show the version")(
+        "settings", options::value<std::string>(), "settings file (JSON)")("check", "check the settings file and exit")(
+        "ports-file", options::value<std::string>()->default_value(""), "write the bound addresses to this file");
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), given);
+        if (given.contains("help")) {
+            std::cout << description << "\n";
+            return core::ExitOk;
+        }
+        if (given.contains("version")) {
+            std::cout << "spurlugd " << core::Version << "\n";
+            return core::ExitOk;
+        }
+        if (!given.contains("settings")) {
+            std::cerr << "spurlugd: --settings FILE is needed\n";
+            return core::ExitUsage;
+        }
+        const auto settings = settings::loadSettings(given["settings"].as<std::string>());
+        if (given.contains("check")) {
+            std::cout << "settings are valid\n";
+            return core::ExitOk;
+        }
+        core::blockStopSignals();
+        return run(settings, given["ports-file"].as<std::string>());
+    } catch (const core::InvalidDocument &error) {
+        std::cerr << "spurlugd: " << error.what() << "\n";
+        return core::ExitUsage;
+    } catch (const options::error &error) {
+        std::cerr << "spurlugd: " << error.what() << "\n";
+        return core::ExitUsage;
+    } catch (const core::Error &error) {
+        std::cerr << "spurlugd: " << error.what() << "\n";
+        return core::ExitFailure;
+    }
+}
--- /dev/null
+++ b/bench/corpus.cpp
@@ -0,0 +1,89 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: real text for prompts
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "corpus.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+#include "spurlug/core/text.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace bench
+{
+
+namespace
+{
+
+constexpr std::size_t MostBytes = 8U << 20;
+constexpr std::size_t LeastBytes = 16U << 10;
+constexpr std::size_t MostOfOneFile = 256U << 10;
+
+/// Keeps printable ASCII and line ends, so that a byte is a byte in JSON too.
+void appendPlain(std::string &text, const std::string &bytes)
+{
+    std::copy_if(bytes.begin(), bytes.end(), std::back_inserter(text),
+                 [](unsigned char byte) { return byte == '\n' || (byte >= ' ' && byte < 127); });
+}
+
+std::vector<std::filesystem::path> filesBelow(const std::string &directory)
+{
+    std::vector<std::filesystem::path> files;
+    const auto options = std::filesystem::directory_options::skip_permission_denied;
+    std::error_code error;
+    for (const auto &entry : std::filesystem::recursive_directory_iterator(directory, options, error)) {
+        if (entry.is_regular_file(error) && !error) {
+            files.push_back(entry.path());
+        }
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+} // namespace
+
+Corpus::Corpus(const std::vector<std::string> &directories)
+{
+    for (const auto &directory : directories) {
+        for (const auto &path : filesBelow(directory)) {
+            if (m_text.size() >= MostBytes) {
+                return;
+            }
+            std::ifstream file(path, std::ios::binary);
+            std::string bytes(MostOfOneFile, '\0');
+            file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+            bytes.resize(static_cast<std::size_t>(file.gcount()));
+            appendPlain(m_text, bytes);
+        }
+    }
+    if (m_text.size() < LeastBytes) {
+        throw spurlug::core::InvalidDocument("too little text was found for prompts");
+    }
+}
+
+std::string Corpus::prompt(std::size_t bytes, std::uint64_t draw, const std::string &prefix) const
+{
+    std::string text = prefix.substr(0, bytes);
+    spurlug::core::append(text, "[", draw, "] ");
+    auto start = draw % m_text.size();
+    while (text.size() < bytes) {
+        const auto part = std::min(bytes - text.size(), m_text.size() - start);
+        text.append(m_text, start, part);
+        start = 0;
+    }
+    text.resize(bytes);
+    return text;
+}
+
+std::string Corpus::sharedPrefix(const std::string &name, std::size_t bytes) const
+{
+    const auto start = spurlug::core::fastHash(name) % (m_text.size() - std::min(bytes, m_text.size() - 1));
+    return m_text.substr(start, bytes);
+}
+
+} // namespace bench
--- /dev/null
+++ b/include/spurlug/config/apply.h
@@ -0,0 +1,115 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: applying a configuration to the object API
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/config/parts.h"
+#include "spurlug/core/error.h"
+#include "spurlug/core/text.h"
+#include "spurlug/platform/object_api.h"
+
+#include <algorithm>
+#include <string>
+
+namespace spurlug::config
+{
+
+/// \brief The root that is in force and its object version.
+struct StoredRoot
+{
+    Root root;
+    std::int64_t version = 0; ///< 0: there is none yet.
+};
+
+/// \brief Reads the root that is in force.
+/// \throws PlatformUnavailable, InvalidDocument
+template<platform::ObjectApi Api>
+[[nodiscard]] StoredRoot readStoredRoot(const Api &api)
+{
+    const auto object = api.read(std::string(RootObject));
+    if (!object) {
+        return {};
+    }
+    return {readRoot(object->value), object->version};
+}
+
+/// \brief Stores the parts that the current root does not name already.
+///
+/// A part's name is its content, so that writing it twice, or finding it written, is success.
+/// \throws PlatformUnavailable
+template<platform::ObjectApi Api>
+void storeParts(const Api &api, const Split &split, const Root &current)
+{
+    std::map<std::string, bool> known;
+    for (const auto &[name, hash] : current.parts) {
+        known[hash] = true;
+    }
+    for (const auto &[hash, text] : split.texts) {
+        if (known.contains(hash)) {
+            continue;
+        }
+        try {
+            api.update(partObject(hash), text, 0);
+        } catch (const core::VersionConflict &) {
+            continue;
+        } catch (const core::UnknownResult &) {
+            if (!api.read(partObject(hash))) {
+                throw core::PlatformUnavailable(core::cat("part ", hash, " was not stored"));
+            }
+        }
+    }
+}
+
+/// \brief Whether a change became part of the configuration, told from the root that is in force now.
+[[nodiscard]] inline bool includesChange(const Root &root, const std::string &changeId)
+{
+    return std::find(root.history.begin(), root.history.end(), changeId) != root.history.end();
+}
+
+/// \brief Replaces the configuration by `document`.
+///
+/// When an answer is lost, the root's history tells whether the change took effect, also when another author has
+/// followed it since; a change that did not take effect is sent again under the same condition.
+/// \param expected The root that the author saw; the change is refused when another one is in force.
+/// \param changeId Unique to this change.
+/// \returns The generation that the change has.
+/// \throws VersionConflict when another author won; nothing of this change is in force.
+/// \throws PlatformUnavailable when the change is not in force.
+/// \throws UnknownResult when the root was sent and could not be read back.
+template<platform::ObjectApi Api>
+std::int64_t applyDocument(const Api &api, const nlohmann::json &document, const StoredRoot &expected,
+                           const std::string &changeId, const std::string &author)
+{
+    const auto split = splitDocument(document);
+    storeParts(api, split, expected.root);
+    const auto next = nextRoot(expected.root, changeId, author, split.parts);
+    bool sentBefore = false;
+    while (true) {
+        try {
+            api.update(std::string(RootObject), writeRoot(next), expected.version);
+            return next.generation;
+        } catch (const core::UnknownResult &) {
+            sentBefore = true;
+        } catch (const core::VersionConflict &) {
+            if (!sentBefore) {
+                throw;
+            }
+        }
+        StoredRoot found;
+        try {
+            found = readStoredRoot(api);
+        } catch (const core::PlatformUnavailable &unavailable) {
+            throw core::UnknownResult(unavailable.what());
+        }
+        if (includesChange(found.root, changeId)) {
+            return next.generation;
+        }
+        if (found.version != expected.version) {
+            throw core::VersionConflict(
+                core::cat("generation ", found.root.generation, " by ", found.root.author, " is in force"));
+        }
+    }
+}
+
+} // namespace spurlug::config
--- /dev/null
+++ b/include/spurlug/core/hash.h
@@ -0,0 +1,26 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: hashes: placement (XXH3) and content (SHA-256)
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace spurlug::core
+{
+
+/// \brief Fast 64-bit hash (XXH3), the same on every daemon. Not safe against an adversary.
+[[nodiscard]] std::uint64_t fastHash(std::string_view bytes, std::uint64_t seed = 0) noexcept;
+
+/// \brief SHA-256 of `bytes` as 64 lower-case hexadecimal digits.
+[[nodiscard]] std::string contentHash(std::string_view bytes);
+
+/// \brief HMAC-SHA-256 of `bytes` under `key`, 32 raw bytes.
+[[nodiscard]] std::string keyedHash(std::string_view key, std::string_view bytes);
+
+/// \brief Compares two byte strings in a time that does not depend on where they differ.
+[[nodiscard]] bool equalInConstantTime(std::string_view left, std::string_view right) noexcept;
+
+} // namespace spurlug::core
--- /dev/null
+++ b/include/spurlug/core/periodic.h
@@ -0,0 +1,43 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a thread that does something again and again
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+
+#include <absl/synchronization/notification.h>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace spurlug::core
+{
+
+/// \brief Calls a function, waits, and calls it again, on a thread of its own, until the end of its life.
+///
+/// An exception that leaves the function is logged; the next call comes all the same.
+class Periodic
+{
+public:
+    /// \brief Does one round.
+    /// \returns How long to wait before the next.
+    using Round = std::function<Duration()>;
+
+    /// \param name Of the thread's work, for logs.
+    Periodic(std::string name, Round round);
+    /// \brief Waits for the round in progress.
+    ~Periodic();
+    Periodic(const Periodic &) = delete;
+    Periodic &operator=(const Periodic &) = delete;
+
+private:
+    void work();
+
+    std::string m_name;
+    Round m_round;
+    absl::Notification m_stop;
+    std::thread m_thread;
+};
+
+} // namespace spurlug::core
--- /dev/null
+++ b/include/spurlug/core/reason.h
@@ -0,0 +1,110 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: reasons for refusals, retries and failed ends
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/enum_names.h"
+
+namespace spurlug::core
+{
+
+/// \brief Why a request was refused, retried or failed. Each has a counter in `/metrics`.
+enum class Reason
+{
+    None,
+    MissingKey,
+    UnknownKey,
+    MalformedBody,
+    BodyTooLarge,
+    BodyMemoryFull,
+    UnknownModel,
+    UnknownService,
+    UnknownClass,
+    InvalidDeadline,
+    NotReady,
+    Stopping,
+    Overloaded,
+    QueueFull,
+    DeadlineTooShort,
+    PromptTooLong,
+    RequestRate,
+    TokenBudget,
+    LongPrompts,
+    NoTarget,
+    ConnectFailed,
+    TargetRefused,
+    TargetFailed,
+    StreamCut,
+    StreamStalled,
+    ReservationRefused,
+    BrokerUnreachable,
+    GrantTimeout,
+    RetryBudget,
+    NotRepeatable,
+    ClaimUnavailable,
+    AlreadyClaimed,
+    DeadlinePassed,
+    CallerGone,
+};
+
+template<>
+struct EnumNames<Reason>
+{
+    static constexpr std::array table{
+        EnumName<Reason>{Reason::None, "none"},
+        EnumName<Reason>{Reason::MissingKey, "missing_key"},
+        EnumName<Reason>{Reason::UnknownKey, "unknown_key"},
+        EnumName<Reason>{Reason::MalformedBody, "malformed_body"},
+        EnumName<Reason>{Reason::BodyTooLarge, "body_too_large"},
+        EnumName<Reason>{Reason::BodyMemoryFull, "body_memory_full"},
+        EnumName<Reason>{Reason::UnknownModel, "unknown_model"},
+        EnumName<Reason>{Reason::UnknownService, "unknown_service"},
+        EnumName<Reason>{Reason::UnknownClass, "unknown_class"},
+        EnumName<Reason>{Reason::InvalidDeadline, "invalid_deadline"},
+        EnumName<Reason>{Reason::NotReady, "not_ready"},
+        EnumName<Reason>{Reason::Stopping, "stopping"},
+        EnumName<Reason>{Reason::Overloaded, "overloaded"},
+        EnumName<Reason>{Reason::QueueFull, "queue_full"},
+        EnumName<Reason>{Reason::DeadlineTooShort, "deadline_too_short"},
+        EnumName<Reason>{Reason::PromptTooLong, "prompt_too_long"},
+        EnumName<Reason>{Reason::RequestRate, "request_rate"},
+        EnumName<Reason>{Reason::TokenBudget, "token_budget"},
+        EnumName<Reason>{Reason::LongPrompts, "long_prompts"},
+        EnumName<Reason>{Reason::NoTarget, "no_target"},
+        EnumName<Reason>{Reason::ConnectFailed, "connect_failed"},
+        EnumName<Reason>{Reason::TargetRefused, "target_refused"},
+        EnumName<Reason>{Reason::TargetFailed, "target_failed"},
+        EnumName<Reason>{Reason::StreamCut, "stream_cut"},
+        EnumName<Reason>{Reason::StreamStalled, "stream_stalled"},
+        EnumName<Reason>{Reason::ReservationRefused, "reservation_refused"},
+        EnumName<Reason>{Reason::BrokerUnreachable, "broker_unreachable"},
+        EnumName<Reason>{Reason::GrantTimeout, "grant_timeout"},
+        EnumName<Reason>{Reason::RetryBudget, "retry_budget"},
+        EnumName<Reason>{Reason::NotRepeatable, "not_repeatable"},
+        EnumName<Reason>{Reason::ClaimUnavailable, "claim_unavailable"},
+        EnumName<Reason>{Reason::AlreadyClaimed, "already_claimed"},
+        EnumName<Reason>{Reason::DeadlinePassed, "deadline_passed"},
+        EnumName<Reason>{Reason::CallerGone, "caller_gone"},
+    };
+};
+
+/// \brief What a caller may conclude about an attempt or a whole request.
+enum class Outcome
+{
+    NotRun, ///< No target began the work: it is safe to send the request again.
+    Completed, ///< The whole answer was received.
+    MayHaveRun, ///< A target may have done some or all of the work.
+};
+
+template<>
+struct EnumNames<Outcome>
+{
+    static constexpr std::array table{
+        EnumName<Outcome>{Outcome::NotRun, "not_run"},
+        EnumName<Outcome>{Outcome::Completed, "completed"},
+        EnumName<Outcome>{Outcome::MayHaveRun, "may_have_run"},
+    };
+};
+
+} // namespace spurlug::core
--- /dev/null
+++ b/include/spurlug/core/time.h
@@ -0,0 +1,37 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: points in time and durations
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include <absl/time/time.h>
+#include <cstdint>
+
+namespace spurlug::core
+{
+
+/// \brief A point in time. Deciding code takes it as an argument and never reads a clock.
+using Time = absl::Time;
+
+/// \brief A span of time.
+using Duration = absl::Duration;
+
+/// \brief The present time of this VM, counted from its start (CLOCK_BOOTTIME).
+///
+/// The clock goes on while the VM is suspended, so that a lease does not look young after a pause. It is not comparable
+/// between VMs: messages carry ages, never points in time.
+[[nodiscard]] Time now() noexcept;
+
+/// \brief Whole milliseconds of a duration, rounded towards zero.
+[[nodiscard]] inline std::int64_t toMs(Duration span) noexcept
+{
+    return absl::ToInt64Milliseconds(span);
+}
+
+/// \brief A duration of `ms` milliseconds.
+[[nodiscard]] inline Duration fromMs(std::int64_t ms) noexcept
+{
+    return absl::Milliseconds(ms);
+}
+
+} // namespace spurlug::core
--- /dev/null
+++ b/include/spurlug/core/worker_pool.h
@@ -0,0 +1,63 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a bounded pool of worker threads
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <thread>
+#include <vector>
+
+namespace spurlug::core
+{
+
+/// \brief A pool that starts threads when work finds none idle, up to a bound, and keeps them.
+///
+/// \code
+/// WorkerPool pool(64, 128);
+/// if (!pool.tryRun([] { work(); })) { refuse(); }
+/// \endcode
+class WorkerPool
+{
+public:
+    using Task = std::function<void()>;
+
+    /// \param maxThreads Most threads at once.
+    /// \param maxQueued Most tasks that wait while all threads are busy.
+    WorkerPool(std::size_t maxThreads, std::size_t maxQueued);
+    /// \brief Runs what is queued, then joins the threads.
+    ~WorkerPool();
+    WorkerPool(const WorkerPool &) = delete;
+    WorkerPool &operator=(const WorkerPool &) = delete;
+
+    /// \brief Queues a task.
+    /// \returns False, without taking the task, when threads and queue are full or the pool is stopping.
+    [[nodiscard]] bool tryRun(Task task) ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    /// \brief Waits for a place, then queues the task.
+    void run(Task task) ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    /// \brief Takes no more tasks, runs those queued and joins the threads. May be called twice.
+    void stop() ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    [[nodiscard]] std::size_t busyThreads() const ABSL_LOCKS_EXCLUDED(m_mutex);
+
+private:
+    [[nodiscard]] bool hasRoom() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void push(Task task) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void work();
+
+    const std::size_t m_maxThreads;
+    const std::size_t m_maxQueued;
+    mutable absl::Mutex m_mutex;
+    std::deque<Task> m_tasks ABSL_GUARDED_BY(m_mutex);
+    std::vector<std::thread> m_threads ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_idle ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace spurlug::core
--- /dev/null
+++ b/include/spurlug/daemon/error_body.h
@@ -0,0 +1,39 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what callers are told when a request is refused or fails
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/reason.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace httplib
+{
+struct Response;
+} // namespace httplib
+
+namespace spurlug::daemon
+{
+
+/// \brief A refusal or failure as callers see it.
+struct ErrorReply
+{
+    core::Reason reason = core::Reason::None;
+    core::Outcome outcome = core::Outcome::NotRun;
+    std::string message;
+    std::string requestId;
+    int retryAfterSeconds = 0; ///< 0: not told.
+};
+
+/// \brief HTTP status for a reason.
+[[nodiscard]] int statusOf(core::Reason reason) noexcept;
+
+/// \brief The error in the shape that OpenAI clients read.
+[[nodiscard]] nlohmann::ordered_json errorBody(const ErrorReply &reply);
+
+/// \brief Makes a response of it.
+void writeError(httplib::Response &response, const ErrorReply &reply);
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/include/spurlug/daemon/peer_server.h
@@ -0,0 +1,48 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: answers calls from other daemons
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/config/store.h"
+#include "spurlug/core/address.h"
+#include "spurlug/explain/decision_ring.h"
+#include "spurlug/grants/broker_host.h"
+#include "spurlug/membership/fleet.h"
+#include "spurlug/metrics/metrics.h"
+
+#include <memory>
+
+namespace spurlug::daemon
+{
+
+/// \brief What calls from peers act on; outlives the server.
+struct PeerServerParts
+{
+    grants::BrokerHost &brokers;
+    membership::Fleet &fleet;
+    config::Store &store;
+    explain::DecisionRing &decisions;
+    metrics::Metrics &metrics;
+};
+
+/// \brief The gRPC server of one daemon.
+class PeerServer
+{
+public:
+    /// \param address Port 0 lets the kernel choose.
+    /// \throws NetworkError
+    PeerServer(const core::Address &address, PeerServerParts parts);
+    ~PeerServer();
+    PeerServer(const PeerServer &) = delete;
+    PeerServer &operator=(const PeerServer &) = delete;
+
+    [[nodiscard]] const core::Address &address() const noexcept;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+    core::Address m_address;
+};
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/include/spurlug/daemon/roles.h
@@ -0,0 +1,25 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: names of the roles that rendezvous hashing assigns
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace spurlug::daemon
+{
+
+/// \brief Role of the two daemons of a failure domain that wait on the platform for a new configuration.
+inline constexpr std::string_view WatcherRole = "configuration-watcher";
+
+/// \brief Daemons that hold the watcher's role at once.
+inline constexpr std::size_t Watchers = 2;
+
+/// \brief Role of the daemon that grants the engines of a pool.
+[[nodiscard]] inline std::string brokerRole(std::string_view pool)
+{
+    return std::string("broker:").append(pool);
+}
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/include/spurlug/grants/broker_host.h
@@ -0,0 +1,77 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: runs the brokers of the pools whose broker this daemon is
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/config/configuration.h"
+#include "spurlug/core/periodic.h"
+#include "spurlug/grants/broker.h"
+#include "spurlug/targets/target_table.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace spurlug::grants
+{
+
+/// \brief A broker's answer.
+struct AskAnswer
+{
+    std::optional<Grant> grant;
+    std::size_t place = 0;
+};
+
+/// \brief Brokers behind a lock, with the asks that wait for an answer. Safe to use from several threads.
+///
+/// Lock order: `m_mutex` before TargetTable's.
+class BrokerHost
+{
+public:
+    using CurrentConfiguration = std::function<config::ConfigurationRef()>;
+    using OnAnswer = std::function<void(const AskAnswer &)>;
+
+    BrokerHost(const targets::TargetTable &table, CurrentConfiguration configuration, std::string failureDomain);
+    ~BrokerHost();
+    BrokerHost(const BrokerHost &) = delete;
+    BrokerHost &operator=(const BrokerHost &) = delete;
+
+    /// \brief Queues an ask; `onAnswer` is called once, when it is granted or when `wait` has passed.
+    void ask(const std::string &pool, const Ask &ask, core::Duration wait, OnAnswer onAnswer, core::Time now)
+        ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    bool renew(std::uint64_t grantId, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void release(std::uint64_t grantId) ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    /// \brief Asks that wait at all pools.
+    [[nodiscard]] std::size_t waiting() const ABSL_LOCKS_EXCLUDED(m_mutex);
+
+private:
+    struct Waiter
+    {
+        std::string pool;
+        std::string requestId;
+        core::Time until;
+        OnAnswer onAnswer;
+    };
+
+    core::Duration serveRound() ABSL_LOCKS_EXCLUDED(m_mutex);
+    void serve(const config::Pool &pool, Broker &broker, core::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    [[nodiscard]] std::list<std::pair<Waiter, AskAnswer>> takeAnswered(core::Time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const targets::TargetTable &m_table;
+    const CurrentConfiguration m_configuration;
+    const std::string m_failureDomain;
+    mutable absl::Mutex m_mutex;
+    std::map<std::string, Broker> m_brokers ABSL_GUARDED_BY(m_mutex);
+    std::list<Waiter> m_waiters ABSL_GUARDED_BY(m_mutex);
+    std::unique_ptr<core::Periodic> m_server;
+};
+
+} // namespace spurlug::grants
--- /dev/null
+++ b/include/spurlug/membership/fleet.h
@@ -0,0 +1,58 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the shared view of the fleet: peers and who holds which role
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+#include "spurlug/membership/peer_table.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <atomic>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace spurlug::membership
+{
+
+/// \brief A PeerTable behind a lock, and this daemon's own state. Safe to use from several threads.
+class Fleet
+{
+public:
+    Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout);
+
+    /// \name Commands
+    /// @{
+    HeardResult hear(const PeerNews &news, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void noteVmList(const std::vector<platform::VmEntry> &entries) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void noteOwnPause(core::Duration gap) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void forgetSilent(core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void setState(DaemonState state) noexcept;
+    /// @}
+
+    /// \name Queries
+    /// @{
+    [[nodiscard]] DaemonState state() const noexcept;
+    [[nodiscard]] std::vector<std::string> roleHolders(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief The daemon of this failure domain that holds a role now; empty when none does.
+    [[nodiscard]] std::string holder(std::string_view role, core::Time now) const;
+    /// \brief Whether this daemon is among the first `count` for a role.
+    [[nodiscard]] bool holds(std::string_view role, std::size_t count, core::Time now) const;
+    [[nodiscard]] std::vector<core::Address> sendTo() const ABSL_LOCKS_EXCLUDED(m_mutex);
+    [[nodiscard]] std::optional<Peer> find(const std::string &vm) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Peers whose heartbeats are heard.
+    [[nodiscard]] std::vector<Peer> alive(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    [[nodiscard]] const std::string &self() const noexcept;
+    /// @}
+
+private:
+    const std::string m_self;
+    std::atomic<DaemonState> m_state{DaemonState::Starting};
+    mutable absl::Mutex m_mutex;
+    PeerTable m_table ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace spurlug::membership
--- /dev/null
+++ b/include/spurlug/membership/heartbeat.h
@@ -0,0 +1,43 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: heartbeats on the wire
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+#include "spurlug/membership/peer_table.h"
+#include "spurlug/targets/load_report.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace spurlug::membership
+{
+
+/// \brief One target's load in a heartbeat.
+struct ObservedLoad
+{
+    std::uint32_t target = 0; ///< targets::targetHash of its id.
+    targets::LoadReport report;
+    core::Duration age; ///< Age of the report when the heartbeat was sent.
+};
+
+/// \brief A whole heartbeat.
+struct Heartbeat
+{
+    PeerNews news;
+    std::vector<ObservedLoad> loads;
+};
+
+/// \brief Writes and signs a heartbeat as one datagram.
+/// \param key Shared secret; empty leaves the datagram unsigned.
+[[nodiscard]] std::string writeHeartbeat(const Heartbeat &heartbeat, std::string_view key);
+
+/// \brief Checks and reads a datagram.
+/// \returns Nothing when the signature is wrong or the bytes are no heartbeat.
+[[nodiscard]] std::optional<Heartbeat> readHeartbeat(std::string_view datagram, std::string_view key);
+
+} // namespace spurlug::membership
--- /dev/null
+++ b/include/spurlug/metrics/metrics.h
@@ -0,0 +1,155 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: counters, gauges and quantiles of one daemon
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/reason.h"
+#include "spurlug/core/time.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace spurlug::metrics
+{
+
+/// \brief What the daemon counts, beside the reasons.
+enum class Counter
+{
+    RequestsAdmitted,
+    AttemptsStarted,
+    TokensRelayed,
+    EventsDropped,
+    StreamsResumed,
+    HeartbeatsSent,
+    HeartbeatBytesSent,
+    HeartbeatsReceived,
+    HeartbeatBytesReceived,
+    HeartbeatsRejected,
+    RpcCalls,
+    PlatformReads,
+    PlatformWrites,
+    PlatformFailures,
+    ConfigurationsApplied,
+    ConfigurationsRefused,
+    PausesNoticed,
+};
+
+/// \brief What the daemon times; seconds.
+enum class Timer
+{
+    FirstToken1k, ///< Time to first token of prompts below 4,000 tokens.
+    FirstToken4k, ///< From 4,000 tokens.
+    FirstToken16k, ///< From 16,000 tokens.
+    FirstToken100k, ///< From 100,000 tokens.
+    RouteDecision,
+    GrantWait,
+    BetweenTokens,
+};
+
+} // namespace spurlug::metrics
+
+namespace spurlug::core
+{
+
+template<>
+struct EnumNames<metrics::Counter>
+{
+    using Counter = metrics::Counter;
+    static constexpr std::array table{
+        EnumName<Counter>{Counter::RequestsAdmitted, "requests_admitted"},
+        EnumName<Counter>{Counter::AttemptsStarted, "attempts_started"},
+        EnumName<Counter>{Counter::TokensRelayed, "tokens_relayed"},
+        EnumName<Counter>{Counter::EventsDropped, "events_dropped"},
+        EnumName<Counter>{Counter::StreamsResumed, "streams_resumed"},
+        EnumName<Counter>{Counter::HeartbeatsSent, "heartbeats_sent"},
+        EnumName<Counter>{Counter::HeartbeatBytesSent, "heartbeat_bytes_sent"},
+        EnumName<Counter>{Counter::HeartbeatsReceived, "heartbeats_received"},
+        EnumName<Counter>{Counter::HeartbeatBytesReceived, "heartbeat_bytes_received"},
+        EnumName<Counter>{Counter::HeartbeatsRejected, "heartbeats_rejected"},
+        EnumName<Counter>{Counter::RpcCalls, "rpc_calls"},
+        EnumName<Counter>{Counter::PlatformReads, "platform_reads"},
+        EnumName<Counter>{Counter::PlatformWrites, "platform_writes"},
+        EnumName<Counter>{Counter::PlatformFailures, "platform_failures"},
+        EnumName<Counter>{Counter::ConfigurationsApplied, "configurations_applied"},
+        EnumName<Counter>{Counter::ConfigurationsRefused, "configurations_refused"},
+        EnumName<Counter>{Counter::PausesNoticed, "pauses_noticed"},
+    };
+};
+
+template<>
+struct EnumNames<metrics::Timer>
+{
+    using Timer = metrics::Timer;
+    static constexpr std::array table{
+        EnumName<Timer>{Timer::FirstToken1k, "first_token_1k_seconds"},
+        EnumName<Timer>{Timer::FirstToken4k, "first_token_4k_seconds"},
+        EnumName<Timer>{Timer::FirstToken16k, "first_token_16k_seconds"},
+        EnumName<Timer>{Timer::FirstToken100k, "first_token_100k_seconds"},
+        EnumName<Timer>{Timer::RouteDecision, "route_decision_seconds"},
+        EnumName<Timer>{Timer::GrantWait, "grant_wait_seconds"},
+        EnumName<Timer>{Timer::BetweenTokens, "between_tokens_seconds"},
+    };
+};
+
+} // namespace spurlug::core
+
+namespace spurlug::metrics
+{
+
+/// \brief All metrics of one daemon. Safe to use from several threads.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    /// \name Commands
+    /// @{
+    void count(Counter counter, std::int64_t by = 1) noexcept;
+    /// \brief Counts a request that was refused before any target began.
+    void countRefusal(core::Reason reason) noexcept;
+    /// \brief Counts a retry by the reason of the attempt that failed.
+    void countRetry(core::Reason reason) noexcept;
+    /// \brief Counts the end of an admitted request.
+    void countEnd(core::Outcome outcome, core::Reason reason) noexcept;
+    void time(Timer timer, core::Duration span) ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Sets a gauge; `name` in snake_case.
+    void gauge(const std::string &name, double value) ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// @}
+
+    /// \name Queries
+    /// @{
+    [[nodiscard]] std::int64_t value(Counter counter) const noexcept;
+    [[nodiscard]] std::int64_t refusals(core::Reason reason) const noexcept;
+    [[nodiscard]] std::int64_t retries(core::Reason reason) const noexcept;
+    /// \brief Everything, in Prometheus' text format.
+    [[nodiscard]] std::string prometheusText() const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// @}
+
+private:
+    struct Quantiles;
+    static constexpr std::size_t Counters = core::EnumNames<Counter>::table.size();
+    static constexpr std::size_t Reasons = core::EnumNames<core::Reason>::table.size();
+    static constexpr std::size_t Outcomes = core::EnumNames<core::Outcome>::table.size();
+
+    std::array<std::atomic<std::int64_t>, Counters> m_counters{};
+    std::array<std::atomic<std::int64_t>, Reasons> m_refusals{};
+    std::array<std::atomic<std::int64_t>, Reasons> m_retries{};
+    std::array<std::atomic<std::int64_t>, Outcomes> m_outcomes{};
+    std::array<std::atomic<std::int64_t>, Reasons> m_failures{};
+    mutable absl::Mutex m_mutex;
+    std::map<Timer, std::unique_ptr<Quantiles>> m_timers ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, double> m_gauges ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace spurlug::metrics
--- /dev/null
+++ b/include/spurlug/routing/choose.h
@@ -0,0 +1,63 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: choice of a target by expected time to first token
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+#include "spurlug/targets/target_table.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace spurlug::routing
+{
+
+/// \brief What routing needs to know of a request.
+struct RouteRequest
+{
+    std::int64_t tokens = 0; ///< Prompt length.
+    bool urgent = true; ///< Whether engines serve it ahead of long prompts.
+    std::uint64_t prefix = 0; ///< Hash of the prompt's beginning; 0: none to be shared.
+};
+
+/// \brief Weights of the choice.
+struct RouteRule
+{
+    core::Duration staleAfter = absl::Seconds(3); ///< A report older than this counts for nothing.
+    core::Duration streamCost = core::fromMs(1); ///< Expected delay by each stream already running.
+    core::Duration affinityBonus = core::fromMs(0); ///< Taken off at the target that should hold the prefix.
+    double tieShare = 0.10; ///< Targets within this share of the best count as equal.
+    core::Duration tieSpan = core::fromMs(5); ///< Targets within this time of the best count as equal.
+    double defaultPrefillRate = 10'000; ///< Tokens a second, when a target has not said.
+};
+
+/// \brief One target that was considered.
+struct Candidate
+{
+    std::string id;
+    core::Duration expected = absl::InfiniteDuration(); ///< Expected time to first token.
+    bool usable = false;
+    std::string_view why; ///< Why it is not usable; a static text.
+};
+
+/// \brief The outcome of a choice.
+struct Choice
+{
+    std::optional<std::size_t> chosen; ///< Index into `candidates` and into the views that were given.
+    std::vector<Candidate> candidates;
+};
+
+/// \brief Expected time to first token of a request at a target.
+[[nodiscard]] core::Duration expectedTtft(const RouteRequest &request, const targets::TargetView &target,
+                                          const RouteRule &rule);
+
+/// \brief Chooses among targets; about equal ones share requests by `pick`.
+/// \param excluded Ids of targets that this request has tried already; taken only when nothing else is usable.
+/// \param pick A random number: daemons that see the same stale report must not all choose the same target.
+[[nodiscard]] Choice chooseTarget(const RouteRequest &request, const std::vector<targets::TargetView> &targets,
+                                  const std::vector<std::string> &excluded, const RouteRule &rule, std::uint64_t pick);
+
+} // namespace spurlug::routing
--- /dev/null
+++ b/include/spurlug/targets/observer.h
@@ -0,0 +1,63 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: reads the load of the targets that this daemon observes
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/config/configuration.h"
+#include "spurlug/core/periodic.h"
+#include "spurlug/core/worker_pool.h"
+#include "spurlug/membership/fleet.h"
+#include "spurlug/membership/heartbeat.h"
+#include "spurlug/targets/target_table.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace spurlug::targets
+{
+
+/// \brief Polls the targets of this failure domain that rendezvous hashing assigns to this daemon.
+///
+/// What it reads goes into the target table and, through `ownLoads`, into the heartbeats.
+class Observer
+{
+public:
+    using CurrentConfiguration = std::function<config::ConfigurationRef()>;
+
+    Observer(membership::Fleet &fleet, TargetTable &table, CurrentConfiguration configuration,
+             std::string failureDomain, core::Duration interval);
+    ~Observer();
+    Observer(const Observer &) = delete;
+    Observer &operator=(const Observer &) = delete;
+
+    /// \brief What this daemon read last from the targets it observes; ages as of `now`.
+    [[nodiscard]] std::vector<membership::ObservedLoad> ownLoads(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+
+private:
+    struct Observed
+    {
+        LoadReport report;
+        core::Time readAt;
+    };
+
+    core::Duration pollRound();
+    void poll(const config::TargetSpec &spec) ABSL_LOCKS_EXCLUDED(m_mutex);
+    [[nodiscard]] std::vector<config::TargetSpec> assigned() const;
+
+    membership::Fleet &m_fleet;
+    TargetTable &m_table;
+    const CurrentConfiguration m_configuration;
+    const std::string m_failureDomain;
+    const core::Duration m_interval;
+    mutable absl::Mutex m_mutex;
+    std::map<std::string, Observed> m_observed ABSL_GUARDED_BY(m_mutex);
+    core::WorkerPool m_pool;
+    std::unique_ptr<core::Periodic> m_poller;
+};
+
+} // namespace spurlug::targets
--- /dev/null
+++ b/src/admission/admission.cpp
@@ -0,0 +1,110 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: whether a request is taken, and for whom
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/admission/admission.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/text.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace spurlug::admission
+{
+
+namespace
+{
+
+using core::Reason;
+using core::Refused;
+
+constexpr std::string_view Bearer = "Bearer ";
+
+const config::Organisation &findOrganisation(const config::Configuration &configuration, std::string_view authorization)
+{
+    if (!authorization.starts_with(Bearer)) {
+        throw Refused(Reason::MissingKey, "send an API key as 'Authorization: Bearer KEY'");
+    }
+    const auto *organisation = configuration.organisationForKey(authorization.substr(Bearer.size()));
+    if (organisation == nullptr) {
+        throw Refused(Reason::UnknownKey, "the API key is not known");
+    }
+    return *organisation;
+}
+
+const config::RequestClass *findClass(const config::Configuration &configuration, std::string_view name)
+{
+    if (name.empty()) {
+        return configuration.classes.empty() ? nullptr : &configuration.classes.front();
+    }
+    const auto *requestClass = configuration.classNamed(name);
+    if (requestClass == nullptr) {
+        throw Refused(Reason::UnknownClass, core::cat("there is no request class '", name, "'"));
+    }
+    return requestClass;
+}
+
+core::Duration readDeadline(std::string_view text, const config::RequestClass &terms)
+{
+    if (text.empty()) {
+        return terms.defaultDeadline;
+    }
+    std::int64_t milliseconds = 0;
+    if (!core::readNumber(text, milliseconds) || milliseconds <= 0) {
+        throw Refused(Reason::InvalidDeadline, "the deadline must be a positive number of milliseconds");
+    }
+    return std::min(core::fromMs(milliseconds), terms.maxDeadline);
+}
+
+} // namespace
+
+Caller identifyCaller(const config::ConfigurationRef &configuration, std::string_view authorization,
+                      std::string_view className, std::string_view deadlineText)
+{
+    constexpr int ReadyInSeconds = 1;
+    if (!configuration) {
+        throw Refused(Reason::NotReady, "this daemon has no configuration yet", ReadyInSeconds);
+    }
+    static const config::RequestClass defaultTerms;
+    Caller caller;
+    caller.configuration = configuration;
+    caller.organisation = &findOrganisation(*configuration, authorization);
+    caller.requestClass = findClass(*configuration, className);
+    caller.deadline = readDeadline(deadlineText, caller.requestClass ? *caller.requestClass : defaultTerms);
+    return caller;
+}
+
+int enginesNeeded(const config::Pool &pool, std::int64_t kvTokens)
+{
+    const auto engines = (kvTokens + pool.engineTokens - 1) / pool.engineTokens;
+    if (engines > pool.maxGroup) {
+        throw Refused(Reason::PromptTooLong,
+                      core::cat("the prompt and its answer need ", kvTokens, " tokens of memory; at most ",
+                                pool.maxGroup * pool.engineTokens, " can be had"));
+    }
+    return static_cast<int>(std::max<std::int64_t>(engines, 1));
+}
+
+void TokenRatios::learn(const std::string &model, std::int64_t promptBytes, std::int64_t promptTokens)
+{
+    if (promptBytes <= 0 || promptTokens <= 0) {
+        return;
+    }
+    constexpr double Weight = 0.05; // Of one answer in the running mean.
+    const double ratio = static_cast<double>(promptBytes) / static_cast<double>(promptTokens);
+    absl::MutexLock lock(&m_mutex);
+    auto &mean = m_bytesPerToken.try_emplace(model, ratio).first->second;
+    mean += Weight * (ratio - mean);
+}
+
+std::int64_t TokenRatios::estimate(const config::Pool &pool, std::int64_t promptBytes) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto learned = m_bytesPerToken.find(pool.model);
+    const double ratio = learned == m_bytesPerToken.end() ? pool.bytesPerToken : learned->second;
+    return static_cast<std::int64_t>(std::ceil(static_cast<double>(promptBytes) / ratio));
+}
+
+} // namespace spurlug::admission
--- /dev/null
+++ b/src/admission/request_body.cpp
@@ -0,0 +1,177 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what a completion request asks for
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/admission/request_body.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace spurlug::admission
+{
+
+namespace
+{
+
+constexpr std::size_t PrefixBytes = 2048;
+constexpr std::size_t DeepestNesting = 64;
+
+/// Receives the body's values one by one, so that a prompt of megabytes is never held a second time as a tree.
+class BodyHandler : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+    RequestBody body;
+    bool valid = true;
+
+    bool null() override
+    {
+        return true;
+    }
+
+    bool boolean(bool value) override
+    {
+        if (m_path.size() == 1 && m_key == "stream") {
+            body.stream = value;
+        } else if (m_path.size() == 2 && m_path[1] == "stream_options" && m_key == "include_usage") {
+            body.includeUsage = value;
+        }
+        return true;
+    }
+
+    bool number_integer(number_integer_t value) override
+    {
+        return noteNumber(value);
+    }
+
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        return noteNumber(static_cast<std::int64_t>(value));
+    }
+
+    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override
+    {
+        return true;
+    }
+
+    bool string(string_t &value) override
+    {
+        if (m_path.size() == 1 && m_key == "model") {
+            body.model = value;
+        } else if (inPrompt()) {
+            notePrompt(value);
+        }
+        return true;
+    }
+
+    bool binary(binary_t & /*value*/) override
+    {
+        return false;
+    }
+
+    bool start_object(std::size_t /*elements*/) override
+    {
+        return enter();
+    }
+
+    bool key(string_t &value) override
+    {
+        m_key = value;
+        return true;
+    }
+
+    bool end_object() override
+    {
+        return leave();
+    }
+
+    bool start_array(std::size_t /*elements*/) override
+    {
+        return enter();
+    }
+
+    bool end_array() override
+    {
+        return leave();
+    }
+
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
+                     const nlohmann::detail::exception & /*error*/) override
+    {
+        valid = false;
+        return false;
+    }
+
+private:
+    bool enter()
+    {
+        m_path.push_back(m_key);
+        return m_path.size() < DeepestNesting;
+    }
+
+    bool leave()
+    {
+        m_key = m_path.back();
+        m_path.pop_back();
+        return true;
+    }
+
+    [[nodiscard]] bool inPrompt() const
+    {
+        const auto &top = m_path.size() > 1 ? m_path[1] : m_key;
+        return top == "prompt" || (top == "messages" && (m_key == "content" || m_key == "text"));
+    }
+
+    bool noteNumber(std::int64_t value)
+    {
+        if (m_path.size() == 1 && (m_key == "max_tokens" || m_key == "max_completion_tokens")) {
+            body.maxTokens = value;
+        }
+        return true;
+    }
+
+    void notePrompt(const std::string &text)
+    {
+        body.promptBytes += static_cast<std::int64_t>(text.size());
+        if (m_prefixLeft == 0) {
+            return;
+        }
+        const auto taken = std::string_view(text).substr(0, m_prefixLeft);
+        m_prefixHash = core::fastHash(taken, m_prefixHash);
+        m_prefixLeft -= taken.size();
+        if (m_prefixLeft == 0) {
+            body.prefix = m_prefixHash;
+        }
+    }
+
+    std::vector<std::string> m_path;
+    std::string m_key;
+    std::uint64_t m_prefixHash = 1;
+    std::size_t m_prefixLeft = PrefixBytes;
+};
+
+} // namespace
+
+RequestBody readRequestBody(std::string_view body)
+{
+    using core::Reason;
+    BodyHandler handler;
+    if (!nlohmann::json::sax_parse(body, &handler) || !handler.valid) {
+        throw core::Refused(Reason::MalformedBody, "the body is not a JSON object that can be read");
+    }
+    if (handler.body.model.empty()) {
+        throw core::Refused(Reason::MalformedBody, "'model' must be a non-empty string");
+    }
+    if (handler.body.promptBytes == 0) {
+        throw core::Refused(Reason::MalformedBody, "'messages' or 'prompt' must hold some text");
+    }
+    if (handler.body.maxTokens < 0) {
+        throw core::Refused(Reason::MalformedBody, "'max_tokens' must not be negative");
+    }
+    return handler.body;
+}
+
+} // namespace spurlug::admission
--- /dev/null
+++ b/src/config/parts.cpp
@@ -0,0 +1,131 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a configuration cut into content-addressed parts and one root
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/config/parts.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+#include "spurlug/core/text.h"
+
+#include <absl/strings/str_format.h>
+#include <algorithm>
+
+namespace spurlug::config
+{
+
+namespace
+{
+
+constexpr std::string_view OrganisationPart = "organisations-";
+
+void addPart(Split &split, const std::string &name, const nlohmann::json &value)
+{
+    auto text = value.dump();
+    auto hash = core::contentHash(text);
+    split.parts[name] = hash;
+    split.texts[hash] = std::move(text);
+}
+
+std::map<std::string, nlohmann::json> shardOrganisations(const nlohmann::json &organisations)
+{
+    std::map<std::string, nlohmann::json> shards;
+    for (const auto &organisation : organisations) {
+        const auto shard = core::fastHash(organisation.value("name", "")) % OrganisationShards;
+        shards[absl::StrFormat("organisations-%02d", shard)].push_back(organisation);
+    }
+    return shards;
+}
+
+nlohmann::json parsePart(const std::string &name, const std::string &hash, const PartTexts &texts)
+{
+    const auto found = texts.find(hash);
+    if (found == texts.end()) {
+        throw core::InvalidDocument(core::cat("part ", name, " is missing"));
+    }
+    if (core::contentHash(found->second) != hash) {
+        throw core::InvalidDocument(core::cat("part ", name, " does not match its hash"));
+    }
+    auto value = nlohmann::json::parse(found->second, nullptr, false);
+    if (value.is_discarded()) {
+        throw core::InvalidDocument(core::cat("part ", name, " is not JSON"));
+    }
+    return value;
+}
+
+} // namespace
+
+std::string partObject(std::string_view hash)
+{
+    return core::cat("config/parts/", hash);
+}
+
+Split splitDocument(const nlohmann::json &document)
+{
+    Split split;
+    for (const auto &[key, value] : document.items()) {
+        if (key != "organisations") {
+            addPart(split, key, value);
+        }
+    }
+    const auto organisations = document.value("organisations", nlohmann::json::array());
+    for (const auto &[name, shard] : shardOrganisations(organisations)) {
+        addPart(split, name, shard);
+    }
+    return split;
+}
+
+nlohmann::json joinDocument(const Root &root, const PartTexts &texts)
+{
+    nlohmann::json document = nlohmann::json::object();
+    document["organisations"] = nlohmann::json::array();
+    for (const auto &[name, hash] : root.parts) {
+        auto value = parsePart(name, hash, texts);
+        if (!name.starts_with(OrganisationPart)) {
+            document[name] = std::move(value);
+            continue;
+        }
+        for (auto &organisation : value) {
+            document["organisations"].push_back(std::move(organisation));
+        }
+    }
+    return document;
+}
+
+Root nextRoot(const Root &current, const std::string &changeId, const std::string &author,
+              const std::map<std::string, std::string> &parts)
+{
+    Root next{current.generation + 1, changeId, author, parts, {changeId}};
+    next.history.insert(next.history.end(), current.history.begin(), current.history.end());
+    next.history.resize(std::min(next.history.size(), HistoryLength));
+    return next;
+}
+
+std::string writeRoot(const Root &root)
+{
+    return nlohmann::json{{"generation", root.generation},
+                          {"changeId", root.changeId},
+                          {"author", root.author},
+                          {"parts", root.parts},
+                          {"history", root.history}}
+        .dump();
+}
+
+Root readRoot(std::string_view text)
+{
+    try {
+        const auto value = nlohmann::json::parse(text);
+        Root root;
+        value.at("generation").get_to(root.generation);
+        value.at("changeId").get_to(root.changeId);
+        value.at("author").get_to(root.author);
+        value.at("parts").get_to(root.parts);
+        value.at("history").get_to(root.history);
+        return root;
+    } catch (const nlohmann::json::exception &error) {
+        throw core::InvalidDocument(core::cat("root: ", error.what()));
+    }
+}
+
+} // namespace spurlug::config
--- /dev/null
+++ b/src/core/hash.cpp
@@ -0,0 +1,45 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: hashes: placement (XXH3) and content (SHA-256)
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/core/hash.h"
+
+#include <absl/strings/escaping.h>
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/sha.h>
+#include <xxhash.h>
+
+namespace spurlug::core
+{
+
+std::uint64_t fastHash(std::string_view bytes, std::uint64_t seed) noexcept
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::string contentHash(std::string_view bytes)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), digest.data());
+    return absl::BytesToHexString({reinterpret_cast<const char *>(digest.data()), digest.size()});
+}
+
+std::string keyedHash(std::string_view key, std::string_view bytes)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int size = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char *>(bytes.data()),
+         bytes.size(), digest.data(), &size);
+    return {reinterpret_cast<const char *>(digest.data()), size};
+}
+
+bool equalInConstantTime(std::string_view left, std::string_view right) noexcept
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace spurlug::core
--- /dev/null
+++ b/src/daemon/admin_api.cpp
@@ -0,0 +1,139 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what operators and their tools speak to
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/daemon/admin_api.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/text.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::daemon
+{
+
+namespace
+{
+
+constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
+constexpr int Accepted = 202;
+constexpr std::size_t MostDecisions = 100;
+
+constexpr auto JsonType = "application/json";
+
+/// The VM that a request id names: all before the second last dot.
+std::string vmOf(const std::string &requestId)
+{
+    const auto last = requestId.rfind('.');
+    if (last == std::string::npos || last == 0) {
+        return {};
+    }
+    const auto before = requestId.rfind('.', last - 1);
+    return before == std::string::npos ? std::string() : requestId.substr(0, before);
+}
+
+nlohmann::ordered_json targetStatus(const targets::TargetView &view)
+{
+    nlohmann::ordered_json out{{"id", view.id},
+                               {"failureDomain", view.failureDomain},
+                               {"condition", core::nameOf(view.report.condition)},
+                               {"queuedTokens", view.report.queuedTokens},
+                               {"streams", view.report.streams},
+                               {"freeTokens", view.report.freeTokens},
+                               {"ejected", view.ejected}};
+    if (view.reportAge < absl::Hours(1)) {
+        out["reportAgeMs"] = core::toMs(view.reportAge);
+    }
+    return out;
+}
+
+} // namespace
+
+AdminApi::AdminApi(AdminApiParts parts)
+    : m_parts(std::move(parts))
+{ }
+
+void AdminApi::configure(httplib::Server &server)
+{
+    server.Get("/healthz", [](const auto &, auto &response) { response.set_content("ok\n", "text/plain"); });
+    server.Get("/ready", [this](const auto &, auto &response) {
+        const auto state = m_parts.fleet.state();
+        response.status = state == membership::DaemonState::Serving ? 200 : Unavailable;
+        response.set_content(std::string(core::nameOf(state)) + "\n", "text/plain");
+    });
+    server.Get("/metrics", [this](const auto &, auto &response) {
+        m_parts.setGauges();
+        response.set_content(m_parts.metrics.prometheusText(), "text/plain; version=0.0.4");
+    });
+    server.Get("/status", [this](const auto &, auto &response) { response.set_content(status().dump(), JsonType); });
+    server.Get(R"(/explain/(.+))", [this](const auto &request, auto &response) {
+        const auto decision = explain(request.matches[1].str());
+        response.status = decision ? 200 : NotFound;
+        response.set_content(decision.value_or(R"({"error":"no such decision is kept"})"), JsonType);
+    });
+    server.Get("/decisions", [this](const auto &request, auto &response) {
+        std::uint64_t after = 0;
+        [[maybe_unused]] const bool given = core::readNumber(request.get_param_value("after"), after);
+        const auto [decisions, last] = m_parts.decisions.since(after, MostDecisions);
+        auto list = nlohmann::ordered_json::array();
+        for (const auto &decision : decisions) {
+            list.push_back(explain::toJson(decision));
+        }
+        response.set_content(nlohmann::ordered_json{{"last", last}, {"decisions", std::move(list)}}.dump(), JsonType);
+    });
+    server.Post("/drain", [this](const auto &, auto &response) {
+        m_parts.startDrain();
+        response.status = Accepted;
+    });
+}
+
+std::optional<std::string> AdminApi::explain(const std::string &requestId) const
+{
+    if (const auto decision = m_parts.decisions.find(requestId)) {
+        return toJson(*decision).dump();
+    }
+    const auto peer = m_parts.fleet.find(vmOf(requestId));
+    if (!peer) {
+        return std::nullopt;
+    }
+    try {
+        return m_parts.peers.explain(peer->news.rpcAddress, requestId);
+    } catch (const core::NetworkError &) {
+        return std::nullopt;
+    }
+}
+
+nlohmann::ordered_json AdminApi::status() const
+{
+    const auto now = core::now();
+    const auto configuration = m_parts.store.current();
+    nlohmann::ordered_json out{{"vm", m_parts.identity.vm},
+                               {"failureDomain", m_parts.identity.failureDomain},
+                               {"state", core::nameOf(m_parts.fleet.state())},
+                               {"generation", m_parts.store.generation()},
+                               {"refusedGeneration", m_parts.store.refusedGeneration()},
+                               {"refusal", m_parts.store.refusal()}};
+    out["peers"] = nlohmann::ordered_json::array();
+    for (const auto &peer : m_parts.fleet.alive(now)) {
+        out["peers"].push_back({{"vm", peer.news.vm},
+                                {"failureDomain", peer.news.failureDomain},
+                                {"state", core::nameOf(peer.news.state)},
+                                {"generation", peer.news.generation},
+                                {"refusedGeneration", peer.news.refusedGeneration},
+                                {"heardMsAgo", core::toMs(now - peer.heardAt)}});
+    }
+    out["targets"] = nlohmann::ordered_json::array();
+    if (configuration) {
+        for (const auto &pool : configuration->pools) {
+            for (const auto &view : m_parts.targets.views(pool.targets, now)) {
+                out["targets"].push_back(targetStatus(view));
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/src/daemon/config_follower.cpp
@@ -0,0 +1,135 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: keeps this daemon's configuration the newest that can be reached
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/daemon/config_follower.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+#include "spurlug/core/log.h"
+#include "spurlug/daemon/roles.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace spurlug::daemon
+{
+
+namespace
+{
+
+constexpr auto NotWatching = absl::Seconds(1);
+constexpr auto PullInterval = absl::Milliseconds(200);
+constexpr auto WatcherVmListInterval = absl::Seconds(5);
+constexpr auto VmListInterval = absl::Seconds(60);
+constexpr auto LongestBackoff = absl::Seconds(10);
+constexpr int MostDoublings = 6;
+
+} // namespace
+
+ConfigFollower::ConfigFollower(config::Store &store, membership::Fleet &fleet, PeerCalls &peers,
+                               const platform::HttpObjectApi &platform, metrics::Metrics &metrics,
+                               settings::Timing timing)
+    : m_store(store)
+    , m_fleet(fleet)
+    , m_peers(peers)
+    , m_platform(platform)
+    , m_metrics(metrics)
+    , m_timing(timing)
+    , m_random(core::fastHash(fleet.self()))
+    , m_watcher(std::make_unique<core::Periodic>("configuration watch", [this] { return watchRound(); }))
+    , m_puller(std::make_unique<core::Periodic>("configuration pull", [this] { return pullRound(); }))
+    , m_vmList(std::make_unique<core::Periodic>("VM list", [this] { return vmListRound(); }))
+{ }
+
+ConfigFollower::~ConfigFollower() = default;
+
+bool ConfigFollower::shouldWatch() const
+{
+    return m_store.generation() == 0 || m_fleet.holds(WatcherRole, Watchers, core::now());
+}
+
+core::Duration ConfigFollower::watchRound()
+{
+    if (!shouldWatch()) {
+        m_rootVersion = 0;
+        return NotWatching;
+    }
+    try {
+        m_metrics.count(metrics::Counter::PlatformReads);
+        const auto root = m_platform.waitForChange(std::string(config::RootObject), m_rootVersion, m_timing.watch);
+        if (root) {
+            takeFromPlatform(*root);
+            m_rootVersion = root->version;
+        }
+        m_failures = 0;
+        return absl::ZeroDuration();
+    } catch (const core::PlatformUnavailable &) {
+        m_metrics.count(metrics::Counter::PlatformFailures);
+        return backoff();
+    }
+}
+
+core::Duration ConfigFollower::backoff()
+{
+    const auto full
+        = std::min(m_timing.platformRetry * (1 << std::min(m_failures, MostDoublings)), core::Duration(LongestBackoff));
+    ++m_failures;
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    return full * jitter(m_random);
+}
+
+void ConfigFollower::takeFromPlatform(const platform::Object &root)
+{
+    config::PartTexts texts;
+    for (const auto &hash : m_store.missingParts(config::readRoot(root.value))) {
+        m_metrics.count(metrics::Counter::PlatformReads);
+        if (auto part = m_platform.read(config::partObject(hash))) {
+            texts[hash] = std::move(part->value);
+        }
+    }
+    m_store.offer(root.value, std::move(texts));
+}
+
+core::Duration ConfigFollower::pullRound()
+{
+    const auto now = core::now();
+    std::optional<membership::Peer> newest;
+    for (auto &peer : m_fleet.alive(now)) {
+        if (peer.news.generation > (newest ? newest->news.generation : m_store.generation())) {
+            newest = std::move(peer);
+        }
+    }
+    if (newest && newest->news.generation > m_store.refusedGeneration()) {
+        try {
+            takeFromPeer(newest->news.rpcAddress);
+        } catch (const core::Error &error) {
+            core::log(core::LogLevel::Warning, "configuration_pull_failed",
+                      {{"peer", newest->news.vm}, {"problem", error.what()}});
+        }
+    }
+    return PullInterval;
+}
+
+void ConfigFollower::takeFromPeer(const core::Address &peer)
+{
+    const auto root = m_peers.fetchRoot(peer);
+    const auto missing = m_store.missingParts(config::readRoot(root));
+    auto texts = missing.empty() ? config::PartTexts() : m_peers.fetchParts(peer, missing);
+    m_store.offer(root, std::move(texts));
+}
+
+core::Duration ConfigFollower::vmListRound()
+{
+    try {
+        m_metrics.count(metrics::Counter::PlatformReads);
+        m_fleet.noteVmList(m_platform.vms());
+    } catch (const core::PlatformUnavailable &) {
+        m_metrics.count(metrics::Counter::PlatformFailures);
+    }
+    return m_fleet.holds(WatcherRole, Watchers, core::now()) ? WatcherVmListInterval : VmListInterval;
+}
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/src/daemon/error_body.cpp
@@ -0,0 +1,105 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what callers are told when a request is refused or fails
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/daemon/error_body.h"
+
+#include <absl/strings/str_cat.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::daemon
+{
+
+namespace
+{
+
+constexpr int BadRequest = 400;
+constexpr int Unauthorised = 401;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int PayloadTooLarge = 413;
+constexpr int TooManyRequests = 429;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+std::string_view typeOf(int status) noexcept
+{
+    switch (status) {
+    case Unauthorised:
+        return "authentication_error";
+    case TooManyRequests:
+        return "rate_limit_error";
+    case BadRequest:
+    case NotFound:
+    case Conflict:
+    case PayloadTooLarge:
+        return "invalid_request_error";
+    default:
+        return "server_error";
+    }
+}
+
+} // namespace
+
+int statusOf(core::Reason reason) noexcept
+{
+    using core::Reason;
+    switch (reason) {
+    case Reason::MissingKey:
+    case Reason::UnknownKey:
+        return Unauthorised;
+    case Reason::MalformedBody:
+    case Reason::UnknownClass:
+    case Reason::InvalidDeadline:
+    case Reason::PromptTooLong:
+        return BadRequest;
+    case Reason::UnknownModel:
+    case Reason::UnknownService:
+        return NotFound;
+    case Reason::AlreadyClaimed:
+        return Conflict;
+    case Reason::BodyTooLarge:
+        return PayloadTooLarge;
+    case Reason::RequestRate:
+    case Reason::TokenBudget:
+    case Reason::LongPrompts:
+    case Reason::QueueFull:
+        return TooManyRequests;
+    case Reason::TargetFailed:
+    case Reason::StreamCut:
+    case Reason::StreamStalled:
+    case Reason::NotRepeatable:
+        return BadGateway;
+    case Reason::DeadlinePassed:
+        return GatewayTimeout;
+    default:
+        return Unavailable;
+    }
+}
+
+nlohmann::ordered_json errorBody(const ErrorReply &reply)
+{
+    nlohmann::ordered_json error{{"message", reply.message},
+                                 {"type", typeOf(statusOf(reply.reason))},
+                                 {"param", nullptr},
+                                 {"code", core::nameOf(reply.reason)},
+                                 {"request_id", reply.requestId},
+                                 {"outcome", core::nameOf(reply.outcome)}};
+    return {{"error", std::move(error)}};
+}
+
+void writeError(httplib::Response &response, const ErrorReply &reply)
+{
+    response.status = statusOf(reply.reason);
+    response.set_header("Spurlug-Outcome", std::string(core::nameOf(reply.outcome)));
+    if (reply.retryAfterSeconds > 0) {
+        response.set_header("Retry-After", std::to_string(reply.retryAfterSeconds));
+    }
+    constexpr auto Replace = nlohmann::json::error_handler_t::replace;
+    response.set_content(errorBody(reply).dump(-1, ' ', false, Replace), "application/json");
+}
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/src/daemon/peer_calls.cpp
@@ -0,0 +1,148 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: calls to other daemons
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/daemon/peer_calls.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/text.h"
+#include "spurlug/peers.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace spurlug::daemon
+{
+
+namespace
+{
+
+constexpr auto CallTimeout = absl::Seconds(2);
+constexpr std::size_t MostChannels = 512;
+
+void setDeadline(grpc::ClientContext &context, core::Duration timeout)
+{
+    context.set_deadline(std::chrono::system_clock::now() + absl::ToChronoMilliseconds(timeout));
+}
+
+void throwUnlessOk(const grpc::Status &status)
+{
+    if (!status.ok()) {
+        throw core::NetworkError(core::cat("peer: ", status.error_message()));
+    }
+}
+
+grpc::ChannelArguments channelArguments()
+{
+    constexpr int LongestBackoffMs = 2000;
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, LongestBackoffMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    return arguments;
+}
+
+} // namespace
+
+struct PeerCalls::Channel
+{
+    explicit Channel(const std::string &address)
+        : stub(wire::Peers::NewStub(
+            grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments())))
+    { }
+    std::unique_ptr<wire::Peers::Stub> stub;
+};
+
+PeerCalls::PeerCalls() = default;
+PeerCalls::~PeerCalls() = default;
+
+std::shared_ptr<PeerCalls::Channel> PeerCalls::channel(const core::Address &peer)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (m_channels.size() >= MostChannels) {
+        m_channels.clear();
+    }
+    auto &channel = m_channels[peer.text()];
+    if (!channel) {
+        channel = std::make_shared<Channel>(peer.text());
+    }
+    return channel;
+}
+
+GrantAnswer PeerCalls::acquire(const core::Address &peer, const std::string &pool, const grants::Ask &ask,
+                               core::Duration waited, core::Duration wait)
+{
+    wire::GrantRequest request;
+    request.set_request_id(ask.requestId);
+    request.set_pool(pool);
+    request.set_organisation(ask.organisation);
+    request.set_weight(ask.weight);
+    request.set_tokens(static_cast<std::uint64_t>(ask.tokens));
+    request.set_engines(static_cast<std::uint32_t>(ask.engines));
+    request.set_waited_ms(static_cast<std::uint32_t>(core::toMs(waited)));
+    request.set_wait_ms(static_cast<std::uint32_t>(core::toMs(wait)));
+    grpc::ClientContext context;
+    setDeadline(context, wait + CallTimeout);
+    wire::GrantReply reply;
+    throwUnlessOk(channel(peer)->stub->Acquire(&context, request, &reply));
+    GrantAnswer answer;
+    answer.place = reply.place();
+    answer.notBroker = reply.not_broker();
+    if (reply.granted()) {
+        answer.grant
+            = grants::Grant{reply.grant(), ask.requestId, {reply.targets().begin(), reply.targets().end()}, {}};
+    }
+    return answer;
+}
+
+bool PeerCalls::renew(const core::Address &peer, std::uint64_t grant)
+{
+    wire::GrantIds request;
+    request.add_grants(grant);
+    grpc::ClientContext context;
+    setDeadline(context, CallTimeout);
+    wire::GrantIds kept;
+    return channel(peer)->stub->Renew(&context, request, &kept).ok() && kept.grants_size() == 1;
+}
+
+void PeerCalls::release(const core::Address &peer, std::uint64_t grant)
+{
+    wire::GrantIds request;
+    request.add_grants(grant);
+    grpc::ClientContext context;
+    setDeadline(context, CallTimeout);
+    wire::GrantIds reply;
+    [[maybe_unused]] const auto status = channel(peer)->stub->Release(&context, request, &reply);
+}
+
+std::string PeerCalls::fetchRoot(const core::Address &peer)
+{
+    grpc::ClientContext context;
+    setDeadline(context, CallTimeout);
+    wire::RootReply reply;
+    throwUnlessOk(channel(peer)->stub->FetchRoot(&context, {}, &reply));
+    return reply.root();
+}
+
+config::PartTexts PeerCalls::fetchParts(const core::Address &peer, const std::vector<std::string> &hashes)
+{
+    wire::FetchPartsRequest request;
+    request.mutable_hashes()->Assign(hashes.begin(), hashes.end());
+    grpc::ClientContext context;
+    setDeadline(context, CallTimeout);
+    wire::PartsReply reply;
+    throwUnlessOk(channel(peer)->stub->FetchParts(&context, request, &reply));
+    return {reply.texts().begin(), reply.texts().end()};
+}
+
+std::optional<std::string> PeerCalls::explain(const core::Address &peer, const std::string &requestId)
+{
+    wire::ExplainRequest request;
+    request.set_request_id(requestId);
+    grpc::ClientContext context;
+    setDeadline(context, CallTimeout);
+    wire::ExplainReply reply;
+    throwUnlessOk(channel(peer)->stub->Explain(&context, request, &reply));
+    return reply.found() ? std::optional(reply.decision()) : std::nullopt;
+}
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/src/daemon/peer_server.cpp
@@ -0,0 +1,177 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: answers calls from other daemons
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/daemon/peer_server.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/text.h"
+#include "spurlug/daemon/roles.h"
+#include "spurlug/peers.grpc.pb.h"
+
+#include <algorithm>
+#include <grpcpp/grpcpp.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace spurlug::daemon
+{
+
+namespace
+{
+
+constexpr std::int64_t LongestWaitMs = 10'000;
+constexpr std::uint32_t MostEngines = 64;
+
+grpc::ServerUnaryReactor *finish(grpc::CallbackServerContext *context, const grpc::Status &status = grpc::Status::OK)
+{
+    auto *reactor = context->DefaultReactor();
+    reactor->Finish(status);
+    return reactor;
+}
+
+grants::Ask readAsk(const wire::GrantRequest &request, core::Time now)
+{
+    grants::Ask ask;
+    ask.requestId = request.request_id();
+    ask.organisation = request.organisation();
+    ask.weight = std::max(request.weight(), 0.001);
+    ask.tokens = static_cast<std::int64_t>(request.tokens());
+    ask.engines = static_cast<int>(std::clamp(request.engines(), 1U, MostEngines));
+    ask.askedAt = now - core::fromMs(request.waited_ms());
+    return ask;
+}
+
+void writeAnswer(const grants::AskAnswer &answer, wire::GrantReply &reply)
+{
+    reply.set_place(static_cast<std::uint32_t>(answer.place));
+    reply.set_granted(answer.grant.has_value());
+    if (answer.grant) {
+        reply.set_grant(answer.grant->id);
+        reply.mutable_targets()->Assign(answer.grant->targets.begin(), answer.grant->targets.end());
+    }
+}
+
+class PeersService final : public wire::Peers::CallbackService
+{
+public:
+    explicit PeersService(PeerServerParts parts)
+        : m_parts(parts)
+    { }
+
+    grpc::ServerUnaryReactor *Acquire(grpc::CallbackServerContext *context, const wire::GrantRequest *request,
+                                      wire::GrantReply *reply) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        const auto now = core::now();
+        if (m_parts.fleet.holder(brokerRole(request->pool()), now) != m_parts.fleet.self()) {
+            reply->set_not_broker(true);
+            return finish(context);
+        }
+        auto *reactor = context->DefaultReactor();
+        const auto wait = core::fromMs(std::min<std::int64_t>(request->wait_ms(), LongestWaitMs));
+        const auto onAnswer = [reactor, reply](const grants::AskAnswer &answer) {
+            writeAnswer(answer, *reply);
+            reactor->Finish(grpc::Status::OK);
+        };
+        m_parts.brokers.ask(request->pool(), readAsk(*request, now), wait, onAnswer, now);
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *Renew(grpc::CallbackServerContext *context, const wire::GrantIds *request,
+                                    wire::GrantIds *reply) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        for (const auto grant : request->grants()) {
+            if (m_parts.brokers.renew(grant, core::now())) {
+                reply->add_grants(grant);
+            }
+        }
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *Release(grpc::CallbackServerContext *context, const wire::GrantIds *request,
+                                      wire::GrantIds * /*reply*/) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        for (const auto grant : request->grants()) {
+            m_parts.brokers.release(grant);
+        }
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *FetchRoot(grpc::CallbackServerContext *context,
+                                        const wire::FetchRootRequest * /*request*/, wire::RootReply *reply) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        reply->set_root(m_parts.store.rootText());
+        reply->set_generation(static_cast<std::uint64_t>(m_parts.store.generation()));
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *FetchParts(grpc::CallbackServerContext *context, const wire::FetchPartsRequest *request,
+                                         wire::PartsReply *reply) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        for (auto &[hash, text] : m_parts.store.texts({request->hashes().begin(), request->hashes().end()})) {
+            (*reply->mutable_texts())[hash] = text;
+        }
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *Explain(grpc::CallbackServerContext *context, const wire::ExplainRequest *request,
+                                      wire::ExplainReply *reply) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        const auto decision = m_parts.decisions.find(request->request_id());
+        reply->set_found(decision.has_value());
+        if (decision) {
+            reply->set_decision(explain::toJson(*decision).dump());
+        }
+        return finish(context);
+    }
+
+private:
+    PeerServerParts m_parts;
+};
+
+} // namespace
+
+struct PeerServer::Impl
+{
+    explicit Impl(PeerServerParts parts)
+        : service(parts)
+    { }
+    PeersService service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+PeerServer::PeerServer(const core::Address &address, PeerServerParts parts)
+    : m_impl(std::make_unique<Impl>(parts))
+    , m_address(address)
+{
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address.text(), grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&m_impl->service);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    m_impl->server = builder.BuildAndStart();
+    if (!m_impl->server || port == 0) {
+        throw core::NetworkError(core::cat(address.text(), ": cannot listen for calls from peers"));
+    }
+    m_address.port = static_cast<std::uint16_t>(port);
+}
+
+PeerServer::~PeerServer()
+{
+    m_impl->server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+    m_impl->server->Wait();
+}
+
+const core::Address &PeerServer::address() const noexcept
+{
+    return m_address;
+}
+
+} // namespace spurlug::daemon
--- /dev/null
+++ b/src/dispatch/sse.cpp
@@ -0,0 +1,83 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: server-sent events
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/dispatch/sse.h"
+
+#include "spurlug/core/text.h"
+
+#include <algorithm>
+
+namespace spurlug::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view Separator = "\n\n";
+
+std::string_view fieldValue(std::string_view line, std::string_view name)
+{
+    auto value = line.substr(name.size());
+    if (value.starts_with(" ")) {
+        value.remove_prefix(1);
+    }
+    return value;
+}
+
+bool readField(std::string_view line, std::string_view name, std::string &into)
+{
+    if (!line.starts_with(name)) {
+        return false;
+    }
+    into = fieldValue(line, name);
+    return true;
+}
+
+SseEvent parseEvent(std::string_view block)
+{
+    SseEvent event;
+    while (!block.empty()) {
+        const auto lineEnd = std::min(block.find('\n'), block.size());
+        const auto line = block.substr(0, lineEnd);
+        block.remove_prefix(std::min(lineEnd + 1, block.size()));
+        [[maybe_unused]] const bool known = readField(line, "data:", event.data) || readField(line, "id:", event.id)
+            || readField(line, "event:", event.name);
+    }
+    return event;
+}
+
+} // namespace
+
+void SseParser::feed(std::string_view bytes)
+{
+    if (m_start > 0) {
+        m_buffer.erase(0, m_start);
+        m_start = 0;
+    }
+    m_buffer.append(bytes);
+}
+
+std::optional<SseEvent> SseParser::next()
+{
+    while (true) {
+        const auto end = m_buffer.find(Separator, m_start);
+        if (end == std::string::npos) {
+            return std::nullopt;
+        }
+        const auto block = std::string_view(m_buffer).substr(m_start, end - m_start);
+        m_start = end + Separator.size();
+        auto event = parseEvent(block);
+        if (!event.data.empty() || !event.name.empty()) {
+            return event;
+        }
+    }
+}
+
+std::string writeSse(std::string_view data)
+{
+    return core::cat("data: ", data, "\n\n");
+}
+
+} // namespace spurlug::dispatch
--- /dev/null
+++ b/src/dispatch/target_client.cpp
@@ -0,0 +1,190 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: sends an attempt to a target over HTTP
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/dispatch/target_client.h"
+
+#include "spurlug/core/text.h"
+#include "spurlug/dispatch/sse.h"
+
+#include <httplib.h>
+#include <utility>
+
+namespace spurlug::dispatch
+{
+
+namespace
+{
+
+using core::Outcome;
+using core::Reason;
+
+constexpr int Ok = 200;
+constexpr int FirstServerError = 500;
+constexpr std::string_view RanHeader = "Request-Ran"; // A target's own word: "no" when it did not begin the work.
+
+/// Counts what was sent, which tells whether a target can have begun.
+struct Progress
+{
+    int status = 0;
+    bool refusedUnrun = false;
+    int retryAfterSeconds = 0;
+    bool finished = false;
+    std::string errorBody;
+};
+
+httplib::Request makeRequest(const AttemptRequest &attempt, Progress &progress)
+{
+    httplib::Request request;
+    request.method = attempt.method;
+    request.path = attempt.path;
+    for (const auto &[name, value] : attempt.headers) {
+        request.set_header(name.c_str(), value);
+    }
+    request.set_header("Connection", "close");
+    request.set_header("Request-Id", attempt.requestId);
+    request.set_header("Request-Attempt", std::to_string(attempt.attempt));
+    const auto *body = attempt.body;
+    if (body != nullptr && !body->empty()) {
+        request.content_length_ = body->size();
+        request.content_provider_ = [body](std::size_t offset, std::size_t length, httplib::DataSink &sink) {
+            return sink.write(body->data() + offset, length);
+        };
+    }
+    request.response_handler = [&progress](const httplib::Response &response) {
+        progress.status = response.status;
+        progress.refusedUnrun = response.get_header_value(std::string(RanHeader).c_str()) == "no";
+        [[maybe_unused]] const bool isNumber
+            = core::readNumber(response.get_header_value("Retry-After"), progress.retryAfterSeconds);
+        return true;
+    };
+    return request;
+}
+
+/// The request line is written right after the connection is made, so only a failed connection proves silence.
+bool provesNothingSent(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+}
+
+AttemptEnd endOfFailure(httplib::Error error, const Progress &progress)
+{
+    const auto detail = httplib::to_string(error);
+    if (provesNothingSent(error)) {
+        return {Outcome::NotRun, Reason::ConnectFailed, 0, detail, true};
+    }
+    const auto reason = progress.status == 0 ? Reason::TargetFailed : Reason::StreamCut;
+    return {Outcome::MayHaveRun, reason, progress.status, detail, true};
+}
+
+AttemptEnd endOfStatus(const Progress &progress)
+{
+    const auto detail = core::cat("status ", progress.status, " ", progress.errorBody.substr(0, 200));
+    if (progress.refusedUnrun) {
+        return {Outcome::NotRun,
+                Reason::TargetRefused,
+                progress.status,
+                detail,
+                progress.status >= FirstServerError,
+                progress.retryAfterSeconds};
+    }
+    return {Outcome::MayHaveRun, Reason::TargetFailed, progress.status, detail, progress.status >= FirstServerError};
+}
+
+/// Sends on a fresh connection; `cancel` on the channel closes it, which tells the target that nobody listens.
+httplib::Result send(const AttemptRequest &attempt, const httplib::Request &request, EventChannel &events)
+{
+    httplib::Client client(attempt.target.host, attempt.target.port);
+    client.set_connection_timeout(absl::ToChronoMicroseconds(absl::Seconds(1)));
+    client.set_read_timeout(absl::ToChronoMicroseconds(attempt.timeout));
+    client.set_write_timeout(absl::ToChronoMicroseconds(attempt.timeout));
+    client.set_tcp_nodelay(true);
+    events.setOnCancel([&client] { client.stop(); });
+    auto result = client.send(request);
+    events.setOnCancel(nullptr);
+    return result;
+}
+
+bool pushEngineEvent(const SseEvent &event, EventChannel &events, Progress &progress)
+{
+    std::int64_t offset = 0;
+    if (!core::readNumber(event.id, offset)) {
+        return true;
+    }
+    if (event.name == "finish") {
+        progress.finished = true;
+        return events.push(FinishEvent{offset, event.data});
+    }
+    return events.push(TokenEvent{offset, event.data});
+}
+
+HeadEvent headOf(const httplib::Response &response)
+{
+    HeadEvent head{response.status, {}};
+    for (const auto &[name, value] : response.headers) {
+        const bool ofConnection = core::equalIgnoringCase(name, "Connection")
+            || core::equalIgnoringCase(name, "Keep-Alive") || core::equalIgnoringCase(name, "Transfer-Encoding")
+            || core::equalIgnoringCase(name, "Content-Length");
+        if (!ofConnection) {
+            head.headers.emplace_back(name, value);
+        }
+    }
+    return head;
+}
+
+} // namespace
+
+void EngineClient::run(const AttemptRequest &attempt, EventChannel &events) const
+{
+    Progress progress;
+    SseParser parser;
+    auto request = makeRequest(attempt, progress);
+    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (progress.status != Ok) {
+            progress.errorBody.append(data, size);
+            return true;
+        }
+        parser.feed({data, size});
+        while (const auto event = parser.next()) {
+            if (!pushEngineEvent(*event, events, progress)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    const auto result = send(attempt, request, events);
+    if (progress.finished) {
+        events.push(AttemptEnd{Outcome::Completed, Reason::None, progress.status, {}, false});
+    } else if (!result) {
+        events.push(endOfFailure(result.error(), progress));
+    } else if (progress.status == Ok) {
+        events.push(AttemptEnd{Outcome::MayHaveRun, Reason::StreamCut, Ok, "the stream ended early", true});
+    } else {
+        events.push(endOfStatus(progress));
+    }
+}
+
+void ServiceClient::run(const AttemptRequest &attempt, EventChannel &events) const
+{
+    Progress progress;
+    auto request = makeRequest(attempt, progress);
+    request.response_handler = [&, note = request.response_handler](const httplib::Response &response) {
+        note(response);
+        return progress.refusedUnrun || events.push(headOf(response));
+    };
+    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        return progress.refusedUnrun || events.push(BytesEvent{std::string(data, size)});
+    };
+    const auto result = send(attempt, request, events);
+    if (!result) {
+        events.push(endOfFailure(result.error(), progress));
+    } else if (progress.refusedUnrun) {
+        events.push(endOfStatus(progress));
+    } else {
+        const bool failed = progress.status >= FirstServerError;
+        events.push(AttemptEnd{Outcome::Completed, Reason::None, progress.status, {}, failed});
+    }
+}
+
+} // namespace spurlug::dispatch
--- /dev/null
+++ b/src/membership/fleet.cpp
@@ -0,0 +1,111 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the shared view of the fleet: peers and who holds which role
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/membership/fleet.h"
+
+#include "spurlug/core/rendezvous.h"
+
+#include <algorithm>
+
+namespace spurlug::membership
+{
+
+Fleet::Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout)
+    : m_self(self)
+    , m_table(self, failureDomain, timeout)
+{ }
+
+HeardResult Fleet::hear(const PeerNews &news, core::Time now)
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_table.hear(news, now);
+}
+
+void Fleet::noteVmList(const std::vector<platform::VmEntry> &entries)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_table.noteVmList(entries);
+}
+
+void Fleet::noteOwnPause(core::Duration gap)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_table.noteOwnPause(gap);
+}
+
+void Fleet::forgetSilent(core::Time now)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_table.forgetSilent(now);
+}
+
+void Fleet::setState(DaemonState state) noexcept
+{
+    m_state = state;
+}
+
+DaemonState Fleet::state() const noexcept
+{
+    return m_state;
+}
+
+std::vector<std::string> Fleet::roleHolders(core::Time now) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_table.roleHolders(m_state == DaemonState::Serving, now);
+}
+
+std::string Fleet::holder(std::string_view role, core::Time now) const
+{
+    std::string best;
+    std::uint64_t bestWeight = 0;
+    for (const auto &vm : roleHolders(now)) {
+        const auto weight = core::rendezvousWeight(role, vm);
+        if (best.empty() || weight > bestWeight) {
+            best = vm;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+bool Fleet::holds(std::string_view role, std::size_t count, core::Time now) const
+{
+    const auto ranked = core::rankByRendezvous(role, roleHolders(now));
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    return std::find(ranked.begin(), end, m_self) != end;
+}
+
+std::vector<core::Address> Fleet::sendTo() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_table.sendTo();
+}
+
+std::optional<Peer> Fleet::find(const std::string &vm) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto *peer = m_table.find(vm);
+    return peer == nullptr ? std::nullopt : std::optional(*peer);
+}
+
+std::vector<Peer> Fleet::alive(core::Time now) const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<Peer> all;
+    for (const auto &[vm, peer] : m_table.peers()) {
+        if (m_table.alive(peer, now)) {
+            all.push_back(peer);
+        }
+    }
+    return all;
+}
+
+const std::string &Fleet::self() const noexcept
+{
+    return m_self;
+}
+
+} // namespace spurlug::membership
--- /dev/null
+++ b/src/membership/heartbeat.cpp
@@ -0,0 +1,134 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: heartbeats on the wire
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/membership/heartbeat.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+#include "spurlug/heartbeat.pb.h"
+
+#include <algorithm>
+
+namespace spurlug::membership
+{
+
+namespace
+{
+
+constexpr std::size_t SignatureBytes = 16;
+constexpr double RateUnit = 100;
+
+std::uint32_t clamp32(std::int64_t value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, UINT32_MAX));
+}
+
+void writeLoad(const ObservedLoad &load, wire::TargetLoad &out)
+{
+    out.set_target(load.target);
+    out.set_queued_tokens(clamp32(load.report.queuedTokens));
+    out.set_urgent_tokens(clamp32(load.report.urgentTokens));
+    out.set_streams(clamp32(load.report.streams));
+    out.set_free_tokens(clamp32(load.report.freeTokens));
+    out.set_age_ms(clamp32(core::toMs(load.age)));
+    out.set_state(static_cast<std::uint32_t>(load.report.condition));
+    out.set_prefill_rate(clamp32(static_cast<std::int64_t>(load.report.prefillRate / RateUnit)));
+    out.set_reserved(load.report.reserved ? 1 : 0);
+    out.set_max_streams(clamp32(load.report.maxStreams));
+}
+
+ObservedLoad readLoad(const wire::TargetLoad &in)
+{
+    ObservedLoad load;
+    load.target = in.target();
+    load.report.queuedTokens = in.queued_tokens();
+    load.report.urgentTokens = in.urgent_tokens();
+    load.report.streams = in.streams();
+    load.report.maxStreams = in.max_streams();
+    load.report.freeTokens = in.free_tokens();
+    load.report.prefillRate = in.prefill_rate() * RateUnit;
+    load.report.reserved = in.reserved() != 0;
+    const auto last = static_cast<std::uint32_t>(targets::TargetCondition::Unreachable);
+    load.report.condition = static_cast<targets::TargetCondition>(std::min(in.state(), last));
+    load.age = core::fromMs(in.age_ms());
+    return load;
+}
+
+wire::Heartbeat toWire(const Heartbeat &heartbeat)
+{
+    const auto &news = heartbeat.news;
+    wire::Heartbeat out;
+    out.set_vm(news.vm);
+    out.set_incarnation(news.incarnation);
+    out.set_sequence(news.sequence);
+    out.set_state(static_cast<wire::DaemonState>(news.state));
+    out.set_generation(static_cast<std::uint64_t>(news.generation));
+    out.set_refused_generation(clamp32(news.refusedGeneration));
+    for (const auto &load : heartbeat.loads) {
+        writeLoad(load, *out.add_loads());
+    }
+    if (news.peerAddress.port != 0) {
+        out.mutable_hello()->set_failure_domain(news.failureDomain);
+        out.mutable_hello()->set_peer_address(news.peerAddress.text());
+        out.mutable_hello()->set_rpc_address(news.rpcAddress.text());
+    }
+    return out;
+}
+
+PeerNews readNews(const wire::Heartbeat &in)
+{
+    PeerNews news;
+    news.vm = in.vm();
+    news.incarnation = in.incarnation();
+    news.sequence = in.sequence();
+    const auto state = std::clamp<int>(in.state(), wire::STARTING, wire::LEAVING);
+    news.state = static_cast<DaemonState>(state);
+    news.generation = static_cast<std::int64_t>(in.generation());
+    news.refusedGeneration = in.refused_generation();
+    if (in.has_hello()) {
+        news.failureDomain = in.hello().failure_domain();
+        news.peerAddress = core::parseAddress(in.hello().peer_address());
+        news.rpcAddress = core::parseAddress(in.hello().rpc_address());
+    }
+    return news;
+}
+
+std::string sign(std::string_view key, std::string_view bytes)
+{
+    return key.empty() ? std::string() : core::keyedHash(key, bytes).substr(0, SignatureBytes);
+}
+
+} // namespace
+
+std::string writeHeartbeat(const Heartbeat &heartbeat, std::string_view key)
+{
+    wire::SignedHeartbeat out;
+    out.set_heartbeat(toWire(heartbeat).SerializeAsString());
+    out.set_signature(sign(key, out.heartbeat()));
+    return out.SerializeAsString();
+}
+
+std::optional<Heartbeat> readHeartbeat(std::string_view datagram, std::string_view key)
+{
+    wire::SignedHeartbeat in;
+    wire::Heartbeat inner;
+    if (!in.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))
+        || !core::equalInConstantTime(in.signature(), sign(key, in.heartbeat()))
+        || !inner.ParseFromString(in.heartbeat())) {
+        return std::nullopt;
+    }
+    try {
+        Heartbeat heartbeat;
+        heartbeat.news = readNews(inner);
+        for (const auto &load : inner.loads()) {
+            heartbeat.loads.push_back(readLoad(load));
+        }
+        return heartbeat;
+    } catch (const core::InvalidDocument &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace spurlug::membership
--- /dev/null
+++ b/src/routing/choose.cpp
@@ -0,0 +1,123 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: choice of a target by expected time to first token
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/routing/choose.h"
+
+#include "spurlug/core/rendezvous.h"
+#include "spurlug/core/text.h"
+
+#include <algorithm>
+
+namespace spurlug::routing
+{
+
+namespace
+{
+
+using targets::TargetCondition;
+
+std::string_view unusableBecause(const targets::TargetView &target, const RouteRule &rule)
+{
+    if (target.report.condition == TargetCondition::Leaving) {
+        return "leaving";
+    }
+    if (target.report.condition == TargetCondition::Unreachable && target.reportAge < rule.staleAfter) {
+        return "unreachable";
+    }
+    if (target.ejected) {
+        return "ejected";
+    }
+    return {};
+}
+
+std::optional<std::size_t> holderOf(std::uint64_t prefix, const std::vector<Candidate> &candidates)
+{
+    std::optional<std::size_t> best;
+    std::uint64_t bestWeight = 0;
+    const auto item = core::cat(prefix);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto weight = core::rendezvousWeight(item, candidates[i].id);
+        if (candidates[i].usable && (!best || weight > bestWeight)) {
+            best = i;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+std::vector<std::size_t> aboutBest(const std::vector<Candidate> &candidates, const RouteRule &rule)
+{
+    auto best = absl::InfiniteDuration();
+    for (const auto &candidate : candidates) {
+        if (candidate.usable) {
+            best = std::min(best, candidate.expected);
+        }
+    }
+    const auto bound = std::max(best * (1 + rule.tieShare), best + rule.tieSpan);
+    std::vector<std::size_t> equal;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].usable && candidates[i].expected <= bound) {
+            equal.push_back(i);
+        }
+    }
+    return equal;
+}
+
+/// Targets that were tried before count only when there is no other.
+void setAsideTried(std::vector<Candidate> &candidates, const std::vector<std::string> &excluded)
+{
+    const auto tried = [&](const Candidate &candidate) {
+        return std::find(excluded.begin(), excluded.end(), candidate.id) != excluded.end();
+    };
+    const bool othersUsable = std::any_of(candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
+        return candidate.usable && !tried(candidate);
+    });
+    if (!othersUsable) {
+        return;
+    }
+    for (auto &candidate : candidates) {
+        if (candidate.usable && tried(candidate)) {
+            candidate.usable = false;
+            candidate.why = "tried before";
+        }
+    }
+}
+
+} // namespace
+
+core::Duration expectedTtft(const RouteRequest &request, const targets::TargetView &target, const RouteRule &rule)
+{
+    const bool stale = target.reportAge > rule.staleAfter;
+    const auto reported = request.urgent ? target.report.urgentTokens : target.report.queuedTokens;
+    const auto ahead = (stale ? 0 : reported) + target.ownTokens;
+    const auto rate = target.report.prefillRate > 0 ? target.report.prefillRate : rule.defaultPrefillRate;
+    const auto streams = std::max(stale ? 0 : target.report.streams, target.ownStreams);
+    return absl::Seconds(static_cast<double>(ahead + request.tokens) / rate)
+        + rule.streamCost * static_cast<double>(streams);
+}
+
+Choice chooseTarget(const RouteRequest &request, const std::vector<targets::TargetView> &targets,
+                    const std::vector<std::string> &excluded, const RouteRule &rule, std::uint64_t pick)
+{
+    Choice choice;
+    choice.candidates.reserve(targets.size());
+    for (const auto &target : targets) {
+        const auto why = unusableBecause(target, rule);
+        choice.candidates.push_back({target.id, expectedTtft(request, target, rule), why.empty(), why});
+    }
+    setAsideTried(choice.candidates, excluded);
+    if (request.prefix != 0) {
+        if (const auto holder = holderOf(request.prefix, choice.candidates)) {
+            choice.candidates[*holder].expected -= rule.affinityBonus;
+        }
+    }
+    const auto equal = aboutBest(choice.candidates, rule);
+    if (!equal.empty()) {
+        choice.chosen = equal[pick % equal.size()];
+    }
+    return choice;
+}
+
+} // namespace spurlug::routing
--- /dev/null
+++ b/standins/object_store.h
@@ -0,0 +1,56 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: stand-in of the platform's object API: the store, without sockets
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+#include "spurlug/limits/token_bucket.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace standins
+{
+
+/// \brief A stored value.
+struct StoredObject
+{
+    std::string value;
+    std::int64_t version = 0;
+};
+
+/// \brief Versioned objects with conditional updates and watches. Safe to use from several threads.
+class ObjectStore
+{
+public:
+    [[nodiscard]] std::optional<StoredObject> read(const std::string &name) const ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    /// \brief Waits until an object's version is above `after`, at most `wait`.
+    [[nodiscard]] std::optional<StoredObject> waitAbove(const std::string &name, std::int64_t after,
+                                                        spurlug::core::Duration wait) const
+        ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    /// \brief Stores a value if the object has `expected` (0: does not exist).
+    /// \returns The new version, or nothing when it has another one.
+    std::optional<std::int64_t> update(const std::string &name, const std::string &value,
+                                       std::optional<std::int64_t> expected) ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    bool remove(const std::string &name, std::optional<std::int64_t> expected) ABSL_LOCKS_EXCLUDED(m_mutex);
+
+    [[nodiscard]] std::vector<std::string> names(const std::string &prefix) const ABSL_LOCKS_EXCLUDED(m_mutex);
+
+private:
+    [[nodiscard]] std::int64_t versionOf(const std::string &name) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    mutable absl::Mutex m_mutex;
+    std::map<std::string, StoredObject> m_objects ABSL_GUARDED_BY(m_mutex);
+    std::int64_t m_lastVersion ABSL_GUARDED_BY(m_mutex) = 0;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/standin_platform.cpp
@@ -0,0 +1,305 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: stand-in of the platform: object API, VM list and weight store
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "object_store.h"
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/log.h"
+#include "spurlug/core/program.h"
+#include "spurlug/core/text.h"
+#include "spurlug/daemon/http_listener.h"
+
+#include <absl/time/clock.h>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <httplib.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace standins
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+namespace core = spurlug::core;
+
+constexpr int NotModified = 304;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int TooLarge = 413;
+constexpr int TooMany = 429;
+constexpr int InternalError = 500;
+constexpr int Unavailable = 503;
+constexpr std::size_t LargestValue = 1U << 20;
+constexpr auto LongestWatch = absl::Seconds(60);
+
+/// Faults that a test switches on.
+struct Faults
+{
+    std::atomic<bool> down{false};
+    std::atomic<int> slowMs{0};
+    std::atomic<int> loseAnswers{0}; ///< The next so many writes take effect and are answered by a cut.
+};
+
+std::int64_t number(const std::string &text, std::int64_t fallback)
+{
+    std::int64_t value = fallback;
+    return core::readNumber(text, value) ? value : fallback;
+}
+
+/// The object API, VM list and weight store over HTTP, with rate limits and faults.
+class Platform
+{
+public:
+    Platform(double readsPerSecond, double writesPerSecond, core::Duration vmListLag, double weightBytesPerSecond)
+        : m_vmListLag(vmListLag)
+    {
+        const auto now = core::now();
+        m_reads.setRate(readsPerSecond, readsPerSecond, now);
+        m_writes.setRate(writesPerSecond, writesPerSecond, now);
+        m_weights.setRate(weightBytesPerSecond, weightBytesPerSecond, now);
+    }
+
+    void configure(httplib::Server &server)
+    {
+        server.Get("/objects", [this](const auto &request, auto &response) {
+            if (admitRead(response)) {
+                const nlohmann::json names = m_objects.names(request.get_param_value("prefix"));
+                response.set_content(names.dump(), "application/json");
+            }
+        });
+        server.Get(R"(/objects/(.+))", [this](const auto &request, auto &response) { read(request, response); });
+        server.Put(R"(/objects/(.+))", [this](const auto &request, auto &response) { update(request, response); });
+        server.Delete(R"(/objects/(.+))", [this](const auto &request, auto &response) { remove(request, response); });
+        server.Get("/vms", [this](const auto &, auto &response) { listVms(response); });
+        server.Get(R"(/weights/(\d+))",
+                   [this](const auto &request, auto &response) { sendWeights(request, response); });
+        server.Put(R"(/standin/vms/(.+))", [this](const auto &request, auto &response) { putVm(request, response); });
+        server.Delete(R"(/standin/vms/(.+))", [this](const auto &request, auto &) {
+            absl::MutexLock lock(&m_mutex);
+            m_vms.erase(request.matches[1].str());
+        });
+        server.Post("/standin/faults", [this](const auto &request, auto &response) { setFaults(request, response); });
+        server.Get("/standin/stats", [this](const auto &, auto &response) {
+            const nlohmann::json stats{{"reads", m_readCount.load()},
+                                       {"writes", m_writeCount.load()},
+                                       {"watching", m_watching.load()},
+                                       {"limited", m_limited.load()}};
+            response.set_content(stats.dump(), "application/json");
+        });
+    }
+
+private:
+    bool admit(spurlug::limits::TokenBucket &bucket, std::atomic<std::int64_t> &count, httplib::Response &response)
+    {
+        ++count;
+        absl::SleepFor(core::fromMs(m_faults.slowMs));
+        if (m_faults.down) {
+            response.status = Unavailable;
+            return false;
+        }
+        absl::MutexLock lock(&m_mutex);
+        if (!bucket.take(1, core::now())) {
+            ++m_limited;
+            response.status = TooMany;
+            return false;
+        }
+        return true;
+    }
+
+    bool admitRead(httplib::Response &response)
+    {
+        return admit(m_reads, m_readCount, response);
+    }
+
+    static void answer(const std::optional<StoredObject> &object, int otherwise, httplib::Response &response)
+    {
+        if (!object) {
+            response.status = otherwise;
+            return;
+        }
+        response.set_header("Object-Version", std::to_string(object->version));
+        response.set_content(object->value, "application/octet-stream");
+    }
+
+    void read(const httplib::Request &request, httplib::Response &response)
+    {
+        if (!admitRead(response)) {
+            return;
+        }
+        const auto name = request.matches[1].str();
+        if (!request.has_param("after")) {
+            answer(m_objects.read(name), NotFound, response);
+            return;
+        }
+        ++m_watching;
+        const auto until = core::now()
+            + std::min(core::fromMs(number(request.get_param_value("waitMs"), 0)), core::Duration(LongestWatch));
+        const auto after = number(request.get_param_value("after"), 0);
+        std::optional<StoredObject> object;
+        constexpr auto Slice = absl::Milliseconds(200); // Between looks at whether the platform went down.
+        while (!object && core::now() < until && !m_faults.down) {
+            object = m_objects.waitAbove(name, after, std::min(core::Duration(Slice), until - core::now()));
+        }
+        --m_watching;
+        answer(object, m_faults.down ? Unavailable : NotModified, response);
+    }
+
+    static std::optional<std::int64_t> expectedVersion(const httplib::Request &request)
+    {
+        return request.has_header("If-Version") ? std::optional(number(request.get_header_value("If-Version"), -1))
+                                                : std::nullopt;
+    }
+
+    /// A write that took effect, whose answer is lost on the way.
+    bool loseAnswer(httplib::Response &response)
+    {
+        if (m_faults.loseAnswers <= 0) {
+            return false;
+        }
+        --m_faults.loseAnswers;
+        response.status = InternalError;
+        response.set_content_provider(1, "text/plain",
+                                      [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
+        return true;
+    }
+
+    void update(const httplib::Request &request, httplib::Response &response)
+    {
+        if (!admit(m_writes, m_writeCount, response)) {
+            return;
+        }
+        if (request.body.size() > LargestValue) {
+            response.status = TooLarge;
+            return;
+        }
+        const auto name = request.matches[1].str();
+        const auto version = m_objects.update(name, request.body, expectedVersion(request));
+        if (loseAnswer(response)) {
+            return;
+        }
+        if (!version) {
+            response.status = Conflict;
+        }
+        const auto stored = m_objects.read(name);
+        response.set_header("Object-Version", std::to_string(version ? *version : stored ? stored->version : 0));
+    }
+
+    void remove(const httplib::Request &request, httplib::Response &response)
+    {
+        if (admit(m_writes, m_writeCount, response)
+            && !m_objects.remove(request.matches[1].str(), expectedVersion(request))) {
+            response.status = Conflict;
+        }
+    }
+
+    void putVm(const httplib::Request &request, httplib::Response &response)
+    {
+        auto vm = nlohmann::json::parse(request.body, nullptr, false);
+        if (!vm.is_object()) {
+            response.status = Conflict;
+            return;
+        }
+        const auto id = request.matches[1].str();
+        vm["id"] = id;
+        absl::MutexLock lock(&m_mutex);
+        m_vms[id] = std::move(vm);
+    }
+
+    /// Shows the VMs as they were one lag ago.
+    void listVms(httplib::Response &response)
+    {
+        if (!admitRead(response)) {
+            return;
+        }
+        const auto now = core::now();
+        absl::MutexLock lock(&m_mutex);
+        if (now - m_shownAt >= m_vmListLag) {
+            m_shown = nlohmann::json::array();
+            for (const auto &[id, vm] : m_vms) {
+                m_shown.push_back(vm);
+            }
+            m_shownAt = now;
+        }
+        response.set_content(m_shown.dump(), "application/json");
+    }
+
+    void sendWeights(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto bytes = number(request.matches[1].str(), 0);
+        absl::MutexLock lock(&m_mutex);
+        if (!m_weights.take(static_cast<double>(bytes), core::now())) {
+            response.status = TooMany;
+        }
+    }
+
+    void setFaults(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto faults = nlohmann::json::parse(request.body, nullptr, false);
+        if (!faults.is_object()) {
+            response.status = Conflict;
+            return;
+        }
+        m_faults.down = faults.value("down", m_faults.down.load());
+        m_faults.slowMs = faults.value("slowMs", m_faults.slowMs.load());
+        m_faults.loseAnswers = faults.value("loseAnswers", m_faults.loseAnswers.load());
+    }
+
+    ObjectStore m_objects;
+    Faults m_faults;
+    const core::Duration m_vmListLag;
+    std::atomic<std::int64_t> m_readCount{0};
+    std::atomic<std::int64_t> m_writeCount{0};
+    std::atomic<std::int64_t> m_limited{0};
+    std::atomic<std::int64_t> m_watching{0};
+    absl::Mutex m_mutex;
+    spurlug::limits::TokenBucket m_reads ABSL_GUARDED_BY(m_mutex);
+    spurlug::limits::TokenBucket m_writes ABSL_GUARDED_BY(m_mutex);
+    spurlug::limits::TokenBucket m_weights ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, nlohmann::json> m_vms ABSL_GUARDED_BY(m_mutex);
+    nlohmann::json m_shown ABSL_GUARDED_BY(m_mutex) = nlohmann::json::array();
+    core::Time m_shownAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+};
+
+} // namespace
+
+} // namespace standins
+
+int main(int argc, char **argv)
+{
+    using namespace standins;
+    options::options_description description("standin-platform - behaves like the platform's services");
+    description.add_options()("help,h", "show this text")(
+        "listen", options::value<std::string>()->default_value("127.0.0.1:0"),
+        "HOST:PORT")("reads-per-second", options::value<double>()->default_value(2000), "rate limit of reads")(
+        "writes-per-second", options::value<double>()->default_value(100), "rate limit of writes")(
+        "vm-list-lag-ms", options::value<std::int64_t>()->default_value(0), "age of the VM list")(
+        "weight-bytes-per-second", options::value<double>()->default_value(1e9), "rate limit of the weight store")(
+        "ports-file", options::value<std::string>()->default_value(""), "write the bound address to this file");
+    try {
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, description), given);
+        if (given.contains("help")) {
+            std::cout << description << "\n";
+            return core::ExitOk;
+        }
+        core::blockStopSignals();
+        core::startLog("standin-platform", core::LogLevel::Warning);
+        Platform platform(given["reads-per-second"].as<double>(), given["writes-per-second"].as<double>(),
+                          core::fromMs(given["vm-list-lag-ms"].as<std::int64_t>()),
+                          given["weight-bytes-per-second"].as<double>());
+        const spurlug::daemon::HttpListener listener(core::parseAddress(given["listen"].as<std::string>()),
+                                                     {1024, 4U << 20},
+                                                     [&](httplib::Server &server) { platform.configure(server); });
+        core::writePortsFile(given["ports-file"].as<std::string>(), {{"listen", listener.address().text()}});
+        core::waitForStopSignal();
+        return core::ExitOk;
+    } catch (const std::exception &error) {
+        std::cerr << "standin-platform: " << error.what() << "\n";
+        return core::ExitUsage;
+    }
+}
