Tests: pure cores, properties and real processes behind a fault proxy

Cause: nothing showed that the path holds under failure. This adds unit tests, RapidCheck properties against simple oracles, the fault proxy and a fixture that starts, freezes and kills real processes.

Shown failing first, then mended: - A pool of threads refused a task while a thread it had just started was not idle yet (its room was counted by idle threads). Room is now what runs and waits against the bounds: 2 of 3 tasks taken before, 3 after. - A breaker that ejected the only target of a service made the rest of a request's attempts fail without being sent (2 runs of 4 attempts). A doubtful target is now taken when there is no other (4 of 4). Ruled out: a fault of the leaving test's daemon; the test read a temporary that had ended.

--- a/include/spurlug/config/configuration.h
+++ b/include/spurlug/config/configuration.h
@@ -85,6 +85,7 @@
     std::vector<RequestClass> classes;
 
     [[nodiscard]] const Pool *poolForModel(std::string_view model) const noexcept;
+    [[nodiscard]] const Pool *poolNamed(std::string_view name) const noexcept;
     [[nodiscard]] const Service *serviceNamed(std::string_view name) const noexcept;
     [[nodiscard]] const RequestClass *classNamed(std::string_view name) const noexcept;
     [[nodiscard]] const Organisation *organisationNamed(std::string_view name) const noexcept;
--- a/include/spurlug/core/worker_pool.h
+++ b/include/spurlug/core/worker_pool.h
@@ -57,6 +57,7 @@
     std::deque<Task> m_tasks ABSL_GUARDED_BY(m_mutex);
     std::vector<std::thread> m_threads ABSL_GUARDED_BY(m_mutex);
     std::size_t m_idle ABSL_GUARDED_BY(m_mutex) = 0;
+    std::size_t m_running ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
 };
 
--- a/include/spurlug/dispatch/attempt.h
+++ b/include/spurlug/dispatch/attempt.h
@@ -35,7 +35,7 @@
     core::Outcome outcome = core::Outcome::MayHaveRun;
     core::Reason reason = core::Reason::None;
     int status = 0; ///< HTTP status of the target; 0: none was received.
-    std::string detail; ///< One sentence for logs and callers.
+    std::string detail = ""; ///< One sentence for logs and callers.
     bool targetFailed = false; ///< Whether the target was at fault.
     int retryAfterSeconds = 0;
 };
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -168,6 +168,11 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+const Pool *Configuration::poolNamed(std::string_view name) const noexcept
+{
+    return findNamed(pools, name);
+}
+
 const Service *Configuration::serviceNamed(std::string_view name) const noexcept
 {
     return findNamed(services, name);
--- a/src/core/worker_pool.cpp
+++ b/src/core/worker_pool.cpp
@@ -22,7 +22,7 @@
 
 bool WorkerPool::hasRoom() const
 {
-    return m_threads.size() < m_maxThreads || m_tasks.size() < m_maxQueued + m_idle;
+    return m_tasks.size() + m_running < m_maxThreads + m_maxQueued;
 }
 
 void WorkerPool::push(Task task)
@@ -67,7 +67,7 @@
 std::size_t WorkerPool::busyThreads() const
 {
     absl::MutexLock lock(&m_mutex);
-    return m_threads.size() - m_idle;
+    return m_running;
 }
 
 void WorkerPool::work()
@@ -83,10 +83,14 @@
             if (m_tasks.empty()) {
                 return;
             }
+            ++m_running;
             task = std::move(m_tasks.front());
             m_tasks.pop_front();
         }
         task();
+        task = nullptr;
+        absl::MutexLock lock(&m_mutex);
+        --m_running;
     }
 }
 
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -34,7 +34,7 @@
 constexpr int Ok = 200;
 constexpr auto OutputWait = absl::Milliseconds(250); // Between looks at whether the caller is still there.
 constexpr auto StatusPatience = absl::Milliseconds(1500); // After this a stream starts with its outcome still open.
-constexpr std::size_t PlainBytesHeld = 256 * 1024; // Answers of services up to this size are sent whole.
+constexpr std::size_t PlainBytesHeld = 256U << 10; // Answers of services up to this size are sent whole.
 constexpr std::int64_t DefaultAnswerTokens = 1024; // Room for an answer whose length is not given.
 constexpr std::int64_t ServiceTokens = 1;
 
--- a/src/grants/broker_host.cpp
+++ b/src/grants/broker_host.cpp
@@ -89,10 +89,8 @@
     {
         absl::MutexLock lock(&m_mutex);
         for (auto &[name, broker] : m_brokers) {
-            const auto pool = configuration ? std::find_if(configuration->pools.begin(), configuration->pools.end(),
-                                                           [&](const auto &item) { return item.name == name; })
-                                            : std::vector<config::Pool>::const_iterator();
-            if (configuration && pool != configuration->pools.end() && broker.waiting() > 0) {
+            const auto *pool = configuration ? configuration->poolNamed(name) : nullptr;
+            if (pool != nullptr && broker.waiting() > 0) {
                 serve(*pool, broker, now);
             }
         }
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -32,6 +32,18 @@
     return {};
 }
 
+/// A target that seems to fail is better than none: the signs against it may be old, or this daemon's own.
+void admitDoubtful(std::vector<Candidate> &candidates, const std::vector<targets::TargetView> &targets)
+{
+    const auto usable = [](const Candidate &candidate) { return candidate.usable; };
+    if (std::any_of(candidates.begin(), candidates.end(), usable)) {
+        return;
+    }
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].usable = targets[i].report.condition != TargetCondition::Leaving;
+    }
+}
+
 std::optional<std::size_t> holderOf(std::uint64_t prefix, const std::vector<Candidate> &candidates)
 {
     std::optional<std::size_t> best;
@@ -107,6 +119,7 @@
         const auto why = unusableBecause(target, rule);
         choice.candidates.push_back({target.id, expectedTtft(request, target, rule), why.empty(), why});
     }
+    admitDoubtful(choice.candidates, targets);
     setAsideTried(choice.candidates, excluded);
     if (request.prefix != 0) {
         if (const auto holder = holderOf(request.prefix, choice.candidates)) {
--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -338,7 +338,8 @@
     description.add_options()("help,h", "show this text")(
         "listen", options::value<std::string>()->default_value("127.0.0.1:0"),
         "HOST:PORT")("costs", options::value<std::string>()->default_value(""), "costs file (JSON)")(
-        "time-scale", options::value<double>()->default_value(1.0), "multiplies all costs")(
+        "time-scale", options::value<double>()->default_value(1.0),
+        "multiplies all costs")("kv-tokens", options::value<std::int64_t>(), "KV memory, overrides the costs file")(
         "report-lag-ms", options::value<std::int64_t>()->default_value(100), "age of load reports")(
         "ports-file", options::value<std::string>()->default_value(""), "write the bound address to this file");
     try {
@@ -353,6 +354,9 @@
         const auto costsFile = given["costs"].as<std::string>();
         auto costs = costsFile.empty() ? EngineCosts{} : loadEngineCosts(costsFile);
         costs.timeScale *= given["time-scale"].as<double>();
+        if (given.contains("kv-tokens")) {
+            costs.kvTokens = given["kv-tokens"].as<std::int64_t>();
+        }
         const EngineServer server(costs, core::parseAddress(given["listen"].as<std::string>()),
                                   core::fromMs(given["report-lag-ms"].as<std::int64_t>()));
         core::writePortsFile(given["ports-file"].as<std::string>(), {{"listen", server.address().text()}});
--- a/standins/standin_service.cpp
+++ b/standins/standin_service.cpp
@@ -51,7 +51,7 @@
         counts.add(request.get_header_value("Work-Id"));
         absl::SleepFor(delay);
         const nlohmann::json answer{{"method", request.method},
-                                    {"path", request.path},
+                                    {"path", request.target},
                                     {"organisation", request.get_header_value("Organisation")},
                                     {"body", request.body}};
         response.set_header("Service", "standin");
--- /dev/null
+++ b/tests/integration/callers_test.cpp
@@ -0,0 +1,169 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what callers see, through real processes
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using support::Answer;
+using support::eventually;
+using support::Fleet;
+
+namespace
+{
+
+/// One fleet for the tests that leave it as it was.
+Fleet &sharedFleet()
+{
+    static Fleet fleet;
+    return fleet;
+}
+
+Answer post(Fleet &fleet, const std::string &path, const std::string &body, const std::string &key = Fleet::Key)
+{
+    return support::call(fleet.caller("domain-a-1"), "POST", path, body, {{"Authorization", "Bearer " + key}});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(callers)
+
+BOOST_AUTO_TEST_CASE(a_stream_is_whole_and_carries_usage)
+{
+    auto &fleet = sharedFleet();
+    const auto prompt = Fleet::promptOf(1000);
+    const nlohmann::json body{{"model", "model"},
+                              {"stream", true},
+                              {"stream_options", {{"include_usage", true}}},
+                              {"max_tokens", 20},
+                              {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    const auto answer = post(fleet, "/v1/chat/completions", body.dump());
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.text() == Fleet::expected(prompt, 20));
+    BOOST_TEST(answer.streamEnded());
+    BOOST_TEST(answer.outcome() == "completed");
+    BOOST_TEST(answer.body.find("\"prompt_tokens\":1000") != std::string::npos);
+    BOOST_TEST(answer.headers.contains("Request-Id"));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_has_the_shape_that_clients_read)
+{
+    auto &fleet = sharedFleet();
+    const auto prompt = Fleet::promptOf(1000);
+    const auto answer = fleet.complete("domain-a-2", prompt, 20, false);
+    BOOST_TEST(answer.status == 200);
+    const auto value = answer.json();
+    BOOST_TEST(value["object"] == "chat.completion");
+    BOOST_TEST(value["choices"][0]["message"]["content"] == Fleet::expected(prompt, 20));
+    BOOST_TEST(value["usage"]["completion_tokens"] == 20);
+    const auto text = post(fleet, "/v1/completions", R"({"model":"model","prompt":"hello","max_tokens":3})").json();
+    BOOST_TEST(text["object"] == "text_completion");
+    BOOST_TEST(text["choices"][0]["text"] == Fleet::expected("hello", 3));
+}
+
+BOOST_AUTO_TEST_CASE(models_are_listed)
+{
+    auto &fleet = sharedFleet();
+    const auto answer = support::call(fleet.caller("domain-a-1"), "GET", "/v1/models", "",
+                                      {{"Authorization", std::string("Bearer ") + Fleet::Key}});
+    BOOST_TEST(answer.json()["data"][0]["id"] == "model");
+}
+
+BOOST_AUTO_TEST_CASE(refusals_are_typed_and_say_that_nothing_ran)
+{
+    auto &fleet = sharedFleet();
+    const std::string body = R"({"model":"model","prompt":"x"})";
+    const auto before = fleet.metric("domain-a-1", "attempts_started_total");
+    struct Case
+    {
+        std::string body;
+        std::string key;
+        int status;
+        std::string code;
+    };
+    const std::vector<Case> cases{{body, "tester.wrong", 401, "unknown_key"},
+                                  {body, "nobody.secret", 401, "unknown_key"},
+                                  {R"({"model":"other","prompt":"x"})", Fleet::Key, 404, "unknown_model"},
+                                  {"{", Fleet::Key, 400, "malformed_body"},
+                                  {std::string(17U << 20, ' '), Fleet::Key, 400, "malformed_body"}};
+    for (const auto &item : cases) {
+        const auto answer = post(fleet, "/v1/chat/completions", item.body, item.key);
+        BOOST_TEST(answer.errorCode() == item.code);
+        BOOST_TEST(answer.outcome() == "not_run");
+    }
+    const auto keyless = support::call(fleet.caller("domain-a-1"), "POST", "/v1/chat/completions", body);
+    BOOST_TEST(keyless.status == 401);
+    BOOST_TEST(keyless.errorCode() == "missing_key");
+    BOOST_TEST(fleet.metric("domain-a-1", "attempts_started_total") == before);
+    BOOST_TEST(fleet.metric("domain-a-1", "refusals_total{reason=\"unknown_key\"}") >= 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_plain_service_is_passed_through)
+{
+    auto &fleet = sharedFleet();
+    const std::map<std::string, std::string> headers{{"Authorization", std::string("Bearer ") + Fleet::Key},
+                                                     {"Work-Id", "w1"}};
+    const auto answer
+        = support::call(fleet.caller("domain-a-1"), "PUT", "/services/service/seats/4?hold=1", "body", headers);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.headers.at("Service") == "standin");
+    BOOST_TEST(answer.json()["method"] == "PUT");
+    BOOST_TEST(answer.json()["path"] == "/seats/4?hold=1");
+    BOOST_TEST(answer.json()["body"] == "body");
+    const auto teapot = support::call(fleet.caller("domain-a-1"), "GET", "/services/service/teapot", "", headers);
+    BOOST_TEST(teapot.status == 418);
+    BOOST_TEST(teapot.body == "short and stout");
+}
+
+BOOST_AUTO_TEST_CASE(a_decision_is_explained_by_any_daemon)
+{
+    auto &fleet = sharedFleet();
+    const auto answer = fleet.complete("domain-a-1", Fleet::promptOf(1000), 2);
+    const auto id = answer.headers.at("Request-Id");
+    nlohmann::json decision;
+    BOOST_TEST(eventually([&] {
+        decision = support::call(fleet.admin("domain-a-2"), "GET", "/explain/" + id).json();
+        return decision.contains("attempts");
+    }));
+    BOOST_TEST(decision["outcome"] == "completed");
+    BOOST_TEST(decision["attempts"][0]["candidates"].size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_passed_deadline_is_told_at_once)
+{
+    auto &fleet = sharedFleet();
+    const auto answer
+        = fleet.complete("domain-a-1", Fleet::promptOf(2000), 100'000, true, {{"Spurlug-Deadline-Ms", "400"}});
+    BOOST_TEST(answer.errorCode() == "deadline_passed");
+    BOOST_TEST(!answer.streamEnded());
+    BOOST_TEST(eventually([&] {
+        return fleet.engineState("domain-a-engine-1")["streams"] == 0
+            && fleet.engineState("domain-a-engine-2")["streams"] == 0;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(operators_get_answers_while_all_caller_connections_are_taken)
+{
+    support::FleetShape shape;
+    shape.daemonsEach = 1;
+    shape.daemonExtras = {{"limits", {{"connections", 2}}}};
+    Fleet fleet(shape);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 2; ++i) {
+        callers.emplace_back(
+            [&fleet] { static_cast<void>(fleet.complete("domain-a-1", Fleet::promptOf(1000), 2000)); });
+    }
+    BOOST_TEST(eventually([&] { return fleet.metric("domain-a-1", "requests_in_progress") == 2; }));
+    const auto refused = fleet.complete("domain-a-1", Fleet::promptOf(1000), 2);
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.errorCode() == "overloaded");
+    BOOST_TEST(refused.headers.at("Retry-After") == "1");
+    for (auto &caller : callers) {
+        caller.join();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/integration/main.cpp
@@ -0,0 +1,7 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: integration tests with real processes
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#define BOOST_TEST_MODULE integration
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/tests/property/config_property.cpp
@@ -0,0 +1,199 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: racing authors, lost answers and daemons that follow, against an oracle
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "property.h"
+
+#include "spurlug/config/apply.h"
+#include "spurlug/config/store.h"
+
+#include <functional>
+#include <set>
+
+using namespace spurlug;
+
+namespace
+{
+
+/// What the fake platform does with the next calls.
+enum class Fault
+{
+    None,
+    Down, ///< The call does nothing and says so.
+    AnswerLost, ///< A write takes effect; its answer is lost.
+    RequestLost, ///< A write takes no effect; its author cannot tell.
+    OtherAuthor, ///< Another author's change comes first.
+};
+
+struct FakeState
+{
+    std::map<std::string, platform::Object> objects;
+    std::int64_t lastVersion = 0;
+    std::vector<config::Root> committed;
+    std::vector<Fault> faults;
+    std::function<void()> otherAuthor;
+    bool nested = false;
+
+    Fault next()
+    {
+        if (faults.empty() || nested) {
+            return Fault::None;
+        }
+        const auto fault = faults.back();
+        faults.pop_back();
+        return fault;
+    }
+};
+
+/// An object API with faults, driven by one thread.
+class FakeApi
+{
+public:
+    explicit FakeApi(FakeState &state)
+        : m_state(state)
+    { }
+
+    [[nodiscard]] std::optional<platform::Object> read(const std::string &name) const
+    {
+        if (m_state.next() == Fault::Down) {
+            throw core::PlatformUnavailable("down");
+        }
+        const auto found = m_state.objects.find(name);
+        return found == m_state.objects.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    [[nodiscard]] std::optional<platform::Object> waitForChange(const std::string &name, std::int64_t version,
+                                                                core::Duration /*wait*/) const
+    {
+        const auto object = read(name);
+        return object && object->version > version ? object : std::nullopt;
+    }
+
+    std::int64_t update(const std::string &name, const std::string &value, std::int64_t version) const
+    {
+        const auto fault = m_state.next();
+        if (fault == Fault::Down) {
+            throw core::PlatformUnavailable("down");
+        }
+        if (fault == Fault::RequestLost) {
+            throw core::UnknownResult("request lost");
+        }
+        if (fault == Fault::OtherAuthor) {
+            m_state.nested = true;
+            m_state.otherAuthor();
+            m_state.nested = false;
+        }
+        auto &object = m_state.objects[name];
+        if (object.version != version) {
+            throw core::VersionConflict("other version");
+        }
+        object = {value, ++m_state.lastVersion};
+        if (name == config::RootObject) {
+            m_state.committed.push_back(config::readRoot(value));
+        }
+        if (fault == Fault::AnswerLost) {
+            throw core::UnknownResult("answer lost");
+        }
+        return object.version;
+    }
+
+private:
+    FakeState &m_state;
+};
+
+static_assert(platform::ObjectApi<FakeApi>);
+
+nlohmann::json documentNumber(int number)
+{
+    return {{"organisations", {{{"name", "o" + std::to_string(number)}}}},
+            {"classes", {{{"name", "c"}, {"priority", number}}}}};
+}
+
+rc::Gen<std::vector<Fault>> genFaults()
+{
+    return rc::gen::container<std::vector<Fault>>(rc::gen::weightedElement<Fault>({{8, Fault::None},
+                                                                                   {1, Fault::Down},
+                                                                                   {2, Fault::AnswerLost},
+                                                                                   {2, Fault::RequestLost},
+                                                                                   {2, Fault::OtherAuthor}}));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_properties)
+
+/// Each change is in force exactly once if its author was told so, never if told it lost, and generations go up by one.
+BOOST_AUTO_TEST_CASE(racing_authors_learn_the_truth)
+{
+    CHECK_PROPERTY("apply", [] {
+        FakeState state;
+        const FakeApi api(state);
+        int number = 0;
+        std::map<std::string, bool> told;
+        const auto author = [&](const std::string &name) {
+            const auto changeId = name + std::to_string(++number);
+            try {
+                const auto document = documentNumber(number);
+                config::applyDocument(api, document, config::readStoredRoot(api), changeId, name);
+                told[changeId] = true;
+            } catch (const core::VersionConflict &) {
+                told[changeId] = false;
+            } catch (const core::PlatformUnavailable &) {
+                told[changeId] = false;
+            } catch (const core::UnknownResult &) {
+                return;
+            }
+        };
+        state.otherAuthor = [&] { author("other"); };
+        const auto rounds = *rc::gen::inRange(1, 8);
+        for (int round = 0; round < rounds; ++round) {
+            state.faults = *genFaults();
+            author("main");
+        }
+        std::multiset<std::string> inForce;
+        for (std::size_t i = 0; i < state.committed.size(); ++i) {
+            RC_ASSERT(state.committed[i].generation == static_cast<std::int64_t>(i) + 1);
+            inForce.insert(state.committed[i].changeId);
+        }
+        for (const auto &[changeId, success] : told) {
+            RC_ASSERT(inForce.count(changeId) == (success ? 1U : 0U));
+        }
+    });
+}
+
+/// Daemons that get roots in any order, twice, late or broken never go back, and end at the newest they could use.
+BOOST_AUTO_TEST_CASE(no_daemon_ever_goes_back)
+{
+    CHECK_PROPERTY("follow", [] {
+        const auto generations = *rc::gen::inRange(1, 8);
+        std::vector<std::pair<std::string, config::PartTexts>> roots;
+        for (int i = 1; i <= generations; ++i) {
+            const auto split = config::splitDocument(documentNumber(i));
+            const config::Root root{i, "c" + std::to_string(i), "a", split.parts, {}};
+            roots.emplace_back(config::writeRoot(root), split.texts);
+        }
+        std::vector<std::int64_t> applied;
+        config::Store store([&](const auto &configuration) { applied.push_back(configuration->generation); });
+        std::int64_t best = 0;
+        const auto steps = *rc::gen::inRange(1, 40);
+        for (int step = 0; step < steps; ++step) {
+            const auto index = *rc::gen::inRange(0, generations);
+            auto [root, texts] = roots[static_cast<std::size_t>(index)];
+            const bool broken = *rc::gen::weightedElement<bool>({{4, false}, {1, true}});
+            if (broken && !texts.empty()) {
+                texts.begin()->second += "x";
+            }
+            const auto before = store.generation();
+            store.offer(root, std::move(texts));
+            RC_ASSERT(store.generation() >= before);
+            if (!broken) {
+                best = std::max<std::int64_t>(best, index + 1);
+            }
+            RC_ASSERT(store.generation() == best);
+        }
+        RC_ASSERT(std::is_sorted(applied.begin(), applied.end()));
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/property/dispatch_property.cpp
@@ -0,0 +1,109 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: reassembly and at-most-once against oracles
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "property.h"
+
+#include "spurlug/dispatch/reassembly.h"
+#include "spurlug/dispatch/retry.h"
+
+#include <algorithm>
+#include <random>
+
+using namespace spurlug;
+
+BOOST_AUTO_TEST_SUITE(dispatch_properties)
+
+/// Whatever comes late, twice, disordered or from an attempt that was given up, the caller gets each token once and in
+/// order, and the answer counts as complete exactly when all of it was handed out.
+BOOST_AUTO_TEST_CASE(a_caller_gets_each_token_once_and_in_order)
+{
+    CHECK_PROPERTY("reassembly", [] {
+        const auto total = *rc::gen::inRange<std::int64_t>(1, 30);
+        const auto attempts = *rc::gen::inRange(1, 4);
+        dispatch::Reassembly reassembly;
+        std::vector<std::string> handedOut;
+        for (int attempt = 1; attempt <= attempts; ++attempt) {
+            reassembly.begin(attempt);
+            const bool last = attempt == attempts;
+            const auto count = last ? 0 : *rc::gen::inRange(0, 40);
+            std::vector<std::int64_t> offsets;
+            for (auto offset = reassembly.next(); last && offset < total; ++offset) {
+                offsets.push_back(offset);
+            }
+            for (int i = 0; i < count; ++i) {
+                offsets.push_back(*rc::gen::inRange<std::int64_t>(0, total));
+            }
+            const auto doubled = *rc::gen::inRange(0, 10);
+            for (int i = 0; i < doubled && !offsets.empty(); ++i) {
+                offsets.push_back(*rc::gen::elementOf(offsets));
+            }
+            const auto random = *rc::gen::arbitrary<unsigned>();
+            std::shuffle(offsets.begin(), offsets.end(), std::mt19937(random));
+            for (const auto offset : offsets) {
+                const auto stale = *rc::gen::inRange(0, attempt);
+                for (auto &payload : reassembly.accept(stale, offset, "stale")) {
+                    handedOut.push_back(payload);
+                }
+                for (auto &payload : reassembly.accept(attempt, offset, std::to_string(offset))) {
+                    handedOut.push_back(payload);
+                }
+                RC_ASSERT(reassembly.next() == static_cast<std::int64_t>(handedOut.size()));
+            }
+            reassembly.finish(attempt, total);
+            RC_ASSERT(reassembly.complete() == (static_cast<std::int64_t>(handedOut.size()) == total));
+        }
+        RC_ASSERT(reassembly.complete());
+        for (std::size_t i = 0; i < handedOut.size(); ++i) {
+            RC_ASSERT(handedOut[i] == std::to_string(i));
+        }
+    });
+}
+
+/// The oracle counts how often targets really ran the work. A request that may not be repeated never runs twice, and a
+/// caller is told "not run" only when it truly did not run.
+BOOST_AUTO_TEST_CASE(work_marked_once_runs_at_most_once)
+{
+    CHECK_PROPERTY("at most once", [] {
+        core::Time now = absl::FromUnixSeconds(0);
+        const auto deadline = now + absl::Seconds(*rc::gen::inRange(1, 20));
+        const bool repeatable = *rc::gen::arbitrary<bool>();
+        int runs = 0;
+        int attempts = 0;
+        bool toldMayHaveRun = false;
+        while (true) {
+            ++attempts;
+            // What really happens, and what an honest client concludes: it says NotRun only with proof.
+            const bool ran = *rc::gen::arbitrary<bool>();
+            const bool answerLost = *rc::gen::arbitrary<bool>();
+            runs += ran ? 1 : 0;
+            dispatch::AttemptEnd end;
+            if (ran && !answerLost) {
+                end = {core::Outcome::Completed, core::Reason::None};
+            } else if (!ran && !answerLost) {
+                end = {core::Outcome::NotRun, core::Reason::TargetRefused};
+            } else {
+                end = {core::Outcome::MayHaveRun, core::Reason::TargetFailed};
+            }
+            toldMayHaveRun = toldMayHaveRun || end.outcome == core::Outcome::MayHaveRun;
+            const auto jitter = *rc::gen::inRange(0, 100) / 100.0;
+            const auto decision = dispatch::decideRetry({repeatable, attempts, deadline}, end, {}, jitter, now);
+            if (!decision.retry) {
+                break;
+            }
+            RC_ASSERT(end.outcome != core::Outcome::Completed);
+            now += decision.delay + absl::Milliseconds(*rc::gen::inRange(0, 3000));
+            RC_ASSERT(decision.delay > absl::ZeroDuration());
+        }
+        if (!repeatable) {
+            RC_ASSERT(runs <= 1);
+        }
+        if (runs > 1) {
+            RC_ASSERT(toldMayHaveRun);
+        }
+        RC_ASSERT(attempts <= dispatch::RetryRule{}.mostAttempts);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,165 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: programs that a test starts, freezes and kills
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "process.h"
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace support
+{
+
+namespace
+{
+
+constexpr auto StartTimeout = std::chrono::seconds(30);
+constexpr auto PollInterval = std::chrono::milliseconds(10);
+
+std::string programPath(const std::string &program)
+{
+    return std::string(SPURLUG_BINARY_DIR) + "/" + program;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::vector<char *> argumentArray(std::vector<std::string> &arguments)
+{
+    std::vector<char *> array;
+    for (auto &argument : arguments) {
+        array.push_back(argument.data());
+    }
+    array.push_back(nullptr);
+    return array;
+}
+
+} // namespace
+
+TemporaryDirectory::TemporaryDirectory()
+{
+    auto name = (std::filesystem::temp_directory_path() / "spurlug-test-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("no temporary directory can be made");
+    }
+    m_path = name;
+}
+
+TemporaryDirectory::~TemporaryDirectory()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(m_path, ignored);
+}
+
+std::string TemporaryDirectory::file(const std::string &name) const
+{
+    return m_path + "/" + name;
+}
+
+Process::Process(const TemporaryDirectory &directory, const std::string &name, const std::string &program,
+                 const std::vector<std::string> &arguments)
+    : m_logFile(directory.file(name + ".log"))
+{
+    const auto portsFile = directory.file(name + ".ports");
+    std::filesystem::remove(portsFile);
+    std::vector<std::string> all{programPath(program)};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    all.insert(all.end(), {"--ports-file", portsFile});
+    auto array = argumentArray(all);
+    const int log = open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    m_pid = fork();
+    if (m_pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        dup2(log, STDOUT_FILENO);
+        dup2(log, STDERR_FILENO);
+        execv(array[0], array.data());
+        _exit(127);
+    }
+    close(log);
+    const auto until = std::chrono::steady_clock::now() + StartTimeout;
+    while (!std::filesystem::exists(portsFile)) {
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid || std::chrono::steady_clock::now() > until) {
+            throw std::runtime_error(name + " did not start: " + this->log());
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    m_ports = nlohmann::json::parse(readFile(portsFile));
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+std::string Process::address(const std::string &key) const
+{
+    return m_ports.at(key);
+}
+
+void Process::signal(int number) const
+{
+    ::kill(m_pid, number);
+}
+
+void Process::kill()
+{
+    if (m_pid > 0) {
+        signal(SIGKILL);
+        wait();
+    }
+}
+
+int Process::wait()
+{
+    int status = 0;
+    waitpid(m_pid, &status, 0);
+    m_pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+int Process::pid() const noexcept
+{
+    return m_pid;
+}
+
+std::string Process::log() const
+{
+    return readFile(m_logFile);
+}
+
+std::pair<int, std::string> runProgram(const std::string &program, const std::vector<std::string> &arguments)
+{
+    std::string command = programPath(program);
+    for (const auto &argument : arguments) {
+        command += " '" + argument + "'";
+    }
+    auto *pipe = popen((command + " 2>&1").c_str(), "r");
+    std::string output;
+    std::array<char, 4096> buffer{};
+    while (const auto size = fread(buffer.data(), 1, buffer.size(), pipe)) {
+        output.append(buffer.data(), size);
+    }
+    const int status = pclose(pipe);
+    return {WEXITSTATUS(status), output};
+}
+
+} // namespace support
--- /dev/null
+++ b/tests/unit/core_test.cpp
@@ -0,0 +1,100 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of core
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+#include "spurlug/core/json_reader.h"
+#include "spurlug/core/reason.h"
+#include "spurlug/core/rendezvous.h"
+#include "spurlug/core/worker_pool.h"
+
+#include <absl/synchronization/notification.h>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace spurlug;
+
+BOOST_AUTO_TEST_SUITE(core_tests)
+
+BOOST_AUTO_TEST_CASE(every_reason_has_a_name_of_its_own)
+{
+    std::set<std::string_view> names;
+    for (const auto &row : core::EnumNames<core::Reason>::table) {
+        names.insert(row.name);
+        BOOST_TEST((core::valueNamed<core::Reason>(row.name) == row.value));
+    }
+    BOOST_TEST(names.size() == static_cast<std::size_t>(core::Reason::CallerGone) + 1);
+}
+
+BOOST_AUTO_TEST_CASE(addresses_are_read_and_written)
+{
+    BOOST_TEST(core::parseAddress("10.0.0.1:80").text() == "10.0.0.1:80");
+    for (const auto *wrong : {"", "host", ":80", "host:", "host:70000", "host:8x"}) {
+        BOOST_CHECK_THROW(static_cast<void>(core::parseAddress(wrong)), core::InvalidDocument);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_leaves_moves_only_its_own_items)
+{
+    const std::vector<std::string> nodes{"a", "b", "c", "d"};
+    const std::vector<std::string> fewer{"a", "b", "d"};
+    int moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const auto item = std::to_string(i);
+        const auto before = core::rankByRendezvous(item, nodes);
+        const auto after = core::rankByRendezvous(item, fewer);
+        if (before.front() != "c") {
+            BOOST_TEST(before.front() == after.front());
+        } else {
+            BOOST_TEST(before[1] == after.front());
+            ++moved;
+        }
+    }
+    BOOST_TEST(moved > 200);
+    BOOST_TEST(moved < 300);
+}
+
+BOOST_AUTO_TEST_CASE(a_reader_notes_every_fault_with_its_pointer)
+{
+    const auto document = nlohmann::json::parse(R"({"name": 3, "port": 99999, "extra": 1, "list": [{"id": ""}]})");
+    std::vector<core::Fault> faults;
+    core::ObjectReader reader(document, "", faults);
+    static_cast<void>(reader.text("name"));
+    static_cast<void>(reader.integer("port", 1, 65535));
+    reader.objects("list", [](core::ObjectReader &child) { static_cast<void>(child.text("id")); });
+    reader.rejectOthers();
+    std::vector<std::string> pointers;
+    for (const auto &fault : faults) {
+        pointers.push_back(fault.pointer);
+    }
+    const std::vector<std::string> expected{"/name", "/port", "/list/0/id", "/extra"};
+    BOOST_TEST(pointers == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_pool_refuses_beyond_its_bounds_and_runs_what_it_took)
+{
+    absl::Notification release;
+    std::atomic<int> ran{0};
+    core::WorkerPool pool(2, 1);
+    int taken = 0;
+    for (int i = 0; i < 5; ++i) {
+        taken += pool.tryRun([&] {
+            release.WaitForNotification();
+            ++ran;
+        })
+            ? 1
+            : 0;
+    }
+    BOOST_TEST(taken >= 3);
+    BOOST_TEST(taken < 5);
+    release.Notify();
+    pool.stop();
+    BOOST_TEST(ran == taken);
+    BOOST_TEST(!pool.tryRun([] {}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/grants_test.cpp
@@ -0,0 +1,105 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of the broker
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/grants/broker.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurlug;
+
+namespace
+{
+
+const core::Time Start = absl::FromUnixSeconds(1000);
+
+std::vector<targets::TargetView> engines(int count)
+{
+    std::vector<targets::TargetView> all;
+    for (int i = 0; i < count; ++i) {
+        targets::TargetView engine;
+        engine.id = "e" + std::to_string(i);
+        engine.report.condition = targets::TargetCondition::Serving;
+        engine.reportAge = absl::ZeroDuration();
+        all.push_back(engine);
+    }
+    return all;
+}
+
+grants::Ask ask(const std::string &id, const std::string &organisation, std::int64_t tokens, int count, core::Time at)
+{
+    return {id, organisation, 1.0, tokens, count, at};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(grants_tests)
+
+BOOST_AUTO_TEST_CASE(a_group_is_granted_whole_or_not_at_all)
+{
+    grants::Broker broker;
+    broker.ask(ask("r", "o", 1'000'000, 3, Start), Start);
+    broker.serve(engines(2), 1.0, Start);
+    BOOST_TEST(!broker.grantOf("r").has_value());
+    broker.serve(engines(3), 0.5, Start);
+    BOOST_REQUIRE(broker.grantOf("r").has_value());
+    BOOST_TEST(broker.grantOf("r")->targets.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(small_asks_do_not_overtake_a_large_one_for_ever)
+{
+    grants::Broker broker;
+    broker.ask(ask("first", "o", 100'000, 1, Start), Start);
+    broker.serve(engines(3), 1.0, Start);
+    const auto running = broker.grantOf("first").value().id;
+    broker.ask(ask("large", "o", 1'000'000, 3, Start), Start);
+    broker.ask(ask("small", "o", 50'000, 1, Start + absl::Seconds(1)), Start + absl::Seconds(1));
+    broker.serve(engines(3), 1.0, Start + absl::Seconds(1));
+    BOOST_TEST(!broker.grantOf("small").has_value());
+    broker.release(running);
+    broker.serve(engines(3), 1.0, Start + absl::Seconds(1));
+    BOOST_TEST(broker.grantOf("large").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_organisation_served_least_goes_first_and_waiting_counts)
+{
+    grants::Broker broker;
+    broker.ask(ask("a1", "a", 300'000, 1, Start), Start);
+    broker.serve(engines(1), 1.0, Start);
+    broker.release(broker.grantOf("a1").value().id);
+    broker.ask(ask("a2", "a", 300'000, 1, Start), Start);
+    broker.ask(ask("b1", "b", 300'000, 1, Start), Start);
+    broker.serve(engines(1), 1.0, Start);
+    BOOST_TEST(broker.grantOf("b1").has_value());
+    broker.release(broker.grantOf("b1").value().id);
+    const auto later = Start + absl::Seconds(3);
+    broker.ask(ask("a2", "a", 300'000, 1, Start), later);
+    broker.ask(ask("b2", "b", 300'000, 1, later), later);
+    broker.serve(engines(1), 1.0, later);
+    BOOST_TEST(broker.grantOf("a2").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(grants_and_asks_lapse_without_their_owner)
+{
+    grants::Broker broker;
+    broker.ask(ask("r", "o", 1, 1, Start), Start);
+    broker.serve(engines(1), 1.0, Start);
+    BOOST_TEST(broker.occupied() == 1);
+    broker.ask(ask("s", "o", 1, 1, Start), Start);
+    broker.serve(engines(1), 1.0, Start + absl::Seconds(7));
+    BOOST_TEST(broker.occupied() == 0);
+    BOOST_TEST(broker.waiting() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(long_prompts_stay_within_their_share)
+{
+    grants::Broker broker;
+    for (int i = 0; i < 10; ++i) {
+        broker.ask(ask("r" + std::to_string(i), "o", 1, 1, Start), Start);
+    }
+    broker.serve(engines(8), 0.5, Start);
+    BOOST_TEST(broker.occupied() == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/request_test.cpp
@@ -0,0 +1,230 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of admission, routing, limits and dispatch
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/admission/admission.h"
+#include "spurlug/admission/byte_budget.h"
+#include "spurlug/admission/request_body.h"
+#include "spurlug/core/error.h"
+#include "spurlug/dispatch/retry.h"
+#include "spurlug/dispatch/sse.h"
+#include "spurlug/limits/organisation_limiter.h"
+#include "spurlug/routing/choose.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurlug;
+
+namespace
+{
+
+const core::Time Start = absl::FromUnixSeconds(1000);
+
+targets::TargetView view(const std::string &id, std::int64_t queued)
+{
+    targets::TargetView target;
+    target.id = id;
+    target.report.condition = targets::TargetCondition::Serving;
+    target.report.queuedTokens = queued;
+    target.report.urgentTokens = queued;
+    target.report.prefillRate = 10'000;
+    target.reportAge = absl::Milliseconds(100);
+    return target;
+}
+
+core::Reason refusalOf(const std::function<void()> &work)
+{
+    try {
+        work();
+    } catch (const core::Refused &refused) {
+        return refused.reason();
+    }
+    return core::Reason::None;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(request_tests)
+
+BOOST_AUTO_TEST_CASE(a_body_is_read_without_a_tree)
+{
+    const auto body = admission::readRequestBody(
+        R"({"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":7,
+            "messages":[{"role":"user","content":"hello"},{"role":"user","content":[{"type":"text","text":"you"}]}],
+            "metadata":{"content":"not a prompt","model":"x","stream":false}})");
+    BOOST_TEST(body.model == "m");
+    BOOST_TEST(body.stream);
+    BOOST_TEST(body.includeUsage);
+    BOOST_TEST(body.maxTokens == 7);
+    BOOST_TEST(body.promptBytes == 8);
+    for (const auto *wrong :
+         {"", "[", "[]", "{}", R"({"model":"m"})", R"({"model":3,"prompt":"x"})",
+          R"({"model":"m","prompt":"x"} trailing)", R"({"model":"m","prompt":"x","max_tokens":-1})"}) {
+        BOOST_TEST(
+            (refusalOf([&] { static_cast<void>(admission::readRequestBody(wrong)); }) == core::Reason::MalformedBody),
+            wrong);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(deep_nesting_is_refused)
+{
+    const std::string deep = R"({"model":"m","prompt":"x","a":)" + std::string(100'000, '[');
+    BOOST_TEST(
+        (refusalOf([&] { static_cast<void>(admission::readRequestBody(deep)); }) == core::Reason::MalformedBody));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_are_held_until_the_end_of_life)
+{
+    admission::ByteBudget budget(100);
+    auto first = budget.take(60);
+    BOOST_TEST(static_cast<bool>(first));
+    BOOST_TEST(!static_cast<bool>(budget.take(41)));
+    {
+        const auto moved = std::move(first);
+        BOOST_TEST(budget.used() == 60);
+    }
+    BOOST_TEST(budget.used() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_needs_as_many_engines_as_its_memory_fills)
+{
+    config::Pool pool;
+    pool.engineTokens = 400'000;
+    pool.maxGroup = 3;
+    BOOST_TEST(admission::enginesNeeded(pool, 1) == 1);
+    BOOST_TEST(admission::enginesNeeded(pool, 400'001) == 2);
+    BOOST_TEST(admission::enginesNeeded(pool, 1'200'000) == 3);
+    BOOST_TEST((refusalOf([&] { static_cast<void>(admission::enginesNeeded(pool, 1'200'001)); })
+                == core::Reason::PromptTooLong));
+}
+
+BOOST_AUTO_TEST_CASE(the_shortest_expected_wait_is_chosen)
+{
+    const std::vector targets{view("a", 50'000), view("b", 100), view("c", 30'000)};
+    const auto choice = routing::chooseTarget({1000, true, 0}, targets, {}, {}, 0);
+    BOOST_TEST(choice.chosen.value() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(own_dispatches_count_before_the_next_report_shows_them)
+{
+    auto busy = view("a", 0);
+    busy.ownTokens = 40'000;
+    const auto choice = routing::chooseTarget({1000, true, 0}, {busy, view("b", 10'000)}, {}, {}, 0);
+    BOOST_TEST(choice.chosen.value() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(equal_targets_share_requests)
+{
+    const std::vector targets{view("a", 0), view("b", 0), view("c", 0)};
+    std::vector<int> counts(3);
+    for (std::uint64_t pick = 0; pick < 300; ++pick) {
+        ++counts[routing::chooseTarget({1000, true, 0}, targets, {}, {}, pick).chosen.value()];
+    }
+    BOOST_TEST(counts[0] == 100);
+    BOOST_TEST(counts[2] == 100);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_ejected_and_tried_targets_are_left_out)
+{
+    auto leaving = view("a", 0);
+    leaving.report.condition = targets::TargetCondition::Leaving;
+    auto ejected = view("b", 0);
+    ejected.ejected = true;
+    const std::vector targets{leaving, ejected, view("c", 0), view("d", 90'000)};
+    BOOST_TEST(routing::chooseTarget({1, true, 0}, targets, {"c"}, {}, 0).chosen.value() == 3);
+    BOOST_TEST(!routing::chooseTarget({1, true, 0}, {leaving}, {}, {}, 0).chosen.has_value());
+    BOOST_TEST(routing::chooseTarget({1, true, 0}, {view("c", 0)}, {"c"}, {}, 0).chosen.value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_doubtful_target_is_taken_when_there_is_no_other)
+{
+    auto ejected = view("a", 0);
+    ejected.ejected = true;
+    auto leaving = view("b", 0);
+    leaving.report.condition = targets::TargetCondition::Leaving;
+    BOOST_TEST(routing::chooseTarget({1, true, 0}, {ejected, leaving}, {}, {}, 0).chosen.value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_not_sent_again_unless_it_may_be)
+{
+    const dispatch::AttemptEnd end{core::Outcome::MayHaveRun, core::Reason::StreamCut};
+    const dispatch::RetryState once{false, 1, Start + absl::Seconds(10)};
+    const dispatch::RetryState repeatable{true, 1, Start + absl::Seconds(10)};
+    BOOST_TEST(!dispatch::decideRetry(once, end, {}, 0, Start).retry);
+    BOOST_TEST((dispatch::decideRetry(once, end, {}, 0, Start).refusedBecause == core::Reason::NotRepeatable));
+    BOOST_TEST(dispatch::decideRetry(repeatable, end, {}, 0, Start).retry);
+}
+
+BOOST_AUTO_TEST_CASE(no_retry_goes_past_the_deadline_or_the_most_attempts)
+{
+    const dispatch::AttemptEnd end{core::Outcome::NotRun, core::Reason::ConnectFailed};
+    BOOST_TEST(!dispatch::decideRetry({true, 1, Start}, end, {}, 0, Start).retry);
+    BOOST_TEST(!dispatch::decideRetry({true, 4, Start + absl::Seconds(10)}, end, {}, 0, Start).retry);
+}
+
+BOOST_AUTO_TEST_CASE(a_spent_budget_refuses_retries)
+{
+    dispatch::RetryBudget budget(0.5, 2);
+    BOOST_TEST(budget.withdraw());
+    BOOST_TEST(budget.withdraw());
+    BOOST_TEST(!budget.withdraw());
+    budget.deposit();
+    BOOST_TEST(!budget.withdraw());
+    budget.deposit();
+    BOOST_TEST(budget.withdraw());
+}
+
+BOOST_AUTO_TEST_CASE(events_are_cut_from_any_split_of_the_bytes)
+{
+    const std::string text = ": note\n\nid: 3\ndata: a\n\nevent: finish\nid: 4\ndata: {}\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        dispatch::SseParser parser;
+        std::vector<dispatch::SseEvent> events;
+        for (const auto &part : {text.substr(0, cut), text.substr(cut)}) {
+            parser.feed(part);
+            while (auto event = parser.next()) {
+                events.push_back(*event);
+            }
+        }
+        BOOST_REQUIRE(events.size() == 2);
+        BOOST_TEST(events[0].id == "3");
+        BOOST_TEST(events[1].name == "finish");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_organisation_gets_its_rate_divided_by_the_daemons)
+{
+    limits::OrganisationLimiter limiter;
+    limiter.setDaemons(4);
+    config::Organisation organisation;
+    organisation.name = "o";
+    organisation.requestsPerSecond = 40;
+    int taken = 0;
+    for (int ms = 0; ms < 10'000; ms += 10) {
+        taken += refusalOf(
+                     [&] { static_cast<void>(limiter.take(organisation, 1, false, Start + absl::Milliseconds(ms))); })
+                == core::Reason::None
+            ? 1
+            : 0;
+    }
+    BOOST_TEST(taken >= 100);
+    BOOST_TEST(taken <= 111);
+}
+
+BOOST_AUTO_TEST_CASE(a_long_prompt_gives_its_place_back)
+{
+    limits::OrganisationLimiter limiter;
+    config::Organisation organisation;
+    organisation.name = "o";
+    organisation.longPromptsAtOnce = 1;
+    {
+        const auto place = limiter.take(organisation, 1, true, Start);
+        BOOST_TEST((refusalOf([&] { static_cast<void>(limiter.take(organisation, 1, true, Start)); })
+                    == core::Reason::LongPrompts));
+    }
+    BOOST_TEST(
+        (refusalOf([&] { static_cast<void>(limiter.take(organisation, 1, true, Start)); }) == core::Reason::None));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
