Load reads over a kept connection; benches of control costs

Cause: observers opened a connection for each load read, and nothing measured what control costs a daemon.

--- /dev/null
+++ b/bench/cores_bench.cpp
@@ -0,0 +1,176 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: costs of the pure cores at several sizes
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/admission/request_body.h"
+#include "spurlug/config/configuration.h"
+#include "spurlug/config/parts.h"
+#include "spurlug/core/rendezvous.h"
+#include "spurlug/dispatch/reassembly.h"
+#include "spurlug/dispatch/sse.h"
+#include "spurlug/grants/broker.h"
+#include "spurlug/membership/heartbeat.h"
+#include "spurlug/routing/choose.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace spurlug;
+
+namespace
+{
+
+const core::Time Now = absl::FromUnixSeconds(1000);
+
+std::vector<targets::TargetView> makeTargets(std::int64_t count)
+{
+    std::vector<targets::TargetView> targets;
+    for (std::int64_t i = 0; i < count; ++i) {
+        targets::TargetView target;
+        target.id = "engine-" + std::to_string(i);
+        target.report.condition = targets::TargetCondition::Serving;
+        target.report.prefillRate = 50'000;
+        target.report.urgentTokens = (i * 7919) % 20'000;
+        target.reportAge = absl::Milliseconds(100);
+        targets.push_back(target);
+    }
+    return targets;
+}
+
+nlohmann::json makeDocument(std::int64_t organisations)
+{
+    nlohmann::json document{{"organisations", nlohmann::json::array()}};
+    for (std::int64_t i = 0; i < organisations; ++i) {
+        const auto salt = "salt" + std::to_string(i);
+        document["organisations"].push_back(
+            {{"name", "organisation-" + std::to_string(i)},
+             {"weight", 1},
+             {"requestsPerSecond", 10},
+             {"keys", {{{"salt", salt}, {"digest", config::keyDigest(salt, salt + ".secret")}}}}});
+    }
+    return document;
+}
+
+void chooseTarget(benchmark::State &state)
+{
+    const auto targets = makeTargets(state.range(0));
+    std::uint64_t pick = 0;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(routing::chooseTarget({1000, true, ++pick}, targets, {}, {}, pick));
+    }
+}
+BENCHMARK(chooseTarget)->Arg(10)->Arg(30)->Arg(60)->Arg(120);
+
+void readConfiguration(benchmark::State &state)
+{
+    const auto split = config::splitDocument(makeDocument(state.range(0)));
+    const config::Root root{1, "c", "a", split.parts, {}};
+    for (auto _ : state) {
+        std::vector<core::Fault> faults;
+        benchmark::DoNotOptimize(config::readConfiguration(config::joinDocument(root, split.texts), 1, faults));
+    }
+}
+BENCHMARK(readConfiguration)->Arg(100)->Arg(400)->Arg(1600)->Arg(3400)->Unit(benchmark::kMicrosecond);
+
+void findOrganisation(benchmark::State &state)
+{
+    std::vector<core::Fault> faults;
+    const auto configuration = config::readConfiguration(makeDocument(state.range(0)), 1, faults);
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(configuration->organisationForKey("salt7.secret"));
+    }
+}
+BENCHMARK(findOrganisation)->Arg(100)->Arg(400)->Arg(1600)->Arg(3400);
+
+membership::Heartbeat makeHeartbeat(std::int64_t loads)
+{
+    membership::Heartbeat heartbeat;
+    heartbeat.news.vm = "coast-west-a-daemon-17";
+    heartbeat.news.incarnation = 1'764'000'000'000'000;
+    heartbeat.news.sequence = 86'400;
+    heartbeat.news.generation = 277'000;
+    for (std::int64_t i = 0; i < loads; ++i) {
+        membership::ObservedLoad load;
+        load.target = static_cast<std::uint32_t>(i * 2'654'435'761U);
+        load.report.condition = targets::TargetCondition::Serving;
+        load.report.queuedTokens = 40'000;
+        load.report.urgentTokens = 9'000;
+        load.report.streams = 31;
+        load.report.maxStreams = 64;
+        load.report.freeTokens = 210'000;
+        load.report.prefillRate = 50'000;
+        load.age = absl::Milliseconds(140);
+        heartbeat.loads.push_back(load);
+    }
+    return heartbeat;
+}
+
+void readHeartbeat(benchmark::State &state)
+{
+    const auto datagram = membership::writeHeartbeat(makeHeartbeat(state.range(0)), "a shared key");
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(membership::readHeartbeat(datagram, "a shared key"));
+    }
+    state.counters["bytes"] = static_cast<double>(datagram.size());
+}
+BENCHMARK(readHeartbeat)->Arg(0)->Arg(2)->Arg(8)->Arg(32);
+
+void findRoleHolder(benchmark::State &state)
+{
+    std::vector<std::string> daemons;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        daemons.push_back("coast-west-a-daemon-" + std::to_string(i));
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(core::rankByRendezvous("target:engine-12", daemons));
+    }
+}
+BENCHMARK(findRoleHolder)->Arg(6)->Arg(12)->Arg(24)->Arg(48)->Arg(96);
+
+void serveAsks(benchmark::State &state)
+{
+    const auto engines = makeTargets(60);
+    for (auto _ : state) {
+        state.PauseTiming();
+        grants::Broker broker;
+        for (std::int64_t i = 0; i < state.range(0); ++i) {
+            const auto id = std::to_string(i);
+            broker.ask({id, "o" + std::to_string(i % 50), 1.0, 200'000, static_cast<int>(1 + i % 3), Now}, Now);
+        }
+        state.ResumeTiming();
+        broker.serve(engines, 0.5, Now);
+    }
+}
+BENCHMARK(serveAsks)->Arg(10)->Arg(30)->Arg(100)->Arg(300)->Unit(benchmark::kMicrosecond);
+
+void relayToken(benchmark::State &state)
+{
+    const std::string event = "id: 0\ndata: {\"id\":\"x\",\"object\":\"chat.completion.chunk\",\"created\":1764000000,"
+                              "\"model\":\"deckhand-lm\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"},"
+                              "\"finish_reason\":null}]}\n\n";
+    dispatch::SseParser parser;
+    dispatch::Reassembly reassembly;
+    reassembly.begin(1);
+    for (auto _ : state) {
+        parser.feed(event);
+        auto parsed = parser.next();
+        benchmark::DoNotOptimize(reassembly.accept(1, reassembly.next(), std::move(parsed->data)));
+    }
+}
+BENCHMARK(relayToken);
+
+void readBody(benchmark::State &state)
+{
+    const nlohmann::json body{{"model", "m"},
+                              {"stream", true},
+                              {"messages", {{{"role", "user"}, {"content", std::string(state.range(0) * 4, 'x')}}}}};
+    const auto text = body.dump();
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(admission::readRequestBody(text));
+    }
+}
+BENCHMARK(readBody)->Arg(1000)->Arg(10'000)->Arg(100'000)->Arg(1'000'000)->Unit(benchmark::kMicrosecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,196 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what a daemon spends on control, with real daemons, at several fleet sizes
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "fleet.h"
+
+#include "spurlug/core/program.h"
+#include "spurlug/core/time.h"
+
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace bench
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+namespace core = spurlug::core;
+using support::Fleet;
+
+constexpr double HeaderBytes = 28; // IP and UDP, of each datagram.
+constexpr int Changes = 9;
+
+/// What the kernel says of a process.
+struct ProcessUse
+{
+    double cpuSeconds = 0;
+    double residentBytes = 0;
+};
+
+ProcessUse useOf(int pid)
+{
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string line;
+    std::getline(stat, line);
+    std::istringstream fields(line.substr(line.rfind(')') + 2));
+    std::vector<std::string> all;
+    for (std::string field; fields >> field;) {
+        all.push_back(field);
+    }
+    constexpr std::size_t UserTicks = 11;
+    constexpr std::size_t SystemTicks = 12;
+    constexpr std::size_t ResidentPages = 21;
+    const auto ticks = static_cast<double>(sysconf(_SC_CLK_TCK));
+    return {(std::stod(all[UserTicks]) + std::stod(all[SystemTicks])) / ticks,
+            std::stod(all[ResidentPages]) * static_cast<double>(sysconf(_SC_PAGESIZE))};
+}
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+/// Counters and use of one daemon at one time.
+struct Sample
+{
+    ProcessUse use;
+    double datagrams = 0;
+    double datagramBytes = 0;
+    double pollBytes = 0;
+    double polls = 0;
+};
+
+Sample sample(Fleet &fleet, const std::string &vm)
+{
+    Sample now;
+    now.use = useOf(fleet.process(vm).pid());
+    now.datagrams = fleet.metric(vm, "heartbeats_sent_total") + fleet.metric(vm, "heartbeats_received_total");
+    now.datagramBytes
+        = fleet.metric(vm, "heartbeat_bytes_sent_total") + fleet.metric(vm, "heartbeat_bytes_received_total");
+    now.pollBytes = fleet.metric(vm, "load_poll_bytes_total");
+    now.polls = fleet.metric(vm, "load_polls_total");
+    return now;
+}
+
+nlohmann::json platformStats(Fleet &fleet)
+{
+    return support::call(fleet.process("platform").address("listen"), "GET", "/standin/stats").json();
+}
+
+/// Time from the start of an apply until every daemon has the change in force.
+double applyMs(Fleet &fleet, std::int64_t generation)
+{
+    fleet.configuration()["classes"][0]["priority"] = generation;
+    const auto started = core::now();
+    const auto [code, output] = fleet.apply(false);
+    if (code != 0) {
+        throw std::runtime_error(output);
+    }
+    for (const auto &vm : fleet.daemons()) {
+        while (fleet.metric(vm, "generation") < static_cast<double>(generation)) {
+            absl::SleepFor(absl::Milliseconds(5));
+        }
+    }
+    return absl::ToDoubleMilliseconds(core::now() - started);
+}
+
+nlohmann::ordered_json measure(int daemons, int engines, double seconds)
+{
+    support::FleetShape shape;
+    shape.daemonsEach = daemons;
+    shape.enginesEach = engines;
+    shape.daemonExtras
+        = {{"timing", {{"heartbeatMs", 1000}, {"peerTimeoutMs", 3500}, {"loadPollMs", 500}}}, {"logLevel", "warning"}};
+    Fleet fleet(shape);
+    absl::SleepFor(absl::Seconds(3));
+    std::vector<Sample> before;
+    for (const auto &vm : fleet.daemons()) {
+        before.push_back(sample(fleet, vm));
+    }
+    const auto platformBefore = platformStats(fleet);
+    const auto started = core::now();
+    absl::SleepFor(absl::Seconds(seconds));
+    std::vector<double> cpu;
+    std::vector<double> heartbeatBytes;
+    std::vector<double> pollBytes;
+    std::vector<double> resident;
+    const auto span = absl::ToDoubleSeconds(core::now() - started);
+    const auto platformAfter = platformStats(fleet);
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        const auto after = sample(fleet, fleet.daemons()[i]);
+        const auto datagrams = after.datagrams - before[i].datagrams;
+        cpu.push_back((after.use.cpuSeconds - before[i].use.cpuSeconds) / span * 100);
+        heartbeatBytes.push_back((after.datagramBytes - before[i].datagramBytes + datagrams * HeaderBytes) / span);
+        pollBytes.push_back((after.pollBytes - before[i].pollBytes) / span);
+        resident.push_back(after.use.residentBytes / (1 << 20));
+    }
+    std::vector<double> apply;
+    for (int change = 0; change < Changes; ++change) {
+        apply.push_back(applyMs(fleet, change + 2));
+    }
+    const auto mean = [](const std::vector<double> &values) {
+        double sum = 0;
+        for (const auto value : values) {
+            sum += value;
+        }
+        return sum / static_cast<double>(values.size());
+    };
+    return {{"daemons", daemons},
+            {"engines", engines},
+            {"cpuPercentMean", mean(cpu)},
+            {"cpuPercentMax", *std::max_element(cpu.begin(), cpu.end())},
+            {"heartbeatBytesPerSecondMean", mean(heartbeatBytes)},
+            {"pollBytesPerSecondMean", mean(pollBytes)},
+            {"pollBytesPerSecondMax", *std::max_element(pollBytes.begin(), pollBytes.end())},
+            {"residentMbMean", mean(resident)},
+            {"residentMbMax", *std::max_element(resident.begin(), resident.end())},
+            {"platformReadsPerSecond",
+             (platformAfter["reads"].get<double>() - platformBefore["reads"].get<double>()) / span},
+            {"applyMsMedian", median(apply)},
+            {"applyMsMax", *std::max_element(apply.begin(), apply.end())}};
+}
+
+} // namespace
+
+} // namespace bench
+
+int main(int argc, char **argv)
+{
+    using namespace bench;
+    options::options_description description("fleet-bench - control costs of daemons in one failure domain");
+    description.add_options()("help,h", "show this text")("daemons", options::value<std::vector<int>>()->multitoken(),
+                                                          "numbers of daemons")(
+        "engines", options::value<int>()->default_value(10),
+        "stand-in engines")("seconds", options::value<double>()->default_value(10), "length of each measurement")(
+        "out", options::value<std::string>(), "write the results as JSON");
+    try {
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, description), given);
+        if (given.contains("help") || !given.contains("daemons")) {
+            std::cout << description << "\n";
+            return given.contains("help") ? core::ExitOk : core::ExitUsage;
+        }
+        auto results = nlohmann::ordered_json::array();
+        for (const int daemons : given["daemons"].as<std::vector<int>>()) {
+            results.push_back(measure(daemons, given["engines"].as<int>(), given["seconds"].as<double>()));
+            std::cout << results.back().dump() << std::endl;
+        }
+        if (given.contains("out")) {
+            std::ofstream(given["out"].as<std::string>()) << results.dump(4) << "\n";
+        }
+        return core::ExitOk;
+    } catch (const std::exception &error) {
+        std::cerr << "fleet-bench: " << error.what() << "\n";
+        return core::ExitFailure;
+    }
+}
--- a/include/spurlug/targets/engine_control.h
+++ b/include/spurlug/targets/engine_control.h
@@ -9,6 +9,7 @@
 #include "spurlug/targets/load_report.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -25,15 +26,34 @@
     core::Duration ttl;
 };
 
-/// \brief Speaks to one engine over HTTP. Each call is a short connection of its own.
-class EngineControl
+/// \brief Reads one engine's load over a connection that is kept open between reads. Used by one thread at a time.
+class LoadReader
 {
 public:
-    explicit EngineControl(core::Address address, core::Duration timeout = absl::Seconds(1));
+    explicit LoadReader(const core::Address &address, core::Duration timeout = absl::Seconds(1));
+    ~LoadReader();
+    LoadReader(const LoadReader &) = delete;
+    LoadReader &operator=(const LoadReader &) = delete;
 
     /// \brief Reads the engine's load.
     /// \returns Nothing when the engine does not answer.
-    [[nodiscard]] std::optional<LoadReport> load() const;
+    [[nodiscard]] std::optional<LoadReport> read();
+
+    /// \brief Bytes of the last read, both ways, with TCP and IP headers.
+    [[nodiscard]] std::int64_t lastBytes() const noexcept;
+
+    [[nodiscard]] const core::Address &address() const noexcept;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// \brief Gives orders to one engine over HTTP. Each call is a short connection of its own.
+class EngineControl
+{
+public:
+    explicit EngineControl(core::Address address, core::Duration timeout = absl::Seconds(1));
 
     /// \brief Sets memory aside, or keeps it when the reservation exists.
     /// \returns False when the engine refuses or does not answer.
--- a/include/spurlug/targets/observer.h
+++ b/include/spurlug/targets/observer.h
@@ -9,6 +9,8 @@
 #include "spurlug/core/worker_pool.h"
 #include "spurlug/membership/fleet.h"
 #include "spurlug/membership/heartbeat.h"
+#include "spurlug/metrics/metrics.h"
+#include "spurlug/targets/engine_control.h"
 #include "spurlug/targets/target_table.h"
 
 #include <absl/base/thread_annotations.h>
@@ -29,8 +31,8 @@
 public:
     using CurrentConfiguration = std::function<config::ConfigurationRef()>;
 
-    Observer(membership::Fleet &fleet, TargetTable &table, CurrentConfiguration configuration,
-             std::string failureDomain, core::Duration interval);
+    Observer(membership::Fleet &fleet, TargetTable &table, metrics::Metrics &metrics,
+             CurrentConfiguration configuration, std::string failureDomain, core::Duration interval);
     ~Observer();
     Observer(const Observer &) = delete;
     Observer &operator=(const Observer &) = delete;
@@ -44,18 +46,22 @@
         LoadReport report;
         core::Time readAt;
     };
+    using Readers = std::map<std::string, std::unique_ptr<LoadReader>>;
 
     core::Duration pollRound();
-    void poll(const config::TargetSpec &spec) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void keepReaders(const std::vector<config::TargetSpec> &specs) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void poll(const std::string &id, LoadReader &reader) ABSL_LOCKS_EXCLUDED(m_mutex);
     [[nodiscard]] std::vector<config::TargetSpec> assigned() const;
 
     membership::Fleet &m_fleet;
     TargetTable &m_table;
+    metrics::Metrics &m_metrics;
     const CurrentConfiguration m_configuration;
     const std::string m_failureDomain;
     const core::Duration m_interval;
     mutable absl::Mutex m_mutex;
     std::map<std::string, Observed> m_observed ABSL_GUARDED_BY(m_mutex);
+    Readers m_readers; ///< Of the targets assigned in the last round; used by the rounds only.
     core::WorkerPool m_pool;
     std::unique_ptr<core::Periodic> m_poller;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -137,7 +137,8 @@
     auto socket = std::make_unique<membership::UdpSocket>(settings.peerAddress);
     identity.peerAddress = socket->address();
     observer = std::make_unique<targets::Observer>(
-        fleet, targetTable, [this] { return store.current(); }, settings.failureDomain, settings.timing.loadPoll);
+        fleet, targetTable, metrics, [this] { return store.current(); }, settings.failureDomain,
+        settings.timing.loadPoll);
     heartbeats = std::make_unique<membership::HeartbeatService>(
         fleet, metrics, std::move(socket), settings.peerKey, settings.seeds, settings.timing.heartbeat,
         membership::HeartbeatHooks{[this] { return compose(); },
--- a/src/targets/engine_control.cpp
+++ b/src/targets/engine_control.cpp
@@ -54,17 +54,49 @@
     , m_timeout(timeout)
 { }
 
-std::optional<LoadReport> EngineControl::load() const
+struct LoadReader::Impl
 {
-    auto client = connect(m_address, m_timeout);
-    const auto result = client.Get("/load");
+    core::Address address;
+    httplib::Client client;
+    std::int64_t lastBytes = 0;
+};
+
+LoadReader::LoadReader(const core::Address &address, core::Duration timeout)
+    : m_impl(new Impl{address, connect(address, timeout)})
+{
+    m_impl->client.set_keep_alive(true);
+}
+
+LoadReader::~LoadReader() = default;
+
+std::optional<LoadReport> LoadReader::read()
+{
+    constexpr std::int64_t RequestBytes = 110; // Request line and headers, as httplib writes them.
+    constexpr std::int64_t SegmentHeaders = 160; // TCP and IP of request, response and two acknowledgements.
+    constexpr std::int64_t StatusLineBytes = 20;
+    const auto result = m_impl->client.Get("/load");
+    m_impl->lastBytes = RequestBytes + SegmentHeaders;
     if (!succeeded(result)) {
         return std::nullopt;
     }
+    m_impl->lastBytes += StatusLineBytes + static_cast<std::int64_t>(result->body.size());
+    for (const auto &[name, text] : result->headers) {
+        m_impl->lastBytes += static_cast<std::int64_t>(name.size() + text.size()) + 4;
+    }
     const auto value = nlohmann::json::parse(result->body, nullptr, false);
     return value.is_object() ? std::optional(readReport(value)) : std::nullopt;
 }
 
+std::int64_t LoadReader::lastBytes() const noexcept
+{
+    return m_impl->lastBytes;
+}
+
+const core::Address &LoadReader::address() const noexcept
+{
+    return m_impl->address;
+}
+
 bool EngineControl::reserve(const Reservation &reservation) const
 {
     const nlohmann::json body{{"owner", reservation.owner},
--- a/src/targets/observer.cpp
+++ b/src/targets/observer.cpp
@@ -7,7 +7,6 @@
 
 #include "spurlug/core/rendezvous.h"
 #include "spurlug/core/text.h"
-#include "spurlug/targets/engine_control.h"
 
 #include <absl/synchronization/blocking_counter.h>
 #include <algorithm>
@@ -24,10 +23,11 @@
 
 } // namespace
 
-Observer::Observer(membership::Fleet &fleet, TargetTable &table, CurrentConfiguration configuration,
-                   std::string failureDomain, core::Duration interval)
+Observer::Observer(membership::Fleet &fleet, TargetTable &table, metrics::Metrics &metrics,
+                   CurrentConfiguration configuration, std::string failureDomain, core::Duration interval)
     : m_fleet(fleet)
     , m_table(table)
+    , m_metrics(metrics)
     , m_configuration(std::move(configuration))
     , m_failureDomain(std::move(failureDomain))
     , m_interval(interval)
@@ -73,17 +73,11 @@
 core::Duration Observer::pollRound()
 {
     const auto started = core::now();
-    const auto specs = assigned();
-    {
-        absl::MutexLock lock(&m_mutex);
-        std::erase_if(m_observed, [&](const auto &item) {
-            return std::none_of(specs.begin(), specs.end(), [&](const auto &spec) { return spec.id == item.first; });
-        });
-    }
-    absl::BlockingCounter pending(static_cast<int>(specs.size()));
-    for (const auto &spec : specs) {
-        m_pool.run([this, &spec, &pending] {
-            poll(spec);
+    keepReaders(assigned());
+    absl::BlockingCounter pending(static_cast<int>(m_readers.size()));
+    for (const auto &[id, reader] : m_readers) {
+        m_pool.run([this, id = id, reader = reader.get(), &pending] {
+            poll(id, *reader);
             pending.DecrementCount();
         });
     }
@@ -91,17 +85,32 @@
     return std::max(m_interval - (core::now() - started), absl::ZeroDuration());
 }
 
-void Observer::poll(const config::TargetSpec &spec)
+void Observer::keepReaders(const std::vector<config::TargetSpec> &specs)
+{
+    Readers readers;
+    for (const auto &spec : specs) {
+        auto known = m_readers.find(spec.id);
+        const bool same = known != m_readers.end() && known->second->address() == spec.address;
+        readers[spec.id] = same ? std::move(known->second) : std::make_unique<LoadReader>(spec.address);
+    }
+    m_readers = std::move(readers);
+    absl::MutexLock lock(&m_mutex);
+    std::erase_if(m_observed, [this](const auto &item) { return !m_readers.contains(item.first); });
+}
+
+void Observer::poll(const std::string &id, LoadReader &reader)
 {
     const auto readAt = core::now();
-    const auto report = EngineControl(spec.address).load();
+    const auto report = reader.read();
+    m_metrics.count(metrics::Counter::LoadPolls);
+    m_metrics.count(metrics::Counter::LoadPollBytes, reader.lastBytes());
     Observed observed{report.value_or(LoadReport{}), readAt};
     if (!report) {
         observed.report.condition = TargetCondition::Unreachable;
     }
-    m_table.report(targetHash(spec.id), observed.report, readAt);
+    m_table.report(targetHash(id), observed.report, readAt);
     absl::MutexLock lock(&m_mutex);
-    m_observed[spec.id] = observed;
+    m_observed[id] = observed;
 }
 
 } // namespace spurlug::targets
