--- a/apps/spurlugctl.cpp
+++ b/apps/spurlugctl.cpp
@@ -116,13 +116,16 @@
     return core::ExitOk;
 }
 
-/// Whether a daemon and all live peers it knows have a generation in force.
+/// Whether a daemon, its live peers and all other failure domains it has heard of have a generation in force.
 bool inForceEverywhere(const nlohmann::json &status, std::int64_t generation)
 {
     bool everywhere = status.at("generation") >= generation;
     for (const auto &peer : status.at("peers")) {
         everywhere = everywhere && peer.at("generation") >= generation;
     }
+    for (const auto &domain : status.at("domains")) {
+        everywhere = everywhere && domain.at("lowestGeneration") >= generation;
+    }
     return everywhere;
 }
 
--- /dev/null
+++ b/bench/path_bench.cpp
@@ -0,0 +1,222 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what one daemon adds and spends on the request path
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "fleet.h"
+#include "process_use.h"
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/program.h"
+#include "spurlug/core/time.h"
+
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <httplib.h>
+#include <iostream>
+#include <thread>
+
+namespace bench
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+namespace core = spurlug::core;
+using support::Fleet;
+
+constexpr int OpenStreamTokens = 2000; // At 15 tokens a second longer than any measurement lasts.
+constexpr std::int64_t OpenPromptTokens = 4000;
+constexpr double ProbesPerSecond = 50;
+
+double quantile(std::vector<double> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+httplib::Request chatRequest(const std::string &model, const std::string &prompt, int tokens)
+{
+    const nlohmann::json body{{"model", model},
+                              {"stream", true},
+                              {"max_tokens", tokens},
+                              {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.body = body.dump();
+    request.set_header("Authorization", std::string("Bearer ") + Fleet::Key);
+    return request;
+}
+
+/// Streams that stay open and are read until the end of life.
+class OpenStreams
+{
+public:
+    OpenStreams(const std::string &address, int count)
+    {
+        const auto to = core::parseAddress(address);
+        for (int i = 0; i < count; ++i) {
+            m_threads.emplace_back([this, to, i] {
+                httplib::Client client(to.host, to.port);
+                client.set_read_timeout(60);
+                auto request
+                    = chatRequest("model", Fleet::promptOf(OpenPromptTokens, std::to_string(i)), OpenStreamTokens);
+                bool first = true;
+                request.content_receiver = [&](const char *, std::size_t, std::uint64_t, std::uint64_t) {
+                    m_streaming += std::exchange(first, false) ? 1 : 0;
+                    return !m_stopping.load();
+                };
+                client.send(request);
+            });
+        }
+    }
+    ~OpenStreams()
+    {
+        m_stopping = true;
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+    }
+    OpenStreams(const OpenStreams &) = delete;
+    OpenStreams &operator=(const OpenStreams &) = delete;
+
+    [[nodiscard]] int streaming() const
+    {
+        return m_streaming;
+    }
+
+private:
+    std::atomic<bool> m_stopping{false};
+    std::atomic<int> m_streaming{0};
+    std::vector<std::thread> m_threads;
+};
+
+/// Time to the first token of one short request, milliseconds.
+double probe(const std::string &address, const std::string &prompt, bool toEngine, int number)
+{
+    const auto to = core::parseAddress(address);
+    httplib::Client client(to.host, to.port);
+    client.set_tcp_nodelay(true);
+    auto request = chatRequest("fast", prompt, 1);
+    if (toEngine) {
+        request.set_header("Event-Stream", "1");
+        request.set_header("Request-Id", "probe-" + std::to_string(number));
+    }
+    double first = 0;
+    const auto started = core::now();
+    request.content_receiver = [&](const char *, std::size_t, std::uint64_t, std::uint64_t) {
+        if (first == 0) {
+            first = absl::ToDoubleMilliseconds(core::now() - started);
+        }
+        return true;
+    };
+    client.send(request);
+    return first;
+}
+
+/// Direct and relayed probes by turns, at a steady rate, so that both see the same machine.
+nlohmann::ordered_json probeLatency(const std::string &daemon, const std::string &engine, double seconds)
+{
+    const auto prompt = Fleet::promptOf(1000);
+    std::vector<double> direct;
+    std::vector<double> relayed;
+    const auto started = core::now();
+    const int count = static_cast<int>(seconds * ProbesPerSecond);
+    for (int i = 0; i < count; ++i) {
+        absl::SleepFor(absl::Seconds(i / ProbesPerSecond) - (core::now() - started));
+        direct.push_back(probe(engine, prompt, true, i));
+        relayed.push_back(probe(daemon, prompt, false, i));
+    }
+    return {{"directMsP50", quantile(direct, 0.5)},
+            {"relayedMsP50", quantile(relayed, 0.5)},
+            {"addedMsP50", quantile(relayed, 0.5) - quantile(direct, 0.5)},
+            {"directMsP99", quantile(direct, 0.99)},
+            {"relayedMsP99", quantile(relayed, 0.99)},
+            {"addedMsP99", quantile(relayed, 0.99) - quantile(direct, 0.99)}};
+}
+
+nlohmann::ordered_json measure(Fleet &fleet, const std::string &fastEngine, int streams, double seconds)
+{
+    const auto &vm = fleet.daemons().front();
+    const OpenStreams open(fleet.caller(vm), streams);
+    if (!support::eventually([&] { return open.streaming() == streams; })) {
+        throw std::runtime_error("the streams did not open");
+    }
+    const auto pid = fleet.process(vm).pid();
+    const auto use = useOf(pid);
+    const auto tokens = fleet.metric(vm, "tokens_relayed_total");
+    const auto started = core::now();
+    absl::SleepFor(absl::Seconds(seconds));
+    const auto span = absl::ToDoubleSeconds(core::now() - started);
+    const auto rate = (fleet.metric(vm, "tokens_relayed_total") - tokens) / span;
+    const auto after = useOf(pid);
+    const auto cpu = (after.cpuSeconds - use.cpuSeconds) / span;
+    nlohmann::ordered_json out{{"streams", streams},
+                               {"tokensPerSecond", rate},
+                               {"cpuPercent", cpu * 100},
+                               {"cpuMicrosPerToken", cpu / rate * 1e6},
+                               {"residentMb", after.residentBytes / (1 << 20)}};
+    out.update(probeLatency(fleet.caller(vm), fastEngine, seconds));
+    return out;
+}
+
+nlohmann::ordered_json run(const std::vector<int> &streams, double timeScale, double seconds)
+{
+    support::FleetShape shape;
+    shape.daemonsEach = 1;
+    shape.enginesEach = 4;
+    shape.timeScale = timeScale;
+    shape.daemonExtras = {{"logLevel", "warning"}};
+    Fleet fleet(shape);
+    auto &fast = fleet.start("fast", "standin-engine", {"--time-scale", "0.0001"});
+    fleet.configuration()["pools"].push_back(
+        {{"name", "fast"},
+         {"model", "fast"},
+         {"targets", {{{"id", "fast-1"}, {"address", fast.address("listen")}, {"failureDomain", "domain-a"}}}}});
+    if (const auto [code, output] = fleet.apply(); code != 0) {
+        throw std::runtime_error(output);
+    }
+    auto results = nlohmann::ordered_json::array();
+    for (const int count : streams) {
+        results.push_back(measure(fleet, fast.address("listen"), count, seconds));
+        std::cout << results.back().dump() << std::endl;
+    }
+    return results;
+}
+
+} // namespace
+
+} // namespace bench
+
+int main(int argc, char **argv)
+{
+    using namespace bench;
+    options::options_description description("path-bench - added latency, CPU and memory of one daemon");
+    description.add_options()("help,h", "show this text")("streams", options::value<std::vector<int>>()->multitoken(),
+                                                          "numbers of open streams")(
+        "time-scale", options::value<double>()->default_value(3.4), "of the engines; 3.4 makes 15 tokens/s a stream")(
+        "seconds", options::value<double>()->default_value(8),
+        "length of each measurement")("out", options::value<std::string>(), "write the results as JSON");
+    try {
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, description), given);
+        if (given.contains("help") || !given.contains("streams")) {
+            std::cout << description << "\n";
+            return given.contains("help") ? core::ExitOk : core::ExitUsage;
+        }
+        const auto results = run(given["streams"].as<std::vector<int>>(), given["time-scale"].as<double>(),
+                                 given["seconds"].as<double>());
+        if (given.contains("out")) {
+            std::ofstream(given["out"].as<std::string>()) << results.dump(4) << "\n";
+        }
+        return core::ExitOk;
+    } catch (const std::exception &error) {
+        std::cerr << "path-bench: " << error.what() << "\n";
+        return core::ExitFailure;
+    }
+}
--- a/include/spurlug/daemon/admin_api.h
+++ b/include/spurlug/daemon/admin_api.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "spurlug/config/store.h"
+#include "spurlug/daemon/decision_finder.h"
 #include "spurlug/daemon/identity.h"
-#include "spurlug/daemon/peer_calls.h"
 #include "spurlug/explain/decision_ring.h"
 #include "spurlug/membership/fleet.h"
 #include "spurlug/metrics/metrics.h"
@@ -33,7 +33,7 @@
     targets::TargetTable &targets;
     explain::DecisionRing &decisions;
     metrics::Metrics &metrics;
-    PeerCalls &peers;
+    const DecisionFinder &finder;
     std::function<void()> setGauges; ///< Called before metrics are shown.
     std::function<void()> startDrain; ///< Begins a planned stop.
 };
@@ -49,7 +49,6 @@
 
 private:
     [[nodiscard]] nlohmann::ordered_json status() const;
-    [[nodiscard]] std::optional<std::string> explain(const std::string &requestId) const;
 
     AdminApiParts m_parts;
 };
--- a/include/spurlug/daemon/caller_api.h
+++ b/include/spurlug/daemon/caller_api.h
@@ -8,12 +8,14 @@
 #include "spurlug/admission/byte_budget.h"
 #include "spurlug/admission/request_body.h"
 #include "spurlug/config/store.h"
+#include "spurlug/core/error.h"
 #include "spurlug/daemon/identity.h"
 #include "spurlug/dispatch/request_run.h"
 #include "spurlug/limits/organisation_limiter.h"
 #include "spurlug/metrics/metrics.h"
 
 #include <atomic>
+#include <memory>
 #include <string>
 
 namespace httplib
@@ -27,6 +29,8 @@
 namespace spurlug::daemon
 {
 
+struct RunGuard;
+
 /// \brief What caller requests act on; outlives the API.
 struct CallerApiParts
 {
@@ -36,6 +40,7 @@
     limits::OrganisationLimiter &limiter;
     admission::TokenRatios &ratios;
     admission::ByteBudget &bodyMemory;
+    std::int64_t mostBodyBytes; ///< Of one request.
     metrics::Metrics &metrics;
     const std::atomic<bool> &refusing; ///< Set once a planned stop takes no new requests.
 };
@@ -51,14 +56,18 @@
 
 private:
     void complete(const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &reader);
-    void callService(const httplib::Request &request, httplib::Response &response, std::string body);
+    void callService(const httplib::Request &request, httplib::Response &response,
+                     const httplib::ContentReader *reader);
     void listModels(const httplib::Request &request, httplib::Response &response);
-    [[nodiscard]] dispatch::AdmittedRequest admitCompletion(const httplib::Request &request, std::string body,
-                                                            admission::ByteBudget::Hold hold, const std::string &id,
-                                                            admission::RequestBody &fields);
-    [[nodiscard]] dispatch::AdmittedRequest admitService(const httplib::Request &request, std::string body,
-                                                         const std::string &id);
+    void refuse(const core::Refused &refusal, const std::string &id, httplib::Response &response);
+    [[nodiscard]] std::shared_ptr<RunGuard> startRun(const admission::Caller &caller,
+                                                     dispatch::AdmittedRequest admitted);
+    [[nodiscard]] dispatch::AdmittedRequest
+    admitCompletion(const admission::Caller &caller, const admission::RequestBody &fields, const std::string &id);
+    [[nodiscard]] dispatch::AdmittedRequest admitService(const admission::Caller &caller,
+                                                         const httplib::Request &request, const std::string &id);
     [[nodiscard]] admission::Caller authorise(const httplib::Request &request) const;
+    void typeHttpError(httplib::Response &response);
     [[nodiscard]] std::string nextRequestId();
 
     CallerApiParts m_parts;
--- a/include/spurlug/daemon/config_follower.h
+++ b/include/spurlug/daemon/config_follower.h
@@ -37,6 +37,7 @@
     core::Duration pullRound();
     core::Duration vmListRound();
     [[nodiscard]] bool shouldWatch() const;
+    [[nodiscard]] bool readsVmListOften(core::Time now) const;
     void takeFromPlatform(const platform::Object &root);
     void takeFromPeer(const core::Address &peer);
     [[nodiscard]] core::Duration backoff();
@@ -48,6 +49,7 @@
     metrics::Metrics &m_metrics;
     const settings::Timing m_timing;
     std::int64_t m_rootVersion = 0;
+    core::Time m_vmListReadAt = absl::InfinitePast();
     int m_failures = 0;
     std::mt19937_64 m_random;
     std::unique_ptr<core::Periodic> m_watcher;
--- /dev/null
+++ b/include/spurlug/daemon/decision_finder.h
@@ -0,0 +1,44 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: finds a recorded decision at whichever daemon has it
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/daemon/peer_calls.h"
+#include "spurlug/explain/decision_ring.h"
+#include "spurlug/membership/fleet.h"
+
+#include <optional>
+#include <string>
+
+namespace spurlug::daemon
+{
+
+/// \brief How far a question may travel.
+enum class SearchScope
+{
+    Fleet, ///< This daemon, its peers, and one daemon of each other failure domain.
+    OwnDomain, ///< This daemon and its peers: the question came from another failure domain.
+    Here, ///< This daemon only: the question came from a peer.
+};
+
+/// \brief Looks for a decision; a request's id names the VM that took the request.
+class DecisionFinder
+{
+public:
+    DecisionFinder(const explain::DecisionRing &decisions, const membership::Fleet &fleet, PeerCalls &peers);
+
+    /// \returns The decision as JSON, or nothing when no daemon that answers has it.
+    [[nodiscard]] std::optional<std::string> find(const std::string &requestId, SearchScope scope,
+                                                  core::Time now) const;
+
+private:
+    [[nodiscard]] std::optional<std::string> ask(const core::Address &peer, const std::string &requestId,
+                                                 bool forwarded) const;
+
+    const explain::DecisionRing &m_decisions;
+    const membership::Fleet &m_fleet;
+    PeerCalls &m_peers;
+};
+
+} // namespace spurlug::daemon
--- a/include/spurlug/daemon/peer_calls.h
+++ b/include/spurlug/daemon/peer_calls.h
@@ -56,7 +56,9 @@
     [[nodiscard]] config::PartTexts fetchParts(const core::Address &peer, const std::vector<std::string> &hashes);
 
     /// \brief A decision recorded at a peer, as JSON. \throws NetworkError
-    [[nodiscard]] std::optional<std::string> explain(const core::Address &peer, const std::string &requestId);
+    /// \param forwarded Whether the peer must not ask others in turn.
+    [[nodiscard]] std::optional<std::string> explain(const core::Address &peer, const std::string &requestId,
+                                                     bool forwarded);
 
 private:
     struct Channel;
--- a/include/spurlug/daemon/peer_server.h
+++ b/include/spurlug/daemon/peer_server.h
@@ -6,7 +6,7 @@
 
 #include "spurlug/config/store.h"
 #include "spurlug/core/address.h"
-#include "spurlug/explain/decision_ring.h"
+#include "spurlug/daemon/decision_finder.h"
 #include "spurlug/grants/broker_host.h"
 #include "spurlug/membership/fleet.h"
 #include "spurlug/metrics/metrics.h"
@@ -22,7 +22,7 @@
     grants::BrokerHost &brokers;
     membership::Fleet &fleet;
     config::Store &store;
-    explain::DecisionRing &decisions;
+    const DecisionFinder &finder;
     metrics::Metrics &metrics;
 };
 
--- a/include/spurlug/dispatch/request_run.h
+++ b/include/spurlug/dispatch/request_run.h
@@ -127,7 +127,6 @@
     void startAttempt(core::Time now);
     void sendTo(const core::Address &address, const std::vector<std::string> &ids, core::Time now);
     [[nodiscard]] AttemptRequest makeAttempt(const core::Address &address) const;
-    [[nodiscard]] std::vector<targets::TargetView> candidates(core::Time now) const;
     [[nodiscard]] std::optional<targets::TargetView> chooseShort(core::Time now);
     [[nodiscard]] Output take(AttemptEvent event, core::Time now);
     [[nodiscard]] Output takeToken(TokenEvent event, core::Time now);
--- a/include/spurlug/grants/group_keeper.h
+++ b/include/spurlug/grants/group_keeper.h
@@ -34,7 +34,7 @@
 /// \brief Where a grant came from, so that it can be renewed and given back.
 struct GrantTicket
 {
-    std::string broker; ///< VM of the broker; empty without a grant.
+    core::Address broker; ///< RPC address of the broker; port 0 without a grant.
     std::uint64_t grant = 0;
 };
 
--- a/include/spurlug/membership/fleet.h
+++ b/include/spurlug/membership/fleet.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include "spurlug/core/time.h"
+#include "spurlug/membership/domain_table.h"
+#include "spurlug/membership/heartbeat.h"
 #include "spurlug/membership/peer_table.h"
 
 #include <absl/base/thread_annotations.h>
@@ -30,6 +32,9 @@
     void noteVmList(const std::vector<platform::VmEntry> &entries) ABSL_LOCKS_EXCLUDED(m_mutex);
     void noteOwnPause(core::Duration gap) ABSL_LOCKS_EXCLUDED(m_mutex);
     void forgetSilent(core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Takes the summaries of a heartbeat.
+    /// \returns Those that were news.
+    std::vector<DomainSummary> hearSummaries(const Heartbeat &heartbeat, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
     void setState(DaemonState state) noexcept;
     /// @}
 
@@ -45,14 +50,25 @@
     [[nodiscard]] std::optional<Peer> find(const std::string &vm) const ABSL_LOCKS_EXCLUDED(m_mutex);
     /// \brief Peers whose heartbeats are heard.
     [[nodiscard]] std::vector<Peer> alive(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Addresses in other failure domains that this daemon, as their delegate, sends to.
+    [[nodiscard]] std::vector<core::Address> sendToOtherDomains(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Summaries of other failure domains, ages as of `now`.
+    [[nodiscard]] std::vector<DomainSummary> domains(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Summaries that this daemon repeats to its own failure domain.
+    [[nodiscard]] std::vector<DomainSummary> summariesToRepeat(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// \brief Daemons of the whole fleet, those of domains that cannot be heard as they were last known.
+    [[nodiscard]] std::size_t daemons(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    [[nodiscard]] const std::string &failureDomain() const noexcept;
     [[nodiscard]] const std::string &self() const noexcept;
     /// @}
 
 private:
     const std::string m_self;
+    const std::string m_failureDomain;
     std::atomic<DaemonState> m_state{DaemonState::Starting};
     mutable absl::Mutex m_mutex;
     PeerTable m_table ABSL_GUARDED_BY(m_mutex);
+    DomainTable m_domains ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace spurlug::membership
--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "spurlug/core/time.h"
+#include "spurlug/membership/domain_table.h"
 #include "spurlug/membership/peer_table.h"
 #include "spurlug/targets/load_report.h"
 
@@ -17,19 +18,12 @@
 namespace spurlug::membership
 {
 
-/// \brief One target's load in a heartbeat.
-struct ObservedLoad
-{
-    std::uint32_t target = 0; ///< targets::targetHash of its id.
-    targets::LoadReport report;
-    core::Duration age; ///< Age of the report when the heartbeat was sent.
-};
-
 /// \brief A whole heartbeat.
 struct Heartbeat
 {
     PeerNews news;
     std::vector<ObservedLoad> loads;
+    std::vector<DomainSummary> summaries;
 };
 
 /// \brief Writes and signs a heartbeat as one datagram.
--- a/include/spurlug/membership/heartbeat_service.h
+++ b/include/spurlug/membership/heartbeat_service.h
@@ -19,10 +19,18 @@
 namespace spurlug::membership
 {
 
+/// \brief Who gets a heartbeat.
+enum class Audience
+{
+    OwnDomain,
+    OwnDomainWithSummaries, ///< Each second round: what other failure domains told is repeated.
+    OtherDomains, ///< Contacts in failure domains whose delegate this daemon is.
+};
+
 /// \brief What the service asks of the rest of the daemon.
 struct HeartbeatHooks
 {
-    std::function<Heartbeat()> compose; ///< Own news, the sequence left out, and own loads.
+    std::function<Heartbeat(Audience)> compose; ///< Own news, the sequence left out, and own loads.
     std::function<void(const Heartbeat &, core::Time)> received; ///< An accepted heartbeat.
 };
 
@@ -40,6 +48,9 @@
 
 private:
     core::Duration sendRound();
+    void sendToOwnDomain();
+    void sendToOtherDomains();
+    void send(const std::string &datagram, const std::vector<core::Address> &receivers);
     void receiveAll();
     void notePause(core::Time now);
 
--- a/include/spurlug/membership/peer_table.h
+++ b/include/spurlug/membership/peer_table.h
@@ -130,6 +130,14 @@
     /// \brief Where heartbeats go: each known peer, alive or not, and listed VMs not heard yet.
     [[nodiscard]] std::vector<core::Address> sendTo() const;
 
+    /// \brief Other failure domains that are known of.
+    [[nodiscard]] std::vector<std::string> otherDomains() const;
+
+    /// \brief Addresses of daemons of another failure domain, those that are heard first.
+    /// \param most Most addresses.
+    [[nodiscard]] std::vector<core::Address> contactsIn(const std::string &failureDomain, std::size_t most,
+                                                        core::Time now) const;
+
     [[nodiscard]] const Peer *find(const std::string &vm) const;
 
     [[nodiscard]] const std::map<std::string, Peer> &peers() const noexcept;
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -25,6 +25,7 @@
 {
     RequestsAdmitted,
     AttemptsStarted,
+    RequestsSpilled,
     TokensRelayed,
     EventsDropped,
     StreamsResumed,
@@ -68,6 +69,7 @@
     static constexpr std::array table{
         EnumName<Counter>{Counter::RequestsAdmitted, "requests_admitted"},
         EnumName<Counter>{Counter::AttemptsStarted, "attempts_started"},
+        EnumName<Counter>{Counter::RequestsSpilled, "requests_spilled"},
         EnumName<Counter>{Counter::TokensRelayed, "tokens_relayed"},
         EnumName<Counter>{Counter::EventsDropped, "events_dropped"},
         EnumName<Counter>{Counter::StreamsResumed, "streams_resumed"},
--- a/include/spurlug/routing/choose.h
+++ b/include/spurlug/routing/choose.h
@@ -31,6 +31,9 @@
     core::Duration affinityBonus = core::fromMs(0); ///< Taken off at the target that should hold the prefix.
     double tieShare = 0.10; ///< Targets within this share of the best count as equal.
     core::Duration tieSpan = core::fromMs(5); ///< Targets within this time of the best count as equal.
+    core::Duration spillAfter = core::fromMs(250); ///< Expected wait at home beyond which other domains are looked at.
+    core::Duration spillPenalty = core::fromMs(50); ///< Added to the expected wait in another failure domain.
+    core::Duration remoteFresh = absl::Seconds(10); ///< An older report from another failure domain says nothing.
     double defaultPrefillRate = 10'000; ///< Tokens a second, when a target has not said.
 };
 
@@ -60,4 +63,13 @@
 [[nodiscard]] Choice chooseTarget(const RouteRequest &request, const std::vector<targets::TargetView> &targets,
                                   const std::vector<std::string> &excluded, const RouteRule &rule, std::uint64_t pick);
 
+/// \brief Chooses among targets of all failure domains, those at home first.
+///
+/// Targets elsewhere are looked at when none at home is usable or the expected wait at home is long, and only those
+/// whose load was heard of not long ago. When even those are missing, any target elsewhere will do.
+/// \param home This daemon's failure domain.
+[[nodiscard]] Choice chooseAcrossDomains(const RouteRequest &request, const std::vector<targets::TargetView> &targets,
+                                         const std::string &home, const std::vector<std::string> &excluded,
+                                         const RouteRule &rule, std::uint64_t pick);
+
 } // namespace spurlug::routing
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -24,17 +24,6 @@
 
 constexpr auto JsonType = "application/json";
 
-/// The VM that a request id names: all before the second last dot.
-std::string vmOf(const std::string &requestId)
-{
-    const auto last = requestId.rfind('.');
-    if (last == std::string::npos || last == 0) {
-        return {};
-    }
-    const auto before = requestId.rfind('.', last - 1);
-    return before == std::string::npos ? std::string() : requestId.substr(0, before);
-}
-
 nlohmann::ordered_json targetStatus(const targets::TargetView &view)
 {
     nlohmann::ordered_json out{{"id", view.id},
@@ -70,7 +59,7 @@
     });
     server.Get("/status", [this](const auto &, auto &response) { response.set_content(status().dump(), JsonType); });
     server.Get(R"(/explain/(.+))", [this](const auto &request, auto &response) {
-        const auto decision = explain(request.matches[1].str());
+        const auto decision = m_parts.finder.find(request.matches[1].str(), SearchScope::Fleet, core::now());
         response.status = decision ? 200 : NotFound;
         response.set_content(decision.value_or(R"({"error":"no such decision is kept"})"), JsonType);
     });
@@ -90,22 +79,6 @@
     });
 }
 
-std::optional<std::string> AdminApi::explain(const std::string &requestId) const
-{
-    if (const auto decision = m_parts.decisions.find(requestId)) {
-        return toJson(*decision).dump();
-    }
-    const auto peer = m_parts.fleet.find(vmOf(requestId));
-    if (!peer) {
-        return std::nullopt;
-    }
-    try {
-        return m_parts.peers.explain(peer->news.rpcAddress, requestId);
-    } catch (const core::NetworkError &) {
-        return std::nullopt;
-    }
-}
-
 nlohmann::ordered_json AdminApi::status() const
 {
     const auto now = core::now();
@@ -125,6 +98,13 @@
                                 {"refusedGeneration", peer.news.refusedGeneration},
                                 {"heardMsAgo", core::toMs(now - peer.heardAt)}});
     }
+    out["domains"] = nlohmann::ordered_json::array();
+    for (const auto &domain : m_parts.fleet.domains(now)) {
+        out["domains"].push_back({{"failureDomain", domain.failureDomain},
+                                  {"daemons", domain.daemons},
+                                  {"lowestGeneration", domain.lowestGeneration},
+                                  {"ageMs", core::toMs(domain.age)}});
+    }
     out["targets"] = nlohmann::ordered_json::array();
     if (configuration) {
         for (const auto &pool : configuration->pools) {
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -24,20 +24,6 @@
 namespace spurlug::daemon
 {
 
-namespace
-{
-
-using core::Outcome;
-using core::Reason;
-using core::Refused;
-
-constexpr int Ok = 200;
-constexpr auto OutputWait = absl::Milliseconds(250); // Between looks at whether the caller is still there.
-constexpr auto StatusPatience = absl::Milliseconds(1500); // After this a stream starts with its outcome still open.
-constexpr std::size_t PlainBytesHeld = 256U << 10; // Answers of services up to this size are sent whole.
-constexpr std::int64_t DefaultAnswerTokens = 1024; // Room for an answer whose length is not given.
-constexpr std::int64_t ServiceTokens = 1;
-
 /// Abandons its run when the caller's side ends, in whatever way.
 struct RunGuard
 {
@@ -56,6 +42,21 @@
     RunGuard &operator=(const RunGuard &) = delete;
 };
 
+namespace
+{
+
+using core::Outcome;
+using core::Reason;
+using core::Refused;
+
+constexpr int Ok = 200;
+constexpr auto OutputWait = absl::Milliseconds(250); // Between looks at whether the caller is still there.
+constexpr auto StatusPatience = absl::Milliseconds(1500); // After this a stream starts with its outcome still open.
+constexpr std::size_t PlainBytesHeld = 256U << 10; // Answers of services up to this size are sent whole.
+constexpr std::int64_t DefaultAnswerTokens = 1024; // Room for an answer whose length is not given.
+constexpr std::int64_t ServiceTokens = 1;
+constexpr std::int64_t LongPriority = 100; // Added for long prompts, so that engines let short ones pass.
+
 ErrorReply toReply(const Refused &refusal, const std::string &requestId)
 {
     return {refusal.reason(), Outcome::NotRun, refusal.what(), requestId, refusal.retryAfterSeconds()};
@@ -66,28 +67,82 @@
     return {end.reason, end.outcome, end.detail, requestId, end.retryAfterSeconds};
 }
 
-/// Reads a body that was announced; its bytes are held against the budget.
-std::string readBody(const httplib::Request &request, const httplib::ContentReader &reader,
-                     admission::ByteBudget &budget, admission::ByteBudget::Hold &hold)
+/// A request's body, still on its way. What is left unread at the end of its life is read and thrown away, so that the
+/// connection can carry another request.
+class IncomingBody
 {
-    std::int64_t announced = 0;
-    if (!core::readNumber(request.get_header_value("Content-Length"), announced) || announced < 0) {
-        throw Refused(Reason::MalformedBody, "the request must carry a Content-Length");
+public:
+    IncomingBody(const httplib::Request &request, const httplib::ContentReader &reader)
+        : m_request(request)
+        , m_reader(reader)
+    { }
+    ~IncomingBody()
+    {
+        if (!m_read && announcedBytes(0) > 0) {
+            m_reader([](const char *, std::size_t) { return true; });
+        }
     }
-    hold = budget.take(announced);
-    if (!hold) {
-        throw Refused(Reason::BodyMemoryFull, "this daemon holds as many request bodies as it may", 1);
+    IncomingBody(const IncomingBody &) = delete;
+    IncomingBody &operator=(const IncomingBody &) = delete;
+
+    /// Reads a body that was announced; its bytes are held against the budget.
+    std::string read(std::int64_t mostBytes, admission::ByteBudget &budget, admission::ByteBudget::Hold &hold)
+    {
+        const auto announced = announcedBytes(mostBytes);
+        if (announced == 0) {
+            return {};
+        }
+        if (announced > mostBytes) {
+            throw Refused(Reason::BodyTooLarge, core::cat("a body may have at most ", mostBytes, " bytes"));
+        }
+        hold = budget.take(announced);
+        if (!hold) {
+            throw Refused(Reason::BodyMemoryFull, "this daemon holds as many request bodies as it may", 1);
+        }
+        std::string body;
+        body.reserve(static_cast<std::size_t>(announced));
+        m_read = true;
+        const bool whole = m_reader([&](const char *data, std::size_t size) {
+            body.append(data, size);
+            return true;
+        });
+        if (!whole) {
+            throw Refused(Reason::MalformedBody, "the body ended early or came too slowly");
+        }
+        return body;
     }
-    std::string body;
-    body.reserve(static_cast<std::size_t>(announced));
-    const bool whole = reader([&](const char *data, std::size_t size) {
-        body.append(data, size);
-        return true;
-    });
-    if (!whole) {
-        throw Refused(Reason::MalformedBody, "the body ended early, is too large or came too slowly");
+
+private:
+    /// A body that comes in chunks may be as large as the bound; without any header there is no body.
+    [[nodiscard]] std::int64_t announcedBytes(std::int64_t mostBytes) const
+    {
+        std::int64_t announced = 0;
+        if (core::readNumber(m_request.get_header_value("Content-Length"), announced)) {
+            return std::max<std::int64_t>(announced, 0);
+        }
+        return m_request.has_header("Transfer-Encoding") ? std::max<std::int64_t>(mostBytes, 1) : 0;
+    }
+
+    const httplib::Request &m_request;
+    const httplib::ContentReader &m_reader;
+    bool m_read = false;
+};
+
+/// What every admitted request takes from its caller.
+dispatch::AdmittedRequest admittedFor(const admission::Caller &caller, const std::string &id, core::Time now)
+{
+    dispatch::AdmittedRequest admitted;
+    admitted.id = id;
+    admitted.arrivedAt = now;
+    admitted.deadline = now + caller.deadline;
+    admitted.configuration = caller.configuration;
+    admitted.organisation = caller.organisation->name;
+    admitted.weight = caller.organisation->weight;
+    if (caller.requestClass != nullptr) {
+        admitted.requestClass = caller.requestClass->name;
+        admitted.priority = caller.requestClass->priority;
     }
-    return body;
+    return admitted;
 }
 
 /// Runs until the request has something to say that decides the response's status.
@@ -287,22 +342,16 @@
 
 void CallerApi::configure(httplib::Server &server)
 {
+    server.set_error_handler([this](const auto &, auto &response) { typeHttpError(response); });
     const auto completions
         = [this](const auto &request, auto &response, const auto &reader) { complete(request, response, reader); };
     server.Post("/v1/chat/completions", completions);
     server.Post("/v1/completions", completions);
     server.Get("/v1/models", [this](const auto &request, auto &response) { listModels(request, response); });
     constexpr auto ServicePattern = R"(/services/([^/]+)(/.*)?)";
-    const auto withBody = [this](const auto &request, auto &response, const auto &reader) {
-        std::string body;
-        reader([&body](const char *data, std::size_t size) {
-            body.append(data, size);
-            return true;
-        });
-        callService(request, response, std::move(body));
-    };
-    const auto withoutBody
-        = [this](const auto &request, auto &response) { callService(request, response, request.body); };
+    const auto withBody
+        = [this](const auto &request, auto &response, const auto &reader) { callService(request, response, &reader); };
+    const auto withoutBody = [this](const auto &request, auto &response) { callService(request, response, nullptr); };
     server.Get(ServicePattern, withoutBody);
     server.Options(ServicePattern, withoutBody);
     server.Post(ServicePattern, withBody);
@@ -311,6 +360,23 @@
     server.Delete(ServicePattern, withBody);
 }
 
+/// Faults that the HTTP library finds by itself, such as a malformed request line, get a typed body too.
+void CallerApi::typeHttpError(httplib::Response &response)
+{
+    if (!response.body.empty()) {
+        return;
+    }
+    const auto status = response.status;
+    constexpr int NotFound = 404;
+    constexpr int PayloadTooLarge = 413;
+    const auto reason = status == NotFound ? Reason::UnknownPath
+        : status == PayloadTooLarge        ? Reason::BodyTooLarge
+                                           : Reason::MalformedRequest;
+    m_parts.metrics.countRefusal(reason);
+    writeError(response, {reason, Outcome::NotRun, core::cat("HTTP status ", status), "", 0});
+    response.status = status;
+}
+
 std::string CallerApi::nextRequestId()
 {
     constexpr std::uint64_t IncarnationMask = 0xffffffffffULL;
@@ -331,91 +397,84 @@
                                      request.get_header_value("Spurlug-Deadline-Ms"));
 }
 
+void CallerApi::refuse(const Refused &refusal, const std::string &id, httplib::Response &response)
+{
+    m_parts.metrics.countRefusal(refusal.reason());
+    core::log(core::LogLevel::Info, "request_refused",
+              {{"request", id}, {"reason", core::nameOf(refusal.reason())}, {"detail", refusal.what()}});
+    writeError(response, toReply(refusal, id));
+}
+
+std::shared_ptr<RunGuard> CallerApi::startRun(const admission::Caller &caller, dispatch::AdmittedRequest admitted)
+{
+    auto place = m_parts.limiter.take(*caller.organisation, admitted.tokens, admitted.isLong, core::now());
+    auto run = core::makeCounted<dispatch::RequestRun>(m_parts.runs, std::move(admitted));
+    return std::make_shared<RunGuard>(std::move(run), std::move(place));
+}
+
 void CallerApi::complete(const httplib::Request &request, httplib::Response &response,
                          const httplib::ContentReader &reader)
 {
     const auto id = nextRequestId();
     response.set_header("Request-Id", id);
     try {
+        IncomingBody incoming(request, reader);
+        const auto caller = authorise(request);
         admission::ByteBudget::Hold hold;
-        auto body = readBody(request, reader, m_parts.bodyMemory, hold);
-        admission::RequestBody fields;
-        auto admitted = admitCompletion(request, std::move(body), std::move(hold), id, fields);
-        auto place = m_parts.limiter.take(*admitted.configuration->organisationNamed(admitted.organisation),
-                                          admitted.tokens, admitted.isLong, core::now());
-        const auto run = core::makeCounted<dispatch::RequestRun>(m_parts.runs, std::move(admitted));
+        auto body = incoming.read(m_parts.mostBodyBytes, m_parts.bodyMemory, hold);
+        const auto fields = admission::readRequestBody(body);
+        auto admitted = admitCompletion(caller, fields, id);
+        admitted.path = request.path;
+        admitted.repeatable = !core::equalIgnoringCase(request.get_header_value("Spurlug-Repeatable"), "no");
+        admitted.body = std::move(body);
+        admitted.bodyHold = std::move(hold);
         const auto kind = request.path.find("chat") != std::string::npos ? CompletionKind::Chat : CompletionKind::Text;
-        const auto answer = std::make_shared<CompletionResponse>(std::make_shared<RunGuard>(run, std::move(place)),
-                                                                 kind, fields, m_parts.ratios);
+        const auto answer
+            = std::make_shared<CompletionResponse>(startRun(caller, std::move(admitted)), kind, fields, m_parts.ratios);
         if (fields.stream) {
             CompletionResponse::writeStream(answer, response);
         } else {
             answer->writeWhole(response);
         }
     } catch (const Refused &refusal) {
-        m_parts.metrics.countRefusal(refusal.reason());
-        core::log(core::LogLevel::Info, "request_refused",
-                  {{"request", id}, {"reason", core::nameOf(refusal.reason())}, {"detail", refusal.what()}});
-        writeError(response, toReply(refusal, id));
+        refuse(refusal, id, response);
     }
 }
 
-dispatch::AdmittedRequest CallerApi::admitCompletion(const httplib::Request &request, std::string body,
-                                                     admission::ByteBudget::Hold hold, const std::string &id,
-                                                     admission::RequestBody &fields)
+dispatch::AdmittedRequest CallerApi::admitCompletion(const admission::Caller &caller,
+                                                     const admission::RequestBody &fields, const std::string &id)
 {
-    const auto caller = authorise(request);
-    fields = admission::readRequestBody(body);
     const auto *pool = caller.configuration->poolForModel(fields.model);
     if (pool == nullptr) {
         throw Refused(Reason::UnknownModel, core::cat("there is no model '", fields.model, "'"));
     }
-    dispatch::AdmittedRequest admitted;
-    admitted.id = id;
-    admitted.arrivedAt = core::now();
-    admitted.deadline = admitted.arrivedAt + caller.deadline;
-    admitted.configuration = caller.configuration;
+    auto admitted = admittedFor(caller, id, core::now());
     admitted.targets = &pool->targets;
     admitted.route = pool->name;
-    admitted.organisation = caller.organisation->name;
-    admitted.weight = caller.organisation->weight;
-    admitted.requestClass = caller.requestClass ? caller.requestClass->name : "";
     admitted.tokens = m_parts.ratios.estimate(*pool, fields.promptBytes);
     admitted.kvTokens = admitted.tokens + (fields.maxTokens > 0 ? fields.maxTokens : DefaultAnswerTokens);
     admitted.engines = admission::enginesNeeded(*pool, admitted.kvTokens);
     admitted.isLong = admitted.tokens >= pool->longThresholdTokens;
-    admitted.priority = (caller.requestClass ? caller.requestClass->priority : 0) + (admitted.isLong ? 100 : 0);
+    admitted.priority += admitted.isLong ? LongPriority : 0;
     admitted.prefix = fields.prefix;
-    admitted.repeatable = !core::equalIgnoringCase(request.get_header_value("Spurlug-Repeatable"), "no");
     admitted.method = "POST";
-    admitted.path = request.path;
     admitted.headers = {{"Content-Type", "application/json"}};
-    admitted.body = std::move(body);
-    admitted.bodyHold = std::move(hold);
     return admitted;
 }
 
-dispatch::AdmittedRequest CallerApi::admitService(const httplib::Request &request, std::string body,
+dispatch::AdmittedRequest CallerApi::admitService(const admission::Caller &caller, const httplib::Request &request,
                                                   const std::string &id)
 {
-    const auto caller = authorise(request);
     const auto name = request.matches[1].str();
     const auto *service = caller.configuration->serviceNamed(name);
     if (service == nullptr) {
         throw Refused(Reason::UnknownService, core::cat("there is no service '", name, "'"));
     }
     const auto &methods = service->repeatableMethods;
-    dispatch::AdmittedRequest admitted;
-    admitted.id = id;
+    auto admitted = admittedFor(caller, id, core::now());
     admitted.kind = dispatch::TargetKind::Service;
-    admitted.arrivedAt = core::now();
-    admitted.deadline = admitted.arrivedAt + caller.deadline;
-    admitted.configuration = caller.configuration;
     admitted.targets = &service->targets;
     admitted.route = name;
-    admitted.organisation = caller.organisation->name;
-    admitted.weight = caller.organisation->weight;
-    admitted.requestClass = caller.requestClass ? caller.requestClass->name : "";
     admitted.tokens = ServiceTokens;
     admitted.repeatable = std::find(methods.begin(), methods.end(), request.method) != methods.end();
     admitted.method = request.method;
@@ -423,24 +482,27 @@
     admitted.path = rest.empty() ? "/" : rest;
     admitted.headers = passedHeaders(request);
     admitted.headers.emplace_back("Organisation", admitted.organisation);
-    admitted.body = std::move(body);
     return admitted;
 }
 
-void CallerApi::callService(const httplib::Request &request, httplib::Response &response, std::string body)
+void CallerApi::callService(const httplib::Request &request, httplib::Response &response,
+                            const httplib::ContentReader *reader)
 {
     const auto id = nextRequestId();
     response.set_header("Request-Id", id);
     try {
-        auto admitted = admitService(request, std::move(body), id);
-        auto place = m_parts.limiter.take(*admitted.configuration->organisationNamed(admitted.organisation),
-                                          ServiceTokens, false, core::now());
-        const auto run = core::makeCounted<dispatch::RequestRun>(m_parts.runs, std::move(admitted));
-        const auto answer = std::make_shared<ServiceResponse>(std::make_shared<RunGuard>(run, std::move(place)));
-        ServiceResponse::write(answer, response);
+        std::optional<IncomingBody> incoming;
+        if (reader != nullptr) {
+            incoming.emplace(request, *reader);
+        }
+        const auto caller = authorise(request);
+        auto admitted = admitService(caller, request, id);
+        if (incoming) {
+            admitted.body = incoming->read(m_parts.mostBodyBytes, m_parts.bodyMemory, admitted.bodyHold);
+        }
+        ServiceResponse::write(std::make_shared<ServiceResponse>(startRun(caller, std::move(admitted))), response);
     } catch (const Refused &refusal) {
-        m_parts.metrics.countRefusal(refusal.reason());
-        writeError(response, toReply(refusal, id));
+        refuse(refusal, id, response);
     }
 }
 
@@ -455,8 +517,7 @@
         response.set_content(nlohmann::json{{"object", "list"}, {"data", std::move(models)}}.dump(),
                              "application/json");
     } catch (const Refused &refusal) {
-        m_parts.metrics.countRefusal(refusal.reason());
-        writeError(response, toReply(refusal, ""));
+        refuse(refusal, "", response);
     }
 }
 
--- a/src/daemon/config_follower.cpp
+++ b/src/daemon/config_follower.cpp
@@ -22,8 +22,9 @@
 
 constexpr auto NotWatching = absl::Seconds(1);
 constexpr auto PullInterval = absl::Milliseconds(200);
-constexpr auto WatcherVmListInterval = absl::Seconds(5);
-constexpr auto VmListInterval = absl::Seconds(60);
+constexpr auto VmListTick = absl::Seconds(1);
+constexpr auto OftenInterval = absl::Seconds(5);
+constexpr auto SeldomInterval = absl::Seconds(60);
 constexpr auto LongestBackoff = absl::Seconds(10);
 constexpr int MostDoublings = 6;
 
@@ -123,13 +124,24 @@
 
 core::Duration ConfigFollower::vmListRound()
 {
+    const auto now = core::now();
+    if (now - m_vmListReadAt < (readsVmListOften(now) ? OftenInterval : SeldomInterval)) {
+        return VmListTick;
+    }
+    m_vmListReadAt = now;
     try {
         m_metrics.count(metrics::Counter::PlatformReads);
         m_fleet.noteVmList(m_platform.vms());
     } catch (const core::PlatformUnavailable &) {
         m_metrics.count(metrics::Counter::PlatformFailures);
     }
-    return m_fleet.holds(WatcherRole, Watchers, core::now()) ? WatcherVmListInterval : VmListInterval;
+    return VmListTick;
+}
+
+/// Watchers and delegates are the first to speak to a new VM; the others are spoken to.
+bool ConfigFollower::readsVmListOften(core::Time now) const
+{
+    return m_fleet.holds(WatcherRole, Watchers, now) || !m_fleet.sendToOtherDomains(now).empty();
 }
 
 } // namespace spurlug::daemon
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -25,6 +25,7 @@
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
+#include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -60,7 +61,11 @@
                                                          core::Duration wait);
     [[nodiscard]] std::optional<grants::Granted> acquireHere(const std::string &pool, const grants::Ask &ask,
                                                              core::Duration wait);
-    [[nodiscard]] membership::Heartbeat compose() const;
+    [[nodiscard]] core::Address brokerFor(const std::string &pool, int engines, core::Time now) const;
+    [[nodiscard]] std::int64_t usableTargets(const std::string &pool, core::Time now) const;
+    [[nodiscard]] std::vector<targets::TargetView> localServing(const std::string &pool, core::Time now) const;
+    [[nodiscard]] membership::Heartbeat compose(membership::Audience audience) const;
+    [[nodiscard]] membership::DomainSummary summarise(core::Time now) const;
     void receive(const membership::Heartbeat &heartbeat, core::Time now);
     void applied(const config::ConfigurationRef &configuration);
     void setGauges();
@@ -74,6 +79,7 @@
     config::Store store;
     platform::HttpObjectApi platform;
     PeerCalls peers;
+    DecisionFinder finder;
     core::WorkerPool attempts;
     dispatch::RetryBudget retryBudget;
     limits::OrganisationLimiter limiter;
@@ -100,6 +106,7 @@
     , decisions(static_cast<std::size_t>(settings.limits.decisionsKept))
     , store([this](const config::ConfigurationRef &configuration) { applied(configuration); })
     , platform(settings.platform)
+    , finder(decisions, fleet, peers)
     , attempts(static_cast<std::size_t>(settings.limits.connections), 0)
     , bodyMemory(settings.limits.bodyMemoryBytes)
     , brokers(
@@ -118,9 +125,9 @@
            {},
            settings.failureDomain}
     , peerServer(
-          std::make_unique<PeerServer>(settings.rpcAddress, PeerServerParts{brokers, fleet, store, decisions, metrics}))
-    , callerApi({identity, store, runs, limiter, ratios, bodyMemory, metrics, refusing})
-    , adminApi({identity, store, fleet, targetTable, decisions, metrics, peers, [this] { setGauges(); },
+          std::make_unique<PeerServer>(settings.rpcAddress, PeerServerParts{brokers, fleet, store, finder, metrics}))
+    , callerApi({identity, store, runs, limiter, ratios, bodyMemory, settings.limits.bodyBytes, metrics, refusing})
+    , adminApi({identity, store, fleet, targetTable, decisions, metrics, finder, [this] { setGauges(); },
                 [] { kill(getpid(), SIGTERM); }})
 {
     const auto &limits = settings.limits;
@@ -141,7 +148,7 @@
         settings.timing.loadPoll);
     heartbeats = std::make_unique<membership::HeartbeatService>(
         fleet, metrics, std::move(socket), settings.peerKey, settings.seeds, settings.timing.heartbeat,
-        membership::HeartbeatHooks{[this] { return compose(); },
+        membership::HeartbeatHooks{[this](membership::Audience audience) { return compose(audience); },
                                    [this](const auto &heartbeat, core::Time now) { receive(heartbeat, now); }});
     follower = std::make_unique<ConfigFollower>(store, fleet, peers, platform, metrics, settings.timing);
 }
@@ -149,35 +156,79 @@
 grants::GroupKeeper::GrantHooks Daemon::Impl::grantHooks()
 {
     const auto renew = [this](const grants::GrantTicket &ticket) {
-        if (ticket.broker == settings.vm) {
+        if (ticket.broker == identity.rpcAddress) {
             brokers.renew(ticket.grant, core::now());
-        } else if (const auto peer = fleet.find(ticket.broker)) {
-            peers.renew(peer->news.rpcAddress, ticket.grant);
+        } else {
+            peers.renew(ticket.broker, ticket.grant);
         }
     };
     const auto release = [this](const grants::GrantTicket &ticket) {
-        if (ticket.broker == settings.vm) {
+        if (ticket.broker == identity.rpcAddress) {
             brokers.release(ticket.grant);
-        } else if (const auto peer = fleet.find(ticket.broker)) {
-            peers.release(peer->news.rpcAddress, ticket.grant);
+        } else {
+            peers.release(ticket.broker, ticket.grant);
         }
     };
     return {renew, release};
 }
 
+core::Address Daemon::Impl::brokerFor(const std::string &pool, int engines, core::Time now) const
+{
+    if (usableTargets(pool, now) < engines) {
+        constexpr auto Fresh = absl::Seconds(10);
+        const auto poolHash = targets::targetHash(pool);
+        for (const auto &domain : fleet.domains(now)) {
+            for (const auto &summary : domain.pools) {
+                if (domain.age < Fresh && summary.pool == poolHash && summary.usable >= engines
+                    && summary.broker.port != 0) {
+                    return summary.broker;
+                }
+            }
+        }
+    }
+    const auto holder = fleet.holder(brokerRole(pool), now);
+    if (holder == settings.vm) {
+        return identity.rpcAddress;
+    }
+    const auto peer = fleet.find(holder);
+    return peer ? peer->news.rpcAddress : core::Address{};
+}
+
+std::int64_t Daemon::Impl::usableTargets(const std::string &pool, core::Time now) const
+{
+    return static_cast<std::int64_t>(localServing(pool, now).size());
+}
+
+/// Targets of a pool in this failure domain that can take work, the least loaded first.
+std::vector<targets::TargetView> Daemon::Impl::localServing(const std::string &pool, core::Time now) const
+{
+    const auto configuration = store.current();
+    const auto *spec = configuration ? configuration->poolNamed(pool) : nullptr;
+    if (spec == nullptr) {
+        return {};
+    }
+    auto views = targetTable.views(spec->targets, now);
+    std::erase_if(views, [this](const auto &view) {
+        return view.failureDomain != settings.failureDomain || view.ejected
+            || view.report.condition != targets::TargetCondition::Serving;
+    });
+    std::sort(views.begin(), views.end(),
+              [](const auto &left, const auto &right) { return left.report.queuedTokens < right.report.queuedTokens; });
+    return views;
+}
+
 std::optional<grants::Granted> Daemon::Impl::acquire(const std::string &pool, const grants::Ask &ask,
                                                      core::Duration wait)
 {
     const auto now = core::now();
-    const auto broker = fleet.holder(brokerRole(pool), now);
-    if (broker == settings.vm) {
+    const auto broker = brokerFor(pool, ask.engines, now);
+    if (broker == identity.rpcAddress) {
         return acquireHere(pool, ask, wait);
     }
-    const auto peer = fleet.find(broker);
-    if (!peer) {
+    if (broker.port == 0) {
         throw core::NetworkError("no broker is known");
     }
-    auto answer = peers.acquire(peer->news.rpcAddress, pool, ask, now - ask.askedAt, wait);
+    auto answer = peers.acquire(broker, pool, ask, now - ask.askedAt, wait);
     if (answer.notBroker) {
         throw core::NetworkError("the peer does not hold the broker's role");
     }
@@ -201,11 +252,12 @@
     if (!answer.grant) {
         return std::nullopt;
     }
-    return grants::Granted{{settings.vm, answer.grant->id}, std::move(answer.grant->targets)};
+    return grants::Granted{{identity.rpcAddress, answer.grant->id}, std::move(answer.grant->targets)};
 }
 
-membership::Heartbeat Daemon::Impl::compose() const
+membership::Heartbeat Daemon::Impl::compose(membership::Audience audience) const
 {
+    const auto now = core::now();
     membership::Heartbeat heartbeat;
     auto &news = heartbeat.news;
     news.vm = identity.vm;
@@ -216,16 +268,67 @@
     news.state = fleet.state();
     news.generation = store.generation();
     news.refusedGeneration = store.refusedGeneration();
-    heartbeat.loads = observer->ownLoads(core::now());
+    switch (audience) {
+    case membership::Audience::OtherDomains:
+        heartbeat.summaries.push_back(summarise(now));
+        break;
+    case membership::Audience::OwnDomainWithSummaries:
+        heartbeat.summaries = fleet.summariesToRepeat(now);
+        heartbeat.loads = observer->ownLoads(now);
+        break;
+    case membership::Audience::OwnDomain:
+        heartbeat.loads = observer->ownLoads(now);
+        break;
+    }
     return heartbeat;
 }
 
+membership::DomainSummary Daemon::Impl::summarise(core::Time now) const
+{
+    constexpr std::size_t BestTargets = 2;
+    membership::DomainSummary summary;
+    summary.failureDomain = settings.failureDomain;
+    summary.rpcAddress = identity.rpcAddress;
+    summary.daemons = static_cast<std::int64_t>(fleet.roleHolders(now).size());
+    summary.lowestGeneration = store.generation();
+    for (const auto &peer : fleet.alive(now)) {
+        if (peer.news.failureDomain == settings.failureDomain) {
+            summary.lowestGeneration = std::min(summary.lowestGeneration, peer.news.generation);
+        }
+    }
+    const auto configuration = store.current();
+    if (!configuration) {
+        return summary;
+    }
+    for (const auto &pool : configuration->pools) {
+        const auto serving = localServing(pool.name, now);
+        membership::PoolSummary out;
+        out.pool = targets::targetHash(pool.name);
+        out.usable = static_cast<std::int64_t>(serving.size());
+        for (std::size_t i = 0; i < std::min(serving.size(), BestTargets); ++i) {
+            out.best.push_back({targets::targetHash(serving[i].id), serving[i].report, serving[i].reportAge});
+        }
+        if (!serving.empty()) {
+            out.broker = brokerFor(pool.name, 0, now);
+        }
+        summary.pools.push_back(std::move(out));
+    }
+    return summary;
+}
+
 void Daemon::Impl::receive(const membership::Heartbeat &heartbeat, core::Time now)
 {
     for (const auto &load : heartbeat.loads) {
         targetTable.report(load.target, load.report, now - load.age);
     }
-    limiter.setDaemons(fleet.alive(now).size() + 1);
+    for (const auto &summary : fleet.hearSummaries(heartbeat, now)) {
+        for (const auto &pool : summary.pools) {
+            for (const auto &load : pool.best) {
+                targetTable.report(load.target, load.report, now - load.age);
+            }
+        }
+    }
+    limiter.setDaemons(fleet.daemons(now));
 }
 
 void Daemon::Impl::applied(const config::ConfigurationRef &configuration)
--- /dev/null
+++ b/src/daemon/decision_finder.cpp
@@ -0,0 +1,70 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: finds a recorded decision at whichever daemon has it
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/daemon/decision_finder.h"
+
+#include "spurlug/core/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spurlug::daemon
+{
+
+namespace
+{
+
+/// The VM that a request id names: all before the second last dot.
+std::string vmOf(const std::string &requestId)
+{
+    const auto last = requestId.rfind('.');
+    if (last == std::string::npos || last == 0) {
+        return {};
+    }
+    const auto before = requestId.rfind('.', last - 1);
+    return before == std::string::npos ? std::string() : requestId.substr(0, before);
+}
+
+} // namespace
+
+DecisionFinder::DecisionFinder(const explain::DecisionRing &decisions, const membership::Fleet &fleet, PeerCalls &peers)
+    : m_decisions(decisions)
+    , m_fleet(fleet)
+    , m_peers(peers)
+{ }
+
+std::optional<std::string> DecisionFinder::find(const std::string &requestId, SearchScope scope, core::Time now) const
+{
+    if (const auto decision = m_decisions.find(requestId)) {
+        return toJson(*decision).dump();
+    }
+    const auto vm = vmOf(requestId);
+    if (scope == SearchScope::Here || vm == m_fleet.self()) {
+        return std::nullopt;
+    }
+    if (const auto peer = m_fleet.find(vm)) {
+        return ask(peer->news.rpcAddress, requestId, true);
+    }
+    if (scope == SearchScope::OwnDomain) {
+        return std::nullopt;
+    }
+    for (const auto &domain : m_fleet.domains(now)) {
+        if (auto decision = ask(domain.rpcAddress, requestId, false)) {
+            return decision;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> DecisionFinder::ask(const core::Address &peer, const std::string &requestId,
+                                               bool forwarded) const
+{
+    try {
+        return m_peers.explain(peer, requestId, forwarded);
+    } catch (const core::NetworkError &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace spurlug::daemon
--- a/src/daemon/error_body.cpp
+++ b/src/daemon/error_body.cpp
@@ -51,11 +51,13 @@
     case Reason::MissingKey:
     case Reason::UnknownKey:
         return Unauthorised;
+    case Reason::MalformedRequest:
     case Reason::MalformedBody:
     case Reason::UnknownClass:
     case Reason::InvalidDeadline:
     case Reason::PromptTooLong:
         return BadRequest;
+    case Reason::UnknownPath:
     case Reason::UnknownModel:
     case Reason::UnknownService:
         return NotFound;
--- a/src/daemon/peer_calls.cpp
+++ b/src/daemon/peer_calls.cpp
@@ -134,10 +134,11 @@
     return {reply.texts().begin(), reply.texts().end()};
 }
 
-std::optional<std::string> PeerCalls::explain(const core::Address &peer, const std::string &requestId)
+std::optional<std::string> PeerCalls::explain(const core::Address &peer, const std::string &requestId, bool forwarded)
 {
     wire::ExplainRequest request;
     request.set_request_id(requestId);
+    request.set_forwarded(forwarded);
     grpc::ClientContext context;
     setDeadline(context, CallTimeout);
     wire::ExplainReply reply;
--- a/src/daemon/peer_server.cpp
+++ b/src/daemon/peer_server.cpp
@@ -7,12 +7,12 @@
 
 #include "spurlug/core/error.h"
 #include "spurlug/core/text.h"
+#include "spurlug/core/worker_pool.h"
 #include "spurlug/daemon/roles.h"
 #include "spurlug/peers.grpc.pb.h"
 
 #include <algorithm>
 #include <grpcpp/grpcpp.h>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace spurlug::daemon
@@ -120,20 +120,28 @@
         return finish(context);
     }
 
+    /// May ask a peer in turn, so it works on a thread of its own and never holds one of gRPC's.
     grpc::ServerUnaryReactor *Explain(grpc::CallbackServerContext *context, const wire::ExplainRequest *request,
                                       wire::ExplainReply *reply) override
     {
         m_parts.metrics.count(metrics::Counter::RpcCalls);
-        const auto decision = m_parts.decisions.find(request->request_id());
-        reply->set_found(decision.has_value());
-        if (decision) {
-            reply->set_decision(explain::toJson(*decision).dump());
+        auto *reactor = context->DefaultReactor();
+        const bool started = m_searches.tryRun([this, reactor, request, reply] {
+            const auto scope = request->forwarded() ? SearchScope::Here : SearchScope::OwnDomain;
+            const auto decision = m_parts.finder.find(request->request_id(), scope, core::now());
+            reply->set_found(decision.has_value());
+            reply->set_decision(decision.value_or(""));
+            reactor->Finish(grpc::Status::OK);
+        });
+        if (!started) {
+            reactor->Finish(grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "too many searches"));
         }
-        return finish(context);
+        return reactor;
     }
 
 private:
     PeerServerParts m_parts;
+    core::WorkerPool m_searches{2, 16};
 };
 
 } // namespace
--- a/src/dispatch/request_run.cpp
+++ b/src/dispatch/request_run.cpp
@@ -157,27 +157,22 @@
     return true;
 }
 
-std::vector<targets::TargetView> RequestRun::candidates(core::Time now) const
-{
-    auto views = m_context.targets.views(*m_request.targets, now);
-    const auto isLocal = [this](const auto &view) { return view.failureDomain == m_context.failureDomain; };
-    const bool hasLocal = std::any_of(views.begin(), views.end(), [&](const auto &view) {
-        return isLocal(view) && !view.ejected && view.report.condition != targets::TargetCondition::Leaving;
-    });
-    if (hasLocal) {
-        std::erase_if(views, [&](const auto &view) { return !isLocal(view); });
-    }
-    return views;
-}
-
 std::optional<targets::TargetView> RequestRun::chooseShort(core::Time now)
 {
-    const auto views = candidates(now);
+    const auto views = m_context.targets.views(*m_request.targets, now);
     const routing::RouteRequest route{m_request.tokens, !m_request.isLong, m_request.prefix};
-    auto choice = routing::chooseTarget(route, views, m_tried, m_context.routeRule, m_random());
+    auto choice
+        = routing::chooseAcrossDomains(route, views, m_context.failureDomain, m_tried, m_context.routeRule, m_random());
     m_context.metrics.time(metrics::Timer::RouteDecision, core::now() - now);
     m_decision.attempts.back().candidates = std::move(choice.candidates);
-    return choice.chosen ? std::optional(views[*choice.chosen]) : std::nullopt;
+    if (!choice.chosen) {
+        return std::nullopt;
+    }
+    const auto &chosen = views[*choice.chosen];
+    if (chosen.failureDomain != m_context.failureDomain) {
+        m_context.metrics.count(metrics::Counter::RequestsSpilled);
+    }
+    return chosen;
 }
 
 void RequestRun::startAttempt(core::Time now)
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/membership/fleet.h"
 
 #include "spurlug/core/rendezvous.h"
+#include "spurlug/core/text.h"
 
 #include <algorithm>
 
@@ -14,7 +15,9 @@
 
 Fleet::Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout)
     : m_self(self)
+    , m_failureDomain(failureDomain)
     , m_table(self, failureDomain, timeout)
+    , m_domains(failureDomain)
 { }
 
 HeardResult Fleet::hear(const PeerNews &news, core::Time now)
@@ -41,6 +44,19 @@
     m_table.forgetSilent(now);
 }
 
+std::vector<DomainSummary> Fleet::hearSummaries(const Heartbeat &heartbeat, core::Time now)
+{
+    std::vector<DomainSummary> news;
+    absl::MutexLock lock(&m_mutex);
+    for (const auto &summary : heartbeat.summaries) {
+        const bool direct = heartbeat.news.failureDomain == summary.failureDomain;
+        if (m_domains.hear(summary, direct, now)) {
+            news.push_back(summary);
+        }
+    }
+    return news;
+}
+
 void Fleet::setState(DaemonState state) noexcept
 {
     m_state = state;
@@ -103,6 +119,54 @@
     return all;
 }
 
+std::vector<core::Address> Fleet::sendToOtherDomains(core::Time now) const
+{
+    constexpr auto SilentAfter = absl::Seconds(5);
+    constexpr std::size_t ContactsOfSilent = 3;
+    std::vector<std::string> others;
+    {
+        absl::MutexLock lock(&m_mutex);
+        others = m_table.otherDomains();
+    }
+    std::vector<core::Address> addresses;
+    for (const auto &domain : others) {
+        if (holder(core::cat("delegate:", domain), now) != m_self) {
+            continue;
+        }
+        absl::MutexLock lock(&m_mutex);
+        const std::size_t most = m_domains.age(domain, now) > SilentAfter ? ContactsOfSilent : 1;
+        const auto contacts = m_table.contactsIn(domain, most, now);
+        addresses.insert(addresses.end(), contacts.begin(), contacts.end());
+    }
+    return addresses;
+}
+
+std::vector<DomainSummary> Fleet::domains(core::Time now) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_domains.known(now);
+}
+
+std::vector<DomainSummary> Fleet::summariesToRepeat(core::Time now) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_domains.toRepeat(now);
+}
+
+std::size_t Fleet::daemons(core::Time now) const
+{
+    auto count = std::max<std::size_t>(roleHolders(now).size(), 1);
+    for (const auto &domain : domains(now)) {
+        count += static_cast<std::size_t>(domain.daemons);
+    }
+    return count;
+}
+
+const std::string &Fleet::failureDomain() const noexcept
+{
+    return m_failureDomain;
+}
+
 const std::string &Fleet::self() const noexcept
 {
     return m_self;
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -56,6 +56,49 @@
     return load;
 }
 
+void writeSummary(const DomainSummary &summary, wire::DomainSummary &out)
+{
+    out.set_failure_domain(summary.failureDomain);
+    out.set_lowest_generation(static_cast<std::uint64_t>(summary.lowestGeneration));
+    out.set_daemons(clamp32(summary.daemons));
+    out.set_age_ms(clamp32(core::toMs(summary.age)));
+    out.set_rpc_address(summary.rpcAddress.text());
+    for (const auto &pool : summary.pools) {
+        auto &poolOut = *out.add_pools();
+        poolOut.set_pool(pool.pool);
+        poolOut.set_usable(clamp32(pool.usable));
+        for (const auto &load : pool.best) {
+            writeLoad(load, *poolOut.add_best());
+        }
+        if (pool.broker.port != 0) {
+            poolOut.set_broker(pool.broker.text());
+        }
+    }
+}
+
+DomainSummary readSummary(const wire::DomainSummary &in)
+{
+    DomainSummary summary;
+    summary.failureDomain = in.failure_domain();
+    summary.lowestGeneration = static_cast<std::int64_t>(in.lowest_generation());
+    summary.daemons = in.daemons();
+    summary.age = core::fromMs(in.age_ms());
+    summary.rpcAddress = core::parseAddress(in.rpc_address());
+    for (const auto &poolIn : in.pools()) {
+        PoolSummary pool;
+        pool.pool = poolIn.pool();
+        pool.usable = poolIn.usable();
+        for (const auto &load : poolIn.best()) {
+            pool.best.push_back(readLoad(load));
+        }
+        if (!poolIn.broker().empty()) {
+            pool.broker = core::parseAddress(poolIn.broker());
+        }
+        summary.pools.push_back(std::move(pool));
+    }
+    return summary;
+}
+
 wire::Heartbeat toWire(const Heartbeat &heartbeat)
 {
     const auto &news = heartbeat.news;
@@ -69,6 +112,9 @@
     for (const auto &load : heartbeat.loads) {
         writeLoad(load, *out.add_loads());
     }
+    for (const auto &summary : heartbeat.summaries) {
+        writeSummary(summary, *out.add_summaries());
+    }
     if (news.peerAddress.port != 0) {
         out.mutable_hello()->set_failure_domain(news.failureDomain);
         out.mutable_hello()->set_peer_address(news.peerAddress.text());
@@ -125,6 +171,9 @@
         for (const auto &load : inner.loads()) {
             heartbeat.loads.push_back(readLoad(load));
         }
+        for (const auto &summary : inner.summaries()) {
+            heartbeat.summaries.push_back(readSummary(summary));
+        }
         return heartbeat;
     } catch (const core::InvalidDocument &) {
         return std::nullopt;
--- a/src/membership/heartbeat_service.cpp
+++ b/src/membership/heartbeat_service.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::uint64_t IntroduceEvery = 10;
+constexpr std::uint64_t SummariesEvery = 2;
 constexpr int PauseIntervals = 3; // A round that comes this many intervals late means that the daemon stood still.
 
 } // namespace
@@ -47,26 +48,49 @@
 core::Duration HeartbeatService::sendRound()
 {
     notePause(core::now());
-    auto heartbeat = m_hooks.compose();
-    heartbeat.news.sequence = ++m_sequence;
+    ++m_sequence;
+    sendToOwnDomain();
+    sendToOtherDomains();
+    m_fleet.forgetSilent(core::now());
+    return m_interval;
+}
+
+void HeartbeatService::sendToOwnDomain()
+{
+    const bool withSummaries = m_sequence % SummariesEvery == 0;
+    auto heartbeat = m_hooks.compose(withSummaries ? Audience::OwnDomainWithSummaries : Audience::OwnDomain);
+    heartbeat.news.sequence = m_sequence;
     const bool introduce = m_introduce.exchange(false) || m_sequence % IntroduceEvery == 0;
     if (!introduce) {
         heartbeat.news.peerAddress.port = 0;
     }
-    const auto datagram = writeHeartbeat(heartbeat, m_key);
     auto receivers = m_fleet.sendTo();
     for (const auto &seed : m_seeds) {
         if (std::find(receivers.begin(), receivers.end(), seed) == receivers.end()) {
             receivers.push_back(seed);
         }
     }
+    send(writeHeartbeat(heartbeat, m_key), receivers);
+}
+
+void HeartbeatService::sendToOtherDomains()
+{
+    const auto receivers = m_fleet.sendToOtherDomains(core::now());
+    if (receivers.empty()) {
+        return;
+    }
+    auto heartbeat = m_hooks.compose(Audience::OtherDomains);
+    heartbeat.news.sequence = m_sequence;
+    send(writeHeartbeat(heartbeat, m_key), receivers);
+}
+
+void HeartbeatService::send(const std::string &datagram, const std::vector<core::Address> &receivers)
+{
     for (const auto &receiver : receivers) {
         m_socket->send(datagram, receiver);
         m_metrics.count(metrics::Counter::HeartbeatsSent);
         m_metrics.count(metrics::Counter::HeartbeatBytesSent, static_cast<std::int64_t>(datagram.size()));
     }
-    m_fleet.forgetSilent(core::now());
-    return m_interval;
 }
 
 void HeartbeatService::notePause(core::Time now)
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -5,7 +5,10 @@
 
 #include "spurlug/membership/peer_table.h"
 
+#include "spurlug/core/rendezvous.h"
+
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace spurlug::membership
@@ -132,6 +135,46 @@
     return addresses;
 }
 
+std::vector<std::string> PeerTable::otherDomains() const
+{
+    std::set<std::string> domains;
+    for (const auto &[vm, peer] : m_peers) {
+        domains.insert(peer.news.failureDomain);
+    }
+    for (const auto &[vm, entry] : m_listed) {
+        domains.insert(entry.failureDomain);
+    }
+    domains.erase(m_failureDomain);
+    return {domains.begin(), domains.end()};
+}
+
+std::vector<core::Address> PeerTable::contactsIn(const std::string &failureDomain, std::size_t most,
+                                                 core::Time now) const
+{
+    std::vector<std::string> heard;
+    std::vector<std::string> others;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.news.failureDomain == failureDomain) {
+            (alive(peer, now) ? heard : others).push_back(vm);
+        }
+    }
+    for (const auto &[vm, entry] : m_listed) {
+        if (entry.failureDomain == failureDomain && !m_peers.contains(vm)) {
+            others.push_back(vm);
+        }
+    }
+    auto order = core::rankByRendezvous(m_failureDomain, std::move(heard));
+    const auto rest = core::rankByRendezvous(m_failureDomain, std::move(others));
+    order.insert(order.end(), rest.begin(), rest.end());
+    order.resize(std::min(order.size(), most));
+    std::vector<core::Address> addresses;
+    for (const auto &vm : order) {
+        const auto peer = m_peers.find(vm);
+        addresses.push_back(peer != m_peers.end() ? peer->second.news.peerAddress : m_listed.at(vm).peerAddress);
+    }
+    return addresses;
+}
+
 const Peer *PeerTable::find(const std::string &vm) const
 {
     const auto found = m_peers.find(vm);
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -110,6 +110,66 @@
         + rule.streamCost * static_cast<double>(streams);
 }
 
+namespace
+{
+
+/// Leaves a target in the list, unusable; indices stay those of the caller's list.
+targets::TargetView setAside(targets::TargetView target)
+{
+    target.report.condition = TargetCondition::Leaving;
+    return target;
+}
+
+bool isSound(const targets::TargetView &target, const RouteRule &rule)
+{
+    return unusableBecause(target, rule).empty();
+}
+
+template<typename Keep>
+std::vector<targets::TargetView> keepOnly(const std::vector<targets::TargetView> &targets, Keep keep)
+{
+    std::vector<targets::TargetView> kept;
+    kept.reserve(targets.size());
+    for (const auto &target : targets) {
+        kept.push_back(keep(target) ? target : setAside(target));
+    }
+    return kept;
+}
+
+} // namespace
+
+Choice chooseAcrossDomains(const RouteRequest &request, const std::vector<targets::TargetView> &targets,
+                           const std::string &home, const std::vector<std::string> &excluded, const RouteRule &rule,
+                           std::uint64_t pick)
+{
+    const auto atHome = [&](const auto &target) { return target.failureDomain == home; };
+    const auto heardOf
+        = [&](const auto &target) { return target.reportAge <= rule.remoteFresh && isSound(target, rule); };
+    const bool homeSound = std::any_of(targets.begin(), targets.end(),
+                                       [&](const auto &target) { return atHome(target) && isSound(target, rule); });
+    if (homeSound) {
+        auto choice = chooseTarget(request, keepOnly(targets, atHome), excluded, rule, pick);
+        if (choice.chosen && choice.candidates[*choice.chosen].expected <= rule.spillAfter) {
+            return choice;
+        }
+    }
+    const bool remoteHeardOf = std::any_of(targets.begin(), targets.end(),
+                                           [&](const auto &target) { return !atHome(target) && heardOf(target); });
+    if (!homeSound && !remoteHeardOf) {
+        return chooseTarget(request, targets, excluded, rule, pick);
+    }
+    auto eligible = keepOnly(targets, [&](const auto &target) { return atHome(target) || heardOf(target); });
+    auto costly = rule;
+    for (auto &target : eligible) {
+        if (!atHome(target)) {
+            const auto rate = target.report.prefillRate > 0 ? target.report.prefillRate : rule.defaultPrefillRate;
+            target.ownTokens += static_cast<std::int64_t>(absl::ToDoubleSeconds(rule.spillPenalty) * rate);
+        }
+    }
+    costly.staleAfter = rule.remoteFresh;
+    return chooseTarget(request, eligible, excluded, costly, pick);
+}
+
 Choice chooseTarget(const RouteRequest &request, const std::vector<targets::TargetView> &targets,
                     const std::vector<std::string> &excluded, const RouteRule &rule, std::uint64_t pick)
 {
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -4,6 +4,8 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "cache_events.h"
+
 #include "spurlug/core/time.h"
 
 #include <cstdint>
@@ -11,6 +13,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -33,6 +36,9 @@
     double decodeMicrosPerStream = 150;
     std::int64_t blockTokens = 256; ///< Granularity of the prefix cache.
     std::int64_t bytesPerToken = 4;
+    double transferMicrosPerToken = 1; ///< Of KV memory imported from another engine.
+    double cacheEventLagMs = 200; ///< Age from which on cache events are shown.
+    std::int64_t loseCacheEvery = 50; ///< Each so-manieth cache event is lost; 0: none.
     double timeScale = 1.0; ///< Below 1 the engine is faster than the costs say.
 };
 
@@ -62,6 +68,13 @@
     std::function<void(std::int64_t promptTokens, std::int64_t answerTokens)> finished;
 };
 
+/// \brief KV memory of one request, on its way to another engine.
+struct KvExport
+{
+    std::vector<std::uint64_t> blocks; ///< Hashes of the blocks that are computed.
+    std::int64_t tokens = 0;
+};
+
 /// \brief Load as the engine reports it.
 struct EngineLoad
 {
@@ -101,12 +114,19 @@
     bool release(const std::string &id);
     /// \brief Adds a share of a group's prefill that this engine does for a leader.
     bool addShare(const std::string &reservation, std::int64_t tokens);
+    /// \brief Keeps a request's computed KV memory for another engine until `ttl` has passed.
+    /// \returns Nothing when there is no such request, or its prefill is not finished.
+    std::optional<KvExport> exportKv(const std::string &jobId, const std::string &exportId, Duration ttl, Time now);
+    /// \brief Takes KV memory computed elsewhere into the prefix cache. \returns Time of the transfer.
+    Duration importKv(const KvExport &kv, Time now);
     /// \brief Does one step of work. \returns Its duration; zero when there is nothing to do.
     Duration step(Time now);
     /// @}
     /// \name Queries
     /// @{
     [[nodiscard]] EngineLoad load() const;
+    /// \brief Events of the prefix cache, late and with gaps.
+    [[nodiscard]] std::vector<CacheEvent> cacheEvents(std::uint64_t after, Time now) const;
     [[nodiscard]] const EngineCosts &costs() const noexcept;
     /// @}
 
@@ -135,7 +155,7 @@
     [[nodiscard]] bool tryAdmit(Job &job);
     [[nodiscard]] std::int64_t used() const;
     void evictFor(std::int64_t tokens);
-    void remember(const Job &job);
+    void remember(const std::vector<std::uint64_t> &blocks);
     [[nodiscard]] std::int64_t cachedPrefix(const Job &job) const;
     Job *nextPrefill();
     double prefillChunk(Job &job);
@@ -144,6 +164,8 @@
     void finish(const std::string &id);
 
     EngineCosts m_costs;
+    Time m_now = absl::UnixEpoch(); ///< Of the last command that told it.
+    CacheEvents m_cacheEvents;
     std::map<std::string, std::unique_ptr<Job>> m_jobs;
     std::list<std::string> m_order; ///< Job ids as they came.
     std::map<std::string, Held> m_reservations;
--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 #include "engine_model.h"
+#include "engine_orders.h"
 
 #include "spurlug/core/address.h"
 #include "spurlug/core/error.h"
@@ -41,6 +42,8 @@
 constexpr auto IdleWait = absl::Milliseconds(1);
 constexpr auto CommentInterval = absl::Seconds(1);
 constexpr std::int64_t DefaultAnswerTokens = 64;
+constexpr auto ModelLoadTime = absl::Seconds(20);
+constexpr auto ExportTtl = absl::Seconds(10);
 
 /// A job's events on their way to its connection.
 struct JobStream
@@ -95,8 +98,9 @@
 class EngineServer
 {
 public:
-    EngineServer(const EngineCosts &costs, const core::Address &address, core::Duration reportLag)
+    EngineServer(const EngineCosts &costs, bool checksFence, const core::Address &address, core::Duration reportLag)
         : m_model(costs)
+        , m_orders(checksFence, ModelLoadTime * costs.timeScale)
         , m_reportLag(reportLag)
         , m_listener(address, {512, 64U << 20}, [this](httplib::Server &server) { configure(server); })
         , m_reporter("load report", [this] { return renewReport(); })
@@ -144,6 +148,11 @@
             absl::MutexLock lock(&m_mutex);
             m_model.cancel(request.matches[1].str());
         });
+        server.Post(R"(/kv/export/(.+))", [this](const auto &request, auto &response) { exportKv(request, response); });
+        server.Post("/kv/import", [this](const auto &request, auto &response) { importKv(request, response); });
+        server.Get("/cache-events",
+                   [this](const auto &request, auto &response) { sendCacheEvents(request, response); });
+        server.Post("/orders", [this](const auto &request, auto &response) { takeOrder(request, response); });
         server.Post("/standin/leaving", [this](const auto &, auto &) { m_leaving = true; });
         server.Post("/standin/serving", [this](const auto &, auto &) { m_leaving = false; });
     }
@@ -168,6 +177,71 @@
         response.status = kept ? 200 : Conflict;
     }
 
+    /// The answer's body is what `/kv/import` of another engine takes.
+    void exportKv(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto jobId = request.matches[1].str();
+        absl::MutexLock lock(&m_mutex);
+        const auto kv = m_model.exportKv(jobId, "export-" + jobId, ExportTtl, core::now());
+        if (!kv) {
+            response.status = Conflict;
+            return;
+        }
+        const nlohmann::json body{{"blocks", kv->blocks}, {"tokens", kv->tokens}};
+        response.set_content(body.dump(), "application/json");
+    }
+
+    void importKv(const httplib::Request &request, httplib::Response &response)
+    {
+        core::Duration transfer;
+        try {
+            const auto body = nlohmann::json::parse(request.body);
+            const KvExport kv{body.at("blocks"), body.at("tokens")};
+            absl::MutexLock lock(&m_mutex);
+            transfer = m_model.importKv(kv, core::now());
+        } catch (const nlohmann::json::exception &) {
+            response.status = BadRequest;
+            return;
+        }
+        absl::SleepFor(transfer);
+    }
+
+    void sendCacheEvents(const httplib::Request &request, httplib::Response &response)
+    {
+        std::uint64_t after = 0;
+        [[maybe_unused]] const bool given = core::readNumber(request.get_param_value("after"), after);
+        auto events = nlohmann::json::array();
+        absl::MutexLock lock(&m_mutex);
+        for (const auto &event : m_model.cacheEvents(after, core::now())) {
+            const auto *kind = event.kind == CacheEventKind::Stored ? "stored" : "evicted";
+            events.push_back({{"number", event.number}, {"kind", kind}, {"block", event.block}});
+        }
+        response.set_content(events.dump(), "application/json");
+    }
+
+    void takeOrder(const httplib::Request &request, httplib::Response &response)
+    {
+        const auto body = nlohmann::json::parse(request.body, nullptr, false);
+        if (!body.is_object()) {
+            response.status = BadRequest;
+            return;
+        }
+        const EngineOrder order{body.value("epoch", std::uint64_t{0}), body.value("kind", ""), body.value("name", ""),
+                                body.value("version", "")};
+        absl::MutexLock lock(&m_mutex);
+        switch (m_orders.give(order, core::now())) {
+        case EngineOrders::Reply::Accepted:
+            break;
+        case EngineOrders::Reply::Outdated:
+            response.status = Conflict;
+            break;
+        case EngineOrders::Reply::Unknown:
+            response.status = BadRequest;
+            break;
+        }
+        response.set_header("Highest-Epoch", std::to_string(m_orders.highestEpoch()));
+    }
+
     void complete(const httplib::Request &request, httplib::Response &response)
     {
         if (m_leaving) {
@@ -303,6 +377,8 @@
                               {"reservations", load.reservations},
                               {"cachedTokens", load.cachedTokens},
                               {"prefillRate", load.prefillRate},
+                              {"loaded", m_orders.loaded(core::now())},
+                              {"role", m_orders.role()},
                               {"leaving", m_leaving.load()}}
             .dump();
     }
@@ -318,6 +394,7 @@
 
     absl::Mutex m_mutex;
     EngineModel m_model ABSL_GUARDED_BY(m_mutex);
+    EngineOrders m_orders ABSL_GUARDED_BY(m_mutex);
     std::string m_report ABSL_GUARDED_BY(m_mutex);
     const core::Duration m_reportLag;
     std::atomic<bool> m_leaving{false};
@@ -340,7 +417,8 @@
         "HOST:PORT")("costs", options::value<std::string>()->default_value(""), "costs file (JSON)")(
         "time-scale", options::value<double>()->default_value(1.0),
         "multiplies all costs")("kv-tokens", options::value<std::int64_t>(), "KV memory, overrides the costs file")(
-        "report-lag-ms", options::value<std::int64_t>()->default_value(100), "age of load reports")(
+        "no-fence", "take orders of any epoch")("report-lag-ms", options::value<std::int64_t>()->default_value(100),
+                                                "age of load reports")(
         "ports-file", options::value<std::string>()->default_value(""), "write the bound address to this file");
     try {
         options::variables_map given;
@@ -357,7 +435,8 @@
         if (given.contains("kv-tokens")) {
             costs.kvTokens = given["kv-tokens"].as<std::int64_t>();
         }
-        const EngineServer server(costs, core::parseAddress(given["listen"].as<std::string>()),
+        const EngineServer server(costs, !given.contains("no-fence"),
+                                  core::parseAddress(given["listen"].as<std::string>()),
                                   core::fromMs(given["report-lag-ms"].as<std::int64_t>()));
         core::writePortsFile(given["ports-file"].as<std::string>(), {{"listen", server.address().text()}});
         core::waitForStopSignal();
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -52,6 +52,7 @@
     bool proxyEngines = false; ///< A fault proxy before each engine.
     bool proxyService = false; ///< A fault proxy before the plain service.
     bool proxyPlatform = false; ///< A fault proxy before the platform, for daemons.
+    std::string platformlessDomain; ///< Its daemons know an address of the platform that nobody listens on.
     nlohmann::json daemonExtras = nlohmann::json::object(); ///< Merged into each daemon's settings.
     std::int64_t longThresholdTokens = 32'000;
     std::int64_t engineTokens = 400'000;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -101,4 +101,42 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_newest_summary_counts_and_only_direct_ones_are_repeated)
+{
+    membership::DomainTable table("a");
+    membership::DomainSummary summary;
+    summary.failureDomain = "b";
+    summary.daemons = 4;
+    summary.age = absl::Seconds(2);
+    BOOST_TEST(table.hear(summary, false, Start));
+    BOOST_TEST(table.toRepeat(Start).empty());
+    summary.age = absl::Seconds(3);
+    BOOST_TEST(!table.hear(summary, true, Start));
+    summary.age = absl::ZeroDuration();
+    summary.daemons = 5;
+    BOOST_TEST(table.hear(summary, true, Start));
+    const auto later = Start + absl::Seconds(4);
+    BOOST_TEST(table.toRepeat(later).size() == 1);
+    BOOST_TEST(table.known(later).at(0).daemons == 5);
+    BOOST_TEST((table.known(later).at(0).age == absl::Seconds(4)));
+    BOOST_TEST(table.toRepeat(Start + absl::Seconds(6)).empty());
+    BOOST_TEST(table.known(Start + absl::Hours(5)).size() == 1);
+    summary.failureDomain = "a";
+    BOOST_TEST(!table.hear(summary, true, Start));
+}
+
+BOOST_AUTO_TEST_CASE(a_delegate_prefers_contacts_that_it_hears)
+{
+    membership::PeerTable table("self", "a", Timeout);
+    table.noteVmList({{"b1", "b", {"127.0.0.1", 11}, false}, {"b2", "b", {"127.0.0.1", 12}, false}});
+    BOOST_TEST(table.otherDomains().size() == 1);
+    BOOST_TEST(table.contactsIn("b", 3, Start).size() == 2);
+    auto heard = news("b2", 1, 1);
+    heard.failureDomain = "b";
+    heard.peerAddress.port = 12;
+    table.hear(heard, Start);
+    BOOST_TEST(table.contactsIn("b", 1, Start).at(0).port == 12);
+    BOOST_TEST(table.roleHolders(true, Start).size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/request_test.cpp
+++ b/tests/unit/request_test.cpp
@@ -146,6 +146,30 @@
     BOOST_TEST(routing::chooseTarget({1, true, 0}, {ejected, leaving}, {}, {}, 0).chosen.value() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_stays_at_home_unless_home_is_busy_or_gone)
+{
+    const auto at = [](targets::TargetView target, const std::string &domain, core::Duration age) {
+        target.failureDomain = domain;
+        target.reportAge = age;
+        return target;
+    };
+    const auto fresh = absl::Seconds(1);
+    const auto near = at(view("near", 1000), "home", fresh);
+    const auto busy = at(view("near", 90'000), "home", fresh);
+    const auto far = at(view("far", 0), "away", fresh);
+    const auto silent = at(view("far", 0), "away", absl::Minutes(5));
+    auto gone = near;
+    gone.report.condition = targets::TargetCondition::Unreachable;
+    const auto choose = [](const std::vector<targets::TargetView> &targets) {
+        return routing::chooseAcrossDomains({1000, true, 0}, targets, "home", {}, {}, 0).chosen.value();
+    };
+    BOOST_TEST(choose({near, far}) == 0);
+    BOOST_TEST(choose({busy, far}) == 1);
+    BOOST_TEST(choose({busy, silent}) == 0);
+    BOOST_TEST(choose({gone, far}) == 1);
+    BOOST_TEST(choose({gone, silent}) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_not_sent_again_unless_it_may_be)
 {
     const dispatch::AttemptEnd end{core::Outcome::MayHaveRun, core::Reason::StreamCut};
