--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -84,7 +84,7 @@
     shape.daemonsEach = daemons;
     shape.enginesEach = engines;
     shape.daemonExtras
-        = {{"timing", {{"heartbeatMs", 1000}, {"peerTimeoutMs", 3500}, {"loadPollMs", 500}}}, {"logLevel", "warning"}};
+        = {{"timing", {{"heartbeatMs", 1000}, {"peerTimeoutMs", 3500}, {"loadPollMs", 1000}}}, {"logLevel", "warning"}};
     Fleet fleet(shape);
     absl::SleepFor(absl::Seconds(3));
     std::vector<Sample> before;
--- /dev/null
+++ b/bench/soak.cpp
@@ -0,0 +1,437 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: mixed load under random failures, every answer checked
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "fleet.h"
+
+#include "spurlug/core/program.h"
+#include "spurlug/core/time.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace bench
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+namespace core = spurlug::core;
+using support::Answer;
+using support::Fleet;
+
+constexpr std::int64_t EngineTokens = 20'000;
+constexpr std::int64_t LongThreshold = 8'000;
+constexpr std::int64_t DeadlineMs = 20'000;
+constexpr auto DeadlineSlack = absl::Seconds(2);
+
+/// What callers saw, added up.
+struct Tally
+{
+    std::map<std::string, std::int64_t> ends; ///< Requests by kind and how they ended.
+    std::int64_t wrong = 0; ///< Ended properly with another text than expected.
+    std::int64_t cutSilently = 0; ///< Broken without a word by a daemon that was never killed.
+    std::int64_t pastDeadline = 0; ///< Ended later than the deadline, at a daemon that was never frozen.
+    std::map<std::string, std::string> told; ///< Outcome told for each request that must run once.
+};
+
+/// Daemons by name, with their present addresses and what was done to them.
+class Daemons
+{
+public:
+    struct Entry
+    {
+        std::string vm;
+        std::string address;
+        int killed = 0;
+        int frozen = 0;
+    };
+
+    void set(const std::string &vm, const std::string &address)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_entries[vm].vm = vm;
+        m_entries[vm].address = address;
+    }
+    void noteKill(const std::string &vm)
+    {
+        absl::MutexLock lock(&m_mutex);
+        ++m_entries[vm].killed;
+    }
+    void noteFreeze(const std::string &vm)
+    {
+        absl::MutexLock lock(&m_mutex);
+        ++m_entries[vm].frozen;
+    }
+    [[nodiscard]] Entry get(const std::string &vm) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_entries.at(vm);
+    }
+    [[nodiscard]] Entry pick(std::uint64_t draw) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return std::next(m_entries.begin(), static_cast<std::ptrdiff_t>(draw % m_entries.size()))->second;
+    }
+
+private:
+    mutable absl::Mutex m_mutex;
+    std::map<std::string, Entry> m_entries ABSL_GUARDED_BY(m_mutex);
+};
+
+/// One caller that sends requests until told to stop.
+class Caller
+{
+public:
+    Caller(const Daemons &daemons, std::uint64_t seed, const std::atomic<bool> &stop)
+        : m_daemons(daemons)
+        , m_random(seed)
+        , m_name("c" + std::to_string(seed))
+        , m_thread([this, &stop] {
+            while (!stop) {
+                sendOne();
+            }
+        })
+    { }
+
+    const Tally &join()
+    {
+        m_thread.join();
+        return m_tally;
+    }
+
+private:
+    void sendOne()
+    {
+        const auto daemon = m_daemons.pick(m_random());
+        const auto draw = m_random() % 100;
+        if (draw < 55) {
+            complete(daemon, 500 + static_cast<std::int64_t>(m_random() % 3000), "short");
+        } else if (draw < 65) {
+            complete(daemon, LongThreshold + static_cast<std::int64_t>(m_random() % 35'000), "long");
+        } else if (draw < 80) {
+            service(daemon, "GET");
+        } else {
+            service(daemon, "POST");
+        }
+    }
+
+    void complete(const Daemons::Entry &daemon, std::int64_t tokens, const std::string &kind)
+    {
+        const auto prompt = Fleet::promptOf(tokens, m_name + "-" + std::to_string(m_number++));
+        const int answerTokens = 10 + static_cast<int>(m_random() % 100);
+        const nlohmann::json body{{"model", "model"},
+                                  {"stream", true},
+                                  {"max_tokens", answerTokens},
+                                  {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+        const auto started = core::now();
+        const auto answer = support::call(daemon.address, "POST", "/v1/chat/completions", body.dump(), headers());
+        const auto end = note(daemon, kind, answer, core::now() - started, answer.streamEnded());
+        if (end == "completed" && answer.text() != Fleet::expected(prompt, answerTokens)) {
+            ++m_tally.wrong;
+            std::cerr << "wrong answer: " << tokens << " tokens at " << daemon.vm << "\n";
+        }
+    }
+
+    void service(const Daemons::Entry &daemon, const std::string &method)
+    {
+        const auto workId = m_name + "-" + std::to_string(m_number++);
+        auto all = headers();
+        all["Work-Id"] = workId;
+        if (method == "POST" && m_random() % 2 == 0) {
+            all["Idempotency-Key"] = workId;
+        }
+        const auto started = core::now();
+        const auto answer = support::call(daemon.address, method, "/services/service/work", "", all);
+        const auto end = note(daemon, method, answer, core::now() - started, answer.status == 200);
+        if (method == "POST") {
+            m_tally.told[workId] = answer.status == 0 ? "nothing" : answer.outcome();
+        }
+    }
+
+    static std::map<std::string, std::string> headers()
+    {
+        return {{"Authorization", std::string("Bearer ") + Fleet::Key},
+                {"Spurlug-Deadline-Ms", std::to_string(DeadlineMs)}};
+    }
+
+    std::string note(const Daemons::Entry &before, const std::string &kind, const Answer &answer, core::Duration took,
+                     bool ended)
+    {
+        const auto after = m_daemons.get(before.vm);
+        const auto code = answer.errorCode();
+        const std::string end = ended ? "completed" : code.empty() ? "broken" : code + "/" + answer.outcome();
+        ++m_tally.ends[kind + " " + end];
+        if (end == "broken" && after.killed == 0) {
+            ++m_tally.cutSilently;
+            std::cerr << kind << " broken without a word at " << before.vm << ", status " << answer.status << "\n";
+        }
+        if (took > core::fromMs(DeadlineMs) + DeadlineSlack && after.frozen == 0) {
+            ++m_tally.pastDeadline;
+            std::cerr << kind << " took " << core::toMs(took) << " ms at " << before.vm << "\n";
+        }
+        if (end == "broken") {
+            absl::SleepFor(absl::Milliseconds(50));
+        }
+        return end;
+    }
+
+    const Daemons &m_daemons;
+    std::mt19937_64 m_random;
+    std::string m_name;
+    int m_number = 0;
+    Tally m_tally;
+    std::thread m_thread;
+};
+
+/// Does damage and mends it, one piece at a time or two at once.
+class Saboteur
+{
+public:
+    Saboteur(Fleet &fleet, Daemons &daemons, std::uint64_t seed)
+        : m_fleet(fleet)
+        , m_daemons(daemons)
+        , m_random(seed)
+    { }
+
+    /// One round: one or two failures, some seconds, mending, some quiet.
+    void round()
+    {
+        std::vector<std::function<void()>> mend;
+        const int count = m_random() % 3 == 0 ? 2 : 1;
+        for (int i = 0; i < count; ++i) {
+            mend.push_back(damage());
+        }
+        absl::SleepFor(absl::Milliseconds(500 + m_random() % 3500));
+        for (const auto &work : mend) {
+            work();
+        }
+        absl::SleepFor(absl::Milliseconds(500 + m_random() % 1500));
+    }
+
+    [[nodiscard]] const std::map<std::string, int> &done() const
+    {
+        return m_done;
+    }
+
+private:
+    using Mend = std::function<void()>;
+
+    Mend damage()
+    {
+        const auto engine = m_fleet.engines()[m_random() % m_fleet.engines().size()];
+        // The first daemon of each domain is never killed, and only the last one is frozen, so that some callers can
+        // be held to the strictest account.
+        const std::string domain = m_random() % 2 == 0 ? "domain-a" : "domain-b";
+        switch (m_random() % 7) {
+        case 0:
+            ++m_done["engine killed"];
+            m_fleet.process(engine).kill();
+            return [this, engine] { m_fleet.restartEngine(engine); };
+        case 1:
+            ++m_done["engine frozen"];
+            m_fleet.process(engine).signal(SIGSTOP);
+            return [this, engine] { m_fleet.process(engine).signal(SIGCONT); };
+        case 2:
+            return engineFault(engine, "stalled", {{"stallAfter", 2000}});
+        case 3:
+            return engineFault(engine, "cut off", {{"refuse", true}});
+        case 4:
+            return killDaemon(domain);
+        case 5:
+            return freezeDaemon(domain);
+        default:
+            return m_random() % 2 == 0 ? serviceFault() : platformOutage();
+        }
+    }
+
+    Mend engineFault(const std::string &engine, const std::string &name, const nlohmann::json &faults)
+    {
+        ++m_done["engine " + name];
+        m_fleet.setFaults(engine, faults);
+        return [this, engine] { m_fleet.setFaults(engine, nlohmann::json::object()); };
+    }
+
+    Mend serviceFault()
+    {
+        ++m_done["service answers lost"];
+        m_fleet.setFaults("service", {{"loseAnswer", true}});
+        return [this] { m_fleet.setFaults("service", nlohmann::json::object()); };
+    }
+
+    Mend platformOutage()
+    {
+        ++m_done["platform down"];
+        m_fleet.setPlatformFaults({{"down", true}});
+        return [this] { m_fleet.setPlatformFaults({{"down", false}}); };
+    }
+
+    Mend killDaemon(const std::string &domain)
+    {
+        const auto vm = domain + "-2";
+        if (!m_broken.insert(vm).second) {
+            return [] {};
+        }
+        ++m_done["daemon killed"];
+        m_daemons.noteKill(vm);
+        m_fleet.process(vm).kill();
+        return [this, vm, domain] {
+            m_daemons.set(vm, m_fleet.startDaemon(vm, domain).address("callers"));
+            m_broken.erase(vm);
+        };
+    }
+
+    Mend freezeDaemon(const std::string &domain)
+    {
+        const auto vm = domain + "-3";
+        if (!m_broken.insert(vm).second) {
+            return [] {};
+        }
+        ++m_done["daemon frozen"];
+        m_daemons.noteFreeze(vm);
+        m_fleet.process(vm).signal(SIGSTOP);
+        return [this, vm] {
+            m_fleet.process(vm).signal(SIGCONT);
+            m_broken.erase(vm);
+        };
+    }
+
+    Fleet &m_fleet;
+    Daemons &m_daemons;
+    std::mt19937_64 m_random;
+    std::set<std::string> m_broken;
+    std::map<std::string, int> m_done;
+};
+
+bool allGivenBack(Fleet &fleet)
+{
+    for (const auto &engine : fleet.engines()) {
+        const auto state = fleet.engineState(engine);
+        if (state["freeTokens"] != state["kvTokens"] || state["reservations"] != 0 || state["streams"] != 0) {
+            return false;
+        }
+    }
+    for (const auto &vm : fleet.daemons()) {
+        if (fleet.metric(vm, "groups_held") != 0 || fleet.metric(vm, "body_bytes") != 0
+            || fleet.metric(vm, "requests_in_progress") != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Compares what callers were told with what the service counted.
+nlohmann::ordered_json compareRuns(Fleet &fleet, const std::map<std::string, std::string> &told)
+{
+    const auto runs = support::call(fleet.process("service").address("listen"), "GET", "/standin/runs").json();
+    std::int64_t doubled = 0;
+    std::int64_t falseNotRun = 0;
+    std::int64_t falseCompleted = 0;
+    for (const auto &[workId, outcome] : told) {
+        const int count = runs.value(workId, 0);
+        doubled += count > 1 ? 1 : 0;
+        falseNotRun += outcome == "not_run" && count > 0 ? 1 : 0;
+        falseCompleted += outcome == "completed" && count != 1 ? 1 : 0;
+    }
+    return {{"marked", told.size()},
+            {"doubled", doubled},
+            {"falseNotRun", falseNotRun},
+            {"falseCompleted", falseCompleted}};
+}
+
+nlohmann::ordered_json run(double seconds, int callers, std::uint64_t seed)
+{
+    support::FleetShape shape;
+    shape.domains = {"domain-a", "domain-b"};
+    shape.daemonsEach = 3;
+    shape.enginesEach = 3;
+    shape.engineTokens = EngineTokens;
+    shape.longThresholdTokens = LongThreshold;
+    shape.proxyEngines = true;
+    shape.proxyService = true;
+    shape.daemonExtras = {{"logLevel", "warning"}};
+    Fleet fleet(shape);
+    Daemons daemons;
+    for (const auto &vm : fleet.daemons()) {
+        daemons.set(vm, fleet.caller(vm));
+    }
+    std::atomic<bool> stop{false};
+    std::vector<std::unique_ptr<Caller>> all;
+    for (int i = 0; i < callers; ++i) {
+        all.push_back(std::make_unique<Caller>(daemons, seed * 1000 + static_cast<std::uint64_t>(i), stop));
+    }
+    Saboteur saboteur(fleet, daemons, seed);
+    const auto until = core::now() + absl::Seconds(seconds);
+    while (core::now() < until) {
+        saboteur.round();
+    }
+    stop = true;
+    Tally tally;
+    for (const auto &caller : all) {
+        const auto &one = caller->join();
+        for (const auto &[end, count] : one.ends) {
+            tally.ends[end] += count;
+        }
+        tally.wrong += one.wrong;
+        tally.cutSilently += one.cutSilently;
+        tally.pastDeadline += one.pastDeadline;
+        tally.told.insert(one.told.begin(), one.told.end());
+    }
+    nlohmann::ordered_json out{
+        {"seconds", seconds}, {"seed", seed}, {"failures", saboteur.done()}, {"ends", tally.ends}};
+    out["wrong"] = tally.wrong;
+    out["cutSilently"] = tally.cutSilently;
+    out["pastDeadline"] = tally.pastDeadline;
+    out.update(compareRuns(fleet, tally.told));
+    out["allGivenBack"] = support::eventually([&] { return allGivenBack(fleet); });
+    return out;
+}
+
+bool holds(const nlohmann::ordered_json &out)
+{
+    return out["wrong"] == 0 && out["cutSilently"] == 0 && out["pastDeadline"] == 0 && out["doubled"] == 0
+        && out["falseNotRun"] == 0 && out["falseCompleted"] == 0 && out["allGivenBack"] == true;
+}
+
+} // namespace
+
+} // namespace bench
+
+int main(int argc, char **argv)
+{
+    using namespace bench;
+    options::options_description description("soak - mixed load under random failures");
+    description.add_options()("help,h", "show this text")("seconds", options::value<double>()->default_value(180),
+                                                          "length")("callers", options::value<int>()->default_value(24),
+                                                                    "callers at once")(
+        "seed", options::value<std::uint64_t>()->default_value(1),
+        "of requests and failures")("out", options::value<std::string>(), "write the result as JSON");
+    try {
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, description), given);
+        if (given.contains("help")) {
+            std::cout << description << "\n";
+            return core::ExitOk;
+        }
+        const auto out
+            = run(given["seconds"].as<double>(), given["callers"].as<int>(), given["seed"].as<std::uint64_t>());
+        std::cout << out.dump(4) << std::endl;
+        if (given.contains("out")) {
+            std::ofstream(given["out"].as<std::string>()) << out.dump(4) << "\n";
+        }
+        return holds(out) ? core::ExitOk : core::ExitFailure;
+    } catch (const std::exception &error) {
+        std::cerr << "soak: " << error.what() << "\n";
+        return core::ExitUsage;
+    }
+}
--- a/include/spurlug/core/rendezvous.h
+++ b/include/spurlug/core/rendezvous.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,4 +25,13 @@
 /// \endcode
 [[nodiscard]] std::vector<std::string> rankByRendezvous(std::string_view item, std::vector<std::string> nodes);
 
+/// \brief Shares items out over nodes by rendezvous hashing, none getting more than `most`.
+///
+/// An item goes to the node with the highest weight that has room; every caller with the same items and nodes comes to
+/// the same result. A node that joins or leaves moves its own items and few others.
+/// \param most Raised as far as it takes to give every item a node.
+/// \returns The node of each item; empty when there is no node.
+[[nodiscard]] std::map<std::string, std::string> shareOut(const std::vector<std::string> &items,
+                                                          const std::vector<std::string> &nodes, std::size_t most);
+
 } // namespace spurlug::core
--- a/include/spurlug/daemon/caller_api.h
+++ b/include/spurlug/daemon/caller_api.h
@@ -7,6 +7,7 @@
 #include "spurlug/admission/admission.h"
 #include "spurlug/admission/byte_budget.h"
 #include "spurlug/admission/request_body.h"
+#include "spurlug/claims/commit.h"
 #include "spurlug/config/store.h"
 #include "spurlug/core/error.h"
 #include "spurlug/daemon/identity.h"
@@ -15,6 +16,7 @@
 #include "spurlug/metrics/metrics.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -43,6 +45,7 @@
     std::int64_t mostBodyBytes; ///< Of one request.
     metrics::Metrics &metrics;
     const std::atomic<bool> &refusing; ///< Set once a planned stop takes no new requests.
+    std::function<claims::ClaimAnswer(const claims::ClaimWish &)> claim; ///< Waits for the commit.
 };
 
 /// \brief `/v1/chat/completions`, `/v1/completions`, `/v1/models` and `/services/NAME/...`.
@@ -60,8 +63,9 @@
                      const httplib::ContentReader *reader);
     void listModels(const httplib::Request &request, httplib::Response &response);
     void refuse(const core::Refused &refusal, const std::string &id, httplib::Response &response);
-    [[nodiscard]] std::shared_ptr<RunGuard> startRun(const admission::Caller &caller,
-                                                     dispatch::AdmittedRequest admitted);
+    [[nodiscard]] std::shared_ptr<RunGuard>
+    startRun(const admission::Caller &caller, dispatch::AdmittedRequest admitted, const std::string &idempotencyKey);
+    [[nodiscard]] std::string claimKey(const dispatch::AdmittedRequest &admitted, const std::string &idempotencyKey);
     [[nodiscard]] dispatch::AdmittedRequest
     admitCompletion(const admission::Caller &caller, const admission::RequestBody &fields, const std::string &id);
     [[nodiscard]] dispatch::AdmittedRequest admitService(const admission::Caller &caller,
--- a/include/spurlug/daemon/peer_calls.h
+++ b/include/spurlug/daemon/peer_calls.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/claims/commit.h"
 #include "spurlug/config/parts.h"
 #include "spurlug/core/address.h"
 #include "spurlug/core/time.h"
@@ -49,6 +50,9 @@
     /// \brief Gives a grant back; it lapses by itself when the broker does not answer.
     void release(const core::Address &peer, std::uint64_t grant);
 
+    /// \brief Has a peer carry out a wish to claim. \throws NetworkError
+    [[nodiscard]] claims::ClaimAnswer claim(const core::Address &peer, const claims::ClaimWish &wish);
+
     /// \brief Root in force at a peer. \throws NetworkError
     [[nodiscard]] std::string fetchRoot(const core::Address &peer);
 
--- a/include/spurlug/daemon/peer_server.h
+++ b/include/spurlug/daemon/peer_server.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/claims/claim_owner.h"
 #include "spurlug/config/store.h"
 #include "spurlug/core/address.h"
 #include "spurlug/daemon/decision_finder.h"
@@ -20,6 +21,7 @@
 struct PeerServerParts
 {
     grants::BrokerHost &brokers;
+    claims::ClaimOwner &claims;
     membership::Fleet &fleet;
     config::Store &store;
     const DecisionFinder &finder;
--- a/include/spurlug/daemon/roles.h
+++ b/include/spurlug/daemon/roles.h
@@ -16,6 +16,9 @@
 /// \brief Daemons that hold the watcher's role at once.
 inline constexpr std::size_t Watchers = 2;
 
+/// \brief Role of the daemon that commits the claims of a failure domain.
+inline constexpr std::string_view ClaimOwnerRole = "claim-owner";
+
 /// \brief Role of the daemon that grants the engines of a pool.
 [[nodiscard]] inline std::string brokerRole(std::string_view pool)
 {
--- a/include/spurlug/dispatch/request_run.h
+++ b/include/spurlug/dispatch/request_run.h
@@ -120,6 +120,9 @@
 
     [[nodiscard]] const AdmittedRequest &request() const noexcept;
 
+    /// \brief How the request ended; nothing while it goes on.
+    [[nodiscard]] std::optional<core::Outcome> outcome() const noexcept;
+
 private:
     [[nodiscard]] Output pursue(core::Duration wait, core::Time now);
     [[nodiscard]] Output awaitEvent(core::Duration wait, core::Time now);
--- /dev/null
+++ b/src/claims/claim_shard.cpp
@@ -0,0 +1,61 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: claimed idempotency keys, as one object of the platform holds them
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/claims/claim_shard.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/hash.h"
+#include "spurlug/core/text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spurlug::claims
+{
+
+std::string claimName(std::string_view organisation, std::string_view idempotencyKey)
+{
+    constexpr std::size_t NameDigits = 32;
+    return core::contentHash(core::cat(organisation, "\n", idempotencyKey)).substr(0, NameDigits);
+}
+
+int shardOf(std::string_view claimName) noexcept
+{
+    return static_cast<int>(core::fastHash(claimName) % Shards);
+}
+
+std::string shardObject(int shard)
+{
+    return core::cat("claims/", shard);
+}
+
+ClaimTable readShard(std::string_view text)
+{
+    try {
+        ClaimTable table;
+        const auto document = nlohmann::json::parse(text);
+        for (const auto &[name, value] : document.items()) {
+            table[name] = Claim{value.at(0), value.at(1)};
+        }
+        return table;
+    } catch (const nlohmann::json::exception &error) {
+        throw core::InvalidDocument(core::cat("claims: ", error.what()));
+    }
+}
+
+std::string writeShard(const ClaimTable &table)
+{
+    auto value = nlohmann::json::object();
+    for (const auto &[name, claim] : table) {
+        value[name] = {claim.requestId, claim.claimedAt};
+    }
+    return value.dump();
+}
+
+void dropOld(ClaimTable &table, std::int64_t nowSeconds)
+{
+    std::erase_if(table, [nowSeconds](const auto &item) { return nowSeconds - item.second.claimedAt > KeptSeconds; });
+}
+
+} // namespace spurlug::claims
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -27,4 +27,28 @@
     return nodes;
 }
 
+std::map<std::string, std::string> shareOut(const std::vector<std::string> &items,
+                                            const std::vector<std::string> &nodes, std::size_t most)
+{
+    std::map<std::string, std::string> shares;
+    if (nodes.empty()) {
+        return shares;
+    }
+    const auto needed = (items.size() + nodes.size() - 1) / nodes.size();
+    const auto bound = std::max(most, needed);
+    auto ordered = items;
+    std::sort(ordered.begin(), ordered.end());
+    std::map<std::string, std::size_t> counts;
+    for (const auto &item : ordered) {
+        for (const auto &node : rankByRendezvous(item, nodes)) {
+            if (counts[node] < bound) {
+                ++counts[node];
+                shares[item] = node;
+                break;
+            }
+        }
+    }
+    return shares;
+}
+
 } // namespace spurlug::core
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -24,19 +24,26 @@
 namespace spurlug::daemon
 {
 
-/// Abandons its run when the caller's side ends, in whatever way.
+/// Abandons its run when the caller's side ends, in whatever way, and gives a claimed key back if nothing ran.
 struct RunGuard
 {
+    using GiveBack = std::function<void()>;
+
     core::Ref<dispatch::RequestRun> run;
     limits::OrganisationLimiter::LongPlace longPlace;
+    GiveBack giveBack; ///< Null when no key was claimed.
 
-    RunGuard(core::Ref<dispatch::RequestRun> theRun, limits::OrganisationLimiter::LongPlace place)
+    RunGuard(core::Ref<dispatch::RequestRun> theRun, limits::OrganisationLimiter::LongPlace place, GiveBack theGiveBack)
         : run(std::move(theRun))
         , longPlace(std::move(place))
+        , giveBack(std::move(theGiveBack))
     { }
     ~RunGuard()
     {
         run->abandon();
+        if (giveBack && run->outcome() == core::Outcome::NotRun) {
+            giveBack();
+        }
     }
     RunGuard(const RunGuard &) = delete;
     RunGuard &operator=(const RunGuard &) = delete;
@@ -405,11 +412,39 @@
     writeError(response, toReply(refusal, id));
 }
 
-std::shared_ptr<RunGuard> CallerApi::startRun(const admission::Caller &caller, dispatch::AdmittedRequest admitted)
+std::shared_ptr<RunGuard> CallerApi::startRun(const admission::Caller &caller, dispatch::AdmittedRequest admitted,
+                                              const std::string &idempotencyKey)
 {
     auto place = m_parts.limiter.take(*caller.organisation, admitted.tokens, admitted.isLong, core::now());
+    const auto name = claimKey(admitted, idempotencyKey);
+    RunGuard::GiveBack giveBack;
+    if (!name.empty()) {
+        giveBack = [this, wish = claims::ClaimWish{name, admitted.id, true}] {
+            [[maybe_unused]] const auto answer = m_parts.claim(wish);
+        };
+    }
     auto run = core::makeCounted<dispatch::RequestRun>(m_parts.runs, std::move(admitted));
-    return std::make_shared<RunGuard>(std::move(run), std::move(place));
+    return std::make_shared<RunGuard>(std::move(run), std::move(place), std::move(giveBack));
+}
+
+/// Claims the key of a request that must not run twice. Returns the claim's name; empty when none is needed.
+std::string CallerApi::claimKey(const dispatch::AdmittedRequest &admitted, const std::string &idempotencyKey)
+{
+    if (admitted.repeatable || idempotencyKey.empty()) {
+        return {};
+    }
+    auto name = claims::claimName(admitted.organisation, idempotencyKey);
+    const auto answer = m_parts.claim({name, admitted.id, false});
+    switch (answer.result) {
+    case claims::ClaimResult::Won:
+        return name;
+    case claims::ClaimResult::Taken:
+        throw Refused(Reason::AlreadyClaimed, core::cat("request ", answer.holder, " has this idempotency key"));
+    case claims::ClaimResult::Unavailable:
+        break;
+    }
+    constexpr int PlatformBackInSeconds = 5;
+    throw Refused(Reason::ClaimUnavailable, "the idempotency key cannot be claimed now", PlatformBackInSeconds);
 }
 
 void CallerApi::complete(const httplib::Request &request, httplib::Response &response,
@@ -429,8 +464,9 @@
         admitted.body = std::move(body);
         admitted.bodyHold = std::move(hold);
         const auto kind = request.path.find("chat") != std::string::npos ? CompletionKind::Chat : CompletionKind::Text;
-        const auto answer
-            = std::make_shared<CompletionResponse>(startRun(caller, std::move(admitted)), kind, fields, m_parts.ratios);
+        const auto answer = std::make_shared<CompletionResponse>(
+            startRun(caller, std::move(admitted), request.get_header_value("Idempotency-Key")), kind, fields,
+            m_parts.ratios);
         if (fields.stream) {
             CompletionResponse::writeStream(answer, response);
         } else {
@@ -500,7 +536,9 @@
         if (incoming) {
             admitted.body = incoming->read(m_parts.mostBodyBytes, m_parts.bodyMemory, admitted.bodyHold);
         }
-        ServiceResponse::write(std::make_shared<ServiceResponse>(startRun(caller, std::move(admitted))), response);
+        ServiceResponse::write(std::make_shared<ServiceResponse>(
+                                   startRun(caller, std::move(admitted), request.get_header_value("Idempotency-Key"))),
+                               response);
     } catch (const Refused &refusal) {
         refuse(refusal, id, response);
     }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -68,6 +68,8 @@
     [[nodiscard]] membership::DomainSummary summarise(core::Time now) const;
     void receive(const membership::Heartbeat &heartbeat, core::Time now);
     void applied(const config::ConfigurationRef &configuration);
+    [[nodiscard]] claims::ClaimAnswer claim(const claims::ClaimWish &wish);
+    [[nodiscard]] claims::ClaimAnswer claimHere(const claims::ClaimWish &wish);
     void setGauges();
 
     const settings::DaemonSettings settings;
@@ -86,6 +88,7 @@
     admission::TokenRatios ratios;
     admission::ByteBudget bodyMemory;
     std::atomic<bool> refusing{false};
+    claims::ClaimOwner claimOwner;
     grants::BrokerHost brokers;
     grants::GroupKeeper groups;
     dispatch::RunContext runs;
@@ -109,6 +112,7 @@
     , finder(decisions, fleet, peers)
     , attempts(static_cast<std::size_t>(settings.limits.connections), 0)
     , bodyMemory(settings.limits.bodyMemoryBytes)
+    , claimOwner(platform, metrics)
     , brokers(
           targetTable, [this] { return store.current(); }, settings.failureDomain)
     , groups(settings.vm, identity.incarnation, grantHooks())
@@ -124,9 +128,10 @@
            {},
            {},
            settings.failureDomain}
-    , peerServer(
-          std::make_unique<PeerServer>(settings.rpcAddress, PeerServerParts{brokers, fleet, store, finder, metrics}))
-    , callerApi({identity, store, runs, limiter, ratios, bodyMemory, settings.limits.bodyBytes, metrics, refusing})
+    , peerServer(std::make_unique<PeerServer>(settings.rpcAddress,
+                                              PeerServerParts{brokers, claimOwner, fleet, store, finder, metrics}))
+    , callerApi({identity, store, runs, limiter, ratios, bodyMemory, settings.limits.bodyBytes, metrics, refusing,
+                 [this](const claims::ClaimWish &wish) { return claim(wish); }})
     , adminApi({identity, store, fleet, targetTable, decisions, metrics, finder, [this] { setGauges(); },
                 [] { kill(getpid(), SIGTERM); }})
 {
@@ -341,6 +346,32 @@
     core::log(core::LogLevel::Info, "configuration_applied", {{"generation", configuration->generation}});
 }
 
+claims::ClaimAnswer Daemon::Impl::claim(const claims::ClaimWish &wish)
+{
+    const auto owner = fleet.holder(ClaimOwnerRole, core::now());
+    const auto peer = fleet.find(owner);
+    if (!peer) {
+        return claimHere(wish);
+    }
+    try {
+        return peers.claim(peer->news.rpcAddress, wish);
+    } catch (const core::NetworkError &) {
+        return claimHere(wish); // The owner is gone: any daemon may commit, its wish names the same request.
+    }
+}
+
+claims::ClaimAnswer Daemon::Impl::claimHere(const claims::ClaimWish &wish)
+{
+    absl::Notification answered;
+    claims::ClaimAnswer answer;
+    claimOwner.wish(wish, [&](const claims::ClaimAnswer &given) {
+        answer = given;
+        answered.Notify();
+    });
+    answered.WaitForNotification();
+    return answer;
+}
+
 void Daemon::Impl::setGauges()
 {
     metrics.gauge("requests_in_progress", static_cast<double>(runs.inProgress));
--- a/src/daemon/peer_calls.cpp
+++ b/src/daemon/peer_calls.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr auto CallTimeout = absl::Seconds(2);
+constexpr auto ClaimTimeout = absl::Seconds(10); // The owner may have to try several times.
 constexpr std::size_t MostChannels = 512;
 
 void setDeadline(grpc::ClientContext &context, core::Duration timeout)
@@ -114,6 +115,26 @@
     [[maybe_unused]] const auto status = channel(peer)->stub->Release(&context, request, &reply);
 }
 
+claims::ClaimAnswer PeerCalls::claim(const core::Address &peer, const claims::ClaimWish &wish)
+{
+    wire::ClaimRequest request;
+    request.set_name(wish.name);
+    request.set_request_id(wish.requestId);
+    request.set_give_back(wish.giveBack);
+    grpc::ClientContext context;
+    setDeadline(context, ClaimTimeout);
+    wire::ClaimReply reply;
+    throwUnlessOk(channel(peer)->stub->Claim(&context, request, &reply));
+    switch (reply.result()) {
+    case wire::WON:
+        return {claims::ClaimResult::Won, reply.holder()};
+    case wire::TAKEN:
+        return {claims::ClaimResult::Taken, reply.holder()};
+    default:
+        return {};
+    }
+}
+
 std::string PeerCalls::fetchRoot(const core::Address &peer)
 {
     grpc::ClientContext context;
--- a/src/daemon/peer_server.cpp
+++ b/src/daemon/peer_server.cpp
@@ -53,6 +53,19 @@
     }
 }
 
+wire::ClaimResult toWire(claims::ClaimResult result)
+{
+    switch (result) {
+    case claims::ClaimResult::Won:
+        return wire::WON;
+    case claims::ClaimResult::Taken:
+        return wire::TAKEN;
+    case claims::ClaimResult::Unavailable:
+        break;
+    }
+    return wire::UNAVAILABLE;
+}
+
 class PeersService final : public wire::Peers::CallbackService
 {
 public:
@@ -101,6 +114,20 @@
         return finish(context);
     }
 
+    grpc::ServerUnaryReactor *Claim(grpc::CallbackServerContext *context, const wire::ClaimRequest *request,
+                                    wire::ClaimReply *reply) override
+    {
+        m_parts.metrics.count(metrics::Counter::RpcCalls);
+        auto *reactor = context->DefaultReactor();
+        const auto onAnswer = [reactor, reply](const claims::ClaimAnswer &answer) {
+            reply->set_result(toWire(answer.result));
+            reply->set_holder(answer.holder);
+            reactor->Finish(grpc::Status::OK);
+        };
+        m_parts.claims.wish({request->name(), request->request_id(), request->give_back()}, onAnswer);
+        return reactor;
+    }
+
     grpc::ServerUnaryReactor *FetchRoot(grpc::CallbackServerContext *context,
                                         const wire::FetchRootRequest * /*request*/, wire::RootReply *reply) override
     {
--- a/src/dispatch/request_run.cpp
+++ b/src/dispatch/request_run.cpp
@@ -80,6 +80,11 @@
     return m_request;
 }
 
+std::optional<core::Outcome> RequestRun::outcome() const noexcept
+{
+    return m_end ? std::optional(m_decision.outcome) : std::nullopt;
+}
+
 Output RequestRun::next(core::Duration wait)
 {
     if (m_end) {
--- a/src/membership/heartbeat_service.cpp
+++ b/src/membership/heartbeat_service.cpp
@@ -18,7 +18,7 @@
 {
 
 constexpr std::uint64_t IntroduceEvery = 10;
-constexpr std::uint64_t SummariesEvery = 2;
+constexpr std::uint64_t SummariesEvery = 4;
 constexpr int PauseIntervals = 3; // A round that comes this many intervals late means that the daemon stood still.
 
 } // namespace
--- a/src/targets/observer.cpp
+++ b/src/targets/observer.cpp
@@ -6,7 +6,6 @@
 #include "spurlug/targets/observer.h"
 
 #include "spurlug/core/rendezvous.h"
-#include "spurlug/core/text.h"
 
 #include <absl/synchronization/blocking_counter.h>
 #include <algorithm>
@@ -18,6 +17,7 @@
 namespace
 {
 
+constexpr std::size_t MostObserved = 2; // Unless there are more than twice as many targets as daemons.
 constexpr std::size_t PollThreads = 4;
 constexpr std::size_t MostQueuedPolls = 1024;
 
@@ -52,22 +52,26 @@
 
 std::vector<config::TargetSpec> Observer::assigned() const
 {
-    std::vector<config::TargetSpec> specs;
     const auto configuration = m_configuration();
+    std::vector<config::TargetSpec> local;
+    std::vector<std::string> ids;
     if (!configuration) {
-        return specs;
+        return local;
     }
-    const auto now = core::now();
-    const auto take = [&](const config::TargetSpec &spec) {
-        if (spec.failureDomain == m_failureDomain
-            && m_fleet.holder(core::cat("target:", spec.id), now) == m_fleet.self()) {
-            specs.push_back(spec);
-        }
-    };
     for (const auto &pool : configuration->pools) {
-        std::for_each(pool.targets.begin(), pool.targets.end(), take);
+        for (const auto &spec : pool.targets) {
+            if (spec.failureDomain == m_failureDomain) {
+                local.push_back(spec);
+                ids.push_back(spec.id);
+            }
+        }
     }
-    return specs;
+    const auto shares = core::shareOut(ids, m_fleet.roleHolders(core::now()), MostObserved);
+    std::erase_if(local, [&](const auto &spec) {
+        const auto share = shares.find(spec.id);
+        return share == shares.end() || share->second != m_fleet.self();
+    });
+    return local;
 }
 
 core::Duration Observer::pollRound()
--- a/tests/integration/promises_test.cpp
+++ b/tests/integration/promises_test.cpp
@@ -145,6 +145,47 @@
     BOOST_TEST(fleet.metric("domain-a-1", "retries_total{reason=\"connect_failed\"}") == 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_keyed_request_runs_once_whichever_daemon_gets_it)
+{
+    FleetShape shape;
+    shape.proxyService = true;
+    Fleet fleet(shape);
+    const auto send = [&](const std::string &vm, const std::string &key, const std::string &workId) {
+        return support::call(
+            fleet.caller(vm), "POST", "/services/service/notify", "",
+            {{"Authorization", std::string("Bearer ") + Fleet::Key}, {"Work-Id", workId}, {"Idempotency-Key", key}});
+    };
+    BOOST_TEST(send("domain-a-1", "k1", "first").status == 200);
+    for (const auto &vm : fleet.daemons()) {
+        const auto repeated = send(vm, "k1", "first");
+        BOOST_TEST(repeated.status == 409);
+        BOOST_TEST(repeated.errorCode() == "already_claimed");
+        BOOST_TEST(repeated.outcome() == "not_run");
+    }
+    BOOST_TEST(runsOf(fleet, "first") == 1);
+
+    fleet.setFaults("service", {{"loseAnswer", true}});
+    BOOST_TEST(send("domain-a-1", "k2", "lost").outcome() == "may_have_run");
+    fleet.setFaults("service", nlohmann::json::object());
+    BOOST_TEST(send("domain-a-2", "k2", "lost").errorCode() == "already_claimed");
+    BOOST_TEST(runsOf(fleet, "lost") == 1);
+
+    fleet.setPlatformFaults({{"loseAnswers", 2}});
+    BOOST_TEST(send("domain-a-2", "k3", "claim-answer-lost").status == 200);
+
+    fleet.setPlatformFaults({{"down", true}});
+    const auto unavailable = send("domain-a-1", "k4", "down");
+    BOOST_TEST(unavailable.errorCode() == "claim_unavailable");
+    BOOST_TEST(unavailable.outcome() == "not_run");
+    BOOST_TEST(runsOf(fleet, "down") == 0);
+    fleet.setPlatformFaults({{"down", false}});
+    BOOST_TEST(send("domain-a-2", "k4", "down").status == 200);
+
+    fleet.process("service-proxy").kill();
+    BOOST_TEST(send("domain-a-1", "k5", "never").outcome() == "not_run");
+    BOOST_TEST(send("domain-a-2", "k5", "never").errorCode() != "already_claimed");
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_target_gets_nothing_new_and_finishes_what_it_has)
 {
     Fleet fleet;
--- /dev/null
+++ b/tests/property/claims_property.cpp
@@ -0,0 +1,82 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: idempotency keys against an oracle
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "fake_api.h"
+#include "property.h"
+
+#include "spurlug/claims/commit.h"
+
+#include <map>
+#include <set>
+
+using namespace spurlug;
+using property::FakeApi;
+using property::FakeState;
+using property::genFaults;
+
+BOOST_AUTO_TEST_SUITE(claims_properties)
+
+/// Two owners, lost answers and an absent platform: within the time that keys are kept, no two requests win the same
+/// key unless the first gave it back, and a request that was told "taken" is told by whom.
+BOOST_AUTO_TEST_CASE(a_key_has_one_winner)
+{
+    CHECK_PROPERTY("claims", [] {
+        FakeState state;
+        const FakeApi api(state);
+        int number = 0;
+        std::int64_t now = 1'000'000;
+        std::map<std::string, std::string> holder; // Oracle: who may run, by key.
+        std::set<std::string> uncertain; // Requests that were told "unavailable": they did not run.
+        const auto round = [&] {
+            std::vector<claims::ClaimWish> wishes;
+            const auto count = *rc::gen::inRange(1, 4);
+            for (int i = 0; i < count; ++i) {
+                const auto key = "k" + std::to_string(*rc::gen::inRange(0, 3));
+                const bool giveBack = holder.contains(key) && *rc::gen::weightedElement<bool>({{3, false}, {1, true}});
+                wishes.push_back({key, giveBack ? holder[key] : "r" + std::to_string(++number), giveBack});
+            }
+            const auto answers = claims::commit(api, 0, wishes, now);
+            RC_ASSERT(answers.size() == wishes.size());
+            for (std::size_t i = 0; i < wishes.size(); ++i) {
+                const auto &wish = wishes[i];
+                if (wish.giveBack) {
+                    if (answers[i].result == claims::ClaimResult::Won && holder[wish.name] == wish.requestId) {
+                        holder.erase(wish.name);
+                    }
+                } else if (answers[i].result == claims::ClaimResult::Won) {
+                    RC_ASSERT(!holder.contains(wish.name));
+                    holder[wish.name] = wish.requestId;
+                } else if (answers[i].result == claims::ClaimResult::Taken) {
+                    RC_ASSERT(answers[i].holder != wish.requestId);
+                    RC_ASSERT(holder[wish.name] == answers[i].holder || uncertain.contains(answers[i].holder));
+                } else {
+                    uncertain.insert(wish.requestId);
+                }
+            }
+        };
+        // The other owner commits in the middle of this one's round, between its read and its update.
+        state.otherAuthor = [&] {
+            const auto faults = std::exchange(state.faults, {});
+            round();
+            state.faults = faults;
+        };
+        const auto rounds = *rc::gen::inRange(1, 12);
+        for (int i = 0; i < rounds; ++i) {
+            state.faults = *genFaults();
+            now += *rc::gen::inRange(0, 5);
+            round();
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(old_claims_are_dropped)
+{
+    claims::ClaimTable table{{"a", {"r1", 1000}}, {"b", {"r2", 1500}}};
+    claims::dropOld(table, 1000 + claims::KeptSeconds + 1);
+    BOOST_TEST(table.size() == 1);
+    BOOST_TEST(claims::readShard(claims::writeShard(table)).at("b").requestId == "r2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/property/config_property.cpp
+++ b/tests/property/config_property.cpp
@@ -3,6 +3,7 @@
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
+#include "fake_api.h"
 #include "property.h"
 
 #include "spurlug/config/apply.h"
@@ -12,113 +13,19 @@
 #include <set>
 
 using namespace spurlug;
+using property::FakeApi;
+using property::FakeState;
+using property::genFaults;
 
 namespace
 {
 
-/// What the fake platform does with the next calls.
-enum class Fault
-{
-    None,
-    Down, ///< The call does nothing and says so.
-    AnswerLost, ///< A write takes effect; its answer is lost.
-    RequestLost, ///< A write takes no effect; its author cannot tell.
-    OtherAuthor, ///< Another author's change comes first.
-};
-
-struct FakeState
-{
-    std::map<std::string, platform::Object> objects;
-    std::int64_t lastVersion = 0;
-    std::vector<config::Root> committed;
-    std::vector<Fault> faults;
-    std::function<void()> otherAuthor;
-    bool nested = false;
-
-    Fault next()
-    {
-        if (faults.empty() || nested) {
-            return Fault::None;
-        }
-        const auto fault = faults.back();
-        faults.pop_back();
-        return fault;
-    }
-};
-
-/// An object API with faults, driven by one thread.
-class FakeApi
-{
-public:
-    explicit FakeApi(FakeState &state)
-        : m_state(state)
-    { }
-
-    [[nodiscard]] std::optional<platform::Object> read(const std::string &name) const
-    {
-        if (m_state.next() == Fault::Down) {
-            throw core::PlatformUnavailable("down");
-        }
-        const auto found = m_state.objects.find(name);
-        return found == m_state.objects.end() ? std::nullopt : std::optional(found->second);
-    }
-
-    [[nodiscard]] std::optional<platform::Object> waitForChange(const std::string &name, std::int64_t version,
-                                                                core::Duration /*wait*/) const
-    {
-        const auto object = read(name);
-        return object && object->version > version ? object : std::nullopt;
-    }
-
-    std::int64_t update(const std::string &name, const std::string &value, std::int64_t version) const
-    {
-        const auto fault = m_state.next();
-        if (fault == Fault::Down) {
-            throw core::PlatformUnavailable("down");
-        }
-        if (fault == Fault::RequestLost) {
-            throw core::UnknownResult("request lost");
-        }
-        if (fault == Fault::OtherAuthor) {
-            m_state.nested = true;
-            m_state.otherAuthor();
-            m_state.nested = false;
-        }
-        auto &object = m_state.objects[name];
-        if (object.version != version) {
-            throw core::VersionConflict("other version");
-        }
-        object = {value, ++m_state.lastVersion};
-        if (name == config::RootObject) {
-            m_state.committed.push_back(config::readRoot(value));
-        }
-        if (fault == Fault::AnswerLost) {
-            throw core::UnknownResult("answer lost");
-        }
-        return object.version;
-    }
-
-private:
-    FakeState &m_state;
-};
-
-static_assert(platform::ObjectApi<FakeApi>);
-
 nlohmann::json documentNumber(int number)
 {
     return {{"organisations", {{{"name", "o" + std::to_string(number)}}}},
             {"classes", {{{"name", "c"}, {"priority", number}}}}};
 }
 
-rc::Gen<std::vector<Fault>> genFaults()
-{
-    return rc::gen::container<std::vector<Fault>>(rc::gen::weightedElement<Fault>({{8, Fault::None},
-                                                                                   {1, Fault::Down},
-                                                                                   {2, Fault::AnswerLost},
-                                                                                   {2, Fault::RequestLost},
-                                                                                   {2, Fault::OtherAuthor}}));
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(config_properties)
@@ -151,10 +58,14 @@
             state.faults = *genFaults();
             author("main");
         }
+        std::vector<config::Root> committed;
+        for (const auto &value : state.written[std::string(config::RootObject)]) {
+            committed.push_back(config::readRoot(value));
+        }
         std::multiset<std::string> inForce;
-        for (std::size_t i = 0; i < state.committed.size(); ++i) {
-            RC_ASSERT(state.committed[i].generation == static_cast<std::int64_t>(i) + 1);
-            inForce.insert(state.committed[i].changeId);
+        for (std::size_t i = 0; i < committed.size(); ++i) {
+            RC_ASSERT(committed[i].generation == static_cast<std::int64_t>(i) + 1);
+            inForce.insert(committed[i].changeId);
         }
         for (const auto &[changeId, success] : told) {
             RC_ASSERT(inForce.count(changeId) == (success ? 1U : 0U));
--- /dev/null
+++ b/tests/property/fake_api.h
@@ -0,0 +1,118 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: an object API with faults, driven by one thread
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/error.h"
+#include "spurlug/platform/object_api.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace property
+{
+
+namespace core = spurlug::core;
+namespace platform = spurlug::platform;
+
+/// What the fake platform does with the next calls.
+enum class Fault
+{
+    None,
+    Down, ///< The call does nothing and says so.
+    AnswerLost, ///< A write takes effect; its answer is lost.
+    RequestLost, ///< A write takes no effect; its author cannot tell.
+    OtherAuthor, ///< Another author's change comes first.
+};
+
+struct FakeState
+{
+    std::map<std::string, platform::Object> objects;
+    std::int64_t lastVersion = 0;
+    std::map<std::string, std::vector<std::string>> written; ///< All values that took effect, by object.
+    std::vector<Fault> faults;
+    std::function<void()> otherAuthor;
+    bool nested = false;
+
+    Fault next()
+    {
+        if (faults.empty() || nested) {
+            return Fault::None;
+        }
+        const auto fault = faults.back();
+        faults.pop_back();
+        return fault;
+    }
+};
+
+/// An object API with faults, driven by one thread.
+class FakeApi
+{
+public:
+    explicit FakeApi(FakeState &state)
+        : m_state(state)
+    { }
+
+    [[nodiscard]] std::optional<platform::Object> read(const std::string &name) const
+    {
+        if (m_state.next() == Fault::Down) {
+            throw core::PlatformUnavailable("down");
+        }
+        const auto found = m_state.objects.find(name);
+        return found == m_state.objects.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    [[nodiscard]] std::optional<platform::Object> waitForChange(const std::string &name, std::int64_t version,
+                                                                core::Duration /*wait*/) const
+    {
+        const auto object = read(name);
+        return object && object->version > version ? object : std::nullopt;
+    }
+
+    std::int64_t update(const std::string &name, const std::string &value, std::int64_t version) const
+    {
+        const auto fault = m_state.next();
+        if (fault == Fault::Down) {
+            throw core::PlatformUnavailable("down");
+        }
+        if (fault == Fault::RequestLost) {
+            throw core::UnknownResult("request lost");
+        }
+        if (fault == Fault::OtherAuthor) {
+            m_state.nested = true;
+            m_state.otherAuthor();
+            m_state.nested = false;
+        }
+        auto &object = m_state.objects[name];
+        if (object.version != version) {
+            throw core::VersionConflict("other version");
+        }
+        object = {value, ++m_state.lastVersion};
+        m_state.written[name].push_back(value);
+        if (fault == Fault::AnswerLost) {
+            throw core::UnknownResult("answer lost");
+        }
+        return object.version;
+    }
+
+private:
+    FakeState &m_state;
+};
+
+static_assert(platform::ObjectApi<FakeApi>);
+
+inline rc::Gen<std::vector<Fault>> genFaults()
+{
+    return rc::gen::container<std::vector<Fault>>(rc::gen::weightedElement<Fault>({{8, Fault::None},
+                                                                                   {1, Fault::Down},
+                                                                                   {2, Fault::AnswerLost},
+                                                                                   {2, Fault::RequestLost},
+                                                                                   {2, Fault::OtherAuthor}}));
+}
+
+} // namespace property
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -145,9 +145,7 @@
     for (const auto &domain : shape.domains) {
         for (int i = 1; i <= shape.enginesEach; ++i) {
             const auto name = domain + "-engine-" + std::to_string(i);
-            start(name, "standin-engine",
-                  {"--time-scale", std::to_string(shape.timeScale), "--report-lag-ms", "50", "--kv-tokens",
-                   std::to_string(shape.engineTokens)});
+            startEngine(name, "127.0.0.1:0");
             m_engines.push_back(name);
             targets.push_back(
                 {{"id", name}, {"address", behindProxy(name, shape.proxyEngines)}, {"failureDomain", domain}});
@@ -199,6 +197,18 @@
 
 Fleet::~Fleet() = default;
 
+Process &Fleet::startEngine(const std::string &name, const std::string &listen)
+{
+    return start(name, "standin-engine",
+                 {"--time-scale", std::to_string(m_shape.timeScale), "--report-lag-ms", "50", "--kv-tokens",
+                  std::to_string(m_shape.engineTokens), "--listen", listen});
+}
+
+void Fleet::restartEngine(const std::string &engine)
+{
+    startEngine(engine, process(engine).address("listen"));
+}
+
 std::string Fleet::behindProxy(const std::string &name, bool proxied)
 {
     const auto target = process(name).address("listen");
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -88,6 +88,8 @@
     [[nodiscard]] nlohmann::json engineState(const std::string &engine);
     /// \brief A counter or gauge of a daemon, by its whole name with labels.
     [[nodiscard]] double metric(const std::string &vm, const std::string &name);
+    /// \brief Starts a killed engine again at its old address.
+    void restartEngine(const std::string &engine);
     /// \brief Sets the faults of the proxy before a program.
     void setFaults(const std::string &proxied, const nlohmann::json &faults);
     /// \brief Sets the faults of the platform itself.
@@ -101,6 +103,7 @@
     [[nodiscard]] static std::string promptOf(std::int64_t tokens, const std::string &seed = "x");
 
 private:
+    Process &startEngine(const std::string &name, const std::string &listen);
     [[nodiscard]] std::string behindProxy(const std::string &name, bool proxied);
 
     FleetShape m_shape;
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -58,6 +58,34 @@
     BOOST_TEST(moved < 300);
 }
 
+BOOST_AUTO_TEST_CASE(items_are_shared_out_evenly_and_few_move)
+{
+    std::vector<std::string> items;
+    for (int i = 0; i < 60; ++i) {
+        items.push_back("target-" + std::to_string(i));
+    }
+    std::vector<std::string> nodes;
+    for (int i = 0; i < 42; ++i) {
+        nodes.push_back("vm-" + std::to_string(i));
+    }
+    const auto before = core::shareOut(items, nodes, 2);
+    std::map<std::string, int> counts;
+    for (const auto &[item, node] : before) {
+        BOOST_TEST(++counts[node] <= 2);
+    }
+    BOOST_TEST(before.size() == 60);
+    const auto lost = nodes.back();
+    nodes.pop_back();
+    const auto after = core::shareOut(items, nodes, 2);
+    int moved = 0;
+    for (const auto &[item, node] : before) {
+        moved += after.at(item) != node ? 1 : 0;
+    }
+    BOOST_TEST(moved <= 8);
+    BOOST_TEST(core::shareOut(items, {"a"}, 2).size() == 60);
+    BOOST_TEST(core::shareOut(items, {}, 2).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_reader_notes_every_fault_with_its_pointer)
 {
     const auto document = nlohmann::json::parse(R"({"name": 3, "port": 99999, "extra": 1, "list": [{"id": ""}]})");
