Starting daemons do not all read the platform; watchers tell at once; the caller API in smaller files

Cause: worked out for CAPACITY.md: a domain of 42 daemons starting together would read root and up to 67 parts each, about 2,900 reads against the platform's 2,000 a second, and a read that failed threw away the parts before it. Change: a starting daemon waits 0-3 s before it reads the platform, keeps parts that were read, and tells its peers at once when it has a configuration; a watcher tells at once as well, so a change no longer waits for the next heartbeat. Ruled out: every daemon telling at once (1,700 datagrams a change in a domain for nothing). The caller API was one file of 530 lines with three jobs: body intake and the two kinds of answers have their own now.

--- a/bench/cores_bench.cpp
+++ b/bench/cores_bench.cpp
@@ -115,6 +115,29 @@
 }
 BENCHMARK(readHeartbeat)->Arg(0)->Arg(2)->Arg(8)->Arg(32);
 
+/// A heartbeat to another failure domain, or one that repeats a summary at home.
+void readSummary(benchmark::State &state)
+{
+    membership::DomainSummary summary;
+    summary.failureDomain = "coast-west-hall-horseshoe";
+    summary.rpcAddress = {"10.120.130.140", 50'051};
+    summary.daemons = 42;
+    summary.lowestGeneration = 277'000;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        const auto loads = makeHeartbeat(2).loads;
+        summary.pools.push_back({static_cast<std::uint32_t>(i * 2'654'435'761U), 15, loads, summary.rpcAddress});
+    }
+    auto heartbeat = makeHeartbeat(0);
+    const auto bare = membership::writeHeartbeat(heartbeat, "a shared key").size();
+    heartbeat.summaries.push_back(summary);
+    const auto datagram = membership::writeHeartbeat(heartbeat, "a shared key");
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(membership::readHeartbeat(datagram, "a shared key"));
+    }
+    state.counters["bytes"] = static_cast<double>(datagram.size() - bare);
+}
+BENCHMARK(readSummary)->Arg(1)->Arg(2)->Arg(4)->Arg(8);
+
 void findRoleHolder(benchmark::State &state)
 {
     std::vector<std::string> daemons;
--- a/bench/fit_capacity.py
+++ b/bench/fit_capacity.py
@@ -18,7 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "bench" / "results"
 DAEMONS, DOMAIN_DAEMONS, DOMAIN_TARGETS, ORGANISATIONS, DOMAINS = 420, 42, 60, 3400, 10
-REQUESTS, TOKENS = 1700, 500_000
+REQUESTS, TOKENS, POOLS, STREAMS = 1700, 500_000, 4, 40
 TOLERANCE = 0.25
 
 
@@ -63,6 +63,7 @@
                      [row["cpuPercentMean"] for row in engines], "targets a daemon observes"),
         "path_cpu": (tokens, [row["cpuPercent"] for row in path], "tokens a second"),
         "path_memory": (streams, [row["residentMb"] for row in path], "open streams"),
+        "summary_bytes": (*core_series(cores, "readSummary", "bytes"), "pools"),
         "route_us": (*core_series(cores, "chooseTarget"), "targets"),
         "configuration_us": (*core_series(cores, "readConfiguration"), "organisations"),
         "broker_us": (*core_series(cores, "serveAsks"), "waiting asks"),
@@ -70,29 +71,54 @@
     }
 
 
+def heartbeat_fit():
+    """Bytes a second both ways = c (n - 1) + l E 2 (n - 1) / n: a heartbeat to and from each peer, and each load once."""
+    rows = load("fleet_daemons.json") + load("fleet_engines.json")
+    peers = [[row["daemons"] - 1, row["engines"] * 2 * (row["daemons"] - 1) / row["daemons"]] for row in rows]
+    measured = np.array([row["heartbeatBytesPerSecondMean"] for row in rows])
+    (base, each), *_ = np.linalg.lstsq(np.array(peers, dtype=float), measured, rcond=None)
+    residual = np.sqrt(np.mean((np.array(peers) @ [base, each] - measured) ** 2)) / measured.mean()
+    return base, each, residual
+
+
 def figures(fits):
     at = lambda name, x: fits[name][0] + fits[name][1] * x
     observed = DOMAIN_TARGETS / DOMAIN_DAEMONS
+    base, each, _ = heartbeat_fit()
+    both_ways = lambda n, targets: (base * (n - 1) + each * targets * 2 * (n - 1) / n) / 1000
     path = load("path.json")[-1]
-    per_daemon = TOKENS / DAEMONS
-    streams = 40 * DAEMONS / DAEMONS
-    heartbeat = at("heartbeat_bytes", DOMAIN_DAEMONS) / 1000
+    heartbeat = both_ways(DOMAIN_DAEMONS, DOMAIN_TARGETS)
     poll = at("poll_bytes", observed) / 1000
+    # Each of the other domains' contacts repeats one summary to its peers every fourth second; all hear all.
+    summary = at("summary_bytes", POOLS)
+    hear_summaries = (DOMAINS - 1) * summary / 4 / 1000
+    contact = (DOMAIN_DAEMONS - 1) * summary / 4 / 1000 + 2 * summary / 1000
+    # A daemon that observes two targets instead of the mean sends their loads to all its peers.
+    busiest = (2 - observed) * (each * (DOMAIN_DAEMONS - 1) + fits["poll_bytes"][1]) / 1000
+    cpu = at("control_cpu", DOMAIN_DAEMONS) + fits["poll_cpu"][1] * (observed - 10 / DOMAIN_DAEMONS)
+    per_daemon = TOKENS / DAEMONS
+    largest = next(n for n in range(42, 400)
+                   if both_ways(n, n * observed) + poll + hear_summaries + contact + busiest > 15)
     return {
         "heartbeat_kb": heartbeat,
         "poll_kb": poll,
-        "control_kb": heartbeat + poll,
-        "control_cpu": at("control_cpu", DOMAIN_DAEMONS) + fits["poll_cpu"][1] * observed,
+        "summary_bytes": summary,
+        "hear_summaries_kb": hear_summaries,
+        "contact_kb": contact,
+        "control_kb": heartbeat + poll + hear_summaries,
+        "control_most_kb": heartbeat + poll + hear_summaries + contact + busiest,
+        "largest_domain": largest,
+        "control_cpu": cpu,
         "control_mb": at("control_memory", DOMAIN_DAEMONS),
         "apply_ms": at("apply_ms", DOMAIN_DAEMONS),
         "configuration_ms": at("configuration_us", ORGANISATIONS) / 1000,
-        "route_us": at("route_us", DOMAIN_TARGETS),
+        "route_us": at("route_us", DOMAIN_TARGETS * DOMAINS),
         "broker_us": at("broker_us", 100),
         "body_ms_million": at("body_us", 1_000_000) / 1000,
         "path_cpu": at("path_cpu", per_daemon),
         "path_cpu_domain_lost": at("path_cpu", TOKENS / (DAEMONS - DOMAIN_DAEMONS)),
         "path_cpu_region_lost": at("path_cpu", TOKENS / (DAEMONS * 2 / 3)),
-        "path_memory": at("path_memory", streams),
+        "path_memory": at("path_memory", STREAMS),
         "token_us": path["cpuMicrosPerToken"],
         "added_ms": path["addedMsP50"],
         "added_p99_ms": path["addedMsP99"],
--- a/include/spurlug/core/periodic.h
+++ b/include/spurlug/core/periodic.h
@@ -6,7 +6,8 @@
 
 #include "spurlug/core/time.h"
 
-#include <absl/synchronization/notification.h>
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
 #include <functional>
 #include <string>
 #include <thread>
@@ -28,6 +29,10 @@
     Periodic(std::string name, Round round);
     /// \brief Waits for the round in progress.
     ~Periodic();
+
+    /// \brief Starts the next round now, or right after the one in progress.
+    void runNow() ABSL_LOCKS_EXCLUDED(m_mutex);
+
     Periodic(const Periodic &) = delete;
     Periodic &operator=(const Periodic &) = delete;
 
@@ -36,7 +41,9 @@
 
     std::string m_name;
     Round m_round;
-    absl::Notification m_stop;
+    absl::Mutex m_mutex;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_now ABSL_GUARDED_BY(m_mutex) = false;
     std::thread m_thread;
 };
 
--- a/include/spurlug/daemon/config_follower.h
+++ b/include/spurlug/daemon/config_follower.h
@@ -40,6 +40,7 @@
     [[nodiscard]] bool readsVmListOften(core::Time now) const;
     void takeFromPlatform(const platform::Object &root);
     void takeFromPeer(const core::Address &peer);
+    [[nodiscard]] core::Duration startDelay();
     [[nodiscard]] core::Duration backoff();
 
     config::Store &m_store;
@@ -48,7 +49,9 @@
     const platform::HttpObjectApi &m_platform;
     metrics::Metrics &m_metrics;
     const settings::Timing m_timing;
+    bool m_started = false;
     std::int64_t m_rootVersion = 0;
+    config::PartTexts m_partsRead; ///< Of a root that could not be read whole yet.
     core::Time m_vmListReadAt = absl::InfinitePast();
     int m_failures = 0;
     std::mt19937_64 m_random;
--- a/include/spurlug/daemon/error_body.h
+++ b/include/spurlug/daemon/error_body.h
@@ -4,7 +4,9 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/core/error.h"
 #include "spurlug/core/reason.h"
+#include "spurlug/dispatch/attempt.h"
 
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -27,6 +29,12 @@
     int retryAfterSeconds = 0; ///< 0: not told.
 };
 
+/// \brief A refusal, as its caller sees it.
+[[nodiscard]] ErrorReply toReply(const core::Refused &refusal, const std::string &requestId);
+
+/// \brief A request that failed for good, as its caller sees it.
+[[nodiscard]] ErrorReply toReply(const dispatch::AttemptEnd &end, const std::string &requestId);
+
 /// \brief HTTP status for a reason.
 [[nodiscard]] int statusOf(core::Reason reason) noexcept;
 
--- a/include/spurlug/membership/heartbeat_service.h
+++ b/include/spurlug/membership/heartbeat_service.h
@@ -43,6 +43,10 @@
     HeartbeatService(Fleet &fleet, metrics::Metrics &metrics, std::unique_ptr<UdpSocket> socket, std::string key,
                      std::vector<core::Address> seeds, core::Duration interval, HeartbeatHooks hooks);
     ~HeartbeatService();
+
+    /// \brief Sends the next heartbeat now: there is news that peers should not wait for.
+    void sendNow();
+
     HeartbeatService(const HeartbeatService &) = delete;
     HeartbeatService &operator=(const HeartbeatService &) = delete;
 
--- a/include/spurlug/settings/settings.h
+++ b/include/spurlug/settings/settings.h
@@ -33,6 +33,7 @@
     core::Duration peerTimeout = core::fromMs(3500); ///< Silence after which a peer counts as gone.
     core::Duration loadPoll = core::fromMs(1000); ///< Between load reports of a target.
     core::Duration watch = core::fromMs(20000); ///< Longest wait of one watch call.
+    core::Duration startSpread = core::fromMs(3000); ///< Longest wait before a starting daemon reads the platform.
     core::Duration platformRetry = core::fromMs(500); ///< First wait after a failed platform call.
 };
 
--- a/src/core/periodic.cpp
+++ b/src/core/periodic.cpp
@@ -21,24 +21,37 @@
 
 Periodic::~Periodic()
 {
-    m_stop.Notify();
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_stopping = true;
+    }
     m_thread.join();
 }
 
+void Periodic::runNow()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_now = true;
+}
+
 void Periodic::work()
 {
     constexpr auto AfterFault = absl::Seconds(1);
-    do {
+    const auto awaited = [this]() ABSL_NO_THREAD_SAFETY_ANALYSIS { return m_stopping || m_now; };
+    while (true) {
         Duration wait = AfterFault;
         try {
             wait = m_round();
         } catch (const std::exception &error) {
             log(LogLevel::Error, "round_failed", {{"work", m_name}, {"problem", error.what()}});
         }
-        if (m_stop.WaitForNotificationWithTimeout(wait)) {
+        absl::MutexLock lock(&m_mutex);
+        m_mutex.AwaitWithTimeout(absl::Condition(&awaited), wait);
+        if (m_stopping) {
             return;
         }
-    } while (true);
+        m_now = false;
+    }
 }
 
 } // namespace spurlug::core
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -5,13 +5,16 @@
 
 #include "spurlug/daemon/caller_api.h"
 
+#include "completion_response.h"
+#include "service_response.h"
+
 #include "spurlug/core/error.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
-#include "spurlug/daemon/completion_writer.h"
 #include "spurlug/daemon/error_body.h"
 #include "spurlug/daemon/http_listener.h"
-#include "spurlug/dispatch/sse.h"
+#include "spurlug/daemon/incoming_body.h"
+#include "spurlug/daemon/run_guard.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
@@ -24,31 +27,6 @@
 namespace spurlug::daemon
 {
 
-/// Abandons its run when the caller's side ends, in whatever way, and gives a claimed key back if nothing ran.
-struct RunGuard
-{
-    using GiveBack = std::function<void()>;
-
-    core::Ref<dispatch::RequestRun> run;
-    limits::OrganisationLimiter::LongPlace longPlace;
-    GiveBack giveBack; ///< Null when no key was claimed.
-
-    RunGuard(core::Ref<dispatch::RequestRun> theRun, limits::OrganisationLimiter::LongPlace place, GiveBack theGiveBack)
-        : run(std::move(theRun))
-        , longPlace(std::move(place))
-        , giveBack(std::move(theGiveBack))
-    { }
-    ~RunGuard()
-    {
-        run->abandon();
-        if (giveBack && run->outcome() == core::Outcome::NotRun) {
-            giveBack();
-        }
-    }
-    RunGuard(const RunGuard &) = delete;
-    RunGuard &operator=(const RunGuard &) = delete;
-};
-
 namespace
 {
 
@@ -57,84 +35,10 @@
 using core::Refused;
 
 constexpr int Ok = 200;
-constexpr auto OutputWait = absl::Milliseconds(250); // Between looks at whether the caller is still there.
-constexpr auto StatusPatience = absl::Milliseconds(1500); // After this a stream starts with its outcome still open.
-constexpr std::size_t PlainBytesHeld = 256U << 10; // Answers of services up to this size are sent whole.
 constexpr std::int64_t DefaultAnswerTokens = 1024; // Room for an answer whose length is not given.
 constexpr std::int64_t ServiceTokens = 1;
 constexpr std::int64_t LongPriority = 100; // Added for long prompts, so that engines let short ones pass.
 
-ErrorReply toReply(const Refused &refusal, const std::string &requestId)
-{
-    return {refusal.reason(), Outcome::NotRun, refusal.what(), requestId, refusal.retryAfterSeconds()};
-}
-
-ErrorReply toReply(const dispatch::AttemptEnd &end, const std::string &requestId)
-{
-    return {end.reason, end.outcome, end.detail, requestId, end.retryAfterSeconds};
-}
-
-/// A request's body, still on its way. What is left unread at the end of its life is read and thrown away, so that the
-/// connection can carry another request.
-class IncomingBody
-{
-public:
-    IncomingBody(const httplib::Request &request, const httplib::ContentReader &reader)
-        : m_request(request)
-        , m_reader(reader)
-    { }
-    ~IncomingBody()
-    {
-        if (!m_read && announcedBytes(0) > 0) {
-            m_reader([](const char *, std::size_t) { return true; });
-        }
-    }
-    IncomingBody(const IncomingBody &) = delete;
-    IncomingBody &operator=(const IncomingBody &) = delete;
-
-    /// Reads a body that was announced; its bytes are held against the budget.
-    std::string read(std::int64_t mostBytes, admission::ByteBudget &budget, admission::ByteBudget::Hold &hold)
-    {
-        const auto announced = announcedBytes(mostBytes);
-        if (announced == 0) {
-            return {};
-        }
-        if (announced > mostBytes) {
-            throw Refused(Reason::BodyTooLarge, core::cat("a body may have at most ", mostBytes, " bytes"));
-        }
-        hold = budget.take(announced);
-        if (!hold) {
-            throw Refused(Reason::BodyMemoryFull, "this daemon holds as many request bodies as it may", 1);
-        }
-        std::string body;
-        body.reserve(static_cast<std::size_t>(announced));
-        m_read = true;
-        const bool whole = m_reader([&](const char *data, std::size_t size) {
-            body.append(data, size);
-            return true;
-        });
-        if (!whole) {
-            throw Refused(Reason::MalformedBody, "the body ended early or came too slowly");
-        }
-        return body;
-    }
-
-private:
-    /// A body that comes in chunks may be as large as the bound; without any header there is no body.
-    [[nodiscard]] std::int64_t announcedBytes(std::int64_t mostBytes) const
-    {
-        std::int64_t announced = 0;
-        if (core::readNumber(m_request.get_header_value("Content-Length"), announced)) {
-            return std::max<std::int64_t>(announced, 0);
-        }
-        return m_request.has_header("Transfer-Encoding") ? std::max<std::int64_t>(mostBytes, 1) : 0;
-    }
-
-    const httplib::Request &m_request;
-    const httplib::ContentReader &m_reader;
-    bool m_read = false;
-};
-
 /// What every admitted request takes from its caller.
 dispatch::AdmittedRequest admittedFor(const admission::Caller &caller, const std::string &id, core::Time now)
 {
@@ -152,178 +56,6 @@
     return admitted;
 }
 
-/// Runs until the request has something to say that decides the response's status.
-dispatch::Output firstOutput(dispatch::RequestRun &run, core::Duration patience)
-{
-    const auto until = core::now() + patience;
-    while (true) {
-        auto output
-            = run.next(std::min(core::Duration(OutputWait), std::max(until - core::now(), absl::ZeroDuration())));
-        if (!std::holds_alternative<dispatch::Quiet>(output) || core::now() >= until) {
-            return output;
-        }
-    }
-}
-
-/// Writes one completion to its caller.
-class CompletionResponse
-{
-public:
-    CompletionResponse(std::shared_ptr<RunGuard> guard, CompletionKind kind, admission::RequestBody fields,
-                       admission::TokenRatios &ratios)
-        : m_guard(std::move(guard))
-        , m_fields(std::move(fields))
-        , m_ratios(ratios)
-        , m_writer(kind, m_guard->run->request().id, m_fields.model)
-    { }
-
-    void writeWhole(httplib::Response &response)
-    {
-        while (true) {
-            const auto output = m_guard->run->next(OutputWait);
-            if (const auto *tokens = std::get_if<dispatch::Tokens>(&output)) {
-                std::for_each(tokens->payloads.begin(), tokens->payloads.end(),
-                              [this](const auto &payload) { m_writer.addChunk(payload); });
-            } else if (const auto *finished = std::get_if<dispatch::Finished>(&output)) {
-                learn(*finished);
-                response.set_header("Spurlug-Outcome", std::string(core::nameOf(Outcome::Completed)));
-                response.set_content(m_writer.wholeAnswer(finished->payload), "application/json");
-                return;
-            } else if (const auto *failed = std::get_if<dispatch::Failed>(&output)) {
-                writeError(response, toReply(failed->end, m_guard->run->request().id));
-                return;
-            }
-        }
-    }
-
-    /// Starts the stream once the status is known, or patience is at its end.
-    static void writeStream(const std::shared_ptr<CompletionResponse> &self, httplib::Response &response)
-    {
-        auto first = firstOutput(*self->m_guard->run, StatusPatience);
-        if (const auto *failed = std::get_if<dispatch::Failed>(&first)) {
-            writeError(response, toReply(failed->end, self->m_guard->run->request().id));
-            return;
-        }
-        self->m_pending = std::move(first);
-        response.status = Ok;
-        response.set_header("Cache-Control", "no-cache");
-        response.set_chunked_content_provider(
-            "text/event-stream", [self](std::size_t, httplib::DataSink &sink) { return self->pump(sink); });
-    }
-
-private:
-    bool pump(httplib::DataSink &sink)
-    {
-        auto output = m_pending ? std::move(*m_pending) : m_guard->run->next(OutputWait);
-        m_pending.reset();
-        if (const auto *tokens = std::get_if<dispatch::Tokens>(&output)) {
-            std::string text;
-            for (const auto &payload : tokens->payloads) {
-                core::append(text, "data: ", payload, "\n\n");
-            }
-            return sink.write(text.data(), text.size());
-        }
-        if (const auto *finished = std::get_if<dispatch::Finished>(&output)) {
-            learn(*finished);
-            return writeLast(sink, m_writer.streamEnd(finished->payload, m_fields.includeUsage));
-        }
-        if (const auto *failed = std::get_if<dispatch::Failed>(&output)) {
-            const auto reply = toReply(failed->end, m_guard->run->request().id);
-            return writeLast(sink, dispatch::writeSse(errorBody(reply).dump()));
-        }
-        if (!sink.is_writable()) {
-            m_guard->run->abandon();
-            return false;
-        }
-        return true;
-    }
-
-    static bool writeLast(httplib::DataSink &sink, const std::string &text)
-    {
-        const bool written = sink.write(text.data(), text.size());
-        sink.done();
-        return written;
-    }
-
-    void learn(const dispatch::Finished &finished)
-    {
-        m_ratios.learn(m_fields.model, m_fields.promptBytes, promptTokensOf(finished.payload));
-    }
-
-    std::shared_ptr<RunGuard> m_guard;
-    admission::RequestBody m_fields;
-    admission::TokenRatios &m_ratios;
-    CompletionWriter m_writer;
-    std::optional<dispatch::Output> m_pending;
-};
-
-/// Writes one answer of a plain service to its caller.
-class ServiceResponse
-{
-public:
-    explicit ServiceResponse(std::shared_ptr<RunGuard> guard)
-        : m_guard(std::move(guard))
-    { }
-
-    static void write(const std::shared_ptr<ServiceResponse> &self, httplib::Response &response)
-    {
-        while (self->m_held.size() < PlainBytesHeld) {
-            auto output = self->m_guard->run->next(OutputWait);
-            if (const auto *head = std::get_if<dispatch::HeadEvent>(&output)) {
-                self->writeHead(*head, response);
-            } else if (auto *bytes = std::get_if<dispatch::BytesEvent>(&output)) {
-                self->m_held += bytes->bytes;
-            } else if (std::holds_alternative<dispatch::Finished>(output)) {
-                response.set_header("Spurlug-Outcome", std::string(core::nameOf(Outcome::Completed)));
-                response.set_content(self->m_held, self->m_contentType);
-                return;
-            } else if (const auto *failed = std::get_if<dispatch::Failed>(&output)) {
-                response.headers.clear();
-                response.set_header("Request-Id", self->m_guard->run->request().id);
-                writeError(response, toReply(failed->end, self->m_guard->run->request().id));
-                return;
-            }
-        }
-        response.set_chunked_content_provider(
-            self->m_contentType, [self](std::size_t, httplib::DataSink &sink) { return self->pump(sink); });
-    }
-
-private:
-    void writeHead(const dispatch::HeadEvent &head, httplib::Response &response)
-    {
-        response.status = head.status;
-        for (const auto &[name, value] : head.headers) {
-            if (core::equalIgnoringCase(name, "Content-Type")) {
-                m_contentType = value;
-            } else {
-                response.set_header(name.c_str(), value);
-            }
-        }
-    }
-
-    /// A failure after the head can only be told by cutting the connection before the last chunk.
-    bool pump(httplib::DataSink &sink)
-    {
-        if (!m_held.empty()) {
-            const auto held = std::exchange(m_held, {});
-            return sink.write(held.data(), held.size());
-        }
-        auto output = m_guard->run->next(OutputWait);
-        if (const auto *bytes = std::get_if<dispatch::BytesEvent>(&output)) {
-            return sink.write(bytes->bytes.data(), bytes->bytes.size());
-        }
-        if (std::holds_alternative<dispatch::Finished>(output)) {
-            sink.done();
-            return true;
-        }
-        return !std::holds_alternative<dispatch::Failed>(output) && sink.is_writable();
-    }
-
-    std::shared_ptr<RunGuard> m_guard;
-    std::string m_held;
-    std::string m_contentType = "application/octet-stream";
-};
-
 std::vector<std::pair<std::string, std::string>> passedHeaders(const httplib::Request &request)
 {
     constexpr std::array Kept{"Authorization",     "Host",       "Connection", "Content-Length",
--- /dev/null
+++ b/src/daemon/completion_response.h
@@ -0,0 +1,136 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: answers a completion
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/admission/admission.h"
+#include "spurlug/admission/request_body.h"
+#include "spurlug/core/text.h"
+#include "spurlug/daemon/completion_writer.h"
+#include "spurlug/daemon/error_body.h"
+#include "spurlug/daemon/run_guard.h"
+#include "spurlug/dispatch/sse.h"
+
+#include <algorithm>
+#include <httplib.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace spurlug::daemon
+{
+
+/// \brief After this time a stream starts with its outcome still open.
+inline constexpr auto StatusPatience = absl::Milliseconds(1500);
+
+/// \brief Waits until the request has something to say that decides the response's status, at most `patience`.
+[[nodiscard]] inline dispatch::Output firstOutput(dispatch::RequestRun &run, core::Duration patience)
+{
+    const auto until = core::now() + patience;
+    while (true) {
+        auto output
+            = run.next(std::min(core::Duration(CallerLookInterval), std::max(until - core::now(), absl::ZeroDuration())));
+        if (!std::holds_alternative<dispatch::Quiet>(output) || core::now() >= until) {
+            return output;
+        }
+    }
+}
+
+/// \brief Writes one completion to its caller.
+class CompletionResponse
+{
+public:
+    CompletionResponse(std::shared_ptr<RunGuard> guard, CompletionKind kind, admission::RequestBody fields,
+                       admission::TokenRatios &ratios)
+        : m_guard(std::move(guard))
+        , m_fields(std::move(fields))
+        , m_ratios(ratios)
+        , m_writer(kind, m_guard->run->request().id, m_fields.model)
+    { }
+
+    /// \brief Waits for the whole answer, or for the failure.
+    void writeWhole(httplib::Response &response)
+    {
+        while (true) {
+            const auto output = m_guard->run->next(CallerLookInterval);
+            if (const auto *tokens = std::get_if<dispatch::Tokens>(&output)) {
+                std::for_each(tokens->payloads.begin(), tokens->payloads.end(),
+                              [this](const auto &payload) { m_writer.addChunk(payload); });
+            } else if (const auto *finished = std::get_if<dispatch::Finished>(&output)) {
+                learn(*finished);
+                response.set_header("Spurlug-Outcome", std::string(core::nameOf(core::Outcome::Completed)));
+                response.set_content(m_writer.wholeAnswer(finished->payload), "application/json");
+                return;
+            } else if (const auto *failed = std::get_if<dispatch::Failed>(&output)) {
+                writeError(response, toReply(failed->end, m_guard->run->request().id));
+                return;
+            }
+        }
+    }
+
+    /// \brief Starts the stream once the status is known, or patience is at its end.
+    static void writeStream(const std::shared_ptr<CompletionResponse> &self, httplib::Response &response)
+    {
+        auto first = firstOutput(*self->m_guard->run, StatusPatience);
+        if (const auto *failed = std::get_if<dispatch::Failed>(&first)) {
+            writeError(response, toReply(failed->end, self->m_guard->run->request().id));
+            return;
+        }
+        self->m_pending = std::move(first);
+        constexpr int Ok = 200;
+        response.status = Ok;
+        response.set_header("Cache-Control", "no-cache");
+        response.set_chunked_content_provider(
+            "text/event-stream", [self](std::size_t, httplib::DataSink &sink) { return self->pump(sink); });
+    }
+
+private:
+    bool pump(httplib::DataSink &sink)
+    {
+        auto output = m_pending ? std::move(*m_pending) : m_guard->run->next(CallerLookInterval);
+        m_pending.reset();
+        if (const auto *tokens = std::get_if<dispatch::Tokens>(&output)) {
+            std::string text;
+            for (const auto &payload : tokens->payloads) {
+                core::append(text, "data: ", payload, "\n\n");
+            }
+            return sink.write(text.data(), text.size());
+        }
+        if (const auto *finished = std::get_if<dispatch::Finished>(&output)) {
+            learn(*finished);
+            return writeLast(sink, m_writer.streamEnd(finished->payload, m_fields.includeUsage));
+        }
+        if (const auto *failed = std::get_if<dispatch::Failed>(&output)) {
+            const auto reply = toReply(failed->end, m_guard->run->request().id);
+            return writeLast(sink, dispatch::writeSse(errorBody(reply).dump()));
+        }
+        if (!sink.is_writable()) {
+            m_guard->run->abandon();
+            return false;
+        }
+        return true;
+    }
+
+    static bool writeLast(httplib::DataSink &sink, const std::string &text)
+    {
+        const bool written = sink.write(text.data(), text.size());
+        sink.done();
+        return written;
+    }
+
+    void learn(const dispatch::Finished &finished)
+    {
+        m_ratios.learn(m_fields.model, m_fields.promptBytes, promptTokensOf(finished.payload));
+    }
+
+    std::shared_ptr<RunGuard> m_guard;
+    admission::RequestBody m_fields;
+    admission::TokenRatios &m_ratios;
+    CompletionWriter m_writer;
+    std::optional<dispatch::Output> m_pending;
+};
+
+} // namespace spurlug::daemon
--- a/src/daemon/config_follower.cpp
+++ b/src/daemon/config_follower.cpp
@@ -39,7 +39,7 @@
     , m_platform(platform)
     , m_metrics(metrics)
     , m_timing(timing)
-    , m_random(core::fastHash(fleet.self()))
+    , m_random(core::fastHash(fleet.self(), static_cast<std::uint64_t>(absl::ToUnixNanos(core::now()))))
     , m_watcher(std::make_unique<core::Periodic>("configuration watch", [this] { return watchRound(); }))
     , m_puller(std::make_unique<core::Periodic>("configuration pull", [this] { return pullRound(); }))
     , m_vmList(std::make_unique<core::Periodic>("VM list", [this] { return vmListRound(); }))
@@ -54,6 +54,9 @@
 
 core::Duration ConfigFollower::watchRound()
 {
+    if (!std::exchange(m_started, true)) {
+        return startDelay();
+    }
     if (!shouldWatch()) {
         m_rootVersion = 0;
         return NotWatching;
@@ -73,6 +76,13 @@
     }
 }
 
+/// Daemons that start together do not all read the platform: most get the configuration from the first one that has it.
+core::Duration ConfigFollower::startDelay()
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    return m_timing.startSpread * share(m_random);
+}
+
 core::Duration ConfigFollower::backoff()
 {
     const auto full
@@ -82,16 +92,19 @@
     return full * jitter(m_random);
 }
 
+/// Parts that were read stay when a later one cannot be: the next try reads only the rest.
 void ConfigFollower::takeFromPlatform(const platform::Object &root)
 {
-    config::PartTexts texts;
     for (const auto &hash : m_store.missingParts(config::readRoot(root.value))) {
+        if (m_partsRead.contains(hash)) {
+            continue;
+        }
         m_metrics.count(metrics::Counter::PlatformReads);
         if (auto part = m_platform.read(config::partObject(hash))) {
-            texts[hash] = std::move(part->value);
+            m_partsRead[hash] = std::move(part->value);
         }
     }
-    m_store.offer(root.value, std::move(texts));
+    m_store.offer(root.value, std::exchange(m_partsRead, {}));
 }
 
 core::Duration ConfigFollower::pullRound()
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -340,9 +340,13 @@
 {
     targetTable.configure(*configuration);
     metrics.count(metrics::Counter::ConfigurationsApplied);
-    if (fleet.state() == membership::DaemonState::Starting) {
+    const bool starting = fleet.state() == membership::DaemonState::Starting;
+    if (starting) {
         fleet.setState(membership::DaemonState::Serving);
     }
+    if (starting || fleet.holds(WatcherRole, Watchers, core::now())) {
+        heartbeats->sendNow(); // Peers wait for this generation.
+    }
     core::log(core::LogLevel::Info, "configuration_applied", {{"generation", configuration->generation}});
 }
 
@@ -412,6 +416,7 @@
 void Daemon::drain()
 {
     m_impl->fleet.setState(membership::DaemonState::Leaving);
+    m_impl->heartbeats->sendNow();
     core::log(core::LogLevel::Info, "draining", {{"inProgress", m_impl->runs.inProgress.load()}});
     absl::SleepFor(NoticeTime);
     m_impl->refusing = true;
--- a/src/daemon/error_body.cpp
+++ b/src/daemon/error_body.cpp
@@ -44,6 +44,16 @@
 
 } // namespace
 
+ErrorReply toReply(const core::Refused &refusal, const std::string &requestId)
+{
+    return {refusal.reason(), core::Outcome::NotRun, refusal.what(), requestId, refusal.retryAfterSeconds()};
+}
+
+ErrorReply toReply(const dispatch::AttemptEnd &end, const std::string &requestId)
+{
+    return {end.reason, end.outcome, end.detail, requestId, end.retryAfterSeconds};
+}
+
 int statusOf(core::Reason reason) noexcept
 {
     using core::Reason;
--- /dev/null
+++ b/src/daemon/service_response.h
@@ -0,0 +1,90 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: answers a call to a plain service
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/text.h"
+#include "spurlug/daemon/error_body.h"
+#include "spurlug/daemon/run_guard.h"
+
+#include <httplib.h>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace spurlug::daemon
+{
+
+/// \brief Answers of services up to this size are sent whole.
+inline constexpr std::size_t PlainBytesHeld = 256U << 10;
+
+/// \brief Writes one answer of a plain service to its caller.
+class ServiceResponse
+{
+public:
+    explicit ServiceResponse(std::shared_ptr<RunGuard> guard)
+        : m_guard(std::move(guard))
+    { }
+
+    /// \brief Sends a small answer whole and a large one in chunks.
+    static void write(const std::shared_ptr<ServiceResponse> &self, httplib::Response &response)
+    {
+        while (self->m_held.size() < PlainBytesHeld) {
+            auto output = self->m_guard->run->next(CallerLookInterval);
+            if (const auto *head = std::get_if<dispatch::HeadEvent>(&output)) {
+                self->writeHead(*head, response);
+            } else if (auto *bytes = std::get_if<dispatch::BytesEvent>(&output)) {
+                self->m_held += bytes->bytes;
+            } else if (std::holds_alternative<dispatch::Finished>(output)) {
+                response.set_header("Spurlug-Outcome", std::string(core::nameOf(core::Outcome::Completed)));
+                response.set_content(self->m_held, self->m_contentType);
+                return;
+            } else if (const auto *failed = std::get_if<dispatch::Failed>(&output)) {
+                response.headers.clear();
+                response.set_header("Request-Id", self->m_guard->run->request().id);
+                writeError(response, toReply(failed->end, self->m_guard->run->request().id));
+                return;
+            }
+        }
+        response.set_chunked_content_provider(
+            self->m_contentType, [self](std::size_t, httplib::DataSink &sink) { return self->pump(sink); });
+    }
+
+private:
+    void writeHead(const dispatch::HeadEvent &head, httplib::Response &response)
+    {
+        response.status = head.status;
+        for (const auto &[name, value] : head.headers) {
+            if (core::equalIgnoringCase(name, "Content-Type")) {
+                m_contentType = value;
+            } else {
+                response.set_header(name.c_str(), value);
+            }
+        }
+    }
+
+    /// A failure after the head can only be told by cutting the connection before the last chunk.
+    bool pump(httplib::DataSink &sink)
+    {
+        if (!m_held.empty()) {
+            const auto held = std::exchange(m_held, {});
+            return sink.write(held.data(), held.size());
+        }
+        auto output = m_guard->run->next(CallerLookInterval);
+        if (const auto *bytes = std::get_if<dispatch::BytesEvent>(&output)) {
+            return sink.write(bytes->bytes.data(), bytes->bytes.size());
+        }
+        if (std::holds_alternative<dispatch::Finished>(output)) {
+            sink.done();
+            return true;
+        }
+        return !std::holds_alternative<dispatch::Failed>(output) && sink.is_writable();
+    }
+
+    std::shared_ptr<RunGuard> m_guard;
+    std::string m_held;
+    std::string m_contentType = "application/octet-stream";
+};
+
+} // namespace spurlug::daemon
--- a/src/membership/heartbeat_service.cpp
+++ b/src/membership/heartbeat_service.cpp
@@ -45,6 +45,11 @@
     m_receiver.join();
 }
 
+void HeartbeatService::sendNow()
+{
+    m_sender->runNow();
+}
+
 core::Duration HeartbeatService::sendRound()
 {
     notePause(core::now());
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -70,6 +70,7 @@
     timing.peerTimeout = readMs(reader, "peerTimeoutMs", timing.peerTimeout);
     timing.loadPoll = readMs(reader, "loadPollMs", timing.loadPoll);
     timing.watch = readMs(reader, "watchMs", timing.watch);
+    timing.startSpread = readMs(reader, "startSpreadMs", timing.startSpread);
     timing.platformRetry = readMs(reader, "platformRetryMs", timing.platformRetry);
 }
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -217,16 +217,17 @@
 
 std::string Fleet::writeSettings(const std::string &vm, const std::string &domain, const nlohmann::json &extras)
 {
-    nlohmann::json settings{{"vm", vm},
-                            {"failureDomain", domain},
-                            {"region", "region"},
-                            {"callerAddress", "127.0.0.1:0"},
-                            {"adminAddress", "127.0.0.1:0"},
-                            {"peerAddress", "127.0.0.1:0"},
-                            {"rpcAddress", "127.0.0.1:0"},
-                            {"platform", {m_platformForDaemons}},
-                            {"peerKey", "test"},
-                            {"timing", {{"heartbeatMs", 200}, {"peerTimeoutMs", 1000}, {"loadPollMs", 100}}}};
+    nlohmann::json settings{
+        {"vm", vm},
+        {"failureDomain", domain},
+        {"region", "region"},
+        {"callerAddress", "127.0.0.1:0"},
+        {"adminAddress", "127.0.0.1:0"},
+        {"peerAddress", "127.0.0.1:0"},
+        {"rpcAddress", "127.0.0.1:0"},
+        {"platform", {m_platformForDaemons}},
+        {"peerKey", "test"},
+        {"timing", {{"heartbeatMs", 200}, {"peerTimeoutMs", 1000}, {"loadPollMs", 100}, {"startSpreadMs", 100}}}};
     if (domain == m_shape.platformlessDomain) {
         settings["platform"] = {"127.0.0.1:1"};
     }
