--- a/bench/fit_capacity.py
+++ b/bench/fit_capacity.py
@@ -1,4 +1,4 @@
-#!/usr/bin/env python3
+#!/usr/bin/python3
 """Fits slopes to bench/results, draws them, and checks the figures of docs/CAPACITY.md against them.
 
 A figure in the page stands before a tag: `7.2 KB/s [heartbeat_kb]`. Each tag is worked out here from a fitted slope at
@@ -18,7 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "bench" / "results"
 DAEMONS, DOMAIN_DAEMONS, DOMAIN_TARGETS, ORGANISATIONS, DOMAINS = 420, 42, 60, 3400, 10
-REQUESTS, TOKENS, POOLS, STREAMS = 1700, 500_000, 4, 40
+REQUESTS, TOKENS, POOLS, STREAMS, SUMMARIES_EVERY = 1700, 500_000, 4, 40, 8
 TOLERANCE = 0.25
 
 
@@ -89,10 +89,10 @@
     path = load("path.json")[-1]
     heartbeat = both_ways(DOMAIN_DAEMONS, DOMAIN_TARGETS)
     poll = at("poll_bytes", observed) / 1000
-    # Each of the other domains' contacts repeats one summary to its peers every fourth second; all hear all.
+    # Each of the other domains' contacts repeats one summary to its peers every eighth second; all hear all.
     summary = at("summary_bytes", POOLS)
-    hear_summaries = (DOMAINS - 1) * summary / 4 / 1000
-    contact = (DOMAIN_DAEMONS - 1) * summary / 4 / 1000 + 2 * summary / 1000
+    hear_summaries = (DOMAINS - 1) * summary / SUMMARIES_EVERY / 1000
+    contact = (DOMAIN_DAEMONS - 1) * summary / SUMMARIES_EVERY / 1000 + 2 * summary / 1000
     # A daemon that observes two targets instead of the mean sends their loads to all its peers.
     busiest = (2 - observed) * (each * (DOMAIN_DAEMONS - 1) + fits["poll_bytes"][1]) / 1000
     cpu = at("control_cpu", DOMAIN_DAEMONS) + fits["poll_cpu"][1] * (observed - 10 / DOMAIN_DAEMONS)
--- a/include/spurlug/daemon/admin_api.h
+++ b/include/spurlug/daemon/admin_api.h
@@ -8,6 +8,7 @@
 #include "spurlug/daemon/decision_finder.h"
 #include "spurlug/daemon/identity.h"
 #include "spurlug/explain/decision_ring.h"
+#include "spurlug/fwd.h"
 #include "spurlug/membership/fleet.h"
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/targets/target_table.h"
@@ -16,11 +17,6 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-namespace httplib
-{
-class Server;
-} // namespace httplib
-
 namespace spurlug::daemon
 {
 
--- a/include/spurlug/daemon/caller_api.h
+++ b/include/spurlug/daemon/caller_api.h
@@ -12,6 +12,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/daemon/identity.h"
 #include "spurlug/dispatch/request_run.h"
+#include "spurlug/fwd.h"
 #include "spurlug/limits/organisation_limiter.h"
 #include "spurlug/metrics/metrics.h"
 
@@ -20,19 +21,9 @@
 #include <memory>
 #include <string>
 
-namespace httplib
-{
-class Server;
-struct Request;
-struct Response;
-class ContentReader;
-} // namespace httplib
-
 namespace spurlug::daemon
 {
 
-struct RunGuard;
-
 /// \brief What caller requests act on; outlives the API.
 struct CallerApiParts
 {
@@ -65,6 +56,7 @@
     void refuse(const core::Refused &refusal, const std::string &id, httplib::Response &response);
     [[nodiscard]] std::shared_ptr<RunGuard>
     startRun(const admission::Caller &caller, dispatch::AdmittedRequest admitted, const std::string &idempotencyKey);
+    void refuseIfTooLate(const dispatch::AdmittedRequest &admitted) const;
     [[nodiscard]] std::string claimKey(const dispatch::AdmittedRequest &admitted, const std::string &idempotencyKey);
     [[nodiscard]] dispatch::AdmittedRequest
     admitCompletion(const admission::Caller &caller, const admission::RequestBody &fields, const std::string &id);
--- a/include/spurlug/daemon/config_follower.h
+++ b/include/spurlug/daemon/config_follower.h
@@ -38,6 +38,7 @@
     core::Duration vmListRound();
     [[nodiscard]] bool shouldWatch() const;
     [[nodiscard]] bool readsVmListOften(core::Time now) const;
+    void offer(const std::string &root, config::PartTexts texts);
     void takeFromPlatform(const platform::Object &root);
     void takeFromPeer(const core::Address &peer);
     [[nodiscard]] core::Duration startDelay();
--- a/include/spurlug/daemon/error_body.h
+++ b/include/spurlug/daemon/error_body.h
@@ -7,15 +7,11 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/reason.h"
 #include "spurlug/dispatch/attempt.h"
+#include "spurlug/fwd.h"
 
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-namespace httplib
-{
-struct Response;
-} // namespace httplib
-
 namespace spurlug::daemon
 {
 
--- a/include/spurlug/daemon/http_listener.h
+++ b/include/spurlug/daemon/http_listener.h
@@ -5,16 +5,12 @@
 #pragma once
 
 #include "spurlug/core/address.h"
+#include "spurlug/fwd.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace httplib
-{
-class Server;
-} // namespace httplib
-
 namespace spurlug::daemon
 {
 
--- a/include/spurlug/daemon/incoming_body.h
+++ b/include/spurlug/daemon/incoming_body.h
@@ -5,16 +5,11 @@
 #pragma once
 
 #include "spurlug/admission/byte_budget.h"
+#include "spurlug/fwd.h"
 
 #include <cstdint>
 #include <string>
 
-namespace httplib
-{
-struct Request;
-class ContentReader;
-} // namespace httplib
-
 namespace spurlug::daemon
 {
 
--- a/include/spurlug/dispatch/request_run.h
+++ b/include/spurlug/dispatch/request_run.h
@@ -127,6 +127,8 @@
     [[nodiscard]] Output pursue(core::Duration wait, core::Time now);
     [[nodiscard]] Output awaitEvent(core::Duration wait, core::Time now);
     [[nodiscard]] bool prepareGroup(core::Duration wait, core::Time now);
+    [[nodiscard]] std::optional<grants::Granted> askForGrant(core::Duration wait, core::Time now);
+    [[nodiscard]] core::Ref<grants::Group> reserveGroup(const grants::Granted &granted, core::Time now);
     void startAttempt(core::Time now);
     void sendTo(const core::Address &address, const std::vector<std::string> &ids, core::Time now);
     [[nodiscard]] AttemptRequest makeAttempt(const core::Address &address) const;
@@ -148,6 +150,7 @@
     std::vector<std::string> m_current; ///< Targets of the attempt in progress.
     std::vector<std::string> m_tried;
     core::Time m_notBefore = absl::InfinitePast(); ///< A retry waits until then.
+    core::Time m_lastToken = absl::InfinitePast();
     int m_attempts = 0;
     bool m_headSent = false; ///< Part of a plain response was handed out: no retry any more.
     bool m_mayHaveRun = false; ///< Some attempt may have run.
--- a/include/spurlug/grants/group_keeper.h
+++ b/include/spurlug/grants/group_keeper.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/counted.h"
 #include "spurlug/core/periodic.h"
 #include "spurlug/core/worker_pool.h"
+#include "spurlug/fwd.h"
 #include "spurlug/targets/engine_control.h"
 
 #include <absl/base/thread_annotations.h>
@@ -22,8 +23,6 @@
 namespace spurlug::grants
 {
 
-class GroupKeeper;
-
 /// \brief An engine of a group.
 struct GroupMember
 {
--- a/include/spurlug/membership/fleet.h
+++ b/include/spurlug/membership/fleet.h
@@ -30,7 +30,7 @@
     /// @{
     HeardResult hear(const PeerNews &news, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
     void noteVmList(const std::vector<platform::VmEntry> &entries) ABSL_LOCKS_EXCLUDED(m_mutex);
-    void noteOwnPause(core::Duration gap) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void noteOwnPause(core::Duration gap, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
     void forgetSilent(core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
     /// \brief Takes the summaries of a heartbeat.
     /// \returns Those that were news.
--- a/include/spurlug/membership/heartbeat_service.h
+++ b/include/spurlug/membership/heartbeat_service.h
@@ -23,7 +23,7 @@
 enum class Audience
 {
     OwnDomain,
-    OwnDomainWithSummaries, ///< Each fourth round: what other failure domains told is repeated.
+    OwnDomainWithSummaries, ///< Each eighth round: what other failure domains told is repeated.
     OtherDomains, ///< Contacts in failure domains whose delegate this daemon is.
 };
 
--- a/include/spurlug/membership/peer_table.h
+++ b/include/spurlug/membership/peer_table.h
@@ -111,7 +111,7 @@
     void noteVmList(const std::vector<platform::VmEntry> &entries);
 
     /// \brief Notes that this daemon itself stood still for `gap`: peers get that much longer.
-    void noteOwnPause(core::Duration gap);
+    void noteOwnPause(core::Duration gap, core::Time now);
 
     /// \brief Forgets peers that have been silent ten times as long as it takes to count as gone.
     void forgetSilent(core::Time now);
--- a/include/spurlug/routing/choose.h
+++ b/include/spurlug/routing/choose.h
@@ -33,7 +33,7 @@
     core::Duration tieSpan = core::fromMs(5); ///< Targets within this time of the best count as equal.
     core::Duration spillAfter = core::fromMs(250); ///< Expected wait at home beyond which other domains are looked at.
     core::Duration spillPenalty = core::fromMs(50); ///< Added to the expected wait in another failure domain.
-    core::Duration remoteFresh = absl::Seconds(10); ///< An older report from another failure domain says nothing.
+    core::Duration remoteFresh = absl::Seconds(20); ///< An older report from another failure domain says nothing.
     double defaultPrefillRate = 10'000; ///< Tokens a second, when a target has not said.
 };
 
--- a/include/spurlug/settings/settings.h
+++ b/include/spurlug/settings/settings.h
@@ -22,7 +22,6 @@
     std::int64_t adminConnections = 16; ///< Operator connections, one thread each.
     std::int64_t bodyBytes = 16LL << 20; ///< Largest request body, bytes.
     std::int64_t bodyMemoryBytes = 96LL << 20; ///< All request bodies held at once, bytes.
-    std::int64_t queuedRequests = 1024; ///< Requests that wait for a target.
     std::int64_t decisionsKept = 2048; ///< Decisions kept for `explain`.
 };
 
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -144,6 +144,24 @@
     writeError(response, toReply(refusal, id));
 }
 
+/// Refuses a short prompt whose first token cannot come before its deadline at any target whose load is known.
+void CallerApi::refuseIfTooLate(const dispatch::AdmittedRequest &admitted) const
+{
+    const auto views = m_parts.runs.targets.views(*admitted.targets, admitted.arrivedAt);
+    const auto choice = routing::chooseAcrossDomains({admitted.tokens, true, 0}, views, m_parts.runs.failureDomain, {},
+                                                     m_parts.runs.routeRule, 0);
+    if (admitted.isLong || !choice.chosen || views[*choice.chosen].reportAge > m_parts.runs.routeRule.staleAfter) {
+        return;
+    }
+    const auto expected = choice.candidates[*choice.chosen].expected;
+    const auto allowed = admitted.deadline - admitted.arrivedAt;
+    if (expected > allowed) {
+        const auto later = static_cast<int>(absl::ToInt64Seconds(expected)) + 1;
+        throw Refused(Reason::DeadlineTooShort,
+                      core::cat("the first token is expected after ", core::toMs(expected), " ms"), later);
+    }
+}
+
 std::shared_ptr<RunGuard> CallerApi::startRun(const admission::Caller &caller, dispatch::AdmittedRequest admitted,
                                               const std::string &idempotencyKey)
 {
@@ -226,6 +244,7 @@
     admitted.priority += admitted.isLong ? LongPriority : 0;
     admitted.prefix = fields.prefix;
     admitted.method = "POST";
+    refuseIfTooLate(admitted);
     admitted.headers = {{"Content-Type", "application/json"}};
     return admitted;
 }
--- a/src/daemon/config_follower.cpp
+++ b/src/daemon/config_follower.cpp
@@ -104,7 +104,16 @@
             m_partsRead[hash] = std::move(part->value);
         }
     }
-    m_store.offer(root.value, std::exchange(m_partsRead, {}));
+    offer(root.value, std::exchange(m_partsRead, {}));
+}
+
+void ConfigFollower::offer(const std::string &root, config::PartTexts texts)
+{
+    if (m_store.offer(root, std::move(texts)) == config::OfferResult::Refused) {
+        m_metrics.count(metrics::Counter::ConfigurationsRefused);
+        core::log(core::LogLevel::Error, "configuration_refused",
+                  {{"generation", m_store.refusedGeneration()}, {"problem", m_store.refusal()}});
+    }
 }
 
 core::Duration ConfigFollower::pullRound()
@@ -132,7 +141,7 @@
     const auto root = m_peers.fetchRoot(peer);
     const auto missing = m_store.missingParts(config::readRoot(root));
     auto texts = missing.empty() ? config::PartTexts() : m_peers.fetchParts(peer, missing);
-    m_store.offer(root, std::move(texts));
+    offer(root, std::move(texts));
 }
 
 core::Duration ConfigFollower::vmListRound()
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include "spurlug/daemon/admin_api.h"
 #include "spurlug/daemon/caller_api.h"
 #include "spurlug/daemon/config_follower.h"
+#include "spurlug/daemon/home_domain.h"
 #include "spurlug/daemon/http_listener.h"
 #include "spurlug/daemon/peer_calls.h"
 #include "spurlug/daemon/peer_server.h"
@@ -25,7 +26,6 @@
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
-#include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -61,11 +61,7 @@
                                                          core::Duration wait);
     [[nodiscard]] std::optional<grants::Granted> acquireHere(const std::string &pool, const grants::Ask &ask,
                                                              core::Duration wait);
-    [[nodiscard]] core::Address brokerFor(const std::string &pool, int engines, core::Time now) const;
-    [[nodiscard]] std::int64_t usableTargets(const std::string &pool, core::Time now) const;
-    [[nodiscard]] std::vector<targets::TargetView> localServing(const std::string &pool, core::Time now) const;
     [[nodiscard]] membership::Heartbeat compose(membership::Audience audience) const;
-    [[nodiscard]] membership::DomainSummary summarise(core::Time now) const;
     void receive(const membership::Heartbeat &heartbeat, core::Time now);
     void applied(const config::ConfigurationRef &configuration);
     [[nodiscard]] claims::ClaimAnswer claim(const claims::ClaimWish &wish);
@@ -80,6 +76,7 @@
     explain::DecisionRing decisions;
     config::Store store;
     platform::HttpObjectApi platform;
+    HomeDomain home;
     PeerCalls peers;
     DecisionFinder finder;
     core::WorkerPool attempts;
@@ -109,6 +106,7 @@
     , decisions(static_cast<std::size_t>(settings.limits.decisionsKept))
     , store([this](const config::ConfigurationRef &configuration) { applied(configuration); })
     , platform(settings.platform)
+    , home(identity, store, fleet, targetTable)
     , finder(decisions, fleet, peers)
     , attempts(static_cast<std::size_t>(settings.limits.connections), 0)
     , bodyMemory(settings.limits.bodyMemoryBytes)
@@ -177,56 +175,11 @@
     return {renew, release};
 }
 
-core::Address Daemon::Impl::brokerFor(const std::string &pool, int engines, core::Time now) const
-{
-    if (usableTargets(pool, now) < engines) {
-        constexpr auto Fresh = absl::Seconds(10);
-        const auto poolHash = targets::targetHash(pool);
-        for (const auto &domain : fleet.domains(now)) {
-            for (const auto &summary : domain.pools) {
-                if (domain.age < Fresh && summary.pool == poolHash && summary.usable >= engines
-                    && summary.broker.port != 0) {
-                    return summary.broker;
-                }
-            }
-        }
-    }
-    const auto holder = fleet.holder(brokerRole(pool), now);
-    if (holder == settings.vm) {
-        return identity.rpcAddress;
-    }
-    const auto peer = fleet.find(holder);
-    return peer ? peer->news.rpcAddress : core::Address{};
-}
-
-std::int64_t Daemon::Impl::usableTargets(const std::string &pool, core::Time now) const
-{
-    return static_cast<std::int64_t>(localServing(pool, now).size());
-}
-
-/// Targets of a pool in this failure domain that can take work, the least loaded first.
-std::vector<targets::TargetView> Daemon::Impl::localServing(const std::string &pool, core::Time now) const
-{
-    const auto configuration = store.current();
-    const auto *spec = configuration ? configuration->poolNamed(pool) : nullptr;
-    if (spec == nullptr) {
-        return {};
-    }
-    auto views = targetTable.views(spec->targets, now);
-    std::erase_if(views, [this](const auto &view) {
-        return view.failureDomain != settings.failureDomain || view.ejected
-            || view.report.condition != targets::TargetCondition::Serving;
-    });
-    std::sort(views.begin(), views.end(),
-              [](const auto &left, const auto &right) { return left.report.queuedTokens < right.report.queuedTokens; });
-    return views;
-}
-
 std::optional<grants::Granted> Daemon::Impl::acquire(const std::string &pool, const grants::Ask &ask,
                                                      core::Duration wait)
 {
     const auto now = core::now();
-    const auto broker = brokerFor(pool, ask.engines, now);
+    const auto broker = home.brokerFor(pool, ask.engines, now);
     if (broker == identity.rpcAddress) {
         return acquireHere(pool, ask, wait);
     }
@@ -275,7 +228,7 @@
     news.refusedGeneration = store.refusedGeneration();
     switch (audience) {
     case membership::Audience::OtherDomains:
-        heartbeat.summaries.push_back(summarise(now));
+        heartbeat.summaries.push_back(home.summary(now));
         break;
     case membership::Audience::OwnDomainWithSummaries:
         heartbeat.summaries = fleet.summariesToRepeat(now);
@@ -288,39 +241,6 @@
     return heartbeat;
 }
 
-membership::DomainSummary Daemon::Impl::summarise(core::Time now) const
-{
-    constexpr std::size_t BestTargets = 2;
-    membership::DomainSummary summary;
-    summary.failureDomain = settings.failureDomain;
-    summary.rpcAddress = identity.rpcAddress;
-    summary.daemons = static_cast<std::int64_t>(fleet.roleHolders(now).size());
-    summary.lowestGeneration = store.generation();
-    for (const auto &peer : fleet.alive(now)) {
-        if (peer.news.failureDomain == settings.failureDomain) {
-            summary.lowestGeneration = std::min(summary.lowestGeneration, peer.news.generation);
-        }
-    }
-    const auto configuration = store.current();
-    if (!configuration) {
-        return summary;
-    }
-    for (const auto &pool : configuration->pools) {
-        const auto serving = localServing(pool.name, now);
-        membership::PoolSummary out;
-        out.pool = targets::targetHash(pool.name);
-        out.usable = static_cast<std::int64_t>(serving.size());
-        for (std::size_t i = 0; i < std::min(serving.size(), BestTargets); ++i) {
-            out.best.push_back({targets::targetHash(serving[i].id), serving[i].report, serving[i].reportAge});
-        }
-        if (!serving.empty()) {
-            out.broker = brokerFor(pool.name, 0, now);
-        }
-        summary.pools.push_back(std::move(out));
-    }
-    return summary;
-}
-
 void Daemon::Impl::receive(const membership::Heartbeat &heartbeat, core::Time now)
 {
     for (const auto &load : heartbeat.loads) {
--- a/src/daemon/error_body.cpp
+++ b/src/daemon/error_body.cpp
@@ -78,11 +78,9 @@
     case Reason::RequestRate:
     case Reason::TokenBudget:
     case Reason::LongPrompts:
-    case Reason::QueueFull:
         return TooManyRequests;
     case Reason::TargetFailed:
     case Reason::StreamCut:
-    case Reason::StreamStalled:
     case Reason::NotRepeatable:
         return BadGateway;
     case Reason::DeadlinePassed:
--- a/src/dispatch/request_run.cpp
+++ b/src/dispatch/request_run.cpp
@@ -128,38 +128,47 @@
 }
 
 bool RequestRun::prepareGroup(core::Duration wait, core::Time now)
+{
+    const auto granted = askForGrant(wait, now);
+    if (!granted) {
+        return false;
+    }
+    m_group = reserveGroup(*granted, now);
+    if (!m_group) {
+        m_context.metrics.countRetry(Reason::ReservationRefused);
+        std::uniform_real_distribution<double> jitter(0.5, 1.5);
+        m_notBefore = core::now() + BrokerBackoff * jitter(m_random);
+        return false;
+    }
+    m_decision.waitedForGrant = core::now() - m_request.arrivedAt;
+    m_context.metrics.time(metrics::Timer::GrantWait, m_decision.waitedForGrant);
+    return true;
+}
+
+std::optional<grants::Granted> RequestRun::askForGrant(core::Duration wait, core::Time now)
 {
     const grants::Ask ask{m_request.id,     m_request.organisation, m_request.weight,
                           m_request.tokens, m_request.engines,      m_request.arrivedAt};
-    std::optional<grants::Granted> granted;
     try {
-        granted = m_context.acquireGrant(m_request.route, ask, std::min(wait, LongestGrantCall));
+        return m_context.acquireGrant(m_request.route, ask, std::min(wait, LongestGrantCall));
     } catch (const core::NetworkError &) {
         m_context.metrics.countRetry(Reason::BrokerUnreachable);
         m_notBefore = now + BrokerBackoff;
+        return std::nullopt;
     }
-    if (!granted) {
-        return false;
-    }
+}
+
+core::Ref<grants::Group> RequestRun::reserveGroup(const grants::Granted &granted, core::Time now)
+{
     std::vector<grants::GroupMember> members;
     for (const auto &view : m_context.targets.views(*m_request.targets, now)) {
-        if (std::find(granted->targets.begin(), granted->targets.end(), view.id) != granted->targets.end()) {
+        if (std::find(granted.targets.begin(), granted.targets.end(), view.id) != granted.targets.end()) {
             members.push_back({view.id, view.address});
         }
     }
     const auto tokensEach = (m_request.kvTokens + m_request.engines - 1) / m_request.engines;
     const auto reservationId = core::cat(m_request.id, "-", m_attempts + 1);
-    m_group = m_context.groups.reserve(std::move(members), reservationId, tokensEach, granted->ticket);
-    if (!m_group) {
-        m_context.metrics.countRetry(Reason::ReservationRefused);
-        std::uniform_real_distribution<double> jitter(0.5, 1.5);
-        m_notBefore = core::now() + BrokerBackoff * jitter(m_random);
-        return false;
-    }
-    const auto waited = core::now() - m_request.arrivedAt;
-    m_decision.waitedForGrant = waited;
-    m_context.metrics.time(metrics::Timer::GrantWait, waited);
-    return true;
+    return m_context.groups.reserve(std::move(members), reservationId, tokensEach, granted.ticket);
 }
 
 std::optional<targets::TargetView> RequestRun::chooseShort(core::Time now)
@@ -279,6 +288,10 @@
 Output RequestRun::takeToken(TokenEvent event, core::Time now)
 {
     noteFirstToken(now);
+    if (m_lastToken != absl::InfinitePast()) {
+        m_context.metrics.time(metrics::Timer::BetweenTokens, now - m_lastToken);
+    }
+    m_lastToken = now;
     const auto droppedBefore = m_reassembly.dropped();
     Tokens tokens{m_reassembly.accept(m_attempts, event.offset, std::move(event.payload))};
     m_context.metrics.count(metrics::Counter::EventsDropped, m_reassembly.dropped() - droppedBefore);
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -32,10 +32,10 @@
     m_table.noteVmList(entries);
 }
 
-void Fleet::noteOwnPause(core::Duration gap)
+void Fleet::noteOwnPause(core::Duration gap, core::Time now)
 {
     absl::MutexLock lock(&m_mutex);
-    m_table.noteOwnPause(gap);
+    m_table.noteOwnPause(gap, now);
 }
 
 void Fleet::forgetSilent(core::Time now)
--- a/src/membership/heartbeat_service.cpp
+++ b/src/membership/heartbeat_service.cpp
@@ -18,7 +18,7 @@
 {
 
 constexpr std::uint64_t IntroduceEvery = 10;
-constexpr std::uint64_t SummariesEvery = 4;
+constexpr std::uint64_t SummariesEvery = 8;
 constexpr int PauseIntervals = 3; // A round that comes this many intervals late means that the daemon stood still.
 
 } // namespace
@@ -104,7 +104,7 @@
     const bool paused = m_lastRound != absl::InfinitePast() && gap > m_interval * PauseIntervals;
     m_lastRound = now;
     if (paused) {
-        m_fleet.noteOwnPause(gap);
+        m_fleet.noteOwnPause(gap, now);
         m_metrics.count(metrics::Counter::PausesNoticed);
         core::log(core::LogLevel::Warning, "own_pause_noticed", {{"gapMs", core::toMs(gap)}});
     }
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -85,10 +85,10 @@
     }
 }
 
-void PeerTable::noteOwnPause(core::Duration gap)
+void PeerTable::noteOwnPause(core::Duration gap, core::Time now)
 {
     for (auto &[vm, peer] : m_peers) {
-        peer.heardAt += gap;
+        peer.heardAt = std::max(peer.heardAt, std::min(peer.heardAt + gap, now));
     }
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -60,7 +60,6 @@
     limits.adminConnections = reader.integer("adminConnections", 1, MostConnections, limits.adminConnections);
     limits.bodyBytes = reader.integer("bodyBytes", 1, MostBytes, limits.bodyBytes);
     limits.bodyMemoryBytes = reader.integer("bodyMemoryBytes", 1, MostBytes, limits.bodyMemoryBytes);
-    limits.queuedRequests = reader.integer("queuedRequests", 0, MostEntries, limits.queuedRequests);
     limits.decisionsKept = reader.integer("decisionsKept", 1, MostEntries, limits.decisionsKept);
 }
 
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -137,7 +137,7 @@
         return false;
     }
     m_reservations[id] = Held{tokens, now + ttl, 0};
-    evictFor(0);
+    evict();
     return true;
 }
 
@@ -242,7 +242,7 @@
             return false;
         }
         job.held = needed;
-        evictFor(0);
+        evict();
     }
     job.prefilled = cachedPrefix(job);
     job.admitted = true;
@@ -261,9 +261,9 @@
     return tokens;
 }
 
-void EngineModel::evictFor(std::int64_t tokens)
+void EngineModel::evict()
 {
-    const auto room = std::max<std::int64_t>(0, m_costs.kvTokens - used() - tokens);
+    const auto room = std::max<std::int64_t>(0, m_costs.kvTokens - used());
     while (static_cast<std::int64_t>(m_cache.size()) * m_costs.blockTokens > room) {
         m_cacheEvents.add(CacheEventKind::Evicted, m_cacheOrder.front(), m_now);
         m_cache.erase(m_cacheOrder.front());
@@ -283,7 +283,7 @@
         m_cacheOrder.push_back(block);
         m_cache[block] = std::prev(m_cacheOrder.end());
     }
-    evictFor(0);
+    evict();
 }
 
 std::int64_t EngineModel::cachedPrefix(const Job &job) const
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -154,7 +154,7 @@
     void admitWaiting();
     [[nodiscard]] bool tryAdmit(Job &job);
     [[nodiscard]] std::int64_t used() const;
-    void evictFor(std::int64_t tokens);
+    void evict();
     void remember(const std::vector<std::uint64_t> &blocks);
     [[nodiscard]] std::int64_t cachedPrefix(const Job &job) const;
     Job *nextPrefill();
--- a/tests/integration/callers_test.cpp
+++ b/tests/integration/callers_test.cpp
@@ -153,6 +153,16 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(what_cannot_be_in_time_is_refused_at_once)
+{
+    auto &fleet = sharedFleet();
+    // An engine of this fleet takes 2.8 ms for the prompt.
+    const auto answer = fleet.complete("domain-a-1", Fleet::promptOf(7000), 5, true, {{"Spurlug-Deadline-Ms", "1"}});
+    BOOST_TEST(answer.errorCode() == "deadline_too_short");
+    BOOST_TEST(answer.outcome() == "not_run");
+    BOOST_TEST(answer.headers.contains("Retry-After"));
+}
+
 BOOST_AUTO_TEST_CASE(operators_get_answers_while_all_caller_connections_are_taken)
 {
     support::FleetShape shape;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -68,10 +68,19 @@
 {
     membership::PeerTable table("self", "a", Timeout);
     table.hear(news("b", 1, 1), Start);
-    table.noteOwnPause(absl::Seconds(60));
+    table.noteOwnPause(absl::Seconds(60), Start + absl::Seconds(60));
     BOOST_TEST(table.roleHolders(true, Start + absl::Seconds(61)).size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_heartbeat_that_waited_out_the_pause_makes_no_peer_live_longer)
+{
+    membership::PeerTable table("self", "a", Timeout);
+    const auto resumed = Start + absl::Seconds(60);
+    table.hear(news("b", 1, 1), resumed);
+    table.noteOwnPause(absl::Seconds(60), resumed);
+    BOOST_TEST(table.roleHolders(true, resumed + absl::Seconds(4)).size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_heartbeat_survives_the_wire_and_a_stranger_s_does_not)
 {
     membership::Heartbeat sent;
