Short prompts avoid targets in the middle of a long one; simple strategies to compare with

Ruled out: queueing behind other short prompts: the reports' urgent tokens were counted before. Change: 8,192 tokens on top for a target that prefills a long prompt. Also: a prompt that needs a group waits for a grant also when it is below the long threshold; failed requests are logged.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -109,6 +109,9 @@
         const double tokens = static_cast<double>(range.least) * std::pow(ratio, uniform(random));
         add(at, static_cast<std::int64_t>(tokens), range.requestClass);
     }
+    if (experiment.onlyBelow > 0) {
+        std::erase_if(requests, [&](const auto &request) { return request.tokens >= experiment.onlyBelow; });
+    }
     return requests;
 }
 
--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -41,6 +41,7 @@
     std::int64_t deadlineMs = 0; ///< 0: the class's default.
     std::vector<LengthRange> lengths;
     std::vector<Sender> senders;
+    std::int64_t onlyBelow = 0; ///< Sends only prompts below so many tokens; 0: all.
     std::vector<std::int64_t> always; ///< Prompt lengths that are sent once each, at the start.
 };
 
--- a/bench/fit_capacity.py
+++ b/bench/fit_capacity.py
@@ -126,7 +126,7 @@
 
 
 def draw(series, fits):
-    fig, axes = plt.subplots(3, 4, figsize=(18, 11))
+    fig, axes = plt.subplots(4, 4, figsize=(18, 14))
     for axis, (name, (xs, ys, label)) in zip(axes.flat, series.items()):
         start, slope, residual = fits[name]
         line = np.array([0, max(xs)])
--- a/bench/spurlug_load.cpp
+++ b/bench/spurlug_load.cpp
@@ -287,6 +287,7 @@
     if (given.contains("seconds")) {
         experiment.seconds = given["seconds"].as<double>();
     }
+    experiment.onlyBelow = given["only-below"].as<std::int64_t>();
     const Corpus corpus(given["text"].as<std::vector<std::string>>());
     const auto out = report(sendAll(daemons, experiment, corpus));
     printReport(out);
@@ -310,8 +311,9 @@
         "daemon", options::value<std::vector<std::string>>()->multitoken(),
         "caller addresses, HOST:PORT")("experiment", options::value<std::string>(), "experiment file (JSON)")(
         "text", options::value<std::vector<std::string>>()->multitoken(), "directories whose files make the prompts")(
-        "seconds", options::value<double>(), "overrides the experiment's length")("out", options::value<std::string>(),
-                                                                                  "write the report as JSON")(
+        "seconds", options::value<double>(), "overrides the experiment's length")(
+        "only-below", options::value<std::int64_t>()->default_value(0),
+        "send only prompts below so many tokens")("out", options::value<std::string>(), "write the report as JSON")(
         "require-whole", "fail unless every request is answered whole");
     try {
         options::variables_map given;
--- a/include/spurlug/config/configuration.h
+++ b/include/spurlug/config/configuration.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/config/routing_strategy.h"
 #include "spurlug/core/address.h"
 #include "spurlug/core/counted.h"
 #include "spurlug/core/json_reader.h"
@@ -36,6 +37,7 @@
     std::int64_t engineTokens = 400'000; ///< KV memory of one engine, tokens.
     std::int64_t maxGroup = 4; ///< Most engines that one prompt may occupy.
     double longShare = 0.5; ///< Largest share of the engines that long prompts may occupy.
+    RoutingStrategy routing = RoutingStrategy::ExpectedTtft;
     double bytesPerToken = 4.0; ///< First estimate; learned from usage afterwards.
     std::vector<TargetSpec> targets;
 };
--- a/include/spurlug/dispatch/request_run.h
+++ b/include/spurlug/dispatch/request_run.h
@@ -40,6 +40,7 @@
     routing::RouteRule routeRule;
     std::string failureDomain; ///< Targets here are taken first.
     std::atomic<std::int64_t> inProgress{0};
+    std::atomic<std::uint64_t> turn{0}; ///< Of round robin.
 };
 
 /// \brief Protocol of the targets that a request goes to.
@@ -64,6 +65,7 @@
     std::int64_t tokens = 0; ///< Prompt.
     std::int64_t kvTokens = 0; ///< KV memory the whole request needs.
     int engines = 1;
+    config::RoutingStrategy routing = config::RoutingStrategy::ExpectedTtft;
     bool isLong = false; ///< Needs a grant.
     std::uint64_t prefix = 0;
     bool repeatable = true;
--- a/include/spurlug/routing/choose.h
+++ b/include/spurlug/routing/choose.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/config/routing_strategy.h"
 #include "spurlug/core/time.h"
 #include "spurlug/targets/target_table.h"
 
@@ -34,6 +35,8 @@
     core::Duration spillAfter = core::fromMs(250); ///< Expected wait at home beyond which other domains are looked at.
     core::Duration spillPenalty = core::fromMs(50); ///< Added to the expected wait in another failure domain.
     core::Duration remoteFresh = absl::Seconds(20); ///< An older report from another failure domain says nothing.
+    config::RoutingStrategy strategy = config::RoutingStrategy::ExpectedTtft;
+    std::int64_t chunkTokens = 8192; ///< Work that a short prompt waits for at a target that prefills a long one.
     double defaultPrefillRate = 10'000; ///< Tokens a second, when a target has not said.
 };
 
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -57,6 +57,11 @@
     pool.maxGroup = reader.integer("maxGroup", 1, MostGroup, pool.maxGroup);
     pool.longShare = reader.number("longShare", 0, 1, pool.longShare);
     pool.bytesPerToken = reader.number("bytesPerToken", 0.1, 100, pool.bytesPerToken);
+    const auto routing = core::valueNamed<RoutingStrategy>(reader.text("routing", "expected_ttft"));
+    if (!routing) {
+        reader.fault("routing", "expected_ttft, random, round_robin, least_outstanding or power_of_two");
+    }
+    pool.routing = routing.value_or(RoutingStrategy::ExpectedTtft);
     reader.objects("targets", [&](core::ObjectReader &child) { pool.targets.push_back(readTarget(child)); });
     return pool;
 }
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -240,7 +240,8 @@
     admitted.tokens = m_parts.ratios.estimate(*pool, fields.promptBytes);
     admitted.kvTokens = admitted.tokens + (fields.maxTokens > 0 ? fields.maxTokens : DefaultAnswerTokens);
     admitted.engines = admission::enginesNeeded(*pool, admitted.kvTokens);
-    admitted.isLong = admitted.tokens >= pool->longThresholdTokens;
+    admitted.routing = pool->routing;
+    admitted.isLong = admitted.tokens >= pool->longThresholdTokens || admitted.engines > 1;
     admitted.priority += admitted.isLong ? LongPriority : 0;
     admitted.prefix = fields.prefix;
     admitted.method = "POST";
--- a/src/dispatch/request_run.cpp
+++ b/src/dispatch/request_run.cpp
@@ -7,11 +7,13 @@
 
 #include "spurlug/core/error.h"
 #include "spurlug/core/hash.h"
+#include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
 #include "spurlug/dispatch/target_client.h"
 
 #include <absl/strings/str_join.h>
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace spurlug::dispatch
@@ -175,8 +177,11 @@
 {
     const auto views = m_context.targets.views(*m_request.targets, now);
     const routing::RouteRequest route{m_request.tokens, !m_request.isLong, m_request.prefix};
-    auto choice
-        = routing::chooseAcrossDomains(route, views, m_context.failureDomain, m_tried, m_context.routeRule, m_random());
+    auto rule = m_context.routeRule;
+    rule.strategy = m_request.routing;
+    const bool byTurns = rule.strategy == config::RoutingStrategy::RoundRobin;
+    const auto pick = byTurns ? m_context.turn++ : m_random();
+    auto choice = routing::chooseAcrossDomains(route, views, m_context.failureDomain, m_tried, rule, pick);
     m_context.metrics.time(metrics::Timer::RouteDecision, core::now() - now);
     m_decision.attempts.back().candidates = std::move(choice.candidates);
     if (!choice.chosen) {
@@ -391,6 +396,13 @@
     m_decision.reason = reason;
     m_decision.total = now - m_request.arrivedAt;
     m_context.metrics.countEnd(outcome, reason);
+    if (outcome != Outcome::Completed) {
+        core::log(core::LogLevel::Info, "request_failed",
+                  {{"request", m_request.id},
+                   {"reason", core::nameOf(reason)},
+                   {"outcome", core::nameOf(outcome)},
+                   {"attempts", m_attempts}});
+    }
 }
 
 } // namespace spurlug::dispatch
--- /dev/null
+++ b/src/routing/baselines.cpp
@@ -0,0 +1,61 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: simple choices to compare with
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/routing/baselines.h"
+
+#include <algorithm>
+
+namespace spurlug::routing
+{
+
+namespace
+{
+
+std::size_t fewerOutstanding(const std::vector<targets::TargetView> &targets, std::size_t left, std::size_t right)
+{
+    return targets[right].ownStreams < targets[left].ownStreams ? right : left;
+}
+
+std::size_t leastOutstanding(const std::vector<targets::TargetView> &targets, const std::vector<std::size_t> &usable,
+                             std::uint64_t pick)
+{
+    auto best = usable[pick % usable.size()]; // Equal ones are chosen by turns.
+    for (const auto index : usable) {
+        best = fewerOutstanding(targets, best, index);
+    }
+    return best;
+}
+
+std::size_t powerOfTwo(const std::vector<targets::TargetView> &targets, const std::vector<std::size_t> &usable,
+                       std::uint64_t pick)
+{
+    const auto first = usable[pick % usable.size()];
+    const auto second = usable[(pick / usable.size()) % usable.size()];
+    return fewerOutstanding(targets, first, second);
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseByBaseline(config::RoutingStrategy strategy,
+                                            const std::vector<targets::TargetView> &targets,
+                                            const std::vector<std::size_t> &usable, std::uint64_t pick)
+{
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    switch (strategy) {
+    case config::RoutingStrategy::LeastOutstanding:
+        return leastOutstanding(targets, usable, pick);
+    case config::RoutingStrategy::PowerOfTwo:
+        return powerOfTwo(targets, usable, pick);
+    case config::RoutingStrategy::ExpectedTtft:
+    case config::RoutingStrategy::Random:
+    case config::RoutingStrategy::RoundRobin:
+        break;
+    }
+    return usable[pick % usable.size()];
+}
+
+} // namespace spurlug::routing
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/rendezvous.h"
 #include "spurlug/core/text.h"
+#include "spurlug/routing/baselines.h"
 
 #include <algorithm>
 
@@ -77,6 +78,17 @@
     return equal;
 }
 
+std::vector<std::size_t> usableOnes(const std::vector<Candidate> &candidates)
+{
+    std::vector<std::size_t> usable;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].usable) {
+            usable.push_back(i);
+        }
+    }
+    return usable;
+}
+
 /// Targets that were tried before count only when there is no other.
 void setAsideTried(std::vector<Candidate> &candidates, const std::vector<std::string> &excluded)
 {
@@ -103,7 +115,10 @@
 {
     const bool stale = target.reportAge > rule.staleAfter;
     const auto reported = request.urgent ? target.report.urgentTokens : target.report.queuedTokens;
-    const auto ahead = (stale ? 0 : reported) + target.ownTokens;
+    // A long prompt lets a short one pass only between its chunks.
+    const bool longRunning = !stale && request.urgent && target.report.queuedTokens > target.report.urgentTokens;
+    const auto chunk = longRunning ? rule.chunkTokens : 0;
+    const auto ahead = (stale ? 0 : reported) + chunk + target.ownTokens;
     const auto rate = target.report.prefillRate > 0 ? target.report.prefillRate : rule.defaultPrefillRate;
     const auto streams = std::max(stale ? 0 : target.report.streams, target.ownStreams);
     return absl::Seconds(static_cast<double>(ahead + request.tokens) / rate)
@@ -181,6 +196,10 @@
     }
     admitDoubtful(choice.candidates, targets);
     setAsideTried(choice.candidates, excluded);
+    if (rule.strategy != config::RoutingStrategy::ExpectedTtft) {
+        choice.chosen = chooseByBaseline(rule.strategy, targets, usableOnes(choice.candidates), pick);
+        return choice;
+    }
     if (request.prefix != 0) {
         if (const auto holder = holderOf(request.prefix, choice.candidates)) {
             choice.candidates[*holder].expected -= rule.affinityBonus;
--- a/tests/unit/request_test.cpp
+++ b/tests/unit/request_test.cpp
@@ -106,6 +106,14 @@
     BOOST_TEST(choice.chosen.value() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_short_prompt_avoids_a_target_in_the_middle_of_a_long_one)
+{
+    auto inLong = view("a", 0);
+    inLong.report.queuedTokens = 300'000;
+    BOOST_TEST(routing::chooseTarget({1000, true, 0}, {inLong, view("b", 1000)}, {}, {}, 0).chosen.value() == 1);
+    BOOST_TEST(routing::chooseTarget({1000, true, 0}, {inLong, view("b", 20'000)}, {}, {}, 0).chosen.value() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(own_dispatches_count_before_the_next_report_shows_them)
 {
     auto busy = view("a", 0);
@@ -125,6 +133,25 @@
     BOOST_TEST(counts[2] == 100);
 }
 
+BOOST_AUTO_TEST_CASE(baselines_choose_as_they_are_named)
+{
+    std::vector targets{view("a", 0), view("b", 0), view("c", 0)};
+    targets[0].ownStreams = 4;
+    targets[1].ownStreams = 2;
+    targets[2].ownStreams = 9;
+    routing::RouteRule rule;
+    const auto choose = [&](config::RoutingStrategy strategy, std::uint64_t pick) {
+        rule.strategy = strategy;
+        return routing::chooseTarget({1000, true, 0}, targets, {}, rule, pick).chosen.value();
+    };
+    for (std::uint64_t turn = 0; turn < 6; ++turn) {
+        BOOST_TEST(choose(config::RoutingStrategy::RoundRobin, turn) == turn % 3);
+        BOOST_TEST(choose(config::RoutingStrategy::LeastOutstanding, turn) == 1);
+    }
+    BOOST_TEST(choose(config::RoutingStrategy::PowerOfTwo, 0 + 3 * 2) == 0);
+    BOOST_TEST(choose(config::RoutingStrategy::PowerOfTwo, 2 + 3 * 2) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_ejected_and_tried_targets_are_left_out)
 {
     auto leaving = view("a", 0);
