Lint clean; prefix affinity off until measured; limits' bound stated as it is

Change: both mended; the choice no longer works out a prefix's holder for a bonus of zero; the limiter's bound told of cuts between domains as it was before their daemons kept being counted; a settings test uses mkstemp.

--- a/bench/cores_bench.cpp
+++ b/bench/cores_bench.cpp
@@ -56,7 +56,8 @@
     const auto targets = makeTargets(state.range(0));
     std::uint64_t pick = 0;
     for (auto _ : state) {
-        benchmark::DoNotOptimize(routing::chooseTarget({1000, true, ++pick}, targets, {}, {}, pick));
+        ++pick;
+        benchmark::DoNotOptimize(routing::chooseTarget({1000, true, pick}, targets, {}, {}, pick));
     }
 }
 BENCHMARK(chooseTarget)->Arg(10)->Arg(30)->Arg(60)->Arg(120);
--- a/include/spurlug/limits/organisation_limiter.h
+++ b/include/spurlug/limits/organisation_limiter.h
@@ -20,9 +20,11 @@
 
 /// \brief Lets each organisation have this daemon's share of its limits. Safe to use from several threads.
 ///
-/// The share is one part in the number of daemons alive in the fleet, so that all daemons together stay within the
-/// limit while callers are spread evenly. Bound: a fleet cut into k parts that cannot hear each other may let through
-/// up to k times an organisation's rate until it heals; a burst of one second's rate comes on top.
+/// The share is one part in the number of daemons of the fleet, so that all daemons together stay within the limit
+/// while callers are spread evenly. Bound: daemons of a failure domain that cannot be heard keep being counted, so a
+/// cut between domains lets nothing more through; a domain whose daemons fall into k parts that cannot hear each other
+/// may let through up to k times its part until it heals. A burst of one second's rate comes on top. Uneven callers
+/// reach the limit early.
 class OrganisationLimiter
 {
 public:
--- a/include/spurlug/routing/choose.h
+++ b/include/spurlug/routing/choose.h
@@ -29,7 +29,8 @@
 {
     core::Duration staleAfter = absl::Seconds(3); ///< A report older than this counts for nothing.
     core::Duration streamCost = core::fromMs(1); ///< Expected delay by each stream already running.
-    core::Duration affinityBonus = core::fromMs(0); ///< Taken off at the target that should hold the prefix.
+    /// Taken off at the target that should hold the prompt's prefix. Off: its worth is not measured yet.
+    core::Duration affinityBonus = absl::ZeroDuration();
     double tieShare = 0.10; ///< Targets within this share of the best count as equal.
     core::Duration tieSpan = core::fromMs(5); ///< Targets within this time of the best count as equal.
     core::Duration spillAfter = core::fromMs(250); ///< Expected wait at home beyond which other domains are looked at.
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -34,7 +34,6 @@
 using core::Reason;
 using core::Refused;
 
-constexpr int Ok = 200;
 constexpr std::int64_t DefaultAnswerTokens = 1024; // Room for an answer whose length is not given.
 constexpr std::int64_t ServiceTokens = 1;
 constexpr std::int64_t LongPriority = 100; // Added for long prompts, so that engines let short ones pass.
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -200,7 +200,7 @@
         choice.chosen = chooseByBaseline(rule.strategy, targets, usableOnes(choice.candidates), pick);
         return choice;
     }
-    if (request.prefix != 0) {
+    if (request.prefix != 0 && rule.affinityBonus > absl::ZeroDuration()) {
         if (const auto holder = holderOf(request.prefix, choice.candidates)) {
             choice.candidates[*holder].expected -= rule.affinityBonus;
         }
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -11,7 +11,10 @@
 
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
+#include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 using namespace spurlug;
 
@@ -49,7 +52,8 @@
 
 std::string settingsFault(const std::string &text)
 {
-    const std::string path = std::string(std::tmpnam(nullptr)) + ".json";
+    auto path = (std::filesystem::temp_directory_path() / "spurlug-settings-XXXXXX").string();
+    close(mkstemp(path.data()));
     std::ofstream(path) << text;
     try {
         static_cast<void>(settings::loadSettings(path));
