--- a/apps/spurlugctl.cpp
+++ b/apps/spurlugctl.cpp
@@ -8,7 +8,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/program.h"
 #include "spurlug/core/text.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/time/clock.h>
@@ -45,9 +45,9 @@
     return given[name].as<std::string>();
 }
 
-platform::HttpObjectApi openPlatform(const options::variables_map &given)
+objects::HttpObjectApi openPlatform(const options::variables_map &given)
 {
-    return platform::HttpObjectApi({core::parseAddress(text(given, "platform"))});
+    return objects::HttpObjectApi({core::parseAddress(text(given, "platform"))});
 }
 
 std::string randomHex(std::size_t bytes)
@@ -95,7 +95,7 @@
     return nlohmann::json::parse(result->body);
 }
 
-nlohmann::json storedDocument(const platform::HttpObjectApi &api, const config::Root &root)
+nlohmann::json storedDocument(const objects::HttpObjectApi &api, const config::Root &root)
 {
     config::PartTexts texts;
     for (const auto &[name, hash] : root.parts) {
--- a/apps/spurlugd.cpp
+++ b/apps/spurlugd.cpp
@@ -3,13 +3,17 @@
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
+#include "platform_daemon.h"
+
 #include "spurlug/core/error.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/program.h"
 #include "spurlug/daemon/daemon.h"
+#include "spurlug/settings/relay_settings.h"
 #include "spurlug/settings/settings.h"
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -41,7 +45,8 @@
 {
     options::options_description description("spurlugd - serves prompts of very different lengths");
     description.add_options()("help,h", "show this text")("version", "show the version")(
-        "settings", options::value<std::string>(), "settings file (JSON)")("check", "check the settings file and exit")(
+        "settings", options::value<std::string>(), "settings file (JSON)")(
+        "relay", "relay requests between the users' callers and targets; the settings are those of a relaying daemon")("check", "check the settings file and exit")(
         "ports-file", options::value<std::string>()->default_value(""), "write the bound addresses to this file");
     options::variables_map given;
     try {
@@ -58,7 +63,18 @@
             std::cerr << "spurlugd: --settings FILE is needed\n";
             return core::ExitUsage;
         }
-        const auto settings = settings::loadSettings(given["settings"].as<std::string>());
+        const auto path = given["settings"].as<std::string>();
+        if (given.contains("relay")) {
+            if (given.contains("check")) {
+                static_cast<void>(settings::loadRelaySettings(path)); // It throws what is wrong.
+                std::cout << "settings are valid\n";
+                return core::ExitOk;
+            }
+            std::signal(SIGPIPE, SIG_IGN);
+            platform::runDaemon(path);
+            return core::ExitOk;
+        }
+        const auto settings = settings::loadSettings(path);
         if (given.contains("check")) {
             std::cout << "settings are valid\n";
             return core::ExitOk;
--- a/include/spurlug/claims/claim_owner.h
+++ b/include/spurlug/claims/claim_owner.h
@@ -7,7 +7,7 @@
 #include "spurlug/claims/commit.h"
 #include "spurlug/core/periodic.h"
 #include "spurlug/metrics/metrics.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -26,7 +26,7 @@
 public:
     using OnAnswer = std::function<void(const ClaimAnswer &)>;
 
-    ClaimOwner(const platform::HttpObjectApi &platform, metrics::Metrics &metrics);
+    ClaimOwner(const objects::HttpObjectApi &platform, metrics::Metrics &metrics);
     ~ClaimOwner();
     ClaimOwner(const ClaimOwner &) = delete;
     ClaimOwner &operator=(const ClaimOwner &) = delete;
@@ -44,7 +44,7 @@
     core::Duration commitRound() ABSL_LOCKS_EXCLUDED(m_mutex);
     void commitShard(int shard, const std::vector<Waiting> &waiting);
 
-    const platform::HttpObjectApi &m_platform;
+    const objects::HttpObjectApi &m_platform;
     metrics::Metrics &m_metrics;
     absl::Mutex m_mutex;
     std::vector<Waiting> m_waiting ABSL_GUARDED_BY(m_mutex);
--- a/include/spurlug/claims/commit.h
+++ b/include/spurlug/claims/commit.h
@@ -7,7 +7,7 @@
 #include "spurlug/claims/claim_shard.h"
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/error.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include <string>
 #include <vector>
@@ -75,7 +75,7 @@
 /// its own request's name was won, whichever of two writes stored it.
 /// \param nowSeconds Wall-clock time, seconds since 1970.
 /// \returns An answer for each wish; all Unavailable when the platform does not answer.
-template<platform::ObjectApi Api>
+template<objects::ObjectApi Api>
 [[nodiscard]] std::vector<ClaimAnswer> commit(const Api &api, int shard, const std::vector<ClaimWish> &wishes,
                                               std::int64_t nowSeconds)
 {
--- a/include/spurlug/config/apply.h
+++ b/include/spurlug/config/apply.h
@@ -7,7 +7,7 @@
 #include "spurlug/config/parts.h"
 #include "spurlug/core/error.h"
 #include "spurlug/core/text.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include <algorithm>
 #include <string>
@@ -24,7 +24,7 @@
 
 /// \brief Reads the root that is in force.
 /// \throws PlatformUnavailable, InvalidDocument
-template<platform::ObjectApi Api>
+template<objects::ObjectApi Api>
 [[nodiscard]] StoredRoot readStoredRoot(const Api &api)
 {
     const auto object = api.read(std::string(RootObject));
@@ -38,7 +38,7 @@
 ///
 /// A part's name is its content, so that writing it twice, or finding it written, is success.
 /// \throws PlatformUnavailable
-template<platform::ObjectApi Api>
+template<objects::ObjectApi Api>
 void storeParts(const Api &api, const Split &split, const Root &current)
 {
     std::map<std::string, bool> known;
@@ -77,7 +77,7 @@
 /// \throws VersionConflict when another author won; nothing of this change is in force.
 /// \throws PlatformUnavailable when the change is not in force.
 /// \throws UnknownResult when the root was sent and could not be read back.
-template<platform::ObjectApi Api>
+template<objects::ObjectApi Api>
 std::int64_t applyDocument(const Api &api, const nlohmann::json &document, const StoredRoot &expected,
                            const std::string &changeId, const std::string &author)
 {
--- /dev/null
+++ b/include/spurlug/core/http_status.h
@@ -0,0 +1,32 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: HTTP statuses and the reasons they stand for
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/reason.h"
+
+namespace spurlug::core::http_status
+{
+
+inline constexpr int Ok = 200;
+inline constexpr int FirstRedirect = 300; ///< Success lies from Ok to below this.
+inline constexpr int BadRequest = 400;
+inline constexpr int Unauthorised = 401;
+inline constexpr int NotFound = 404;
+inline constexpr int RequestTimeout = 408;
+inline constexpr int Conflict = 409;
+inline constexpr int Gone = 410;
+inline constexpr int PayloadTooLarge = 413;
+inline constexpr int Misdirected = 421;
+inline constexpr int TooManyRequests = 429;
+inline constexpr int HeadTooLarge = 431;
+inline constexpr int FirstServerError = 500;
+inline constexpr int BadGateway = 502;
+inline constexpr int Unavailable = 503;
+inline constexpr int GatewayTimeout = 504;
+
+/// \brief Status that tells a caller why its request was refused or failed.
+[[nodiscard]] int statusOf(Reason reason) noexcept;
+
+} // namespace spurlug::core::http_status
--- a/include/spurlug/core/json_reader.h
+++ b/include/spurlug/core/json_reader.h
@@ -22,6 +22,13 @@
     std::string expected; ///< What should stand there.
 };
 
+/// \brief What a reader makes of members that it was never asked for, its own and those of objects within.
+enum class OtherMembers
+{
+    Fault, ///< In documents of ours: a misspelt key must not be passed over.
+    Ignored, ///< In documents of others, who may add members.
+};
+
 /// \brief Reads the members of one JSON object, notes each fault and goes on.
 ///
 /// \code
@@ -38,7 +45,8 @@
 
     /// \param pointer JSON pointer of `value` in its document.
     /// \param faults Where faults are noted; outlives the reader.
-    ObjectReader(const nlohmann::json &value, std::string pointer, std::vector<Fault> &faults);
+    ObjectReader(const nlohmann::json &value, std::string pointer, std::vector<Fault> &faults,
+                 OtherMembers others = OtherMembers::Fault);
 
     /// \brief A non-empty string that must be there.
     [[nodiscard]] std::string text(const std::string &key);
@@ -59,7 +67,7 @@
     void objects(const std::string &key, const Visit &visit);
     /// \brief Visits an object that may be missing.
     void object(const std::string &key, const Visit &visit);
-    /// \brief Notes a fault for each member that was never asked for.
+    /// \brief Notes a fault for each member that was never asked for, unless these are ignored.
     void rejectOthers();
     /// \brief Notes a fault at a member.
     void fault(const std::string &key, std::string expected);
@@ -72,6 +80,7 @@
     const nlohmann::json &m_value;
     std::string m_pointer;
     std::vector<Fault> &m_faults;
+    OtherMembers m_others;
     std::set<std::string> m_known;
 };
 
--- a/include/spurlug/core/log.h
+++ b/include/spurlug/core/log.h
@@ -37,7 +37,14 @@
 /// \param lowest Lines below this level are dropped.
 void startLog(std::string_view program, LogLevel lowest);
 
-/// \brief Writes one line.
+/// \brief Changes the level below which lines are dropped.
+void setLogLevel(LogLevel lowest);
+
+/// \brief Writes what waits, for a moment at most, and ends the log. Call once, after all other threads.
+void stopLog();
+
+/// \brief Writes one line. Never waits: a thread of the log writes it. When the reader of standard output stands still,
+/// or one kind of line comes too often, lines are left out and counted in a later one.
 /// \param event What happened, in snake_case, the same words each time.
 /// \param fields A JSON object with what varies; never a secret.
 void log(LogLevel level, std::string_view event, const nlohmann::json &fields);
--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -45,6 +45,10 @@
     AlreadyClaimed,
     DeadlinePassed,
     CallerGone,
+    StaleConfiguration, ///< It cannot be known whether keys and routes still hold.
+    TargetSilent, ///< The target did not answer in the time that this takes several times over.
+    TargetMoved, ///< The address belongs to another target now.
+    NoCapacity, ///< All targets are full.
 };
 
 template<>
@@ -84,6 +88,9 @@
         EnumName<Reason>{Reason::AlreadyClaimed, "already_claimed"},
         EnumName<Reason>{Reason::DeadlinePassed, "deadline_passed"},
         EnumName<Reason>{Reason::CallerGone, "caller_gone"},
+        EnumName<Reason>{Reason::StaleConfiguration, "stale_configuration"},
+        EnumName<Reason>{Reason::TargetSilent, "target_silent"},
+        EnumName<Reason>{Reason::NoCapacity, "no_capacity"},
     };
 };
 
--- a/include/spurlug/daemon/config_follower.h
+++ b/include/spurlug/daemon/config_follower.h
@@ -9,7 +9,7 @@
 #include "spurlug/daemon/peer_calls.h"
 #include "spurlug/membership/fleet.h"
 #include "spurlug/metrics/metrics.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 #include "spurlug/settings/settings.h"
 
 #include <atomic>
@@ -27,7 +27,7 @@
 {
 public:
     ConfigFollower(config::Store &store, membership::Fleet &fleet, PeerCalls &peers,
-                   const platform::HttpObjectApi &platform, metrics::Metrics &metrics, settings::Timing timing);
+                   const objects::HttpObjectApi &platform, metrics::Metrics &metrics, settings::Timing timing);
     ~ConfigFollower();
     ConfigFollower(const ConfigFollower &) = delete;
     ConfigFollower &operator=(const ConfigFollower &) = delete;
@@ -39,7 +39,7 @@
     [[nodiscard]] bool shouldWatch() const;
     [[nodiscard]] bool readsVmListOften(core::Time now) const;
     void offer(const std::string &root, config::PartTexts texts);
-    void takeFromPlatform(const platform::Object &root);
+    void takeFromPlatform(const objects::Object &root);
     void takeFromPeer(const core::Address &peer);
     [[nodiscard]] core::Duration startDelay();
     [[nodiscard]] core::Duration backoff();
@@ -47,7 +47,7 @@
     config::Store &m_store;
     membership::Fleet &m_fleet;
     PeerCalls &m_peers;
-    const platform::HttpObjectApi &m_platform;
+    const objects::HttpObjectApi &m_platform;
     metrics::Metrics &m_metrics;
     const settings::Timing m_timing;
     bool m_started = false;
--- a/include/spurlug/daemon/error_body.h
+++ b/include/spurlug/daemon/error_body.h
@@ -31,9 +31,6 @@
 /// \brief A request that failed for good, as its caller sees it.
 [[nodiscard]] ErrorReply toReply(const dispatch::AttemptEnd &end, const std::string &requestId);
 
-/// \brief HTTP status for a reason.
-[[nodiscard]] int statusOf(core::Reason reason) noexcept;
-
 /// \brief The error in the shape that OpenAI clients read.
 [[nodiscard]] nlohmann::ordered_json errorBody(const ErrorReply &reply);
 
--- a/include/spurlug/membership/fleet.h
+++ b/include/spurlug/membership/fleet.h
@@ -29,7 +29,7 @@
     /// \name Commands
     /// @{
     HeardResult hear(const PeerNews &news, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
-    void noteVmList(const std::vector<platform::VmEntry> &entries) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void noteVmList(const std::vector<objects::VmEntry> &entries) ABSL_LOCKS_EXCLUDED(m_mutex);
     void noteOwnPause(core::Duration gap, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
     void forgetSilent(core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
     /// \brief Takes the summaries of a heartbeat.
--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -8,6 +8,7 @@
 #include "spurlug/membership/domain_table.h"
 #include "spurlug/membership/peer_table.h"
 #include "spurlug/targets/load_report.h"
+#include "spurlug/targets/outstanding.h"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,8 @@
     PeerNews news;
     std::vector<ObservedLoad> loads;
     std::vector<DomainSummary> summaries;
+    std::vector<targets::TargetWork> work; ///< Of the sender itself.
+    std::vector<core::Address> knownPeers; ///< Of some daemons that the sender hears.
 };
 
 /// \brief Writes and signs a heartbeat as one datagram.
--- a/include/spurlug/membership/peer_table.h
+++ b/include/spurlug/membership/peer_table.h
@@ -7,7 +7,7 @@
 #include "spurlug/core/address.h"
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include <cstdint>
 #include <map>
@@ -108,7 +108,7 @@
     HeardResult hear(const PeerNews &news, core::Time now);
 
     /// \brief Takes a VM list. Entries that have never been heard stay unknown until they are.
-    void noteVmList(const std::vector<platform::VmEntry> &entries);
+    void noteVmList(const std::vector<objects::VmEntry> &entries);
 
     /// \brief Notes that this daemon itself stood still for `gap`: peers get that much longer.
     void noteOwnPause(core::Duration gap, core::Time now);
@@ -149,7 +149,7 @@
     std::string m_failureDomain;
     core::Duration m_timeout;
     std::map<std::string, Peer> m_peers;
-    std::map<std::string, platform::VmEntry> m_listed;
+    std::map<std::string, objects::VmEntry> m_listed;
 };
 
 } // namespace spurlug::membership
--- a/include/spurlug/platform/object_api.h
+++ b/include/spurlug/objects/object_api.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace spurlug::platform
+namespace spurlug::objects
 {
 
 /// \brief A stored value and its version; versions of one object only go up.
@@ -93,4 +93,4 @@
 
 static_assert(ObjectApi<HttpObjectApi>);
 
-} // namespace spurlug::platform
+} // namespace spurlug::objects
--- /dev/null
+++ b/include/spurlug/relay/context.h
@@ -0,0 +1,55 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what the coroutines of a relaying daemon share
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/config/route_table.h"
+#include "spurlug/metrics/metrics.h"
+#include "spurlug/net/io.h"
+#include "spurlug/relay/freshness.h"
+#include "spurlug/relay/placement.h"
+#include "spurlug/relay/retry_ledger.h"
+#include "spurlug/relay/target_set.h"
+#include "spurlug/settings/relay_settings.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace spurlug::relay
+{
+
+/// \brief State of the daemon. Used on the loop's thread only, so it needs no lock; nothing keeps a reference into its
+/// tables across a suspension, but counted ones.
+struct RelayContext
+{
+    RelayContext(net::Loop &loop, const settings::RelaySettings &settings, metrics::Metrics &metrics);
+
+    net::Loop &loop;
+    const settings::RelaySettings &settings;
+    metrics::Metrics &metrics;
+    config::RouteTableRef table; ///< Null until the first configuration was read.
+    std::string document; ///< The table's source, for peers.
+    Freshness configurationProof;
+    core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
+    TargetSet targets;
+    RetryLedger retries;
+    PlacementRule placement;
+    EjectionRule ejection;
+    std::mt19937_64 random;
+    std::size_t daemons = 1; ///< Daemons that live, this one included.
+    bool draining = false;
+    core::Time drainingSince = absl::InfiniteFuture();
+    std::int64_t inProgress = 0; ///< Requests that were read and are not answered.
+    std::uint64_t reservations = 0; ///< Numbers the reservations of this life.
+
+    /// \brief Whether keys can be checked: the configuration was known to be the newest not long ago.
+    [[nodiscard]] bool keysAreFresh(core::Time now) const;
+
+    /// \brief Takes a configuration that is newer than the one in force.
+    /// \param from Where it came from, for logs.
+    void adopt(config::RouteTableRef newer, std::string source, std::string_view from, core::Time now);
+};
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/include/spurlug/relay/peer_state.h
@@ -0,0 +1,37 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what daemons tell each other while some of them cannot reach the directory
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+#include "spurlug/relay/context.h"
+#include "spurlug/relay/directory.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace spurlug::relay
+{
+
+/// \brief One daemon's knowledge of configuration and targets. Ages are as of the moment it was written.
+struct PeerState
+{
+    std::int64_t version = 0; ///< Of the configuration; 0: none.
+    core::Duration proofAge = absl::InfiniteDuration();
+    std::string document; ///< Source of the configuration; empty when the asker has that version.
+    core::Duration targetsAge = absl::InfiniteDuration();
+    std::vector<TargetChange> targets;
+};
+
+/// \brief What this daemon knows.
+/// \param askersVersion Version that the asker has.
+[[nodiscard]] PeerState peerState(const RelayContext &context, std::int64_t askersVersion, core::Time now);
+
+[[nodiscard]] std::string writePeerState(const PeerState &state);
+
+/// \throws InvalidDocument
+[[nodiscard]] PeerState readPeerState(const std::string &text);
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/include/spurlug/relay/request_progress.h
@@ -0,0 +1,117 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the decisions in the life of one relayed request
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/relay/context.h"
+#include "spurlug/relay/request_facts.h"
+#include "spurlug/relay/verdict.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace spurlug::relay
+{
+
+/// \brief A chosen target and the engines that help it.
+struct ChosenTargets
+{
+    core::Ref<Target> target;
+    std::vector<core::Ref<Target>> helpers; ///< Those that hold memory first.
+    std::vector<std::int64_t> holdingTokens; ///< Of the first helpers.
+    core::Duration expected; ///< Until the first event.
+    std::int64_t partTokens = 0; ///< Read by each engine.
+};
+
+/// \brief What is decided about one request from its arrival to its end, and the record of it.
+///
+/// Knows no socket: the coroutine that moves the bytes asks it what to do and tells it what happened.
+class RequestProgress
+{
+public:
+    RequestProgress(RelayContext &context, RequestFacts facts, core::Time arrivedAt);
+    ~RequestProgress();
+    RequestProgress(const RequestProgress &) = delete;
+    RequestProgress &operator=(const RequestProgress &) = delete;
+
+    /// \name Commands
+    /// @{
+
+    /// \brief Looks the request's route and organisation up in the configuration in force now. Called before each
+    /// sending: a key or a route may have gone while the request waited.
+    /// \returns Why the request must not run, or nothing.
+    [[nodiscard]] std::optional<Refusal> authorise(core::Time now);
+
+    /// \brief Chooses targets with what is known now.
+    [[nodiscard]] std::optional<ChosenTargets> choose(core::Time now);
+
+    /// \brief Notes that the request goes to these targets: their work counts from here.
+    void begin(const ChosenTargets &chosen, core::Time now);
+    /// \brief Notes the first event or the whole answer.
+    void answered(core::Time now);
+    /// \brief Notes that an attempt ended.
+    void endAttempt(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
+                    const std::string &detail, core::Time now);
+    /// \brief Notes that a helper was the one at fault.
+    void helperFailed(const core::Address &helper, core::Time now);
+
+    /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
+    [[nodiscard]] bool takeResend(bool mayRepeat, core::Time now);
+
+    /// \brief Notes the end of the request.
+    /// \param status Status the caller got; 0: the connection ended instead.
+    void finish(core::Outcome outcome, core::Reason reason, int status, core::Time now);
+
+    /// @}
+    /// \name Queries
+    /// @{
+
+    [[nodiscard]] const RequestFacts &facts() const noexcept;
+    [[nodiscard]] const config::Route &route() const noexcept;
+    [[nodiscard]] const std::string &organisation() const noexcept;
+    [[nodiscard]] core::Time deadline() const noexcept;
+    [[nodiscard]] int attempts() const noexcept;
+    /// \brief Whether some attempt may have run.
+    [[nodiscard]] bool ranSomewhere() const noexcept;
+    /// \brief Priority to tell engines.
+    [[nodiscard]] int enginePriority() const noexcept;
+    /// \brief Longest silence of a target before its first bytes, and between bytes, until another one is tried.
+    [[nodiscard]] core::Duration patience(const ChosenTargets &chosen, bool answering) const noexcept;
+    /// \brief When a caller that is refused now should come back.
+    [[nodiscard]] core::Duration retryAfter(core::Reason reason) const noexcept;
+    /// \brief The relay's own last word.
+    [[nodiscard]] Refusal lastWord(core::Reason reason) const noexcept;
+
+    /// @}
+
+private:
+    [[nodiscard]] std::vector<Candidate> candidates(const TargetSet::Targets &targets, core::Time now) const;
+    [[nodiscard]] bool usable(const Target &target, bool evenEjected, core::Time now) const;
+    [[nodiscard]] const std::string &chooseService();
+    [[nodiscard]] Refusal refuse(core::Reason reason) const;
+
+    RelayContext &m_context;
+    const RequestFacts m_facts;
+    const core::Time m_arrivedAt;
+    config::RouteTableRef m_table; ///< Keeps `m_route` alive.
+    const config::Route *m_route = nullptr;
+    std::string m_service;
+    std::string m_organisation;
+    std::int64_t m_priority = 0;
+    core::Time m_deadline = absl::InfiniteFuture();
+    bool m_counted = false; ///< Whether the service's ledger knows of the request.
+    std::vector<std::unique_ptr<Share>> m_shares;
+    std::vector<std::string> m_tried;
+    ChosenTargets m_current;
+    core::Time m_sentAt = absl::InfinitePast();
+    core::Time m_answeredAt = absl::InfinitePast();
+    int m_attempts = 0;
+    int m_sends = 0;
+    bool m_ranSomewhere = false;
+    bool m_finished = false;
+};
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/include/spurlug/relay/request_run.h
@@ -0,0 +1,86 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: moves the bytes of one relayed request
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/http_status.h"
+#include "spurlug/core/text.h"
+#include "spurlug/net/server_connection.h"
+#include "spurlug/relay/attempt.h"
+#include "spurlug/relay/dialect.h"
+#include "spurlug/relay/event_splitter.h"
+#include "spurlug/relay/request_progress.h"
+#include "spurlug/relay/reservation.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace spurlug::relay
+{
+
+/// \brief One request from a caller to its answer. The coroutine `run` does everything; all decisions are those of
+/// RequestProgress.
+template<Dialect D>
+class RequestRun
+{
+public:
+    RequestRun(RelayContext &context, const D &dialect, core::Ref<net::ServerConnection> caller, net::Request request,
+               RequestFacts facts, core::Time arrivedAt);
+
+    /// \brief Serves the request.
+    /// \returns Whether the connection can take another one.
+    [[nodiscard]] net::Task<bool> run();
+
+private:
+    /// What follows an attempt.
+    enum class Next
+    {
+        Done, ///< The caller has its answer, or is gone.
+        SendAgain,
+        Fail, ///< The relay has the last word.
+    };
+
+    [[nodiscard]] net::Task<bool> pursue();
+    [[nodiscard]] net::Task<Next> attempt(const ChosenTargets &chosen);
+    [[nodiscard]] net::Task<std::optional<ChosenTargets>> chooseOrWait();
+    [[nodiscard]] net::Task<bool> reserve(const ChosenTargets &chosen);
+    void releaseAll();
+    void send(const ChosenTargets &chosen);
+    [[nodiscard]] net::Task<Next> follow(const ChosenTargets &chosen);
+    [[nodiscard]] net::Task<Next> take(RequestEvent event, const ChosenTargets &chosen, bool &ended);
+    [[nodiscard]] net::Task<Next> takeHead(net::ResponseHead head, bool &ended);
+    [[nodiscard]] net::Task<Next> takeBytes(const std::string &bytes, bool &ended);
+    [[nodiscard]] net::Task<Next> takeEnd(const AttemptEnded &end);
+    [[nodiscard]] net::Task<Next> passWhole();
+    [[nodiscard]] net::Task<bool> passHead();
+    [[nodiscard]] net::Task<bool> passEvent(StreamEvent event);
+    [[nodiscard]] Next afterFailure(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
+                                    const std::string &detail);
+    [[nodiscard]] net::Task<bool> refuse(Refusal refusal);
+    [[nodiscard]] bool mayRepeat() const;
+    [[nodiscard]] bool keepsAlive() const;
+
+    RelayContext &m_context;
+    const D &m_dialect;
+    core::Ref<net::ServerConnection> m_caller;
+    const net::Request m_request;
+    RequestProgress m_progress;
+    core::Ref<RequestInbox> m_inbox;
+    core::Ref<Attempt> m_attempt;
+    std::vector<core::Ref<Reservation>> m_reservations;
+    core::Reason m_failure = core::Reason::None; ///< Why the last attempt failed.
+    bool m_callerGone = false;
+    net::ResponseHead m_head; ///< Of the attempt in progress.
+    bool m_isStream = false; ///< Whether the attempt in progress answers with events.
+    std::string m_body; ///< Of a plain answer, so far.
+    EventSplitter m_events; ///< Of the attempt in progress.
+    bool m_headPassed = false; ///< Whether the caller has the head of a stream.
+    std::optional<std::int64_t> m_lastEvent; ///< The caller has the stream's events up to this one.
+};
+
+} // namespace spurlug::relay
+
+#include "spurlug/relay/request_run_impl.h"
--- /dev/null
+++ b/include/spurlug/relay/request_run_impl.h
@@ -0,0 +1,415 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: moves the bytes of one relayed request: implementation
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/relay/request_run.h" // For tools that read this file alone.
+
+namespace spurlug::relay
+{
+
+namespace detail
+{
+
+inline constexpr auto ConnectTimeout = absl::Milliseconds(400); ///< A live target accepts within a few ms.
+inline constexpr auto ChoosePause = absl::Milliseconds(10); ///< Between looks for a free target.
+inline constexpr double HoldShare = 0.85; ///< Of the time after which unused memory must be free again.
+
+} // namespace detail
+
+template<Dialect D>
+RequestRun<D>::RequestRun(RelayContext &context, const D &dialect, core::Ref<net::ServerConnection> caller,
+                          net::Request request, RequestFacts facts, core::Time arrivedAt)
+    : m_context(context)
+    , m_dialect(dialect)
+    , m_caller(std::move(caller))
+    , m_request(std::move(request))
+    , m_progress(context, std::move(facts), arrivedAt)
+    , m_inbox(core::makeCounted<RequestInbox>(context.loop))
+    , m_lastEvent(m_progress.facts().resumeAfter)
+{ }
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::run()
+{
+    if (const auto refusal = m_progress.authorise(core::now())) {
+        m_progress.finish(core::Outcome::NotRun, refusal->reason, refusal->status, core::now());
+        m_context.metrics.countRefusal(refusal->reason);
+        co_return co_await refuse(*refusal);
+    }
+    m_caller->watch([inbox = m_inbox] { inbox->events.post(CallerGone{}); });
+    const bool answered = co_await pursue();
+    m_caller->stopWatching();
+    releaseAll();
+    co_return answered && !m_callerGone &&keepsAlive();
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::pursue()
+{
+    for (;;) {
+        const auto chosen = co_await chooseOrWait();
+        auto next = Next::Fail;
+        if (chosen) {
+            next = co_await attempt(*chosen);
+        }
+        releaseAll();
+        if (m_callerGone) {
+            m_progress.finish(m_progress.ranSomewhere() ? core::Outcome::MayHaveRun : core::Outcome::NotRun,
+                              core::Reason::CallerGone, 0, core::now());
+            co_return false;
+        }
+        if (next == Next::Done) {
+            co_return true;
+        }
+        if (next == Next::Fail) {
+            break;
+        }
+    }
+    const auto outcome = m_progress.ranSomewhere() ? core::Outcome::MayHaveRun : core::Outcome::NotRun;
+    if (m_headPassed) {
+        m_progress.finish(outcome, m_failure, 0, core::now());
+        m_caller->reset(); // The caller must not take the events it has for the whole stream.
+        co_return false;
+    }
+    const auto word = m_progress.lastWord(m_failure);
+    m_progress.finish(outcome, m_failure, word.status, core::now());
+    co_return co_await refuse(word);
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::attempt(const ChosenTargets &chosen)
+{
+    const bool reserved = co_await reserve(chosen);
+    if (!reserved) {
+        co_await net::sleepFor(detail::ChoosePause); // The memory was taken in the meantime.
+        co_return Next::SendAgain;
+    }
+    // The configuration may have changed while the request waited.
+    const auto refusal = m_progress.authorise(core::now());
+    if (refusal) {
+        m_failure = refusal->reason;
+        co_return Next::Fail;
+    }
+    send(chosen);
+    co_return co_await follow(chosen);
+}
+
+template<Dialect D>
+net::Task<std::optional<ChosenTargets>> RequestRun<D>::chooseOrWait()
+{
+    for (;;) {
+        const auto now = core::now();
+        if (now >= m_progress.deadline()) {
+            m_failure = core::Reason::DeadlinePassed;
+            co_return std::nullopt;
+        }
+        if (auto chosen = m_progress.choose(now)) {
+            co_return chosen;
+        }
+        m_failure = core::Reason::NoCapacity;
+        auto event = co_await m_inbox->events.take(std::min(m_progress.deadline(), now + detail::ChoosePause));
+        if (event && std::holds_alternative<CallerGone>(*event)) {
+            m_callerGone = true;
+            co_return std::nullopt;
+        }
+    }
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::reserve(const ChosenTargets &chosen)
+{
+    const auto hold = std::min(m_context.settings.bounds.freeAfter * detail::HoldShare,
+                               m_context.settings.bounds.longestHold);
+    for (std::size_t i = 0; i < chosen.holdingTokens.size(); ++i) {
+        const auto id = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-",
+                                  ++m_context.reservations);
+        auto reservation = core::makeCounted<Reservation>(
+            m_context.loop, chosen.helpers[i]->entry.address, id,
+            m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold), m_dialect.releaseOrder(id), hold);
+        const bool granted = co_await reservation->acquire(m_progress.deadline());
+        if (!granted) {
+            m_failure = core::Reason::ReservationRefused;
+            co_return false;
+        }
+        m_reservations.push_back(std::move(reservation));
+    }
+    co_return true;
+}
+
+template<Dialect D>
+void RequestRun<D>::releaseAll()
+{
+    for (const auto &reservation : m_reservations) {
+        reservation->release();
+    }
+    m_reservations.clear();
+}
+
+template<Dialect D>
+void RequestRun<D>::send(const ChosenTargets &chosen)
+{
+    const auto now = core::now();
+    m_progress.begin(chosen, now);
+    m_isStream = false;
+    m_body.clear();
+    m_events = {};
+    AttemptFacts facts;
+    facts.targetId = chosen.target->entry.id;
+    facts.target = chosen.target->entry.address;
+    facts.organisation = m_progress.organisation();
+    facts.timeLeft = m_progress.deadline() - now;
+    facts.resumeAfter = m_lastEvent;
+    for (std::size_t i = 0; i < chosen.helpers.size(); ++i) {
+        facts.helpers.push_back(
+            {chosen.helpers[i]->entry.address, i < m_reservations.size() ? m_reservations[i]->id() : ""});
+    }
+    if (m_progress.facts().prompt) {
+        facts.priority = m_progress.enginePriority();
+    }
+    m_attempt = core::makeCounted<Attempt>(m_context.loop, m_inbox, m_progress.attempts());
+    m_attempt->start(chosen.target->entry.address, m_dialect.attemptRequest(m_request, facts), detail::ConnectTimeout,
+                     m_progress.deadline());
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::follow(const ChosenTargets &chosen)
+{
+    bool answering = false;
+    bool patient = false; // No other target can be tried: wait until the deadline.
+    for (;;) {
+        auto until = m_progress.deadline();
+        if (!patient) {
+            until = std::min(until, core::now() + m_progress.patience(chosen, answering));
+        }
+        auto event = co_await m_inbox->events.take(until);
+        const auto now = core::now();
+        if (!event && now >= m_progress.deadline()) {
+            m_attempt->abort();
+            m_failure = core::Reason::DeadlinePassed;
+            m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, std::nullopt, "no answer by the deadline", now);
+            co_return Next::Fail;
+        }
+        if (!event) {
+            if (!mayRepeat() || !m_progress.takeResend(true, now)) {
+                patient = true;
+                continue;
+            }
+            m_attempt->abort();
+            m_failure = core::Reason::TargetSilent;
+            m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, TargetFault::Silent, "silence", now);
+            co_return Next::SendAgain;
+        }
+        bool ended = false;
+        const bool isBytes = std::holds_alternative<BytesArrived>(*event);
+        const auto next = co_await take(std::move(*event), chosen, ended);
+        if (ended) {
+            co_return next;
+        }
+        answering = answering || isBytes;
+    }
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::take(RequestEvent event, const ChosenTargets &, bool &ended)
+{
+    if (std::holds_alternative<CallerGone>(event)) {
+        m_callerGone = true;
+        m_attempt->abort();
+        m_progress.endAttempt(core::Outcome::MayHaveRun, core::Reason::CallerGone, std::nullopt, "the caller is gone",
+                              core::now());
+        ended = true;
+        co_return Next::Done;
+    }
+    const auto current = m_progress.attempts();
+    if (auto *head = std::get_if<HeadArrived>(&event); head != nullptr && head->attempt == current) {
+        co_return co_await takeHead(std::move(head->head), ended);
+    }
+    if (auto *bytes = std::get_if<BytesArrived>(&event); bytes != nullptr && bytes->attempt == current) {
+        co_return co_await takeBytes(bytes->bytes, ended);
+    }
+    if (auto *end = std::get_if<AttemptEnded>(&event); end != nullptr && end->attempt == current) {
+        ended = true;
+        co_return co_await takeEnd(*end);
+    }
+    co_return Next::Done; // Of an attempt that was given up.
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::takeHead(net::ResponseHead head, bool &ended)
+{
+    const auto answer = m_dialect.readAnswer(head);
+    const auto verdict = judgeAnswer(answer, m_progress.facts().id);
+    const auto now = core::now();
+    if (answer.faultAt) {
+        m_progress.helperFailed(*answer.faultAt, now);
+    }
+    const auto detail = core::cat("status ", answer.status);
+    if (verdict.outcome != core::Outcome::Completed) {
+        m_attempt->abort();
+        ended = true;
+        co_return afterFailure(verdict.outcome, verdict.reason, verdict.fault, detail);
+    }
+    if (verdict.fault && mayRepeat()) {
+        // A failure of the target itself: another one may do better. If none can be tried, this answer is passed on.
+        if (m_progress.takeResend(true, now)) {
+            m_attempt->abort();
+            ended = true;
+            m_failure = core::Reason::TargetFailed;
+            m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, verdict.fault, detail, now);
+            co_return Next::SendAgain;
+        }
+    }
+    m_isStream = answer.isEventStream && !verdict.fault;
+    m_head = std::move(head);
+    if (m_headPassed && !m_isStream) {
+        m_attempt->abort(); // A stream under way cannot become another answer.
+        ended = true;
+        co_return afterFailure(core::Outcome::MayHaveRun, core::Reason::TargetFailed, TargetFault::Garbled, detail);
+    }
+    co_return Next::Done;
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::takeBytes(const std::string &bytes, bool &ended)
+{
+    if (!m_isStream) {
+        m_body += bytes;
+        co_return Next::Done;
+    }
+    m_events.feed(bytes);
+    for (auto event = m_events.next(); event; event = m_events.next()) {
+        const bool inOrder = !event->id || !m_lastEvent || *event->id == *m_lastEvent + 1;
+        if (!inOrder) {
+            m_attempt->abort();
+            ended = true;
+            co_return afterFailure(core::Outcome::MayHaveRun, core::Reason::StreamCut, TargetFault::Garbled,
+                                   core::cat("event ", *event->id, " after ", *m_lastEvent));
+        }
+        m_progress.answered(core::now());
+        const bool passed = co_await passEvent(std::move(*event));
+        if (!passed) {
+            m_callerGone = true;
+            m_attempt->abort();
+            m_progress.endAttempt(core::Outcome::MayHaveRun, core::Reason::CallerGone, std::nullopt,
+                                  "the caller does not take the answer", core::now());
+            ended = true;
+            co_return Next::Done;
+        }
+    }
+    co_return Next::Done;
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::passHead()
+{
+    m_headPassed = true;
+    auto head = m_dialect.answerHead(m_head);
+    const bool written = co_await m_caller->writeHead(std::move(head), keepsAlive(), m_progress.deadline());
+    co_return written;
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::passEvent(StreamEvent event)
+{
+    if (!m_headPassed) {
+        const bool headWritten = co_await passHead();
+        if (!headWritten) {
+            co_return false;
+        }
+    }
+    if (event.id) {
+        m_lastEvent = event.id;
+    }
+    m_context.metrics.count(metrics::Counter::TokensRelayed);
+    co_return co_await m_caller->writeChunk(std::move(event.bytes), m_progress.deadline());
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::takeEnd(const AttemptEnded &end)
+{
+    if (end.stage == AttemptStage::NotSent) {
+        co_return afterFailure(core::Outcome::NotRun, core::Reason::ConnectFailed, TargetFault::Unreachable,
+                               end.detail);
+    }
+    if (end.stage == AttemptStage::Sent) {
+        const auto reason = m_headPassed ? core::Reason::StreamCut : core::Reason::TargetFailed;
+        co_return afterFailure(core::Outcome::MayHaveRun, reason, TargetFault::Broken, end.detail);
+    }
+    if (!m_isStream) {
+        co_return co_await passWhole();
+    }
+    if (m_events.inTheMiddle()) {
+        co_return afterFailure(core::Outcome::MayHaveRun, core::Reason::StreamCut, TargetFault::Broken,
+                               "the stream ended inside an event");
+    }
+    const auto now = core::now();
+    m_progress.answered(now);
+    m_progress.endAttempt(core::Outcome::Completed, core::Reason::None, std::nullopt, "", now);
+    bool written = true;
+    if (!m_headPassed) {
+        written = co_await passHead();
+    }
+    if (written) {
+        written = co_await m_caller->writeEnd(m_progress.deadline());
+    }
+    m_callerGone = !written;
+    m_progress.finish(core::Outcome::Completed, core::Reason::None, m_head.status, core::now());
+    co_return Next::Done;
+}
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::passWhole()
+{
+    const auto now = core::now();
+    const bool failed = m_head.status >= core::http_status::FirstServerError;
+    m_progress.answered(now);
+    m_progress.endAttempt(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None,
+                          failed ? std::optional(TargetFault::Error) : std::nullopt, "", now);
+    net::Response response{m_dialect.answerHead(m_head), std::move(m_body)};
+    const bool written = co_await m_caller->write(std::move(response), keepsAlive(), m_progress.deadline());
+    m_callerGone = !written;
+    m_progress.finish(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None,
+                      m_head.status, core::now());
+    co_return Next::Done;
+}
+
+template<Dialect D>
+typename RequestRun<D>::Next RequestRun<D>::afterFailure(core::Outcome outcome, core::Reason reason,
+                                                         std::optional<TargetFault> fault, const std::string &detail)
+{
+    const auto now = core::now();
+    m_failure = reason;
+    m_progress.endAttempt(outcome, reason, fault, detail, now);
+    if (!m_progress.takeResend(mayRepeat(), now)) {
+        return Next::Fail;
+    }
+    m_context.metrics.countRetry(reason);
+    return Next::SendAgain;
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::refuse(Refusal refusal)
+{
+    constexpr auto WriteTimeout = absl::Seconds(2); // The answer is small: a caller that lives takes it at once.
+    auto response = m_dialect.refusal(refusal, m_progress.facts());
+    const bool written
+        = co_await m_caller->write(std::move(response), keepsAlive(), core::now() + core::Duration(WriteTimeout));
+    co_return written && keepsAlive();
+}
+
+template<Dialect D>
+bool RequestRun<D>::mayRepeat() const
+{
+    const auto &route = m_progress.route();
+    return route.repeatable() && (!m_headPassed || m_lastEvent.has_value());
+}
+
+template<Dialect D>
+bool RequestRun<D>::keepsAlive() const
+{
+    return m_request.keepAlive && !m_context.draining;
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/include/spurlug/relay/target_set.h
@@ -0,0 +1,138 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the targets, the work that this daemon and its peers have at each, and how they fare
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/counted.h"
+#include "spurlug/core/time.h"
+#include "spurlug/relay/target_health.h"
+#include "spurlug/targets/outstanding.h"
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace spurlug::relay
+{
+
+/// \brief What the directory says of a target.
+struct TargetEntry
+{
+    std::string id; ///< New with each start of the target.
+    std::string service;
+    core::Address address;
+    std::string failureDomain;
+    int slots = 1; ///< Requests that run at once.
+    bool draining = false; ///< It will end soon and must get nothing new.
+};
+
+using targets::Outstanding;
+using targets::TargetWork;
+
+class Target;
+
+/// \brief One piece of this daemon's work at a target, for as long as the object lives.
+class Share : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    enum class Kind
+    {
+        Request, ///< The target answers the request.
+        Part, ///< The target reads a part of a prompt for another one.
+    };
+
+    /// \param work What the share adds to the target's work while its prompt is read.
+    /// \param expectedRead How long reading should take; the tokens left shrink in step with it.
+    Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Duration expectedRead, core::Time now);
+    Share(const Share &) = delete;
+    Share &operator=(const Share &) = delete;
+
+    /// \brief Notes that the prompt was read: the request generates now, parts are done.
+    void promptRead() noexcept;
+
+    [[nodiscard]] Outstanding work(core::Time now) const noexcept;
+    [[nodiscard]] const core::Ref<Target> &target() const noexcept;
+
+private:
+    core::Ref<Target> m_target;
+    Kind m_kind;
+    Outstanding m_work;
+    core::Duration m_expectedRead;
+    core::Time m_sentAt;
+    bool m_reading = true;
+};
+
+/// \brief A target as this daemon knows it. Used on the loop's thread only.
+class Target : public core::Counted<Target>
+{
+public:
+    explicit Target(TargetEntry entry);
+
+    TargetEntry entry;
+    TargetHealth health;
+    Outstanding peers; ///< What the peers said of their own work here.
+    core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
+
+    /// \brief Work of this daemon here.
+    [[nodiscard]] Outstanding own(core::Time now) const noexcept;
+
+    /// \brief Whether it may get new work, as far as the directory goes.
+    [[nodiscard]] bool listed(core::Time now) const noexcept
+    {
+        return !entry.draining && now < dropAt;
+    }
+
+private:
+    friend class Share;
+    using Shares = boost::intrusive::list<Share, boost::intrusive::constant_time_size<false>>;
+
+    Shares m_shares;
+};
+
+/// \brief All targets. Used on the loop's thread only.
+class TargetSet
+{
+public:
+    using Targets = std::vector<core::Ref<Target>>;
+
+    /// \name Commands
+    /// @{
+
+    /// \brief Adds a target or takes what is new of it. A target that was draining stays so.
+    void put(const TargetEntry &entry);
+    /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
+    void drop(const std::string &id, core::Time dropAt);
+    /// \brief Forgets targets that are gone and have no work of this daemon.
+    void forgetGone(core::Time now);
+    /// \brief Takes a peer's own work at all targets, in place of what it said before.
+    void peerWork(const std::string &peer, const std::vector<TargetWork> &works);
+    /// \brief Forgets the work of a peer that is not heard any more.
+    void forgetPeer(const std::string &peer);
+
+    /// @}
+    /// \name Queries
+    /// @{
+
+    /// \brief Targets of a service that may get new work.
+    [[nodiscard]] Targets listed(const std::string &service, core::Time now) const;
+    /// \brief The target with an id; null when there is none.
+    [[nodiscard]] core::Ref<Target> find(const std::string &id) const;
+    /// \brief The target at an address; null when there is none.
+    [[nodiscard]] core::Ref<Target> at(const core::Address &address, core::Time now) const;
+    /// \brief Work of this daemon at each target where it has some.
+    [[nodiscard]] std::vector<TargetWork> ownWork(core::Time now) const;
+    [[nodiscard]] const std::unordered_map<std::string, core::Ref<Target>> &all() const noexcept;
+
+    /// @}
+
+private:
+    std::unordered_map<std::string, core::Ref<Target>> m_targets;
+    std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
+    std::unordered_map<std::string, std::vector<TargetWork>> m_peerWorks;
+};
+
+} // namespace spurlug::relay
--- a/include/spurlug/settings/settings.h
+++ b/include/spurlug/settings/settings.h
@@ -55,7 +55,7 @@
 };
 
 /// \brief Reads and checks a settings file.
-/// \throws InvalidDocument with one line: file, JSON pointer, what was expected.
+/// \throws InvalidDocument with one line for each fault: file, JSON pointer, what was expected.
 [[nodiscard]] DaemonSettings loadSettings(const std::string &path);
 
 } // namespace spurlug::settings
--- a/src/claims/claim_owner.cpp
+++ b/src/claims/claim_owner.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-ClaimOwner::ClaimOwner(const platform::HttpObjectApi &platform, metrics::Metrics &metrics)
+ClaimOwner::ClaimOwner(const objects::HttpObjectApi &platform, metrics::Metrics &metrics)
     : m_platform(platform)
     , m_metrics(metrics)
     , m_committer(std::make_unique<core::Periodic>("claims", [this] { return commitRound(); }))
--- /dev/null
+++ b/src/config/route_table.cpp
@@ -0,0 +1,46 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: routes, services and organisations of the relay
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/config/route_table.h"
+
+#include "spurlug/core/text.h"
+
+#include <algorithm>
+
+namespace spurlug::config
+{
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const noexcept
+{
+    const Route *best = nullptr;
+    for (const auto &route : routes) {
+        const bool fits = core::equalIgnoringCase(route.host, host) && path.starts_with(route.pathPrefix);
+        if (fits && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const Route *RouteTable::named(std::string_view name) const noexcept
+{
+    const auto found
+        = std::find_if(routes.begin(), routes.end(), [&](const Route &route) { return route.name == name; });
+    return found == routes.end() ? nullptr : &*found;
+}
+
+const ServiceSpec *RouteTable::service(const std::string &name) const noexcept
+{
+    const auto found = services.find(name);
+    return found == services.end() ? nullptr : &found->second;
+}
+
+const OrganisationSpec *RouteTable::organisation(const std::string &key) const noexcept
+{
+    const auto found = organisationByKey.find(key);
+    return found == organisationByKey.end() ? nullptr : &found->second;
+}
+
+} // namespace spurlug::config
--- /dev/null
+++ b/src/core/http_status.cpp
@@ -0,0 +1,46 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: HTTP statuses and the reasons they stand for
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/core/http_status.h"
+
+namespace spurlug::core::http_status
+{
+
+int statusOf(Reason reason) noexcept
+{
+    switch (reason) {
+    case Reason::MissingKey:
+    case Reason::UnknownKey:
+        return Unauthorised;
+    case Reason::MalformedRequest:
+    case Reason::MalformedBody:
+    case Reason::UnknownClass:
+    case Reason::InvalidDeadline:
+    case Reason::PromptTooLong:
+        return BadRequest;
+    case Reason::UnknownPath:
+    case Reason::UnknownModel:
+    case Reason::UnknownService:
+        return NotFound;
+    case Reason::AlreadyClaimed:
+        return Conflict;
+    case Reason::BodyTooLarge:
+        return PayloadTooLarge;
+    case Reason::RequestRate:
+    case Reason::TokenBudget:
+    case Reason::LongPrompts:
+        return TooManyRequests;
+    case Reason::TargetFailed:
+    case Reason::StreamCut:
+    case Reason::NotRepeatable:
+        return BadGateway;
+    case Reason::DeadlinePassed:
+        return GatewayTimeout;
+    default:
+        return Unavailable;
+    }
+}
+
+} // namespace spurlug::core::http_status
--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -12,10 +12,12 @@
 namespace spurlug::core
 {
 
-ObjectReader::ObjectReader(const nlohmann::json &value, std::string pointer, std::vector<Fault> &faults)
+ObjectReader::ObjectReader(const nlohmann::json &value, std::string pointer, std::vector<Fault> &faults,
+                           OtherMembers others)
     : m_value(value)
     , m_pointer(std::move(pointer))
     , m_faults(faults)
+    , m_others(others)
 {
     if (!m_value.is_object()) {
         m_faults.push_back({m_pointer, "an object"});
@@ -133,7 +135,7 @@
     }
     std::size_t index = 0;
     for (const auto &item : *value) {
-        ObjectReader reader(item, cat(m_pointer, "/", key, "/", index++), m_faults);
+        ObjectReader reader(item, cat(m_pointer, "/", key, "/", index++), m_faults, m_others);
         visit(reader);
         reader.rejectOthers();
     }
@@ -145,14 +147,14 @@
     if (value == nullptr) {
         return;
     }
-    ObjectReader reader(*value, cat(m_pointer, "/", key), m_faults);
+    ObjectReader reader(*value, cat(m_pointer, "/", key), m_faults, m_others);
     visit(reader);
     reader.rejectOthers();
 }
 
 void ObjectReader::rejectOthers()
 {
-    if (!m_value.is_object()) {
+    if (!m_value.is_object() || m_others == OtherMembers::Ignored) {
         return;
     }
     for (const auto &[key, value] : m_value.items()) {
--- /dev/null
+++ b/src/core/line_queue.cpp
@@ -0,0 +1,85 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: lines on their way to a writer that may stand still
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/core/line_queue.h"
+
+#include <utility>
+
+namespace spurlug::core
+{
+
+namespace
+{
+
+constexpr auto ExitWait = absl::Milliseconds(300); // For the last lines, when a process ends.
+
+} // namespace
+
+LineQueue::LineQueue(std::function<void(const std::string &)> write, std::size_t mostBytes)
+    : m_mostBytes(mostBytes)
+    , m_state(std::make_shared<State>())
+    , m_writer([state = m_state, write = std::move(write)] { writeAll(state, write); })
+{ }
+
+LineQueue::~LineQueue()
+{
+    bool done = false;
+    {
+        absl::MutexLock lock(&m_state->mutex);
+        m_state->stopping = true;
+        const auto written = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_state->mutex) {
+            return m_state->lines.empty() && !m_state->writing;
+        };
+        done = m_state->mutex.AwaitWithTimeout(absl::Condition(&written), ExitWait);
+    }
+    if (done) {
+        m_writer.join();
+    } else {
+        m_writer.detach(); // It waits in a write that may never end; its state is its own.
+    }
+}
+
+bool LineQueue::add(std::string line)
+{
+    absl::MutexLock lock(&m_state->mutex);
+    if (m_state->bytes + line.size() > m_mostBytes) {
+        ++m_state->dropped;
+        return false;
+    }
+    m_state->bytes += line.size();
+    m_state->lines.push_back(std::move(line));
+    return true;
+}
+
+std::int64_t LineQueue::takeDropped()
+{
+    absl::MutexLock lock(&m_state->mutex);
+    return std::exchange(m_state->dropped, 0);
+}
+
+void LineQueue::writeAll(const std::shared_ptr<State> &state, const std::function<void(const std::string &)> &write)
+{
+    for (;;) {
+        std::string line;
+        {
+            absl::MutexLock lock(&state->mutex);
+            state->writing = false;
+            const auto ready = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(state->mutex) {
+                return !state->lines.empty() || state->stopping;
+            };
+            state->mutex.Await(absl::Condition(&ready));
+            if (state->lines.empty()) {
+                return;
+            }
+            line = std::move(state->lines.front());
+            state->lines.pop_front();
+            state->bytes -= line.size();
+            state->writing = true;
+        }
+        write(line);
+    }
+}
+
+} // namespace spurlug::core
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -5,9 +5,15 @@
 
 #include "spurlug/core/log.h"
 
+#include "spurlug/core/line_budget.h"
+#include "spurlug/core/line_queue.h"
+
+#include <absl/synchronization/mutex.h>
 #include <absl/time/clock.h>
+#include <atomic>
 #include <easylogging++.h>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 INITIALIZE_EASYLOGGINGPP
@@ -18,15 +24,49 @@
 namespace
 {
 
-std::string g_program; // NOLINT: set once by startLog before threads start
-LogLevel g_lowest = LogLevel::Info; // NOLINT
+constexpr std::size_t MostWaitingBytes = 1 << 20; // Some 4,000 lines: seconds of a busy daemon.
+constexpr std::int64_t MostLinesPerSecond = 300; // Of one kind; a daemon's share of the peak is some tens of requests/s.
+
+/// What startLog sets up. Lock order: `mutex` is a leaf.
+struct Logger
+{
+    Logger(std::string_view program, LogLevel lowest)
+        : program(program)
+        , lowest(lowest)
+        , budget(MostLinesPerSecond)
+        , queue([](const std::string &line) { LOG(INFO) << line; }, MostWaitingBytes)
+    { }
+
+    const std::string program;
+    std::atomic<LogLevel> lowest;
+    absl::Mutex mutex;
+    LineBudget budget ABSL_GUARDED_BY(mutex);
+    LineQueue queue;
+};
+
+std::unique_ptr<Logger> g_logger; // NOLINT: set once by startLog before threads start
+
+std::string writeLine(const Logger &logger, LogLevel level, std::string_view event, const nlohmann::json &fields,
+                      std::int64_t suppressed)
+{
+    nlohmann::ordered_json line;
+    line["time"] = absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
+    line["level"] = nameOf(level);
+    line["program"] = logger.program;
+    line["event"] = event;
+    for (const auto &[key, value] : fields.items()) {
+        line[key] = value;
+    }
+    if (suppressed > 0) {
+        line["linesLeftOut"] = suppressed;
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
 
 } // namespace
 
 void startLog(std::string_view program, LogLevel lowest)
 {
-    g_program = program;
-    g_lowest = lowest;
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -34,22 +74,37 @@
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     el::Loggers::reconfigureAllLoggers(configuration);
     std::cout.setf(std::ios::unitbuf);
+    g_logger = std::make_unique<Logger>(program, lowest);
+}
+
+void setLogLevel(LogLevel lowest)
+{
+    if (g_logger) {
+        g_logger->lowest = lowest;
+    }
+}
+
+void stopLog()
+{
+    g_logger = nullptr;
 }
 
 void log(LogLevel level, std::string_view event, const nlohmann::json &fields)
 {
-    if (level < g_lowest) {
+    if (!g_logger || level < g_logger->lowest) {
         return;
     }
-    nlohmann::ordered_json line;
-    line["time"] = absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
-    line["level"] = nameOf(level);
-    line["program"] = g_program;
-    line["event"] = event;
-    for (const auto &[key, value] : fields.items()) {
-        line[key] = value;
+    std::int64_t suppressed = 0;
+    {
+        absl::MutexLock lock(&g_logger->mutex);
+        if (!g_logger->budget.take(event, now(), suppressed)) {
+            return;
+        }
+    }
+    if (const auto dropped = g_logger->queue.takeDropped(); dropped > 0) {
+        g_logger->queue.add(writeLine(*g_logger, LogLevel::Warning, "log_lines_dropped", {{"lines", dropped}}, 0));
     }
-    LOG(INFO) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    g_logger->queue.add(writeLine(*g_logger, level, event, fields, suppressed));
 }
 
 } // namespace spurlug::core
--- a/src/daemon/config_follower.cpp
+++ b/src/daemon/config_follower.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 ConfigFollower::ConfigFollower(config::Store &store, membership::Fleet &fleet, PeerCalls &peers,
-                               const platform::HttpObjectApi &platform, metrics::Metrics &metrics,
+                               const objects::HttpObjectApi &platform, metrics::Metrics &metrics,
                                settings::Timing timing)
     : m_store(store)
     , m_fleet(fleet)
@@ -93,7 +93,7 @@
 }
 
 /// Parts that were read stay when a later one cannot be: the next try reads only the rest.
-void ConfigFollower::takeFromPlatform(const platform::Object &root)
+void ConfigFollower::takeFromPlatform(const objects::Object &root)
 {
     for (const auto &hash : m_store.missingParts(config::readRoot(root.value))) {
         if (m_partsRead.contains(hash)) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,7 +21,7 @@
 #include "spurlug/grants/broker_host.h"
 #include "spurlug/grants/group_keeper.h"
 #include "spurlug/membership/heartbeat_service.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 #include "spurlug/targets/observer.h"
 
 #include <absl/synchronization/notification.h>
@@ -75,7 +75,7 @@
     targets::TargetTable targetTable;
     explain::DecisionRing decisions;
     config::Store store;
-    platform::HttpObjectApi platform;
+    objects::HttpObjectApi platform;
     HomeDomain home;
     PeerCalls peers;
     DecisionFinder finder;
--- a/src/daemon/error_body.cpp
+++ b/src/daemon/error_body.cpp
@@ -5,6 +5,8 @@
 
 #include "spurlug/daemon/error_body.h"
 
+#include "spurlug/core/http_status.h"
+
 #include <absl/strings/str_cat.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -15,15 +17,7 @@
 namespace
 {
 
-constexpr int BadRequest = 400;
-constexpr int Unauthorised = 401;
-constexpr int NotFound = 404;
-constexpr int Conflict = 409;
-constexpr int PayloadTooLarge = 413;
-constexpr int TooManyRequests = 429;
-constexpr int BadGateway = 502;
-constexpr int Unavailable = 503;
-constexpr int GatewayTimeout = 504;
+using namespace core::http_status;
 
 std::string_view typeOf(int status) noexcept
 {
@@ -54,42 +48,6 @@
     return {end.reason, end.outcome, end.detail, requestId, end.retryAfterSeconds};
 }
 
-int statusOf(core::Reason reason) noexcept
-{
-    using core::Reason;
-    switch (reason) {
-    case Reason::MissingKey:
-    case Reason::UnknownKey:
-        return Unauthorised;
-    case Reason::MalformedRequest:
-    case Reason::MalformedBody:
-    case Reason::UnknownClass:
-    case Reason::InvalidDeadline:
-    case Reason::PromptTooLong:
-        return BadRequest;
-    case Reason::UnknownPath:
-    case Reason::UnknownModel:
-    case Reason::UnknownService:
-        return NotFound;
-    case Reason::AlreadyClaimed:
-        return Conflict;
-    case Reason::BodyTooLarge:
-        return PayloadTooLarge;
-    case Reason::RequestRate:
-    case Reason::TokenBudget:
-    case Reason::LongPrompts:
-        return TooManyRequests;
-    case Reason::TargetFailed:
-    case Reason::StreamCut:
-    case Reason::NotRepeatable:
-        return BadGateway;
-    case Reason::DeadlinePassed:
-        return GatewayTimeout;
-    default:
-        return Unavailable;
-    }
-}
-
 nlohmann::ordered_json errorBody(const ErrorReply &reply)
 {
     nlohmann::ordered_json error{{"message", reply.message},
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -26,7 +26,7 @@
     return m_table.hear(news, now);
 }
 
-void Fleet::noteVmList(const std::vector<platform::VmEntry> &entries)
+void Fleet::noteVmList(const std::vector<objects::VmEntry> &entries)
 {
     absl::MutexLock lock(&m_mutex);
     m_table.noteVmList(entries);
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -99,6 +99,32 @@
     return summary;
 }
 
+void writeWork(const targets::TargetWork &work, wire::TargetWork &out)
+{
+    out.set_target(work.target);
+    out.set_read_tokens(clamp32(work.work.readTokens));
+    out.set_requests(clamp32(work.work.requests));
+    out.set_writers(clamp32(work.work.writers));
+    out.set_parts(clamp32(work.work.parts));
+    out.set_part_tokens(clamp32(work.work.partTokens));
+    out.set_memory_tokens(clamp32(work.work.memoryTokens));
+    out.set_context_tokens(clamp32(work.work.contextTokens));
+}
+
+targets::TargetWork readWork(const wire::TargetWork &in)
+{
+    targets::TargetWork work;
+    work.target = in.target();
+    work.work.readTokens = in.read_tokens();
+    work.work.requests = in.requests();
+    work.work.writers = in.writers();
+    work.work.parts = in.parts();
+    work.work.partTokens = in.part_tokens();
+    work.work.memoryTokens = in.memory_tokens();
+    work.work.contextTokens = in.context_tokens();
+    return work;
+}
+
 wire::Heartbeat toWire(const Heartbeat &heartbeat)
 {
     const auto &news = heartbeat.news;
@@ -115,6 +141,12 @@
     for (const auto &summary : heartbeat.summaries) {
         writeSummary(summary, *out.add_summaries());
     }
+    for (const auto &work : heartbeat.work) {
+        writeWork(work, *out.add_work());
+    }
+    for (const auto &peer : heartbeat.knownPeers) {
+        out.add_known_peers(peer.text());
+    }
     if (news.peerAddress.port != 0) {
         out.mutable_hello()->set_failure_domain(news.failureDomain);
         out.mutable_hello()->set_peer_address(news.peerAddress.text());
@@ -174,6 +206,12 @@
         for (const auto &summary : inner.summaries()) {
             heartbeat.summaries.push_back(readSummary(summary));
         }
+        for (const auto &work : inner.work()) {
+            heartbeat.work.push_back(readWork(work));
+        }
+        for (const auto &peer : inner.known_peers()) {
+            heartbeat.knownPeers.push_back(core::parseAddress(peer));
+        }
         return heartbeat;
     } catch (const core::InvalidDocument &) {
         return std::nullopt;
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -71,7 +71,7 @@
     return restarted ? HeardResult::New : HeardResult::Accepted;
 }
 
-void PeerTable::noteVmList(const std::vector<platform::VmEntry> &entries)
+void PeerTable::noteVmList(const std::vector<objects::VmEntry> &entries)
 {
     for (const auto &entry : entries) {
         if (entry.id == m_self) {
--- /dev/null
+++ b/src/net/beast_convert.h
@@ -0,0 +1,101 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: between Beast's messages and our own
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/net/http_message.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace spurlug::net
+{
+
+/// \brief Copies header fields, those that describe the framing of the body left out.
+inline Headers fromBeast(const boost::beast::http::fields &fields)
+{
+    Headers headers;
+    for (const auto &field : fields) {
+        const auto id = field.name();
+        if (id == boost::beast::http::field::content_length || id == boost::beast::http::field::transfer_encoding) {
+            continue;
+        }
+        const auto name = field.name_string();
+        const auto value = field.value();
+        headers.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    return headers;
+}
+
+/// \brief Adds header fields to a Beast message.
+inline void toBeast(const Headers &headers, boost::beast::http::fields &fields)
+{
+    for (const auto &field : headers.fields()) {
+        fields.insert(field.name, field.value);
+    }
+}
+
+/// \brief Runs `onExpiry` unless it is disarmed before.
+class Expiry
+{
+public:
+    template<typename Executor>
+    Expiry(const Executor &executor, std::function<void()> onExpiry)
+        : m_timer(executor)
+        , m_state(std::make_shared<State>())
+        , m_onExpiry(std::move(onExpiry))
+    { }
+
+    ~Expiry()
+    {
+        disarm();
+    }
+
+    Expiry(const Expiry &) = delete;
+    Expiry &operator=(const Expiry &) = delete;
+
+    /// \brief Arms the timer, or moves it.
+    template<typename Span>
+    void arm(Span span)
+    {
+        m_state->expired = false;
+        m_timer.expires_after(span);
+        m_timer.async_wait([this, state = m_state, armed = ++m_state->armed](const boost::system::error_code &error) {
+            // A timer that went off in the moment it was disarmed still runs this: only the newest arming counts.
+            if (!error && state->armed == armed) {
+                state->expired = true;
+                m_onExpiry();
+            }
+        });
+    }
+
+    void disarm()
+    {
+        ++m_state->armed;
+        m_timer.cancel();
+    }
+
+    [[nodiscard]] bool expired() const noexcept
+    {
+        return m_state->expired;
+    }
+
+private:
+    struct State
+    {
+        std::uint64_t armed = 0; ///< Counts armings and disarmings.
+        bool expired = false;
+    };
+
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<State> m_state; ///< Outlives this object in the timer's handler.
+    std::function<void()> m_onExpiry;
+};
+
+} // namespace spurlug::net
--- /dev/null
+++ b/src/net/client_connection.cpp
@@ -0,0 +1,247 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: one HTTP/1.1 exchange with a server
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/net/client_connection.h"
+
+#include "beast_convert.h"
+
+#include "spurlug/core/text.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace spurlug::net
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr unsigned HttpVersion = 11;
+constexpr std::size_t BodyPieceBytes = 16 << 10;
+constexpr std::uint32_t LargestHead = 64 << 10;
+constexpr int FirstFinalStatus = 200;
+constexpr std::uint64_t LargestBody = 256 << 20; // Targets' answers; far above any real one.
+
+using Parser = http::response_parser<http::buffer_body>;
+
+ResponseHead toHead(const Parser &parser)
+{
+    const auto &message = parser.get();
+    ResponseHead head;
+    head.status = message.result_int();
+    const auto phrase = message.reason();
+    head.phrase.assign(phrase.data(), phrase.size());
+    head.headers = fromBeast(message);
+    if (parser.chunked()) {
+        head.framing = BodyFraming::Chunked;
+    } else if (parser.need_eof()) {
+        head.framing = BodyFraming::UntilClose;
+    } else if (parser.content_length()) {
+        head.length = *parser.content_length();
+    }
+    return head;
+}
+
+} // namespace
+
+struct ClientConnection::Impl : std::enable_shared_from_this<Impl>
+{
+    explicit Impl(Loop &loop)
+        : socket(loop)
+        , expiry(socket.get_executor(), [this] { close(); })
+    { }
+
+    void close()
+    {
+        error_code ignored; // The connection ends whether or not it was open.
+        socket.close(ignored);
+    }
+
+    /// Awaits one operation; the connection is closed when it takes longer than `span`.
+    template<typename Operation>
+    Task<error_code> within(core::Duration span, Operation operation)
+    {
+        if (span <= absl::ZeroDuration()) {
+            close();
+            co_return error_code(asio::error::timed_out);
+        }
+        expiry.arm(timerSpan(span));
+        const auto error = co_await operation();
+        expiry.disarm();
+        co_return expiry.expired() ? error_code(asio::error::timed_out) : error;
+    }
+
+    tcp::socket socket;
+    Expiry expiry;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    std::unique_ptr<Parser> parser;
+    std::string problem;
+    bool sent = false;
+    bool serverKeeps = false; ///< Whether the server keeps the connection after this response.
+};
+
+ClientConnection::ClientConnection(Loop &loop)
+    : m_impl(std::make_shared<Impl>(loop))
+{ }
+
+ClientConnection::~ClientConnection()
+{
+    abort();
+}
+
+Task<std::string> ClientConnection::connect(core::Address address, core::Duration timeout)
+{
+    const auto impl = m_impl;
+    error_code invalid;
+    const auto host = asio::ip::make_address(address.host, invalid);
+    if (invalid) {
+        impl->problem = core::cat(address.host, " is no address");
+        co_return impl->problem;
+    }
+    const auto error = co_await impl->within(timeout, [&]() -> Task<error_code> {
+        auto [failure] = co_await impl->socket.async_connect(tcp::endpoint(host, address.port), Awaited);
+        co_return failure;
+    });
+    if (error) {
+        impl->problem = core::cat("connect: ", error.message());
+        impl->close();
+        co_return impl->problem;
+    }
+    error_code ignored; // Only costs delay when it fails.
+    impl->socket.set_option(tcp::no_delay(true), ignored);
+    co_return std::string();
+}
+
+void ClientConnection::startSend(const Request &request)
+{
+    auto &message = m_impl->request;
+    message = {};
+    message.version(HttpVersion);
+    message.method_string(request.method);
+    message.target(request.target);
+    toBeast(request.headers, message);
+    if (request.hasBody || !request.body.empty()) {
+        message.body() = request.body;
+        message.content_length(message.body().size());
+    }
+    m_impl->sent = false;
+    m_impl->parser = nullptr;
+    http::async_write(m_impl->socket, message, [impl = m_impl](const error_code &error, std::size_t) {
+        impl->sent = !error;
+        if (error && error != asio::error::operation_aborted) {
+            impl->problem = core::cat("send: ", error.message());
+        }
+    });
+}
+
+Task<std::optional<ResponseHead>> ClientConnection::readHead(core::Time deadline)
+{
+    const auto impl = m_impl;
+    for (;;) {
+        impl->parser = std::make_unique<Parser>();
+        auto &parser = *impl->parser;
+        parser.header_limit(LargestHead);
+        parser.body_limit(LargestBody);
+        parser.skip(impl->request.method() == http::verb::head);
+        const auto error = co_await impl->within(deadline - core::now(), [&]() -> Task<error_code> {
+            auto [failure, bytes] = co_await http::async_read_header(impl->socket, impl->buffer, parser, Awaited);
+            co_return failure;
+        });
+        if (error) {
+            impl->problem = core::cat("head: ", error.message());
+            impl->close();
+            co_return std::nullopt;
+        }
+        if (parser.get().result_int() >= FirstFinalStatus) {
+            impl->serverKeeps = parser.keep_alive();
+            co_return toHead(parser);
+        }
+    }
+}
+
+Task<BodyPiece> ClientConnection::readBody(core::Time deadline)
+{
+    const auto impl = m_impl;
+    auto &parser = *impl->parser;
+    std::array<char, BodyPieceBytes> bytes{};
+    BodyPiece piece;
+    while (!parser.is_done() && piece.bytes.empty()) {
+        auto &body = parser.get().body();
+        body.data = bytes.data();
+        body.size = bytes.size();
+        body.more = true;
+        auto error = co_await impl->within(deadline - core::now(), [&]() -> Task<error_code> {
+            auto [failure, read] = co_await http::async_read_some(impl->socket, impl->buffer, parser, Awaited);
+            co_return failure;
+        });
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        piece.bytes.assign(bytes.data(), bytes.size() - parser.get().body().size);
+        if (error) {
+            impl->problem = core::cat("body: ", error.message());
+            impl->close();
+            piece.state = BodyPiece::State::Broken;
+            co_return piece;
+        }
+    }
+    piece.state = parser.is_done() ? BodyPiece::State::Complete : BodyPiece::State::More;
+    co_return piece;
+}
+
+bool ClientConnection::reusable() const
+{
+    const auto &impl = *m_impl;
+    return impl.socket.is_open() && impl.sent && impl.serverKeeps && impl.parser && impl.parser->is_done()
+        && impl.buffer.size() == 0;
+}
+
+const std::string &ClientConnection::problem() const noexcept
+{
+    return m_impl->problem;
+}
+
+void ClientConnection::abort()
+{
+    m_impl->close();
+}
+
+Task<std::optional<Response>> exchange(Loop &loop, core::Address address, Request request, core::Time deadline,
+                                       std::string &problem)
+{
+    ClientConnection connection(loop);
+    problem = co_await connection.connect(address, deadline - core::now());
+    if (!problem.empty()) {
+        co_return std::nullopt;
+    }
+    connection.startSend(request);
+    auto head = co_await connection.readHead(deadline);
+    if (!head) {
+        problem = connection.problem();
+        co_return std::nullopt;
+    }
+    Response response{std::move(*head), {}};
+    for (;;) {
+        auto piece = co_await connection.readBody(deadline);
+        response.body += piece.bytes;
+        if (piece.state == BodyPiece::State::Complete) {
+            co_return response;
+        }
+        if (piece.state == BodyPiece::State::Broken) {
+            problem = connection.problem();
+            co_return std::nullopt;
+        }
+    }
+}
+
+} // namespace spurlug::net
--- /dev/null
+++ b/src/net/server_connection.cpp
@@ -0,0 +1,310 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: one HTTP/1.1 connection of a caller
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/net/server_connection.h"
+
+#include "beast_convert.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+#include <utility>
+
+namespace spurlug::net
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr unsigned HttpVersion = 11;
+constexpr auto LingerTime = absl::Milliseconds(500); // For a last answer to be taken in before the connection ends.
+constexpr std::size_t LongestLinger = 1 << 20; // Bytes thrown away while lingering.
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+ReadEnd endOf(const error_code &error, bool expired)
+{
+    if (expired) {
+        return ReadEnd::TooSlow;
+    }
+    if (error == http::error::header_limit) {
+        return ReadEnd::HeadTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return ReadEnd::BodyTooLarge;
+    }
+    const bool parserFault = error.category() == http::make_error_code(http::error::bad_method).category();
+    const bool connectionEnd = error == http::error::end_of_stream || error == http::error::partial_message;
+    return parserFault && !connectionEnd ? ReadEnd::Malformed : ReadEnd::Closed;
+}
+
+Request toRequest(http::request<http::string_body> message, bool hasBody)
+{
+    Request request;
+    const auto method = message.method_string();
+    const auto target = message.target();
+    request.method.assign(method.data(), method.size());
+    request.target.assign(target.data(), target.size());
+    request.headers = fromBeast(message);
+    request.hasBody = hasBody;
+    request.keepAlive = message.keep_alive();
+    request.body = std::move(message.body());
+    return request;
+}
+
+template<typename Body>
+void fillHead(http::response<Body> &message, const ResponseHead &head, bool keepAlive)
+{
+    message.version(HttpVersion);
+    message.result(static_cast<unsigned>(head.status));
+    if (!head.phrase.empty()) {
+        message.reason(head.phrase);
+    }
+    toBeast(head.headers, message);
+    if (!keepAlive) {
+        message.set(http::field::connection, "close");
+    }
+}
+
+} // namespace
+
+struct ServerConnection::Impl : std::enable_shared_from_this<Impl>
+{
+    explicit Impl(tcp::socket accepted)
+        : socket(std::move(accepted))
+        , expiry(socket.get_executor(), [this] { reset(); })
+    { }
+
+    void reset()
+    {
+        error_code ignored; // The connection ends whether or not each step succeeds.
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    /// Awaits one operation; the connection is reset when it takes longer than `span`.
+    template<typename Operation>
+    Task<error_code> within(core::Duration span, Operation operation)
+    {
+        expiry.arm(timerSpan(span));
+        const auto error = co_await operation();
+        expiry.disarm();
+        co_return error;
+    }
+
+    template<typename Message>
+    Task<bool> send(Message &message, core::Duration span)
+    {
+        const auto error = co_await within(span, [&]() -> Task<error_code> {
+            auto [failure, bytes] = co_await http::async_write(socket, message, Awaited);
+            co_return failure;
+        });
+        co_return !error;
+    }
+
+    Task<bool> sendBytes(std::string bytes, core::Duration span)
+    {
+        const auto error = co_await within(span, [&]() -> Task<error_code> {
+            auto [failure, sent] = co_await asio::async_write(socket, asio::buffer(bytes), Awaited);
+            co_return failure;
+        });
+        co_return !error;
+    }
+
+    void awaitReadable()
+    {
+        socket.async_wait(tcp::socket::wait_read,
+                          asio::bind_cancellation_slot(watchEnd.slot(), [self = shared_from_this()](error_code error) {
+                              if (!error) {
+                                  self->readable();
+                              }
+                          }));
+    }
+
+    /// Tells the end of the connection from a request that came early.
+    void readable()
+    {
+        if (!gone) {
+            return;
+        }
+        char byte = 0;
+        const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool nothingYet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        if (nothingYet) {
+            awaitReadable();
+        } else if (received <= 0) {
+            const auto call = std::exchange(gone, nullptr);
+            call();
+        } // Else: a request came before its turn. The connection cannot be watched until that is read.
+    }
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    Expiry expiry;
+    asio::cancellation_signal watchEnd;
+    std::function<void()> gone;
+    std::string peer;
+};
+
+ServerConnection::ServerConnection(Loop &, tcp::socket socket)
+    : m_impl(std::make_shared<Impl>(std::move(socket)))
+{
+    error_code error;
+    const auto endpoint = m_impl->socket.remote_endpoint(error);
+    m_impl->peer = error ? "unknown" : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+ServerConnection::~ServerConnection()
+{
+    stopWatching();
+    close();
+}
+
+Task<ReadResult> ServerConnection::read(ReadLimits limits)
+{
+    const auto impl = m_impl;
+    ReadResult result;
+    if (impl->buffer.size() == 0) {
+        const auto error = co_await impl->within(limits.idleTimeout, [&]() -> Task<error_code> {
+            auto [failure] = co_await impl->socket.async_wait(tcp::socket::wait_read, Awaited);
+            co_return failure;
+        });
+        if (error) {
+            result.end = impl->expiry.expired() ? ReadEnd::Idle : ReadEnd::Closed;
+            co_return result;
+        }
+    }
+    result.firstByteAt = core::now();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
+    parser.body_limit(limits.bodyBytes);
+    auto error = co_await impl->within(limits.headTimeout, [&]() -> Task<error_code> {
+        auto [failure, bytes] = co_await http::async_read_header(impl->socket, impl->buffer, parser, Awaited);
+        co_return failure;
+    });
+    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const bool sent = co_await impl->sendBytes(std::string(Continue), limits.headTimeout);
+        if (!sent) {
+            result.end = ReadEnd::Closed;
+            co_return result;
+        }
+    }
+    if (!error && !parser.is_done()) {
+        error = co_await impl->within(limits.bodyTimeout, [&]() -> Task<error_code> {
+            auto [failure, bytes] = co_await http::async_read(impl->socket, impl->buffer, parser, Awaited);
+            co_return failure;
+        });
+    }
+    if (error) {
+        result.end = endOf(error, impl->expiry.expired());
+        result.detail = error.message();
+        co_return result;
+    }
+    const bool hasBody = parser.chunked() || parser.get().find(http::field::content_length) != parser.get().end();
+    result.request = toRequest(parser.release(), hasBody);
+    co_return result;
+}
+
+Task<bool> ServerConnection::write(Response response, bool keepAlive, core::Time deadline)
+{
+    const auto impl = m_impl;
+    http::response<http::string_body> message;
+    fillHead(message, response.head, keepAlive);
+    message.body() = std::move(response.body);
+    message.content_length(message.body().size());
+    co_return co_await impl->send(message, deadline - core::now());
+}
+
+Task<bool> ServerConnection::writeHead(ResponseHead head, bool keepAlive, core::Time deadline)
+{
+    const auto impl = m_impl;
+    http::response<http::empty_body> message;
+    fillHead(message, head, keepAlive);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    const auto error = co_await impl->within(deadline - core::now(), [&]() -> Task<error_code> {
+        auto [failure, bytes] = co_await http::async_write_header(impl->socket, serializer, Awaited);
+        co_return failure;
+    });
+    co_return !error;
+}
+
+Task<bool> ServerConnection::writeChunk(std::string bytes, core::Time deadline)
+{
+    const auto impl = m_impl;
+    const auto error = co_await impl->within(deadline - core::now(), [&]() -> Task<error_code> {
+        auto [failure, sent]
+            = co_await asio::async_write(impl->socket, http::make_chunk(asio::buffer(bytes)), Awaited);
+        co_return failure;
+    });
+    co_return !error;
+}
+
+Task<bool> ServerConnection::writeEnd(core::Time deadline)
+{
+    const auto impl = m_impl;
+    const auto error = co_await impl->within(deadline - core::now(), [&]() -> Task<error_code> {
+        auto [failure, sent] = co_await asio::async_write(impl->socket, http::make_chunk_last(), Awaited);
+        co_return failure;
+    });
+    co_return !error;
+}
+
+void ServerConnection::watch(std::function<void()> gone)
+{
+    m_impl->gone = std::move(gone);
+    m_impl->awaitReadable();
+}
+
+void ServerConnection::stopWatching()
+{
+    m_impl->gone = nullptr;
+    m_impl->watchEnd.emit(asio::cancellation_type::all);
+}
+
+void ServerConnection::close()
+{
+    error_code ignored; // Closing a connection that the caller has ended is no fault.
+    m_impl->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_impl->socket.close(ignored);
+}
+
+Task<> ServerConnection::closeGently()
+{
+    const auto impl = m_impl;
+    error_code ignored; // The caller may have ended the connection already.
+    impl->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    const auto error = co_await impl->within(LingerTime, [&]() -> Task<error_code> {
+        std::array<char, 8192> discarded{};
+        error_code failure;
+        for (std::size_t total = 0; !failure && total < LongestLinger;) {
+            auto [readError, bytes] = co_await impl->socket.async_read_some(asio::buffer(discarded), Awaited);
+            failure = readError;
+            total += bytes;
+        }
+        co_return failure;
+    });
+    static_cast<void>(error); // The end of the connection is what is waited for.
+    close();
+}
+
+void ServerConnection::reset()
+{
+    m_impl->reset();
+}
+
+const std::string &ServerConnection::peer() const noexcept
+{
+    return m_impl->peer;
+}
+
+} // namespace spurlug::net
--- a/src/platform/object_api.cpp
+++ b/src/objects/object_api.cpp
@@ -3,7 +3,7 @@
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include "spurlug/core/error.h"
 #include "spurlug/core/text.h"
@@ -12,7 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace spurlug::platform
+namespace spurlug::objects
 {
 
 namespace
@@ -162,4 +162,4 @@
     return entries;
 }
 
-} // namespace spurlug::platform
+} // namespace spurlug::objects
--- /dev/null
+++ b/src/relay/attempt.cpp
@@ -0,0 +1,94 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: one sending of a request to a target
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/attempt.h"
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+/// Pieces of an answer that may wait for a slow caller before the target is no longer read from.
+constexpr std::size_t MostWaiting = 64;
+constexpr auto WaitForCaller = absl::Milliseconds(5);
+
+} // namespace
+
+Attempt::Attempt(net::Loop &loop, core::Ref<RequestInbox> inbox, int number)
+    : m_loop(loop)
+    , m_inbox(std::move(inbox))
+    , m_number(number)
+    , m_connection(loop)
+{ }
+
+void Attempt::start(const core::Address &target, net::Request message, core::Duration connectTimeout,
+                    core::Time deadline)
+{
+    net::asio::co_spawn(
+        m_loop,
+        [](core::Ref<Attempt> self, core::Address to, net::Request sent, core::Duration timeout,
+           core::Time until) -> net::Task<> { co_await self->run(std::move(to), std::move(sent), timeout, until); }(
+            core::Ref<Attempt>(this), target, std::move(message), connectTimeout, deadline),
+        net::asio::detached);
+}
+
+void Attempt::abort()
+{
+    m_aborted = true;
+    m_connection.abort();
+}
+
+void Attempt::end(AttemptStage stage, std::string detail)
+{
+    if (!m_aborted) {
+        m_inbox->events.post(AttemptEnded{m_number, stage, std::move(detail)});
+    }
+}
+
+net::Task<> Attempt::run(core::Address target, net::Request message, core::Duration connectTimeout,
+                         core::Time deadline)
+{
+    if (m_aborted) {
+        co_return;
+    }
+    const auto problem = co_await m_connection.connect(target, connectTimeout);
+    if (m_aborted) {
+        co_return;
+    }
+    if (!problem.empty()) {
+        end(AttemptStage::NotSent, problem);
+        co_return;
+    }
+    m_connection.startSend(message);
+    auto head = co_await m_connection.readHead(deadline);
+    if (!head) {
+        end(AttemptStage::Sent, m_connection.problem());
+        co_return;
+    }
+    m_inbox->events.post(HeadArrived{m_number, std::move(*head)});
+    for (;;) {
+        while (m_inbox->events.size() > MostWaiting && !m_aborted) {
+            co_await net::sleepFor(WaitForCaller);
+        }
+        if (m_aborted) {
+            co_return;
+        }
+        auto piece = co_await m_connection.readBody(deadline);
+        if (!piece.bytes.empty()) {
+            m_inbox->events.post(BytesArrived{m_number, std::move(piece.bytes)});
+        }
+        if (piece.state == net::BodyPiece::State::Complete) {
+            end(AttemptStage::Answered, {});
+            co_return;
+        }
+        if (piece.state == net::BodyPiece::State::Broken) {
+            end(AttemptStage::Sent, m_connection.problem());
+            co_return;
+        }
+    }
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/relay/follower.cpp
@@ -0,0 +1,131 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: follows the directory's configuration and list of targets
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/follower.h"
+
+#include "spurlug/core/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+constexpr auto FirstWait = absl::Milliseconds(50);
+constexpr auto LongestWait = absl::Milliseconds(500);
+/// Longest wait in a large fleet: keeps the calls of daemons that all lost the directory within its rates.
+constexpr auto LongestWaitPerDaemon = absl::Milliseconds(10);
+
+/// How long after the directory is back its missing entries may still come back.
+constexpr auto LapseTime = absl::Seconds(2);
+/// Part of the time in which a leaving target must get nothing more that a missing one is still used.
+constexpr double KeepShare = 0.8;
+
+core::Duration longestWait(std::size_t daemons)
+{
+    return std::max(core::Duration(LongestWait), LongestWaitPerDaemon * static_cast<double>(daemons));
+}
+
+} // namespace
+
+DirectoryLink::DirectoryLink(RelayContext &context, std::string what)
+    : m_context(context)
+    , m_what(std::move(what))
+    , m_backoff(FirstWait, LongestWait)
+{ }
+
+core::Duration DirectoryLink::ended(DirectoryStatus status, const std::string &detail, core::Time now)
+{
+    const bool answered = status == DirectoryStatus::Ok || status == DirectoryStatus::HistoryGone;
+    if (answered) {
+        m_backoff.succeeded();
+        if (std::exchange(m_status, DirectoryStatus::Ok) != DirectoryStatus::Ok) {
+            m_regainedAt = now;
+            core::log(core::LogLevel::Info, "directory_regained",
+                      {{"what", m_what}, {"afterMs", core::toMs(now - m_lostAt)}});
+        }
+        return absl::ZeroDuration();
+    }
+    m_context.metrics.count(metrics::Counter::PlatformFailures);
+    if (m_status == DirectoryStatus::Ok) {
+        m_lostAt = now;
+    }
+    if (std::exchange(m_status, status) != status) {
+        core::log(core::LogLevel::Warning, "directory_lost",
+                  {{"what", m_what}, {"status", core::nameOf(status)}, {"detail", detail}});
+    }
+    const auto jitter = std::uniform_real_distribution<double>(0, 1)(m_context.random);
+    return std::min(m_backoff.failed(jitter), longestWait(m_context.daemons));
+}
+
+TargetIntake::TargetIntake(RelayContext &context, const DirectoryLink &link)
+    : m_context(context)
+    , m_link(link)
+{ }
+
+void TargetIntake::put(const TargetEntry &entry, std::string_view from)
+{
+    const auto known = m_context.targets.find(entry.id);
+    const bool news = !known || known->entry.draining != entry.draining || known->entry.service != entry.service;
+    m_context.targets.put(entry);
+    if (news) {
+        core::log(core::LogLevel::Info, "target_listed",
+                  {{"target", entry.id},
+                   {"service", entry.service},
+                   {"address", entry.address.text()},
+                   {"draining", entry.draining},
+                   {"from", from}});
+    }
+}
+
+void TargetIntake::drop(const std::string &id, std::string_view from, core::Time now)
+{
+    const auto known = m_context.targets.find(id);
+    if (!known || known->dropAt != absl::InfiniteFuture()) {
+        return;
+    }
+    const bool mayComeBack = now - m_link.regainedAt() < LapseTime && !known->entry.draining;
+    const auto kept = std::min(core::Duration(LapseTime), m_context.settings.bounds.drain) * KeepShare;
+    const auto dropAt = mayComeBack ? now + kept : now;
+    m_context.targets.drop(id, dropAt);
+    core::log(core::LogLevel::Info, "target_gone",
+              {{"target", id}, {"from", from}, {"keptMs", core::toMs(dropAt - now)}});
+}
+
+void TargetIntake::whole(const std::vector<TargetChange> &list, std::string_view from, core::Time now)
+{
+    std::set<std::string> present;
+    for (const auto &change : list) {
+        present.insert(change.entry.id);
+        put(change.entry, from);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, target] : m_context.targets.all()) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        drop(id, from, now);
+    }
+    m_context.targets.forgetGone(now);
+}
+
+void TargetIntake::changes(const std::vector<TargetChange> &changes, std::string_view from, core::Time now)
+{
+    for (const auto &change : changes) {
+        if (change.gone) {
+            drop(change.entry.id, from, now);
+        } else {
+            put(change.entry, from);
+        }
+    }
+    m_context.targets.forgetGone(now);
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/relay/request_progress.cpp
@@ -0,0 +1,402 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the decisions in the life of one relayed request
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/request_progress.h"
+
+#include "spurlug/core/http_status.h"
+#include "spurlug/core/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+using core::Outcome;
+using core::Reason;
+
+/// Age of the configuration up to which "there is no such route" and "there is no such key" are believed: within it a
+/// change is in force at every daemon that hears of it.
+constexpr auto CertainAge = absl::Milliseconds(2500);
+constexpr auto RefusedWhileDrainingAfter = absl::Seconds(3); // Later requests may not end before the process must.
+
+constexpr auto RetryAfterElsewhere = absl::Milliseconds(50); // Another daemon can serve at once.
+constexpr auto RetryAfterFull = absl::Milliseconds(100); // A slot falls free several times in this time.
+constexpr auto RetryAfterUnknown = absl::Milliseconds(300); // A daemon reads its configuration in less.
+
+constexpr int MostUrgent = 0;
+constexpr int LeastUrgent = 9;
+
+/// Patience before another engine is tried: some times what the first event was expected to take, and a floor that
+/// covers passes which the daemon's view of the load does not show yet.
+constexpr double PatienceFactor = 3;
+constexpr auto LeastPatience = absl::Milliseconds(900);
+constexpr double GapPatienceFactor = 3; // Of the longest pause that counts as in time.
+constexpr auto LeastGapPatience = absl::Milliseconds(750);
+constexpr double PlainPatienceFactor = 2; // Of the aim; work of plain services is short.
+constexpr auto LeastPlainPatience = absl::Milliseconds(300);
+
+metrics::Timer timerFor(std::int64_t tokens)
+{
+    constexpr std::int64_t Medium = 4'000;
+    constexpr std::int64_t Large = 16'000;
+    constexpr std::int64_t Huge = 100'000;
+    if (tokens >= Huge) {
+        return metrics::Timer::FirstToken100k;
+    }
+    if (tokens >= Large) {
+        return metrics::Timer::FirstToken16k;
+    }
+    return tokens >= Medium ? metrics::Timer::FirstToken4k : metrics::Timer::FirstToken1k;
+}
+
+nlohmann::json idsOf(const std::vector<core::Ref<Target>> &targets)
+{
+    auto ids = nlohmann::json::array();
+    for (const auto &target : targets) {
+        ids.push_back(target->entry.id);
+    }
+    return ids;
+}
+
+} // namespace
+
+RequestProgress::RequestProgress(RelayContext &context, RequestFacts facts, core::Time arrivedAt)
+    : m_context(context)
+    , m_facts(std::move(facts))
+    , m_arrivedAt(arrivedAt)
+{
+    ++m_context.inProgress;
+}
+
+RequestProgress::~RequestProgress()
+{
+    --m_context.inProgress;
+}
+
+Refusal RequestProgress::refuse(Reason reason) const
+{
+    return {core::http_status::statusOf(reason), reason, retryAfter(reason)};
+}
+
+std::optional<Refusal> RequestProgress::authorise(core::Time now)
+{
+    if (!m_context.table) {
+        return refuse(Reason::NotReady);
+    }
+    if (now - m_context.drainingSince > RefusedWhileDrainingAfter) {
+        return refuse(Reason::Stopping);
+    }
+    m_table = m_context.table;
+    const bool certain = m_context.configurationProof.age(m_table->version, now) <= CertainAge;
+    m_route = m_table->find(m_facts.host, m_facts.path);
+    if (m_route == nullptr) {
+        return refuse(certain ? Reason::UnknownPath : Reason::StaleConfiguration);
+    }
+    if (m_deadline == absl::InfiniteFuture()) {
+        m_deadline = m_arrivedAt + std::min(m_facts.patience, m_route->timeout);
+    }
+    m_priority = m_route->priority;
+    m_organisation.clear();
+    if (m_route->isPublic || !m_table->keysNeeded) {
+        return std::nullopt;
+    }
+    if (!m_context.keysAreFresh(now)) {
+        return refuse(Reason::StaleConfiguration);
+    }
+    const auto *organisation = m_facts.key ? m_table->organisation(*m_facts.key) : nullptr;
+    if (organisation == nullptr) {
+        const auto unknown = m_facts.key ? Reason::UnknownKey : Reason::MissingKey;
+        return refuse(certain ? unknown : Reason::StaleConfiguration);
+    }
+    m_organisation = organisation->name;
+    if (organisation->priority >= 0) {
+        m_priority = organisation->priority;
+    }
+    return std::nullopt;
+}
+
+const std::string &RequestProgress::chooseService()
+{
+    const auto &shares = m_route->services;
+    const bool stays = std::any_of(shares.begin(), shares.end(),
+                                   [this](const auto &share) { return share.service == m_service && share.weight > 0; });
+    if (stays) {
+        return m_service;
+    }
+    double total = 0;
+    for (const auto &share : shares) {
+        total += share.weight;
+    }
+    auto drawn = std::uniform_real_distribution<double>(0, std::max(total, 1e-9))(m_context.random);
+    m_service = shares.front().service;
+    for (const auto &share : shares) {
+        if (drawn < share.weight) {
+            m_service = share.service;
+            break;
+        }
+        drawn -= share.weight;
+    }
+    m_counted = false;
+    return m_service;
+}
+
+bool RequestProgress::usable(const Target &target, bool evenEjected, core::Time now) const
+{
+    if (std::find(m_tried.begin(), m_tried.end(), target.entry.id) != m_tried.end()) {
+        return false;
+    }
+    if (evenEjected) {
+        return true;
+    }
+    const bool waitsForProof = target.health.onProbation() && target.own(now).requests > 0;
+    return !target.health.ejected(now) && !waitsForProof;
+}
+
+std::vector<Candidate> RequestProgress::candidates(const TargetSet::Targets &targets, core::Time now) const
+{
+    const bool someWell = std::any_of(targets.begin(), targets.end(),
+                                      [&](const auto &target) { return usable(*target, false, now); });
+    std::vector<Candidate> all;
+    for (const auto &target : targets) {
+        Candidate candidate;
+        candidate.load = target->own(now);
+        candidate.load += target->peers;
+        candidate.slots = target->entry.slots;
+        candidate.atHome = target->entry.failureDomain == m_context.settings.failureDomain;
+        candidate.mayAnswer = usable(*target, !someWell, now);
+        candidate.mayHelp = !target->health.ejected(now) && !target->health.onProbation();
+        all.push_back(candidate);
+    }
+    return all;
+}
+
+std::optional<ChosenTargets> RequestProgress::choose(core::Time now)
+{
+    const auto &service = chooseService();
+    if (!m_counted) {
+        m_context.retries.request(service, now);
+        m_counted = true;
+    }
+    const auto targets = m_context.targets.listed(service, now);
+    const auto *spec = m_table->service(service);
+    const auto all = candidates(targets, now);
+    const auto pick = m_context.random();
+    const bool isPrompt = spec != nullptr && spec->engine && m_facts.prompt;
+    const auto placement = isPrompt ? placePrompt(*spec->engine, *m_facts.prompt, all, m_context.placement, pick)
+                                    : placePlain(all, m_context.placement, pick);
+    if (!placement) {
+        return std::nullopt;
+    }
+    ChosenTargets chosen;
+    chosen.target = targets[placement->target];
+    for (const auto helper : placement->helpers) {
+        chosen.helpers.push_back(targets[helper]);
+    }
+    for (const auto &holding : placement->holdings) {
+        chosen.holdingTokens.push_back(holding.tokens);
+    }
+    chosen.expected = placement->expected;
+    chosen.partTokens = placement->partTokens;
+    return chosen;
+}
+
+void RequestProgress::begin(const ChosenTargets &chosen, core::Time now)
+{
+    m_current = chosen;
+    m_sentAt = now;
+    ++m_attempts;
+    std::int64_t held = 0;
+    for (std::size_t i = 0; i < chosen.helpers.size(); ++i) {
+        Outstanding work;
+        work.parts = 1;
+        work.partTokens = chosen.partTokens;
+        work.memoryTokens = i < chosen.holdingTokens.size() ? chosen.holdingTokens[i] : 0;
+        held += work.memoryTokens;
+        m_shares.push_back(
+            std::make_unique<Share>(chosen.helpers[i], Share::Kind::Part, work, chosen.expected, now));
+    }
+    Outstanding work;
+    work.requests = 1;
+    work.readTokens = chosen.partTokens;
+    work.memoryTokens = m_facts.prompt ? std::max<std::int64_t>(m_facts.prompt->memoryTokens() - held, 0) : 0;
+    m_shares.push_back(std::make_unique<Share>(chosen.target, Share::Kind::Request, work, chosen.expected, now));
+    m_context.metrics.count(metrics::Counter::AttemptsStarted);
+    core::log(core::LogLevel::Info, "request_sent",
+              {{"request", m_facts.id},
+               {"attempt", m_attempts},
+               {"route", m_route->name},
+               {"configuration", m_table->version},
+               {"proofAgeMs", core::toMs(m_context.configurationProof.age(m_table->version, now))},
+               {"target", chosen.target->entry.id},
+               {"helpers", idsOf(chosen.helpers)},
+               {"promptTokens", m_facts.prompt ? m_facts.prompt->promptTokens : 0},
+               {"expectedMs", core::toMs(chosen.expected)},
+               {"timeLeftMs", core::toMs(m_deadline - now)}});
+}
+
+void RequestProgress::answered(core::Time now)
+{
+    for (const auto &share : m_shares) {
+        share->promptRead();
+    }
+    if (m_answeredAt != absl::InfinitePast()) {
+        return;
+    }
+    m_answeredAt = now;
+    if (m_facts.prompt) {
+        m_context.metrics.time(timerFor(m_facts.prompt->promptTokens), now - m_arrivedAt);
+    }
+}
+
+void RequestProgress::endAttempt(Outcome outcome, Reason reason, std::optional<TargetFault> fault,
+                                 const std::string &detail, core::Time now)
+{
+    m_shares.clear();
+    const bool reached = reason != Reason::ConnectFailed;
+    m_sends += reached ? 1 : 0;
+    m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
+    auto &health = m_current.target->health;
+    if (fault) {
+        health.failed(*fault, m_context.ejection, now);
+    } else if (outcome == Outcome::Completed) {
+        health.succeeded(now);
+    }
+    if (outcome == Outcome::Completed && !fault) {
+        return;
+    }
+    m_tried.push_back(m_current.target->entry.id);
+    core::log(core::LogLevel::Info, "attempt_failed",
+              {{"request", m_facts.id},
+               {"attempt", m_attempts},
+               {"target", m_current.target->entry.id},
+               {"outcome", core::nameOf(outcome)},
+               {"reason", core::nameOf(reason)},
+               {"fault", fault ? core::nameOf(*fault) : "none"},
+               {"detail", detail},
+               {"afterMs", core::toMs(now - m_sentAt)},
+               {"targetLeftOut", health.ejected(now)}});
+}
+
+void RequestProgress::helperFailed(const core::Address &helper, core::Time now)
+{
+    const auto target = m_context.targets.at(helper, now);
+    if (target && target != m_current.target) {
+        target->health.failed(TargetFault::Silent, m_context.ejection, now);
+        core::log(core::LogLevel::Info, "helper_failed", {{"request", m_facts.id}, {"target", target->entry.id}});
+    }
+}
+
+bool RequestProgress::takeResend(bool mayRepeat, core::Time now)
+{
+    const ResendState state{mayRepeat, m_ranSomewhere, m_sends, m_attempts, m_route->mostTargets, m_deadline};
+    if (!mayResend(state, now)) {
+        return false;
+    }
+    // A send that found no connection never arrived: the next one is the first.
+    return m_sends == 0 || m_context.retries.take(m_service, m_context.daemons, now);
+}
+
+void RequestProgress::finish(Outcome outcome, Reason reason, int status, core::Time now)
+{
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_shares.clear();
+    m_context.metrics.countEnd(outcome, reason);
+    core::log(core::LogLevel::Info, "request_ended",
+              {{"request", m_facts.id},
+               {"route", m_route != nullptr ? m_route->name : ""},
+               {"organisation", m_organisation},
+               {"configuration", m_table ? m_table->version : 0},
+               {"outcome", core::nameOf(outcome)},
+               {"reason", core::nameOf(reason)},
+               {"status", status},
+               {"attempts", m_attempts},
+               {"firstMs", m_answeredAt == absl::InfinitePast() ? -1 : core::toMs(m_answeredAt - m_arrivedAt)},
+               {"totalMs", core::toMs(now - m_arrivedAt)}});
+}
+
+const RequestFacts &RequestProgress::facts() const noexcept
+{
+    return m_facts;
+}
+
+const config::Route &RequestProgress::route() const noexcept
+{
+    return *m_route;
+}
+
+const std::string &RequestProgress::organisation() const noexcept
+{
+    return m_organisation;
+}
+
+core::Time RequestProgress::deadline() const noexcept
+{
+    return m_deadline;
+}
+
+int RequestProgress::attempts() const noexcept
+{
+    return m_attempts;
+}
+
+bool RequestProgress::ranSomewhere() const noexcept
+{
+    return m_ranSomewhere;
+}
+
+int RequestProgress::enginePriority() const noexcept
+{
+    return static_cast<int>(std::clamp<std::int64_t>(m_priority, MostUrgent, LeastUrgent));
+}
+
+core::Duration RequestProgress::patience(const ChosenTargets &chosen, bool answering) const noexcept
+{
+    if (m_route->kind != config::RouteKind::Stream) {
+        return std::max(m_route->aim * PlainPatienceFactor, core::Duration(LeastPlainPatience));
+    }
+    if (!answering) {
+        return std::max(chosen.expected * PatienceFactor, core::Duration(LeastPatience));
+    }
+    return m_route->gapAim == absl::InfiniteDuration()
+        ? m_route->gapAim
+        : std::max(m_route->gapAim * GapPatienceFactor, core::Duration(LeastGapPatience));
+}
+
+core::Duration RequestProgress::retryAfter(Reason reason) const noexcept
+{
+    switch (reason) {
+    case Reason::Stopping:
+    case Reason::StaleConfiguration:
+        return RetryAfterElsewhere;
+    case Reason::NotReady:
+        return RetryAfterUnknown;
+    case Reason::UnknownPath:
+    case Reason::MissingKey:
+    case Reason::UnknownKey:
+        return absl::ZeroDuration(); // Coming back will not help.
+    default:
+        return RetryAfterFull;
+    }
+}
+
+Refusal RequestProgress::lastWord(Reason reason) const noexcept
+{
+    Refusal refusal;
+    refusal.status = finalStatus(m_ranSomewhere, reason);
+    refusal.reason = reason;
+    if (!m_ranSomewhere) {
+        refusal.retryAfter = retryAfter(reason);
+    }
+    return refusal;
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/relay/reservation.cpp
@@ -0,0 +1,109 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: KV memory set aside at an engine
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/reservation.h"
+
+#include "spurlug/core/http_status.h"
+#include "spurlug/core/log.h"
+#include "spurlug/net/client_connection.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+constexpr int Granted = core::http_status::Ok;
+constexpr double RenewShare = 0.3; // Of the hold: two renewals may be lost before the memory lapses.
+constexpr int ReleaseTries = 3;
+constexpr auto OrderTimeout = absl::Milliseconds(400); // An engine answers an order at once or not at all.
+
+} // namespace
+
+Reservation::Reservation(net::Loop &loop, core::Address engine, std::string id, net::Request reserve,
+                         net::Request release, core::Duration hold)
+    : m_loop(loop)
+    , m_engine(std::move(engine))
+    , m_id(std::move(id))
+    , m_reserve(std::move(reserve))
+    , m_release(std::move(release))
+    , m_hold(hold)
+{ }
+
+net::Task<bool> Reservation::acquire(core::Time deadline)
+{
+    std::string problem;
+    const auto until = std::min(deadline, core::now() + OrderTimeout);
+    const auto answer = co_await net::exchange(m_loop, m_engine, m_reserve, until, problem);
+    const auto status = answer ? answer->head.status : 0;
+    if (status != Granted) {
+        core::log(core::LogLevel::Info, "reservation_refused",
+                  {{"reservation", m_id}, {"engine", m_engine.text()}, {"status", status}, {"error", problem}});
+        if (!answer) {
+            release(); // The order may have been carried out, or will be.
+        }
+        m_released = true;
+        co_return false;
+    }
+    net::asio::co_spawn(
+        m_loop, [](core::Ref<Reservation> self) -> net::Task<> { co_await self->keep(); }(core::Ref<Reservation>(this)),
+        net::asio::detached);
+    co_return true;
+}
+
+void Reservation::release()
+{
+    if (m_released) {
+        return;
+    }
+    m_released = true;
+    net::asio::co_spawn(
+        m_loop,
+        [](core::Ref<Reservation> self) -> net::Task<> { co_await self->giveBack(); }(core::Ref<Reservation>(this)),
+        net::asio::detached);
+}
+
+net::Task<> Reservation::keep()
+{
+    for (;;) {
+        co_await net::sleepFor(m_hold * RenewShare);
+        if (m_released) {
+            co_return;
+        }
+        std::string problem;
+        const auto answer
+            = co_await net::exchange(m_loop, m_engine, m_reserve, core::now() + OrderTimeout, problem);
+        if (!answer || answer->head.status != Granted) {
+            core::log(core::LogLevel::Warning, "reservation_not_renewed",
+                      {{"reservation", m_id},
+                       {"engine", m_engine.text()},
+                       {"status", answer ? answer->head.status : 0},
+                       {"error", problem}});
+        }
+    }
+}
+
+net::Task<> Reservation::giveBack()
+{
+    for (int i = 0; i < ReleaseTries; ++i) {
+        std::string problem;
+        const auto answer
+            = co_await net::exchange(m_loop, m_engine, m_release, core::now() + OrderTimeout, problem);
+        if (answer) {
+            co_return;
+        }
+        core::log(core::LogLevel::Warning, "release_unanswered",
+                  {{"reservation", m_id}, {"engine", m_engine.text()}, {"error", problem}});
+    }
+}
+
+const std::string &Reservation::id() const noexcept
+{
+    return m_id;
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/relay/simple_server.cpp
@@ -0,0 +1,69 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: small HTTP services of a relaying daemon
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/simple_server.h"
+
+#include "spurlug/net/server_connection.h"
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+constexpr auto WriteTimeout = absl::Seconds(2);
+constexpr std::size_t LargestBody = 64 << 10; // Questions are small.
+
+} // namespace
+
+SimpleServer::SimpleServer(net::Loop &loop, const core::Address &address, Handler handler)
+    : m_loop(loop)
+    , m_listener(loop, address)
+    , m_handler(std::move(handler))
+{ }
+
+void SimpleServer::start()
+{
+    net::asio::co_spawn(m_loop, m_listener.run([this](net::asio::ip::tcp::socket socket) {
+        net::asio::co_spawn(m_loop, serve(std::move(socket)), net::asio::detached);
+    }),
+                        net::asio::detached);
+}
+
+net::Task<> SimpleServer::serve(net::asio::ip::tcp::socket socket)
+{
+    net::ServerConnection connection(m_loop, std::move(socket));
+    net::ReadLimits limits;
+    limits.bodyBytes = LargestBody;
+    for (;;) {
+        const auto result = co_await connection.read(limits);
+        if (!result.request) {
+            co_return;
+        }
+        auto response = m_handler(*result.request);
+        const bool keepAlive = result.request->keepAlive;
+        const bool written
+            = co_await connection.write(std::move(response), keepAlive, core::now() + core::Duration(WriteTimeout));
+        if (!written || !keepAlive) {
+            co_return;
+        }
+    }
+}
+
+const core::Address &SimpleServer::address() const noexcept
+{
+    return m_listener.address();
+}
+
+net::Response textResponse(int status, std::string body, std::string_view contentType)
+{
+    net::Response response;
+    response.head.status = status;
+    response.head.headers.add("Content-Type", contentType);
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/relay/target_set.cpp
@@ -0,0 +1,187 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the targets, the work that this daemon and its peers have at each, and how they fare
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/target_set.h"
+
+#include "spurlug/targets/target_table.h"
+
+#include <algorithm>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+/// Part of a prompt that counts as unread until the first event has come, however long it takes.
+constexpr double LeastUnread = 0.05;
+
+} // namespace
+
+Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Duration expectedRead, core::Time now)
+    : m_target(std::move(target))
+    , m_kind(kind)
+    , m_work(work)
+    , m_expectedRead(std::max(expectedRead, core::Duration(absl::Milliseconds(1))))
+    , m_sentAt(now)
+{
+    m_target->m_shares.push_back(*this);
+}
+
+void Share::promptRead() noexcept
+{
+    m_reading = false;
+}
+
+Outstanding Share::work(core::Time now) const noexcept
+{
+    auto work = m_work;
+    if (m_reading) {
+        const auto progress = absl::FDivDuration(now - m_sentAt, m_expectedRead);
+        const auto left = std::clamp(1 - progress, LeastUnread, 1.0);
+        work.readTokens = static_cast<std::int64_t>(static_cast<double>(work.readTokens) * left);
+        work.partTokens = static_cast<std::int64_t>(static_cast<double>(work.partTokens) * left);
+        return work;
+    }
+    work.readTokens = 0;
+    work.partTokens = 0;
+    if (m_kind == Kind::Request) {
+        work.writers = 1;
+        work.contextTokens = work.memoryTokens;
+    } else {
+        work.parts = 0;
+    }
+    return work;
+}
+
+const core::Ref<Target> &Share::target() const noexcept
+{
+    return m_target;
+}
+
+Target::Target(TargetEntry entry)
+    : entry(std::move(entry))
+{ }
+
+Outstanding Target::own(core::Time now) const noexcept
+{
+    Outstanding sum;
+    for (const auto &share : m_shares) {
+        sum += share.work(now);
+    }
+    return sum;
+}
+
+void TargetSet::put(const TargetEntry &entry)
+{
+    auto &target = m_targets[entry.id];
+    if (!target) {
+        target = core::makeCounted<Target>(entry);
+        m_byHash[targets::targetHash(entry.id)] = target;
+        return;
+    }
+    const bool draining = target->entry.draining || entry.draining;
+    target->entry = entry;
+    target->entry.draining = draining;
+    target->dropAt = absl::InfiniteFuture();
+}
+
+void TargetSet::drop(const std::string &id, core::Time dropAt)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second->dropAt = std::min(found->second->dropAt, dropAt);
+    }
+}
+
+void TargetSet::forgetGone(core::Time now)
+{
+    constexpr auto KeptAfterwards = absl::Seconds(30); // Answers in progress may still name them.
+    std::erase_if(m_targets, [&](const auto &item) {
+        const auto &target = item.second;
+        const bool old = now - KeptAfterwards > target->dropAt;
+        if (old && target->own(now) == Outstanding{}) {
+            m_byHash.erase(targets::targetHash(target->entry.id));
+            return true;
+        }
+        return false;
+    });
+}
+
+void TargetSet::peerWork(const std::string &peer, const std::vector<TargetWork> &works)
+{
+    forgetPeer(peer);
+    auto &kept = m_peerWorks[peer];
+    for (const auto &work : works) {
+        const auto found = m_byHash.find(work.target);
+        if (found != m_byHash.end()) {
+            found->second->peers += work.work;
+            kept.push_back(work);
+        }
+    }
+}
+
+void TargetSet::forgetPeer(const std::string &peer)
+{
+    const auto known = m_peerWorks.find(peer);
+    if (known == m_peerWorks.end()) {
+        return;
+    }
+    for (const auto &work : known->second) {
+        const auto found = m_byHash.find(work.target);
+        if (found != m_byHash.end()) {
+            found->second->peers -= work.work;
+        }
+    }
+    m_peerWorks.erase(known);
+}
+
+TargetSet::Targets TargetSet::listed(const std::string &service, core::Time now) const
+{
+    Targets found;
+    for (const auto &[id, target] : m_targets) {
+        if (target->entry.service == service && target->listed(now)) {
+            found.push_back(target);
+        }
+    }
+    std::sort(found.begin(), found.end(),
+              [](const auto &left, const auto &right) { return left->entry.id < right->entry.id; });
+    return found;
+}
+
+core::Ref<Target> TargetSet::find(const std::string &id) const
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : found->second;
+}
+
+core::Ref<Target> TargetSet::at(const core::Address &address, core::Time now) const
+{
+    for (const auto &[id, target] : m_targets) {
+        if (target->entry.address == address && target->listed(now)) {
+            return target;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<TargetWork> TargetSet::ownWork(core::Time now) const
+{
+    std::vector<TargetWork> works;
+    for (const auto &[hash, target] : m_byHash) {
+        const auto own = target->own(now);
+        if (own != Outstanding{}) {
+            works.push_back({hash, own});
+        }
+    }
+    return works;
+}
+
+const std::unordered_map<std::string, core::Ref<Target>> &TargetSet::all() const noexcept
+{
+    return m_targets;
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/relay/verdict.cpp
@@ -0,0 +1,68 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what a target's answer means, and whether a request is sent again
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/verdict.h"
+
+#include "spurlug/core/http_status.h"
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+using core::Outcome;
+using core::Reason;
+using namespace core::http_status;
+
+constexpr int MostAttempts = 6; // Attempts that found no connection included.
+constexpr auto LeastTimeLeft = absl::Milliseconds(5); // Below this nothing can be answered any more.
+
+/// Statuses that tell a caller that its request has not run and never will.
+bool promisesNotRun(int status)
+{
+    return status == RequestTimeout || status == Misdirected || status == TooManyRequests || status == Unavailable;
+}
+
+} // namespace
+
+Verdict judgeAnswer(const AnswerFacts &answer, const std::string &requestId)
+{
+    if (answer.requestId != requestId) {
+        return {Outcome::MayHaveRun, Reason::TargetFailed, TargetFault::Garbled};
+    }
+    if (answer.notRun) {
+        return {Outcome::NotRun, Reason::TargetRefused, TargetFault::Busy};
+    }
+    const bool success = answer.status >= Ok && answer.status < FirstRedirect;
+    if (answer.encoded || (success && !answer.hasSignature)) {
+        return {Outcome::MayHaveRun, Reason::TargetFailed, TargetFault::Garbled};
+    }
+    if (promisesNotRun(answer.status)) {
+        // The target says so, but without its word that it did not begin: a caller must not be promised that.
+        return {Outcome::MayHaveRun, Reason::TargetFailed, TargetFault::Error};
+    }
+    const auto fault
+        = answer.status >= FirstServerError ? std::optional(TargetFault::Error) : std::optional<TargetFault>();
+    return {Outcome::Completed, Reason::None, fault};
+}
+
+bool mayResend(const ResendState &state, core::Time now) noexcept
+{
+    if (state.ranSomewhere && !state.repeatable) {
+        return false;
+    }
+    return state.sends < state.mostTargets && state.attempts < MostAttempts && state.deadline - now > LeastTimeLeft;
+}
+
+int finalStatus(bool ranSomewhere, core::Reason reason) noexcept
+{
+    if (!ranSomewhere) {
+        return Unavailable;
+    }
+    return reason == Reason::DeadlinePassed ? GatewayTimeout : BadGateway;
+}
+
+} // namespace spurlug::relay
--- /dev/null
+++ b/src/settings/settings_reader.h
@@ -0,0 +1,95 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: reading settings files
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/error.h"
+#include "spurlug/core/json_reader.h"
+#include "spurlug/core/log.h"
+#include "spurlug/core/text.h"
+#include "spurlug/core/time.h"
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace spurlug::settings
+{
+
+inline constexpr std::int64_t LongestMs = 3'600'000;
+inline constexpr std::int64_t MostEntries = 1'000'000;
+
+/// \brief An address that must be there; notes a fault otherwise.
+inline core::Address readAddress(core::ObjectReader &reader, const std::string &key)
+{
+    const auto text = reader.text(key);
+    if (text.empty()) {
+        return {};
+    }
+    try {
+        return core::parseAddress(text);
+    } catch (const core::InvalidDocument &) {
+        reader.fault(key, "HOST:PORT");
+        return {};
+    }
+}
+
+/// \brief An array of addresses that may be missing.
+inline std::vector<core::Address> readAddresses(core::ObjectReader &reader, const std::string &key)
+{
+    std::vector<core::Address> all;
+    for (const auto &text : reader.texts(key)) {
+        try {
+            all.push_back(core::parseAddress(text));
+        } catch (const core::InvalidDocument &) {
+            reader.fault(key, "an array of HOST:PORT");
+        }
+    }
+    return all;
+}
+
+/// \brief A number of milliseconds that may be missing.
+inline core::Duration readMs(core::ObjectReader &reader, const std::string &key, core::Duration fallback)
+{
+    return core::fromMs(reader.integer(key, 1, LongestMs, core::toMs(fallback)));
+}
+
+inline core::LogLevel readLogLevel(core::ObjectReader &reader)
+{
+    const auto level = core::valueNamed<core::LogLevel>(reader.text("logLevel", "info"));
+    if (!level) {
+        reader.fault("logLevel", "debug, info, warning or error");
+    }
+    return level.value_or(core::LogLevel::Info);
+}
+
+/// \brief Reads a file with `read` and fails with every fault that was noted.
+/// \throws InvalidDocument with one line for each fault: file, JSON pointer, what was expected.
+template<typename Settings, typename Read>
+Settings loadChecked(const std::string &path, Read read)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw core::InvalidDocument(core::cat(path, ": : expected a readable file"));
+    }
+    const auto document = nlohmann::json::parse(file, nullptr, false);
+    if (document.is_discarded()) {
+        throw core::InvalidDocument(core::cat(path, ": : expected a JSON document"));
+    }
+    std::vector<core::Fault> faults;
+    core::ObjectReader reader(document, "", faults);
+    auto settings = read(reader);
+    std::string lines;
+    for (const auto &fault : faults) {
+        core::append(lines, lines.empty() ? "" : "\n", path, ": ", fault.pointer, ": expected ", fault.expected);
+    }
+    if (!lines.empty()) {
+        throw core::InvalidDocument(lines);
+    }
+    return settings;
+}
+
+} // namespace spurlug::settings
--- /dev/null
+++ b/tests/platform/fake_store.cpp
@@ -0,0 +1,157 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a stand-in for the platform's store
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "fake_store.h"
+
+#include "spurlug/core/text.h"
+#include "spurlug/net/server_connection.h"
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+constexpr std::string_view Objects = "/v1/objects/";
+
+std::int64_t queryNumber(const std::string &query, const std::string &key)
+{
+    const auto at = query.find(key + "=");
+    return at == std::string::npos ? -1 : std::stoll(query.substr(at + key.size() + 1));
+}
+
+net::Response json(int status, const nlohmann::json &body)
+{
+    net::Response response;
+    response.head.status = status;
+    response.head.headers.add("Content-Type", "application/json");
+    response.body = body.dump();
+    return response;
+}
+
+} // namespace
+
+FakeStore::FakeStore(net::Loop &loop)
+    : m_loop(loop)
+    , m_listener(loop, {"127.0.0.1", 0})
+{
+    net::asio::co_spawn(loop, m_listener.run([this](net::asio::ip::tcp::socket socket) {
+        net::asio::co_spawn(m_loop, serve(std::move(socket)), net::asio::detached);
+    }),
+                        net::asio::detached);
+}
+
+nlohmann::json FakeStore::objectJson(const std::string &name, const Object &object)
+{
+    return {{"metadata", {{"name", name}, {"revision", object.revision}, {"deleting", false}}}, {"spec", object.spec}};
+}
+
+void FakeStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
+{
+    auto &object = m_kinds[kind][name];
+    object = {spec, ++m_revision};
+    m_history.push_back({m_revision, kind, {{"gone", false}, {"object", objectJson(name, object)}}});
+}
+
+void FakeStore::remove(const std::string &kind, const std::string &name)
+{
+    const auto object = m_kinds[kind][name];
+    m_kinds[kind].erase(name);
+    m_history.push_back({++m_revision, kind, {{"gone", true}, {"object", objectJson(name, object)}}});
+}
+
+void FakeStore::forgetHistory()
+{
+    m_history.clear();
+    m_oldest = ++m_revision;
+}
+
+const core::Address &FakeStore::address() const noexcept
+{
+    return m_listener.address();
+}
+
+const std::map<std::string, int> &FakeStore::calls() const noexcept
+{
+    return m_calls;
+}
+
+net::Response FakeStore::list(const std::string &kind) const
+{
+    auto items = nlohmann::json::array();
+    if (const auto found = m_kinds.find(kind); found != m_kinds.end()) {
+        for (const auto &[name, object] : found->second) {
+            items.push_back(objectJson(name, object));
+        }
+    }
+    return json(200, {{"items", std::move(items)}, {"more", false}, {"at", m_revision}});
+}
+
+net::Task<net::Response> FakeStore::watch(std::string kind, std::int64_t from, core::Duration wait)
+{
+    const auto until = core::now() + wait;
+    for (;;) {
+        if (from < m_oldest) {
+            co_return json(410, {{"error", "history is gone"}});
+        }
+        auto events = nlohmann::json::array();
+        for (const auto &change : m_history) {
+            if (change.revision > from && change.kind == kind) {
+                events.push_back(change.event);
+            }
+        }
+        if (!events.empty() || core::now() >= until) {
+            co_return json(200, {{"events", std::move(events)}, {"at", m_revision}});
+        }
+        co_await net::sleepFor(absl::Milliseconds(2));
+    }
+}
+
+net::Task<net::Response> FakeStore::answer(net::Request request)
+{
+    const auto question = request.target.find('?');
+    const auto path = request.target.substr(0, question);
+    const auto query = question == std::string::npos ? std::string() : request.target.substr(question + 1);
+    ++m_calls[path];
+    if (mood == StoreMood::Busy) {
+        co_return json(503, {{"error", "busy"}});
+    }
+    if (mood == StoreMood::Limited) {
+        co_return json(429, {{"error", "too many calls"}});
+    }
+    const auto kind = path.substr(std::min(path.size(), Objects.size()));
+    const auto from = queryNumber(query, "watch");
+    if (from < 0) {
+        co_return list(kind);
+    }
+    auto response = co_await watch(kind, from, absl::Milliseconds(queryNumber(query, "wait_ms")));
+    co_return response;
+}
+
+net::Task<> FakeStore::serve(net::asio::ip::tcp::socket socket)
+{
+    net::ServerConnection connection(m_loop, std::move(socket));
+    for (;;) {
+        auto result = co_await connection.read({});
+        if (!result.request) {
+            co_return;
+        }
+        if (mood == StoreMood::Reset) {
+            connection.reset();
+            co_return;
+        }
+        auto response = co_await answer(std::move(*result.request));
+        while (mood == StoreMood::Silent) {
+            co_await net::sleepFor(absl::Milliseconds(10));
+        }
+        const bool written
+            = co_await connection.write(std::move(response), true, core::now() + absl::Seconds(1));
+        if (!written) {
+            co_return;
+        }
+    }
+}
+
+} // namespace spurlug::test
--- /dev/null
+++ b/tests/platform/fake_store.h
@@ -0,0 +1,78 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a stand-in for the platform's store
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/address.h"
+#include "spurlug/net/http_message.h"
+#include "spurlug/net/io.h"
+#include "spurlug/net/listener.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spurlug::test
+{
+
+/// \brief How the store treats calls.
+enum class StoreMood
+{
+    Well,
+    Busy, ///< 503 to every call.
+    Limited, ///< 429 to every call.
+    Silent, ///< No answer.
+    Reset, ///< Each connection is reset.
+};
+
+/// \brief Objects with revisions, lists, waits and a history that can be forgotten; written from the platform's pages.
+class FakeStore
+{
+public:
+    explicit FakeStore(net::Loop &loop);
+
+    /// \name The operator's and the targets' side
+    /// @{
+    void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    void remove(const std::string &kind, const std::string &name);
+    /// \brief Drops the history: waits from before now get 410.
+    void forgetHistory();
+    StoreMood mood = StoreMood::Well;
+    /// @}
+
+    [[nodiscard]] const core::Address &address() const noexcept;
+    /// \brief Calls that came, by path without the query.
+    [[nodiscard]] const std::map<std::string, int> &calls() const noexcept;
+
+private:
+    struct Object
+    {
+        nlohmann::json spec;
+        std::int64_t revision = 0;
+    };
+    struct Change
+    {
+        std::int64_t revision = 0;
+        std::string kind;
+        nlohmann::json event;
+    };
+
+    [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
+    [[nodiscard]] net::Task<net::Response> answer(net::Request request);
+    [[nodiscard]] net::Task<net::Response> watch(std::string kind, std::int64_t from, core::Duration wait);
+    [[nodiscard]] net::Response list(const std::string &kind) const;
+    [[nodiscard]] static nlohmann::json objectJson(const std::string &name, const Object &object);
+
+    net::Loop &m_loop;
+    net::Listener m_listener;
+    std::map<std::string, std::map<std::string, Object>> m_kinds;
+    std::vector<Change> m_history;
+    std::int64_t m_revision = 0;
+    std::int64_t m_oldest = 0; ///< Changes up to this one are forgotten.
+    std::map<std::string, int> m_calls;
+};
+
+} // namespace spurlug::test
--- /dev/null
+++ b/tests/platform/fake_target.h
@@ -0,0 +1,88 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a stand-in for the platform's targets
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/time.h"
+#include "spurlug/net/http_message.h"
+#include "spurlug/net/io.h"
+#include "spurlug/net/listener.h"
+#include "spurlug/net/server_connection.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace spurlug::test
+{
+
+/// \brief What a target does with a request.
+struct Behaviour
+{
+    enum class Fault
+    {
+        None,
+        Shed, ///< 503 with the word that it did not begin.
+        Hang, ///< Takes the request and says nothing.
+        LoseAnswer, ///< Runs the request and closes the connection.
+        ResetAnswer, ///< Runs the request and resets the connection.
+        CutBody, ///< Half an answer, then a reset.
+        WrongId, ///< An answer to another request.
+        NoSignature,
+        Encoded,
+        Garbage, ///< Bytes that are no answer.
+        BusyUnsaid, ///< 503 without the word that it did not begin.
+    };
+
+    Fault fault = Fault::None;
+    int status = 200;
+    core::Duration work = absl::ZeroDuration(); ///< Before the head.
+    std::string body = "the answer";
+    int events = 0; ///< More than 0: a stream of so many events.
+    core::Duration gap = absl::Milliseconds(5); ///< Between events.
+    int breakAfter = -1; ///< Resets the connection inside the event after this many of them.
+    int skipAt = -1; ///< Leaves this event out.
+    bool unframed = false; ///< The body ends with the connection.
+};
+
+/// \brief One process of a service: records what it ran and follows a script.
+class FakeTarget
+{
+public:
+    FakeTarget(net::Loop &loop, std::string id);
+
+    Behaviour behaviour;
+    std::vector<Behaviour> script; ///< For the next requests, before `behaviour`.
+    bool draining = false;
+
+    [[nodiscard]] const std::string &id() const noexcept;
+    [[nodiscard]] const core::Address &address() const noexcept;
+    /// \brief Requests that were begun.
+    [[nodiscard]] const std::vector<net::Request> &ran() const noexcept;
+    /// \brief Requests whose connection ended before their answer did.
+    [[nodiscard]] int abandoned() const noexcept;
+    /// \brief Reservations that are held, tokens by id.
+    [[nodiscard]] const std::map<std::string, std::int64_t> &held() const noexcept;
+    /// \brief Stops listening: connections are refused.
+    void stop();
+
+private:
+    [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
+    [[nodiscard]] net::Task<bool> answer(core::Ref<net::ServerConnection> connection, net::Request request);
+    [[nodiscard]] net::Task<bool> stream(core::Ref<net::ServerConnection> connection, const net::Request &request,
+                                         const Behaviour &how);
+    [[nodiscard]] net::Response order(const net::Request &request);
+    [[nodiscard]] net::ResponseHead head(const net::Request &request, const Behaviour &how) const;
+
+    net::Loop &m_loop;
+    const std::string m_id;
+    net::Listener m_listener;
+    std::vector<net::Request> m_ran;
+    int m_abandoned = 0;
+    std::map<std::string, std::int64_t> m_held;
+};
+
+} // namespace spurlug::test
--- a/tests/property/fake_api.h
+++ b/tests/property/fake_api.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "spurlug/core/error.h"
-#include "spurlug/platform/object_api.h"
+#include "spurlug/objects/object_api.h"
 
 #include <functional>
 #include <map>
@@ -32,7 +32,7 @@
 
 struct FakeState
 {
-    std::map<std::string, platform::Object> objects;
+    std::map<std::string, objects::Object> objects;
     std::int64_t lastVersion = 0;
     std::map<std::string, std::vector<std::string>> written; ///< All values that took effect, by object.
     std::vector<Fault> faults;
@@ -58,7 +58,7 @@
         : m_state(state)
     { }
 
-    [[nodiscard]] std::optional<platform::Object> read(const std::string &name) const
+    [[nodiscard]] std::optional<objects::Object> read(const std::string &name) const
     {
         if (m_state.next() == Fault::Down) {
             throw core::PlatformUnavailable("down");
@@ -67,7 +67,7 @@
         return found == m_state.objects.end() ? std::nullopt : std::optional(found->second);
     }
 
-    [[nodiscard]] std::optional<platform::Object> waitForChange(const std::string &name, std::int64_t version,
+    [[nodiscard]] std::optional<objects::Object> waitForChange(const std::string &name, std::int64_t version,
                                                                 core::Duration /*wait*/) const
     {
         const auto object = read(name);
@@ -104,7 +104,7 @@
     FakeState &m_state;
 };
 
-static_assert(platform::ObjectApi<FakeApi>);
+static_assert(objects::ObjectApi<FakeApi>);
 
 inline rc::Gen<std::vector<Fault>> genFaults()
 {
