Placement by the engines' pass model: a pass reads a chunk a step, so long reads make pauses long

Change: work is counted as reading time; a choice costs its own lateness and the pauses it makes for others; streams that bear short pauses only gather on some engines. Weights are settings.

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -35,7 +35,6 @@
     core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
     TargetSet targets;
     RetryLedger retries;
-    PlacementRule placement;
     EjectionRule ejection;
     std::mt19937_64 random;
     std::size_t daemons = 1; ///< Daemons that live, this one included.
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -23,7 +23,7 @@
     std::vector<core::Ref<Target>> helpers; ///< Those that hold memory first.
     std::vector<std::int64_t> holdingTokens; ///< Of the first helpers.
     core::Duration expected; ///< Until the first event.
-    std::int64_t partTokens = 0; ///< Read by each engine.
+    core::Duration partRead; ///< Time that each engine reads.
 };
 
 /// \brief What is decided about one request from its arrival to its end, and the record of it.
@@ -50,7 +50,7 @@
 
     /// \brief Notes that the request goes to these targets: their work counts from here.
     void begin(const ChosenTargets &chosen, core::Time now);
-    /// \brief Notes the first event or the whole answer.
+    /// \brief Notes an event or the whole answer.
     void answered(core::Time now);
     /// \brief Notes that an attempt ended.
     void endAttempt(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
@@ -91,6 +91,7 @@
     [[nodiscard]] std::vector<Candidate> candidates(const TargetSet::Targets &targets, core::Time now) const;
     [[nodiscard]] bool usable(const Target &target, bool evenEjected, core::Time now) const;
     [[nodiscard]] const std::string &chooseService();
+    [[nodiscard]] bool isTight() const noexcept;
     [[nodiscard]] Refusal refuse(core::Reason reason) const;
 
     RelayContext &m_context;
@@ -107,7 +108,9 @@
     std::vector<std::string> m_tried;
     ChosenTargets m_current;
     core::Time m_sentAt = absl::InfinitePast();
-    core::Time m_answeredAt = absl::InfinitePast();
+    core::Time m_answeredAt = absl::InfinitePast(); ///< First event, or the whole answer.
+    core::Time m_lastEventAt = absl::InfinitePast();
+    core::Duration m_longestGap = absl::ZeroDuration(); ///< Between events.
     int m_attempts = 0;
     int m_sends = 0;
     bool m_ranSomewhere = false;
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -45,9 +45,10 @@
         Part, ///< The target reads a part of a prompt for another one.
     };
 
-    /// \param work What the share adds to the target's work while its prompt is read.
-    /// \param expectedRead How long reading should take; the tokens left shrink in step with it.
-    Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Duration expectedRead, core::Time now);
+    /// \param work What the share adds to the target's work while its prompt is not read.
+    /// \param expected When reading should end; what is left of it shrinks towards that time.
+    /// \param tight Whether the request bears short pauses only.
+    Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time expected, bool tight);
     Share(const Share &) = delete;
     Share &operator=(const Share &) = delete;
 
@@ -61,8 +62,8 @@
     core::Ref<Target> m_target;
     Kind m_kind;
     Outstanding m_work;
-    core::Duration m_expectedRead;
-    core::Time m_sentAt;
+    core::Time m_expected;
+    bool m_tight;
     bool m_reading = true;
 };
 
--- /dev/null
+++ b/include/spurlug/settings/placement_rule.h
@@ -0,0 +1,37 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: weights of the choice of targets
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+
+#include <cstdint>
+
+namespace spurlug::settings
+{
+
+/// \brief Weights of the choice; costs are in ms of delay. Found by trying values on the bench (docs/ROUTING.md).
+struct PlacementRule
+{
+    /// Streams whose longest pause is below this are tight: a long prompt read beside them makes them late.
+    core::Duration tightGap = absl::Milliseconds(400);
+    /// A pass longer than this makes tight streams late: their pause less the time in which loads are not known yet.
+    double tightPassMs = 160;
+    double loosePassMs = 400; ///< The same, of other streams.
+    double harmWeight = 1; ///< Of each ms beyond that, for each stream that it delays.
+    double expectedWeight = 0.2; ///< Of each ms until the first event, while that is in time.
+    double lateWeight = 3; ///< Of each ms beyond the part of the aim that is in time for sure.
+    double aimShare = 0.6; ///< That part.
+    double helperCostMs = 2; ///< Of one more engine that reads a part.
+    /// Of a first tight stream at an engine: it keeps long prompts from being read there.
+    double firstTightCostMs = 60;
+    double otherDomainCostMs = 0.5; ///< Of a target elsewhere: the way there and back.
+    int mostHelpers = 15; ///< An engine takes 16 at most.
+    std::int64_t leastPartTokens = 500; ///< Smaller parts are not worth a message.
+    double memoryShare = 0.97; ///< Part of an engine's memory that is given out; the rest covers rounding to blocks.
+    /// Queue at a plain target beyond its slots, as a share of them, before requests wait here.
+    double plainQueueShare = 1.0;
+};
+
+} // namespace spurlug::settings
--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -7,6 +7,7 @@
 #include "spurlug/core/address.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/time.h"
+#include "spurlug/settings/placement_rule.h"
 
 #include <string>
 #include <vector>
@@ -43,6 +44,7 @@
     std::vector<core::Address> seeds; ///< Control addresses of some daemons.
     core::LogLevel logLevel = core::LogLevel::Info;
     RelayBounds bounds;
+    PlacementRule placement;
 };
 
 /// \brief Reads and checks a settings file.
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -102,11 +102,12 @@
 void writeWork(const targets::TargetWork &work, wire::TargetWork &out)
 {
     out.set_target(work.target);
-    out.set_read_tokens(clamp32(work.work.readTokens));
+    out.set_read_micros(clamp32(work.work.readMicros));
+    out.set_part_micros(clamp32(work.work.partMicros));
     out.set_requests(clamp32(work.work.requests));
     out.set_writers(clamp32(work.work.writers));
+    out.set_tight_writers(clamp32(work.work.tightWriters));
     out.set_parts(clamp32(work.work.parts));
-    out.set_part_tokens(clamp32(work.work.partTokens));
     out.set_memory_tokens(clamp32(work.work.memoryTokens));
     out.set_context_tokens(clamp32(work.work.contextTokens));
 }
@@ -115,11 +116,12 @@
 {
     targets::TargetWork work;
     work.target = in.target();
-    work.work.readTokens = in.read_tokens();
+    work.work.readMicros = in.read_micros();
+    work.work.partMicros = in.part_micros();
     work.work.requests = in.requests();
     work.work.writers = in.writers();
+    work.work.tightWriters = in.tight_writers();
     work.work.parts = in.parts();
-    work.work.partTokens = in.part_tokens();
     work.work.memoryTokens = in.memory_tokens();
     work.work.contextTokens = in.context_tokens();
     return work;
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t MemoryBlock = 16; // Tokens; reservations are whole blocks.
 constexpr std::int64_t LeastHolding = 4096; // Tokens; smaller ones are not worth an order.
 constexpr double JitterMs = 4; // Spreads choices of daemons that see the same loads.
+constexpr double MicrosPerMs = 1000;
 
 /// A number from 0 to 1 that differs by candidate and request.
 double jitter(std::uint64_t pick, std::size_t candidate)
@@ -32,10 +33,10 @@
 class PromptPlacer
 {
 public:
-    PromptPlacer(const config::EngineCosts &costs, const PromptFacts &prompt, const std::vector<Candidate> &candidates,
-                 const PlacementRule &rule, std::uint64_t pick)
+    PromptPlacer(const config::EngineCosts &costs, const PromptRequest &request,
+                 const std::vector<Candidate> &candidates, const PlacementRule &rule, std::uint64_t pick)
         : m_costs(costs)
-        , m_prompt(prompt)
+        , m_request(request)
         , m_candidates(candidates)
         , m_rule(rule)
         , m_pick(pick)
@@ -44,14 +45,14 @@
     std::optional<Placement> inOneMemory()
     {
         for (const auto count : HelperCounts) {
-            const auto part = partOf(count);
-            if (count > 0 && (part < m_rule.leastPartTokens || count > static_cast<std::size_t>(m_rule.mostHelpers))) {
+            if (count > 0 && !worthSplitting(count)) {
                 break;
             }
-            const auto readers = fastestReaders(part, count + 1);
+            const auto part = partMs(m_costs, m_request.prompt.promptTokens, count + 1);
+            const auto readers = bestReaders(part, count + 1);
             for (std::size_t i = 0; i < m_candidates.size(); ++i) {
-                if (m_candidates[i].mayAnswer && hasSlot(i) && freeMemory(i) >= m_prompt.memoryTokens()) {
-                    consider(i, readers, count);
+                if (m_candidates[i].mayAnswer && hasSlot(i) && freeMemory(i) >= m_request.prompt.memoryTokens()) {
+                    consider(i, readers, count, part);
                 }
             }
         }
@@ -66,11 +67,10 @@
         }
         Placement placement;
         placement.target = *target;
-        auto missing = m_prompt.memoryTokens() - freeMemory(*target);
+        auto missing = m_request.prompt.memoryTokens() - freeMemory(*target);
         for (const auto holder : byFreeMemory(*target)) {
             const auto free = freeMemory(holder) / MemoryBlock * MemoryBlock;
-            if (missing <= 0 || free < LeastHolding
-                || placement.holdings.size() == static_cast<std::size_t>(m_rule.mostHelpers)) {
+            if (missing <= 0 || free < LeastHolding || placement.holdings.size() == mostHelpers()) {
                 break;
             }
             const auto wanted = (missing + MemoryBlock - 1) / MemoryBlock * MemoryBlock;
@@ -83,24 +83,22 @@
             return std::nullopt;
         }
         addReaders(placement);
-        placement.partTokens = partOf(placement.helpers.size());
-        placement.expected = absl::Milliseconds(firstEventMs(placement.target, placement.helpers));
+        const auto part = partMs(m_costs, m_request.prompt.promptTokens, placement.helpers.size() + 1);
+        placement.partRead = absl::Milliseconds(part);
+        placement.expected = absl::Milliseconds(firstEventMs(placement.target, placement.helpers, part));
         return placement;
     }
 
 private:
-    [[nodiscard]] std::int64_t partOf(std::size_t helpers) const
+    [[nodiscard]] std::size_t mostHelpers() const
     {
-        const auto parts = static_cast<std::int64_t>(helpers) + 1;
-        return (m_prompt.promptTokens + parts - 1) / parts;
+        return static_cast<std::size_t>(m_rule.mostHelpers);
     }
 
-    /// Time for the pairs of one part: each part has its share of the pairs of the whole prompt.
-    [[nodiscard]] double pairsMs(std::size_t helpers) const
+    [[nodiscard]] bool worthSplitting(std::size_t helpers) const
     {
-        const auto tokens = static_cast<double>(m_prompt.promptTokens);
-        constexpr double Million = 1e6;
-        return tokens * tokens / 2 / Million * m_costs.pairsMsPerMillion / static_cast<double>(helpers + 1);
+        const auto part = m_request.prompt.promptTokens / static_cast<std::int64_t>(helpers + 1);
+        return part >= m_rule.leastPartTokens && helpers <= mostHelpers();
     }
 
     [[nodiscard]] bool hasSlot(std::size_t candidate) const
@@ -116,51 +114,80 @@
 
     [[nodiscard]] bool mayHelp(std::size_t candidate) const
     {
-        return m_candidates[candidate].mayHelp
-            && m_candidates[candidate].load.parts < m_candidates[candidate].slots;
+        return m_candidates[candidate].mayHelp && m_candidates[candidate].load.parts < m_candidates[candidate].slots;
     }
 
-    [[nodiscard]] double readTime(std::size_t candidate, std::int64_t tokens, double pairs) const
+    [[nodiscard]] static double aheadMs(const Outstanding &load)
     {
-        return readMs(m_costs, m_candidates[candidate].load, tokens, pairs);
+        return static_cast<double>(std::max<std::int64_t>(load.readMicros + load.partMicros, 0)) / MicrosPerMs;
     }
 
-    /// Engines that would have read a part soonest, best first.
-    [[nodiscard]] std::vector<std::size_t> fastestReaders(std::int64_t part, std::size_t most) const
+    /// Time until an engine has read a part behind what is there.
+    [[nodiscard]] double finishMs(std::size_t candidate, double part) const
+    {
+        const auto &load = m_candidates[candidate].load;
+        const auto pass = passMs(m_costs, load);
+        return aheadMs(load) + part + pass + pass / 2; // In the mean, half of a pass is under way.
+    }
+
+    /// Delay of the streams at an engine when it reads a part more: a pass lasts until its reading is done.
+    [[nodiscard]] double harmMs(std::size_t candidate, double part) const
+    {
+        const auto &load = m_candidates[candidate].load;
+        const auto pass = passMs(m_costs, load) + aheadMs(load) + part;
+        const auto tight = static_cast<double>(load.tightWriters) * std::max(0.0, pass - m_rule.tightPassMs);
+        const auto loose
+            = static_cast<double>(load.writers - load.tightWriters) * std::max(0.0, pass - m_rule.loosePassMs);
+        return (tight + loose) * m_rule.harmWeight;
+    }
+
+    [[nodiscard]] double farMs(std::size_t candidate) const
+    {
+        return m_candidates[candidate].atHome ? 0 : m_rule.otherDomainCostMs;
+    }
+
+    /// Engines that can read a part soonest and with the least harm, best first.
+    [[nodiscard]] std::vector<std::size_t> bestReaders(double part, std::size_t most) const
     {
         std::vector<std::pair<double, std::size_t>> order;
         for (std::size_t i = 0; i < m_candidates.size(); ++i) {
             if (mayHelp(i)) {
-                const auto far = m_candidates[i].atHome ? 0 : m_rule.otherDomainCostMs;
-                order.emplace_back(readTime(i, part, 0) + far + JitterMs * jitter(m_pick, i), i);
+                order.emplace_back(finishMs(i, part) + harmMs(i, part) + farMs(i) + JitterMs * jitter(m_pick, i), i);
             }
         }
         std::sort(order.begin(), order.end());
+        order.resize(std::min(order.size(), most));
         std::vector<std::size_t> readers;
         for (const auto &[ms, candidate] : order) {
-            if (readers.size() == most) {
-                break;
-            }
             readers.push_back(candidate);
         }
         return readers;
     }
 
-    [[nodiscard]] double firstEventMs(std::size_t target, const std::vector<std::size_t> &helpers) const
+    [[nodiscard]] double firstEventMs(std::size_t target, const std::vector<std::size_t> &helpers, double part) const
+    {
+        auto last = finishMs(target, part);
+        for (const auto helper : helpers) {
+            last = std::max(last, finishMs(helper, part));
+        }
+        return last;
+    }
+
+    [[nodiscard]] double costOf(std::size_t target, const std::vector<std::size_t> &helpers, double part,
+                                double expected) const
     {
-        const auto part = partOf(helpers.size());
-        const auto pairs = pairsMs(helpers.size());
-        auto read = readTime(target, part, pairs);
+        const auto inTime = absl::ToDoubleMilliseconds(m_request.aim) * m_rule.aimShare;
+        auto cost = expected * m_rule.expectedWeight + std::max(0.0, expected - inTime) * m_rule.lateWeight;
+        cost += harmMs(target, part) + farMs(target) + JitterMs * jitter(m_pick, target);
         for (const auto helper : helpers) {
-            read = std::max(read, readTime(helper, part, pairs));
+            cost += harmMs(helper, part) + m_rule.helperCostMs;
         }
-        auto load = m_candidates[target].load;
-        ++load.writers;
-        load.contextTokens += m_prompt.promptTokens;
-        return read + passMs(m_costs, load);
+        const auto &load = m_candidates[target].load;
+        const bool firstTight = m_request.tight && load.tightWriters == 0 && load.requests == load.writers;
+        return cost + (firstTight ? m_rule.firstTightCostMs : 0);
     }
 
-    void consider(std::size_t target, const std::vector<std::size_t> &readers, std::size_t count)
+    void consider(std::size_t target, const std::vector<std::size_t> &readers, std::size_t count, double part)
     {
         std::vector<std::size_t> helpers;
         for (const auto reader : readers) {
@@ -171,14 +198,12 @@
         if (helpers.size() < count) {
             return;
         }
-        const auto expected = firstEventMs(target, helpers);
-        const auto &candidate = m_candidates[target];
-        auto cost = expected + m_rule.helperCostMs * static_cast<double>(count) + JitterMs * jitter(m_pick, target);
-        cost += candidate.load.requests == 0 ? m_rule.firstWriterCostMs : 0;
-        cost += candidate.atHome ? 0 : m_rule.otherDomainCostMs;
+        const auto expected = firstEventMs(target, helpers, part);
+        const auto cost = costOf(target, helpers, part, expected);
         if (cost < m_bestCost) {
             m_bestCost = cost;
-            m_best = Placement{target, std::move(helpers), {}, absl::Milliseconds(expected), partOf(count)};
+            m_best
+                = Placement{target, std::move(helpers), {}, absl::Milliseconds(expected), absl::Milliseconds(part)};
         }
     }
 
@@ -209,24 +234,27 @@
     /// Adds engines that only read, while that makes the first event come sooner.
     void addReaders(Placement &placement) const
     {
-        const auto readers = fastestReaders(partOf(placement.helpers.size()), m_candidates.size());
+        const auto tokens = m_request.prompt.promptTokens;
+        const auto readers = bestReaders(partMs(m_costs, tokens, mostHelpers() + 1), m_candidates.size());
         for (const auto reader : readers) {
             const bool used = reader == placement.target
                 || std::find(placement.helpers.begin(), placement.helpers.end(), reader) != placement.helpers.end();
-            if (used || placement.helpers.size() >= static_cast<std::size_t>(m_rule.mostHelpers)) {
+            if (used || placement.helpers.size() >= mostHelpers()) {
                 continue;
             }
             auto more = placement.helpers;
             more.push_back(reader);
-            const auto gain = firstEventMs(placement.target, placement.helpers) - firstEventMs(placement.target, more);
-            if (gain > m_rule.helperCostMs) {
+            const auto now = firstEventMs(placement.target, placement.helpers,
+                                          partMs(m_costs, tokens, placement.helpers.size() + 1));
+            const auto then = firstEventMs(placement.target, more, partMs(m_costs, tokens, more.size() + 1));
+            if (now - then > m_rule.helperCostMs) {
                 placement.helpers = std::move(more);
             }
         }
     }
 
     const config::EngineCosts &m_costs;
-    const PromptFacts &m_prompt;
+    const PromptRequest &m_request;
     const std::vector<Candidate> &m_candidates;
     const PlacementRule &m_rule;
     const std::uint64_t m_pick;
@@ -240,27 +268,28 @@
 {
     constexpr double Thousand = 1000;
     if (load.writers <= 0) {
-        return costs.stepMs;
+        return 0;
     }
     const auto step = costs.stepMs + costs.perSequenceMs * static_cast<double>(load.writers)
         + costs.contextMsPerThousand * static_cast<double>(load.contextTokens) / Thousand;
     return step * costs.stepsPerPass;
 }
 
-double readMs(const config::EngineCosts &costs, const Outstanding &load, std::int64_t tokens, double pairsMs) noexcept
+double partMs(const config::EngineCosts &costs, std::int64_t promptTokens, std::size_t parts) noexcept
 {
-    const auto all = static_cast<double>(std::max<std::int64_t>(load.readTokens + load.partTokens, 0) + tokens);
-    const auto passes = std::ceil(all / static_cast<double>(std::max<std::int64_t>(costs.chunkTokens, 1)));
-    const auto pass = passMs(costs, load);
-    const auto underWay = load.writers > 0 ? pass / 2 : 0; // The pass that runs when the request comes, in the mean.
-    return underWay + passes * pass + all / costs.readTokensPerMs + pairsMs;
+    constexpr double Million = 1e6;
+    const auto whole = static_cast<double>(promptTokens);
+    const auto tokens = whole / static_cast<double>(parts);
+    const auto steps = std::ceil(tokens / static_cast<double>(std::max<std::int64_t>(costs.chunkTokens, 1)));
+    const auto pairs = whole * whole / 2 / Million / static_cast<double>(parts);
+    return tokens / costs.readTokensPerMs + steps * costs.stepMs + pairs * costs.pairsMsPerMillion;
 }
 
-std::optional<Placement> placePrompt(const config::EngineCosts &costs, const PromptFacts &prompt,
+std::optional<Placement> placePrompt(const config::EngineCosts &costs, const PromptRequest &request,
                                      const std::vector<Candidate> &candidates, const PlacementRule &rule,
                                      std::uint64_t pick)
 {
-    PromptPlacer placer(costs, prompt, candidates, rule, pick);
+    PromptPlacer placer(costs, request, candidates, rule, pick);
     auto placement = placer.inOneMemory();
     return placement ? placement : placer.acrossMemories();
 }
@@ -282,7 +311,7 @@
         const auto cost = busy + (candidate.atHome ? 0 : FarShare) + JitterShare * jitter(pick, i);
         if (cost < bestCost) {
             bestCost = cost;
-            best = Placement{i, {}, {}, absl::ZeroDuration(), 0};
+            best = Placement{i, {}, {}, absl::ZeroDuration(), absl::ZeroDuration()};
         }
     }
     return best;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -34,10 +34,10 @@
 
 /// Patience before another engine is tried: some times what the first event was expected to take, and a floor that
 /// covers passes which the daemon's view of the load does not show yet.
-constexpr double PatienceFactor = 3;
-constexpr auto LeastPatience = absl::Milliseconds(900);
-constexpr double GapPatienceFactor = 3; // Of the longest pause that counts as in time.
-constexpr auto LeastGapPatience = absl::Milliseconds(750);
+constexpr double PatienceFactor = 4;
+constexpr auto LeastPatience = absl::Milliseconds(1200);
+constexpr double GapPatienceFactor = 4; // Of the longest pause that counts as in time.
+constexpr auto LeastGapPatience = absl::Milliseconds(1400); // Callers leave a stream after two seconds of silence.
 constexpr double PlainPatienceFactor = 2; // Of the aim; work of plain services is short.
 constexpr auto LeastPlainPatience = absl::Milliseconds(300);
 
@@ -146,6 +146,11 @@
     return m_service;
 }
 
+bool RequestProgress::isTight() const noexcept
+{
+    return m_route->gapAim < m_context.settings.placement.tightGap;
+}
+
 bool RequestProgress::usable(const Target &target, bool evenEjected, core::Time now) const
 {
     if (std::find(m_tried.begin(), m_tried.end(), target.entry.id) != m_tried.end()) {
@@ -188,8 +193,13 @@
     const auto all = candidates(targets, now);
     const auto pick = m_context.random();
     const bool isPrompt = spec != nullptr && spec->engine && m_facts.prompt;
-    const auto placement = isPrompt ? placePrompt(*spec->engine, *m_facts.prompt, all, m_context.placement, pick)
-                                    : placePlain(all, m_context.placement, pick);
+    std::optional<Placement> placement;
+    if (isPrompt) {
+        const PromptRequest prompt{*m_facts.prompt, m_route->aim, isTight()};
+        placement = placePrompt(*spec->engine, prompt, all, m_context.settings.placement, pick);
+    } else {
+        placement = placePlain(all, m_context.settings.placement, pick);
+    }
     if (!placement) {
         return std::nullopt;
     }
@@ -202,7 +212,7 @@
         chosen.holdingTokens.push_back(holding.tokens);
     }
     chosen.expected = placement->expected;
-    chosen.partTokens = placement->partTokens;
+    chosen.partRead = placement->partRead;
     return chosen;
 }
 
@@ -211,21 +221,23 @@
     m_current = chosen;
     m_sentAt = now;
     ++m_attempts;
+    ++m_sends;
+    const auto expected = now + chosen.expected;
+    const auto readMicros = absl::ToInt64Microseconds(chosen.partRead);
     std::int64_t held = 0;
     for (std::size_t i = 0; i < chosen.helpers.size(); ++i) {
         Outstanding work;
         work.parts = 1;
-        work.partTokens = chosen.partTokens;
+        work.partMicros = readMicros;
         work.memoryTokens = i < chosen.holdingTokens.size() ? chosen.holdingTokens[i] : 0;
         held += work.memoryTokens;
-        m_shares.push_back(
-            std::make_unique<Share>(chosen.helpers[i], Share::Kind::Part, work, chosen.expected, now));
+        m_shares.push_back(std::make_unique<Share>(chosen.helpers[i], Share::Kind::Part, work, expected, false));
     }
     Outstanding work;
     work.requests = 1;
-    work.readTokens = chosen.partTokens;
+    work.readMicros = readMicros;
     work.memoryTokens = m_facts.prompt ? std::max<std::int64_t>(m_facts.prompt->memoryTokens() - held, 0) : 0;
-    m_shares.push_back(std::make_unique<Share>(chosen.target, Share::Kind::Request, work, chosen.expected, now));
+    m_shares.push_back(std::make_unique<Share>(chosen.target, Share::Kind::Request, work, expected, isTight()));
     m_context.metrics.count(metrics::Counter::AttemptsStarted);
     core::log(core::LogLevel::Info, "request_sent",
               {{"request", m_facts.id},
@@ -246,9 +258,12 @@
         share->promptRead();
     }
     if (m_answeredAt != absl::InfinitePast()) {
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+        m_lastEventAt = now;
         return;
     }
     m_answeredAt = now;
+    m_lastEventAt = now;
     if (m_facts.prompt) {
         m_context.metrics.time(timerFor(m_facts.prompt->promptTokens), now - m_arrivedAt);
     }
@@ -258,8 +273,9 @@
                                  const std::string &detail, core::Time now)
 {
     m_shares.clear();
-    const bool reached = reason != Reason::ConnectFailed;
-    m_sends += reached ? 1 : 0;
+    if (reason == Reason::ConnectFailed) {
+        --m_sends; // The target has seen nothing of it.
+    }
     m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
     auto &health = m_current.target->health;
     if (fault) {
@@ -298,7 +314,7 @@
     if (!mayResend(state, now)) {
         return false;
     }
-    // A send that found no connection never arrived: the next one is the first.
+    // Attempts that found no connection never arrived: the next one is the first.
     return m_sends == 0 || m_context.retries.take(m_service, m_context.daemons, now);
 }
 
@@ -320,6 +336,7 @@
                {"status", status},
                {"attempts", m_attempts},
                {"firstMs", m_answeredAt == absl::InfinitePast() ? -1 : core::toMs(m_answeredAt - m_arrivedAt)},
+               {"longestGapMs", core::toMs(m_longestGap)},
                {"totalMs", core::toMs(now - m_arrivedAt)}});
 }
 
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -18,14 +18,21 @@
 /// Part of a prompt that counts as unread until the first event has come, however long it takes.
 constexpr double LeastUnread = 0.05;
 
+/// What is left of `micros` of reading that should end at `expected`.
+std::int64_t unread(std::int64_t micros, core::Time expected, core::Time now)
+{
+    const auto least = static_cast<std::int64_t>(static_cast<double>(micros) * LeastUnread);
+    return std::clamp(absl::ToInt64Microseconds(expected - now), least, micros);
+}
+
 } // namespace
 
-Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Duration expectedRead, core::Time now)
+Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time expected, bool tight)
     : m_target(std::move(target))
     , m_kind(kind)
     , m_work(work)
-    , m_expectedRead(std::max(expectedRead, core::Duration(absl::Milliseconds(1))))
-    , m_sentAt(now)
+    , m_expected(expected)
+    , m_tight(tight)
 {
     m_target->m_shares.push_back(*this);
 }
@@ -39,16 +46,15 @@
 {
     auto work = m_work;
     if (m_reading) {
-        const auto progress = absl::FDivDuration(now - m_sentAt, m_expectedRead);
-        const auto left = std::clamp(1 - progress, LeastUnread, 1.0);
-        work.readTokens = static_cast<std::int64_t>(static_cast<double>(work.readTokens) * left);
-        work.partTokens = static_cast<std::int64_t>(static_cast<double>(work.partTokens) * left);
+        work.readMicros = unread(work.readMicros, m_expected, now);
+        work.partMicros = unread(work.partMicros, m_expected, now);
         return work;
     }
-    work.readTokens = 0;
-    work.partTokens = 0;
+    work.readMicros = 0;
+    work.partMicros = 0;
     if (m_kind == Kind::Request) {
         work.writers = 1;
+        work.tightWriters = m_tight ? 1 : 0;
         work.contextTokens = work.memoryTokens;
     } else {
         work.parts = 0;
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -28,6 +28,27 @@
     bounds.freeAfter = readMs(reader, "freeAfterMs", bounds.freeAfter);
 }
 
+void readPlacement(core::ObjectReader &reader, PlacementRule &rule)
+{
+    constexpr double MostMs = 1e6;
+    constexpr double MostWeight = 1e6;
+    constexpr std::int64_t MostEngines = 15; // An engine takes no more helpers.
+    rule.tightGap = readMs(reader, "tightGapMs", rule.tightGap);
+    rule.tightPassMs = reader.number("tightPassMs", 0, MostMs, rule.tightPassMs);
+    rule.loosePassMs = reader.number("loosePassMs", 0, MostMs, rule.loosePassMs);
+    rule.harmWeight = reader.number("harmWeight", 0, MostWeight, rule.harmWeight);
+    rule.expectedWeight = reader.number("expectedWeight", 0, MostWeight, rule.expectedWeight);
+    rule.lateWeight = reader.number("lateWeight", 0, MostWeight, rule.lateWeight);
+    rule.aimShare = reader.number("aimShare", 0, 1, rule.aimShare);
+    rule.helperCostMs = reader.number("helperCostMs", 0, MostMs, rule.helperCostMs);
+    rule.firstTightCostMs = reader.number("firstTightCostMs", 0, MostMs, rule.firstTightCostMs);
+    rule.otherDomainCostMs = reader.number("otherDomainCostMs", 0, MostMs, rule.otherDomainCostMs);
+    rule.mostHelpers = static_cast<int>(reader.integer("mostHelpers", 0, MostEngines, rule.mostHelpers));
+    rule.leastPartTokens = reader.integer("leastPartTokens", 1, MostEntries, rule.leastPartTokens);
+    rule.memoryShare = reader.number("memoryShare", 0, 1, rule.memoryShare);
+    rule.plainQueueShare = reader.number("plainQueueShare", 0, MostWeight, rule.plainQueueShare);
+}
+
 RelaySettings readSettings(core::ObjectReader &reader)
 {
     RelaySettings settings;
@@ -43,6 +64,7 @@
     settings.seeds = readAddresses(reader, "seeds");
     settings.logLevel = readLogLevel(reader);
     reader.object("bounds", [&](core::ObjectReader &child) { readBounds(child, settings.bounds); });
+    reader.object("placement", [&](core::ObjectReader &child) { readPlacement(child, settings.placement); });
     reader.rejectOthers();
     return settings;
 }
--- a/src/targets/outstanding.cpp
+++ b/src/targets/outstanding.cpp
@@ -10,11 +10,12 @@
 
 Outstanding &Outstanding::operator+=(const Outstanding &other) noexcept
 {
-    readTokens += other.readTokens;
+    readMicros += other.readMicros;
+    partMicros += other.partMicros;
     requests += other.requests;
     writers += other.writers;
+    tightWriters += other.tightWriters;
     parts += other.parts;
-    partTokens += other.partTokens;
     memoryTokens += other.memoryTokens;
     contextTokens += other.contextTokens;
     return *this;
@@ -22,11 +23,12 @@
 
 Outstanding &Outstanding::operator-=(const Outstanding &other) noexcept
 {
-    readTokens -= other.readTokens;
+    readMicros -= other.readMicros;
+    partMicros -= other.partMicros;
     requests -= other.requests;
     writers -= other.writers;
+    tightWriters -= other.tightWriters;
     parts -= other.parts;
-    partTokens -= other.partTokens;
     memoryTokens -= other.memoryTokens;
     contextTokens -= other.contextTokens;
     return *this;
