--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -50,6 +50,8 @@
 
     /// \brief Notes that the request goes to these targets: their work counts from here.
     void begin(const ChosenTargets &chosen, core::Time now);
+    /// \brief Notes that the target said something.
+    void heard(core::Time now) noexcept;
     /// \brief Notes an event or the whole answer.
     void answered(core::Time now);
     /// \brief Notes that an attempt ended.
@@ -80,6 +82,8 @@
     [[nodiscard]] int enginePriority() const noexcept;
     /// \brief Longest silence of a target before its first bytes, and between bytes, until another one is tried.
     [[nodiscard]] core::Duration patience(const ChosenTargets &chosen, bool answering) const noexcept;
+    /// \brief Whether the target said something to any request not long ago: it is slow then, not gone.
+    [[nodiscard]] bool targetLives(core::Time now) const noexcept;
     /// \brief When a caller that is refused now should come back.
     [[nodiscard]] core::Duration retryAfter(core::Reason reason) const noexcept;
     /// \brief The relay's own last word.
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -192,6 +192,9 @@
             co_return Next::Fail;
         }
         if (!event) {
+            if (m_progress.targetLives(now)) {
+                continue; // It is slow, not gone: the same work elsewhere would make everything slower.
+            }
             if (!mayRepeat() || !m_progress.takeResend(true, now)) {
                 patient = true;
                 continue;
@@ -201,6 +204,9 @@
             m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, TargetFault::Silent, "silence", now);
             co_return Next::SendAgain;
         }
+        if (!std::holds_alternative<CallerGone>(*event)) {
+            m_progress.heard(now);
+        }
         bool ended = false;
         const bool isBytes = std::holds_alternative<BytesArrived>(*event);
         const auto next = co_await take(std::move(*event), chosen, ended);
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -76,6 +76,7 @@
     TargetEntry entry;
     TargetHealth health;
     Outstanding peers; ///< What the peers said of their own work here.
+    core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
 
     /// \brief Work of this daemon here.
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -38,6 +38,8 @@
 constexpr auto LeastPatience = absl::Milliseconds(1200);
 constexpr double GapPatienceFactor = 4; // Of the longest pause that counts as in time.
 constexpr auto LeastGapPatience = absl::Milliseconds(1400); // Callers leave a stream after two seconds of silence.
+/// A target that answered any request within this is alive: passes of a busy engine are shorter.
+constexpr auto LivesWithin = absl::Milliseconds(700);
 constexpr double PlainPatienceFactor = 2; // Of the aim; work of plain services is short.
 constexpr auto LeastPlainPatience = absl::Milliseconds(300);
 
@@ -252,6 +254,16 @@
                {"timeLeftMs", core::toMs(m_deadline - now)}});
 }
 
+void RequestProgress::heard(core::Time now) noexcept
+{
+    m_current.target->heardAt = now;
+}
+
+bool RequestProgress::targetLives(core::Time now) const noexcept
+{
+    return now - m_current.target->heardAt < LivesWithin;
+}
+
 void RequestProgress::answered(core::Time now)
 {
     for (const auto &share : m_shares) {
