Targets that have left do not come back through peers; refused requests may return to who refused them

Change: lists of targets go by the store's revision and hold only what is listed; a request may go again to a target that did not begin it.

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -33,6 +33,7 @@
     std::string document; ///< The table's source, for peers.
     Freshness configurationProof;
     core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
+    std::int64_t targetsRevision = 0; ///< The directory's revision that the list of targets is from.
     TargetSet targets;
     RetryLedger retries;
     EjectionRule ejection;
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -49,11 +49,15 @@
 public:
     TargetIntake(RelayContext &context, const DirectoryLink &link);
 
-    /// \brief Takes the whole list: what is not in it is gone.
-    void whole(const std::vector<TargetChange> &list, std::string_view from, core::Time now);
-    void changes(const std::vector<TargetChange> &changes, std::string_view from, core::Time now);
+    /// \brief Takes the whole list as of a revision: what is not in it is gone. An older list than the known one is
+    /// dropped: it would bring back targets that have left.
+    void whole(const std::vector<TargetChange> &list, std::int64_t revision, std::string_view from, core::Time now);
+    /// \brief Takes the changes up to a revision, unless more is known.
+    void changes(const std::vector<TargetChange> &changes, std::int64_t revision, std::string_view from,
+                 core::Time now);
 
 private:
+    [[nodiscard]] bool isNews(std::int64_t revision);
     void put(const TargetEntry &entry, std::string_view from);
     void drop(const std::string &id, std::string_view from, core::Time now);
 
@@ -146,8 +150,11 @@
         if (answer.status == DirectoryStatus::Ok) {
             revision = answer.revision;
             m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt);
-            whole ? m_intake.whole(answer.changes, "directory", now)
-                  : m_intake.changes(answer.changes, "directory", now);
+            if (whole) {
+                m_intake.whole(answer.changes, revision, "directory", now);
+            } else {
+                m_intake.changes(answer.changes, revision, "directory", now);
+            }
         } else if (answer.status == DirectoryStatus::HistoryGone) {
             revision = 0;
         }
--- a/include/spurlug/relay/peer_state.h
+++ b/include/spurlug/relay/peer_state.h
@@ -22,6 +22,7 @@
     core::Duration proofAge = absl::InfiniteDuration();
     std::string document; ///< Source of the configuration; empty when the asker has that version.
     core::Duration targetsAge = absl::InfiniteDuration();
+    std::int64_t targetsRevision = 0; ///< The directory's revision that the list is from.
     std::vector<TargetChange> targets;
 };
 
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -306,11 +306,8 @@
         if (!state.document.empty()) {
             m_context.adopt(m_source.readDocument(state.document), state.document, "peer", now);
         }
-        constexpr auto MuchNewer = absl::Seconds(1);
-        if (askedAt - state.targetsAge > m_context.targetsKnownAt + MuchNewer) {
-            m_context.targetsKnownAt = askedAt - state.targetsAge;
-            m_follower.intake().whole(state.targets, "peer", now);
-        }
+        m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt - state.targetsAge);
+        m_follower.intake().whole(state.targets, state.targetsRevision, "peer", now);
     } catch (const core::InvalidDocument &error) {
         core::log(core::LogLevel::Warning, "peer_state_unreadable", {{"peer", peer.text()}, {"error", error.what()}});
     }
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -109,14 +109,15 @@
     core::Time m_deadline = absl::InfiniteFuture();
     bool m_counted = false; ///< Whether the service's ledger knows of the request.
     std::vector<std::unique_ptr<Share>> m_shares;
-    std::vector<std::string> m_tried;
+    std::vector<std::string> m_sentTo; ///< Ids of targets that have seen the request.
+    std::vector<std::string> m_unreachable; ///< Ids of targets that took no connection.
+    std::vector<std::string> m_refusedBy; ///< Of these, those that did not begin.
     ChosenTargets m_current;
     core::Time m_sentAt = absl::InfinitePast();
     core::Time m_answeredAt = absl::InfinitePast(); ///< First event, or the whole answer.
     core::Time m_lastEventAt = absl::InfinitePast();
     core::Duration m_longestGap = absl::ZeroDuration(); ///< Between events.
     int m_attempts = 0;
-    int m_sends = 0;
     bool m_ranSomewhere = false;
     bool m_finished = false;
 };
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -14,6 +14,7 @@
 
 inline constexpr auto ConnectTimeout = absl::Milliseconds(400); ///< A live target accepts within a few ms.
 inline constexpr auto ChoosePause = absl::Milliseconds(10); ///< Between looks for a free target.
+inline constexpr auto RefusedPause = absl::Milliseconds(20); ///< Before a request goes on that a target did not begin.
 inline constexpr double HoldShare = 0.85; ///< Of the time after which unused memory must be free again.
 
 } // namespace detail
@@ -66,6 +67,9 @@
         if (next == Next::Fail) {
             break;
         }
+        if (m_failure == core::Reason::TargetRefused) {
+            co_await net::sleepFor(detail::RefusedPause);
+        }
     }
     const auto outcome = m_progress.ranSomewhere() ? core::Outcome::MayHaveRun : core::Outcome::NotRun;
     if (m_headPassed) {
@@ -204,7 +208,7 @@
             m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, TargetFault::Silent, "silence", now);
             co_return Next::SendAgain;
         }
-        if (!std::holds_alternative<CallerGone>(*event)) {
+        if (std::holds_alternative<HeadArrived>(*event) || std::holds_alternative<BytesArrived>(*event)) {
             m_progress.heard(now);
         }
         bool ended = false;
--- a/include/spurlug/relay/verdict.h
+++ b/include/spurlug/relay/verdict.h
@@ -33,7 +33,8 @@
 {
     bool repeatable = false; ///< Whether the work may be done twice.
     bool ranSomewhere = false; ///< Some attempt may have run, the last one included.
-    int sends = 0; ///< Attempts that reached a target.
+    int targets = 0; ///< Targets that it was sent to.
+    bool someRefused = false; ///< Some of them did not begin: it may go there again.
     int attempts = 0; ///< All attempts, those without a connection included.
     int mostTargets = 1; ///< Most targets the request may be sent to.
     core::Time deadline;
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -71,7 +71,8 @@
 void TargetIntake::put(const TargetEntry &entry, std::string_view from)
 {
     const auto known = m_context.targets.find(entry.id);
-    const bool news = !known || known->entry.draining != entry.draining || known->entry.service != entry.service;
+    const bool wasGone = known && known->dropAt != absl::InfiniteFuture();
+    const bool news = !known || wasGone || known->entry.draining != entry.draining || known->entry.service != entry.service;
     m_context.targets.put(entry);
     if (news) {
         core::log(core::LogLevel::Info, "target_listed",
@@ -97,8 +98,21 @@
               {{"target", id}, {"from", from}, {"keptMs", core::toMs(dropAt - now)}});
 }
 
-void TargetIntake::whole(const std::vector<TargetChange> &list, std::string_view from, core::Time now)
+bool TargetIntake::isNews(std::int64_t revision)
 {
+    if (revision < m_context.targetsRevision) {
+        return false;
+    }
+    m_context.targetsRevision = revision;
+    return true;
+}
+
+void TargetIntake::whole(const std::vector<TargetChange> &list, std::int64_t revision, std::string_view from,
+                         core::Time now)
+{
+    if (!isNews(revision)) {
+        return;
+    }
     std::set<std::string> present;
     for (const auto &change : list) {
         present.insert(change.entry.id);
@@ -116,8 +130,12 @@
     m_context.targets.forgetGone(now);
 }
 
-void TargetIntake::changes(const std::vector<TargetChange> &changes, std::string_view from, core::Time now)
+void TargetIntake::changes(const std::vector<TargetChange> &changes, std::int64_t revision, std::string_view from,
+                           core::Time now)
 {
+    if (!isNews(revision)) {
+        return;
+    }
     for (const auto &change : changes) {
         if (change.gone) {
             drop(change.entry.id, from, now);
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -39,8 +39,10 @@
         state.document = state.version > askersVersion ? context.document : std::string();
     }
     state.targetsAge = now - context.targetsKnownAt;
+    state.targetsRevision = context.targetsRevision;
     for (const auto &[id, target] : context.targets.all()) {
-        if (now < target->dropAt) {
+        // A target that is only kept for a while is gone: told on, it would come back elsewhere.
+        if (target->dropAt == absl::InfiniteFuture()) {
             state.targets.push_back({target->entry, false});
         }
     }
@@ -63,6 +65,7 @@
                           {"proofAgeMs", ageMs(state.proofAge)},
                           {"document", state.document},
                           {"targetsAgeMs", ageMs(state.targetsAge)},
+                          {"targetsRevision", state.targetsRevision},
                           {"targets", std::move(targets)}}
         .dump();
 }
@@ -76,6 +79,7 @@
         state.proofAge = ageFrom(document.at("proofAgeMs"));
         state.document = document.at("document");
         state.targetsAge = ageFrom(document.at("targetsAgeMs"));
+        state.targetsRevision = document.at("targetsRevision");
         for (const auto &item : document.at("targets")) {
             TargetEntry entry;
             entry.id = item.at("id");
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -57,6 +57,11 @@
     return tokens >= Medium ? metrics::Timer::FirstToken4k : metrics::Timer::FirstToken1k;
 }
 
+bool contains(const std::vector<std::string> &ids, const std::string &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 nlohmann::json idsOf(const std::vector<core::Ref<Target>> &targets)
 {
     auto ids = nlohmann::json::array();
@@ -155,7 +160,10 @@
 
 bool RequestProgress::usable(const Target &target, bool evenEjected, core::Time now) const
 {
-    if (std::find(m_tried.begin(), m_tried.end(), target.entry.id) != m_tried.end()) {
+    const auto &id = target.entry.id;
+    const bool mayReturn = m_sentTo.size() >= static_cast<std::size_t>(m_route->mostTargets);
+    const bool fits = mayReturn ? contains(m_refusedBy, id) : !contains(m_sentTo, id);
+    if (!fits || contains(m_unreachable, id)) {
         return false;
     }
     if (evenEjected) {
@@ -223,7 +231,6 @@
     m_current = chosen;
     m_sentAt = now;
     ++m_attempts;
-    ++m_sends;
     const auto expected = now + chosen.expected;
     const auto readMicros = absl::ToInt64Microseconds(chosen.partRead);
     std::int64_t held = 0;
@@ -285,8 +292,16 @@
                                  const std::string &detail, core::Time now)
 {
     m_shares.clear();
+    const auto &id = m_current.target->entry.id;
+    if (reason != Reason::ConnectFailed && !contains(m_sentTo, id)) {
+        m_sentTo.push_back(id);
+    }
     if (reason == Reason::ConnectFailed) {
-        --m_sends; // The target has seen nothing of it.
+        m_unreachable.push_back(id);
+    } else if (outcome == Outcome::NotRun) {
+        m_refusedBy.push_back(id);
+    } else {
+        std::erase(m_refusedBy, id);
     }
     m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
     auto &health = m_current.target->health;
@@ -298,7 +313,6 @@
     if (outcome == Outcome::Completed && !fault) {
         return;
     }
-    m_tried.push_back(m_current.target->entry.id);
     core::log(core::LogLevel::Info, "attempt_failed",
               {{"request", m_facts.id},
                {"attempt", m_attempts},
@@ -322,12 +336,19 @@
 
 bool RequestProgress::takeResend(bool mayRepeat, core::Time now)
 {
-    const ResendState state{mayRepeat, m_ranSomewhere, m_sends, m_attempts, m_route->mostTargets, m_deadline};
+    ResendState state;
+    state.repeatable = mayRepeat;
+    state.ranSomewhere = m_ranSomewhere;
+    state.targets = static_cast<int>(m_sentTo.size()) + (m_shares.empty() ? 0 : 1); // One in progress counts.
+    state.someRefused = !m_refusedBy.empty();
+    state.attempts = m_attempts;
+    state.mostTargets = m_route->mostTargets;
+    state.deadline = m_deadline;
     if (!mayResend(state, now)) {
         return false;
     }
     // Attempts that found no connection never arrived: the next one is the first.
-    return m_sends == 0 || m_context.retries.take(m_service, m_context.daemons, now);
+    return state.targets == 0 || m_context.retries.take(m_service, m_context.daemons, now);
 }
 
 void RequestProgress::finish(Outcome outcome, Reason reason, int status, core::Time now)
--- a/src/relay/verdict.cpp
+++ b/src/relay/verdict.cpp
@@ -17,7 +17,7 @@
 using core::Reason;
 using namespace core::http_status;
 
-constexpr int MostAttempts = 6; // Attempts that found no connection included.
+constexpr int MostAttempts = 8; // Attempts that found no connection included.
 constexpr auto LeastTimeLeft = absl::Milliseconds(5); // Below this nothing can be answered any more.
 
 /// Statuses that tell a caller that its request has not run and never will.
@@ -54,7 +54,8 @@
     if (state.ranSomewhere && !state.repeatable) {
         return false;
     }
-    return state.sends < state.mostTargets && state.attempts < MostAttempts && state.deadline - now > LeastTimeLeft;
+    const bool somewhereToGo = state.targets < state.mostTargets || state.someRefused;
+    return somewhereToGo && state.attempts < MostAttempts && state.deadline - now > LeastTimeLeft;
 }
 
 int finalStatus(bool ranSomewhere, core::Reason reason) noexcept
