A reason without a name wrote beyond the counters; overload is refused in time

Change: the row's enumerator is gone, a static_assert ties table and enumeration; requests queue at engines after a part of their aim and are refused when no engine would answer before the caller leaves; engines that long prompts keep off; help that is turned down ejects nobody; loads are told every 50 ms in small fleets (they were 300 ms old).

--- a/apps/spurlugd.cpp
+++ b/apps/spurlugd.cpp
@@ -46,8 +46,9 @@
     options::options_description description("spurlugd - serves prompts of very different lengths");
     description.add_options()("help,h", "show this text")("version", "show the version")(
         "settings", options::value<std::string>(), "settings file (JSON)")(
-        "relay", "relay requests between the users' callers and targets; the settings are those of a relaying daemon")("check", "check the settings file and exit")(
-        "ports-file", options::value<std::string>()->default_value(""), "write the bound addresses to this file");
+        "relay", "relay requests between the users' callers and targets; the settings are those of a relaying daemon")(
+        "check", "check the settings file and exit")("ports-file", options::value<std::string>()->default_value(""),
+                                                     "write the bound addresses to this file");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, description), given);
--- a/include/spurlug/core/line_queue.h
+++ b/include/spurlug/core/line_queue.h
@@ -18,8 +18,8 @@
 namespace spurlug::core
 {
 
-/// \brief A bounded queue with a thread that writes. Adding a line never waits: when the writer is behind, new lines are
-/// dropped and counted.
+/// \brief A bounded queue with a thread that writes. Adding a line never waits: when the writer is behind, new lines
+/// are dropped and counted.
 class LineQueue
 {
 public:
--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -47,7 +47,6 @@
     CallerGone,
     StaleConfiguration, ///< It cannot be known whether keys and routes still hold.
     TargetSilent, ///< The target did not answer in the time that this takes several times over.
-    TargetMoved, ///< The address belongs to another target now.
     NoCapacity, ///< All targets are full.
 };
 
@@ -95,6 +94,10 @@
 };
 
 /// \brief What a caller may conclude about an attempt or a whole request.
+// Counters by reason are arrays of the table's size.
+static_assert(static_cast<std::size_t>(Reason::NoCapacity) + 1 == EnumNames<Reason>::table.size(),
+              "every reason has a name, in the order of their declaration");
+
 enum class Outcome
 {
     NotRun, ///< No target began the work: it is safe to send the request again.
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -39,6 +39,7 @@
     EjectionRule ejection;
     std::mt19937_64 random;
     std::size_t daemons = 1; ///< Daemons that live, this one included.
+    core::Duration peerWorkAge = absl::Milliseconds(100); ///< How late the work of other daemons is known.
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
     std::int64_t inProgress = 0; ///< Requests that were read and are not answered.
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -42,8 +42,8 @@
 
 /// \brief Takes in what the directory says of targets.
 ///
-/// Entries that lapsed while the directory was away come back when their targets reach it again. So what is missing just
-/// after such a time is kept a little longer, unless the target had said that it was leaving.
+/// Entries that lapsed while the directory was away come back when their targets reach it again. So what is missing
+/// just after such a time is kept a little longer, unless the target had said that it was leaving.
 class TargetIntake
 {
 public:
@@ -116,7 +116,8 @@
         const auto now = core::now();
         if (answer.status == DirectoryStatus::Ok) {
             revision = answer.revision;
-            const auto version = answer.table ? answer.table->version : (m_context.table ? m_context.table->version : 0);
+            const auto version
+                = answer.table ? answer.table->version : (m_context.table ? m_context.table->version : 0);
             m_context.configurationProof.confirm(version, askedAt);
             if (answer.table) {
                 m_context.adopt(std::move(answer.table), std::move(answer.document), "directory", now);
--- a/include/spurlug/relay/peer_link.h
+++ b/include/spurlug/relay/peer_link.h
@@ -21,7 +21,8 @@
 /// \brief Sends this daemon's work to its peers and takes in theirs.
 ///
 /// Every daemon tells every other one. The interval grows with their number, so that a daemon's bytes stay within
-/// `MostBytesPerSecond`. Daemons find each other from the seeds: each heartbeat names some daemons that its sender hears.
+/// `MostBytesPerSecond`. Daemons find each other from the seeds: each heartbeat names some daemons that its sender
+/// hears.
 class PeerLink
 {
 public:
@@ -51,6 +52,7 @@
     std::map<std::string, core::Time> m_candidates; ///< Addresses that others told of, and when.
     const std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
+    bool m_introduce = true; ///< Whether the next heartbeat says who its sender is.
     core::Time m_lastRound = absl::InfinitePast();
     std::size_t m_lastBytes = 0;
 };
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -20,11 +20,13 @@
 /// \brief A target as the choice sees it.
 struct Candidate
 {
-    Outstanding load; ///< Work of all daemons there.
+    Outstanding load; ///< Work of all daemons there, as far as it is known.
+    Outstanding unseen; ///< Work that other daemons may have sent there since they were heard.
     int slots = 1;
     bool atHome = false; ///< In this daemon's failure domain.
     bool mayAnswer = true; ///< Whether it may get the request itself.
     bool mayHelp = true; ///< Whether it may read a part for another one.
+    bool tightOnly = false; ///< Kept free of long prompts.
 };
 
 /// \brief What the choice needs to know of a prompt.
@@ -33,6 +35,7 @@
     PromptFacts prompt;
     core::Duration aim; ///< Time to the first event that counts as in time.
     bool tight = true; ///< Whether its stream bears short pauses only.
+    bool mayQueue = false; ///< Whether it may go where others wait already: it has waited here long enough.
 };
 
 using settings::PlacementRule;
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -6,8 +6,8 @@
 
 #include "spurlug/core/error.h"
 #include "spurlug/core/http_status.h"
-#include "spurlug/core/text.h"
 #include "spurlug/core/log.h"
+#include "spurlug/core/text.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/listener.h"
 #include "spurlug/relay/context.h"
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -96,8 +96,7 @@
 }
 
 template<Dialect Protocol, Directory Source>
-net::Task<> RelayDaemon<Protocol, Source>::rejectUnread(core::Ref<net::ServerConnection> caller,
-                                                        net::ReadResult result)
+net::Task<> RelayDaemon<Protocol, Source>::rejectUnread(core::Ref<net::ServerConnection> caller, net::ReadResult result)
 {
     using namespace core::http_status;
     Refusal refusal;
@@ -121,8 +120,7 @@
               {{"peer", caller->peer()}, {"end", core::nameOf(result.end)}, {"detail", result.detail}});
     constexpr auto WriteTimeout = absl::Seconds(1);
     auto response = m_protocol.refusal(refusal, {});
-    const bool written
-        = co_await caller->write(std::move(response), false, core::now() + core::Duration(WriteTimeout));
+    const bool written = co_await caller->write(std::move(response), false, core::now() + core::Duration(WriteTimeout));
     if (written) {
         co_await caller->closeGently();
     }
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -45,7 +45,8 @@
     /// \returns Why the request must not run, or nothing.
     [[nodiscard]] std::optional<Refusal> authorise(core::Time now);
 
-    /// \brief Chooses targets with what is known now.
+    /// \brief Chooses targets with what is known now. A request that has waited a part of its aim may queue at a
+    /// target.
     [[nodiscard]] std::optional<ChosenTargets> choose(core::Time now);
 
     /// \brief Notes that the request goes to these targets: their work counts from here.
@@ -57,8 +58,9 @@
     /// \brief Notes that an attempt ended.
     void endAttempt(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
                     const std::string &detail, core::Time now);
-    /// \brief Notes that a helper was the one at fault.
-    void helperFailed(const core::Address &helper, core::Time now);
+    /// \brief Notes that an engine did not help: it is gone, leaves, is full, or lacks the memory. It is not ejected:
+    /// it may answer requests of its own well.
+    void helpRefused(const core::Address &helper, core::Time now);
 
     /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
     [[nodiscard]] bool takeResend(bool mayRepeat, core::Time now);
@@ -82,6 +84,8 @@
     [[nodiscard]] int enginePriority() const noexcept;
     /// \brief Longest silence of a target before its first bytes, and between bytes, until another one is tried.
     [[nodiscard]] core::Duration patience(const ChosenTargets &chosen, bool answering) const noexcept;
+    /// \brief Whether a request that no target takes should be refused now rather than wait on.
+    [[nodiscard]] bool waitedEnough(core::Time now) const noexcept;
     /// \brief Whether the target said something to any request not long ago: it is slow then, not gone.
     [[nodiscard]] bool targetLives(core::Time now) const noexcept;
     /// \brief When a caller that is refused now should come back.
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -71,6 +71,7 @@
     core::Ref<RequestInbox> m_inbox;
     core::Ref<Attempt> m_attempt;
     std::vector<core::Ref<Reservation>> m_reservations;
+    core::Duration m_reservePause = absl::Milliseconds(10); ///< Doubles while memory is refused.
     core::Reason m_failure = core::Reason::None; ///< Why the last attempt failed.
     bool m_callerGone = false;
     net::ResponseHead m_head; ///< Of the attempt in progress.
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -14,6 +14,7 @@
 
 inline constexpr auto ConnectTimeout = absl::Milliseconds(400); ///< A live target accepts within a few ms.
 inline constexpr auto ChoosePause = absl::Milliseconds(10); ///< Between looks for a free target.
+inline constexpr auto LongestReservePause = absl::Milliseconds(200); ///< Requests end and free memory meanwhile.
 inline constexpr auto RefusedPause = absl::Milliseconds(20); ///< Before a request goes on that a target did not begin.
 inline constexpr double HoldShare = 0.85; ///< Of the time after which unused memory must be free again.
 
@@ -43,7 +44,7 @@
     const bool answered = co_await pursue();
     m_caller->stopWatching();
     releaseAll();
-    co_return answered && !m_callerGone &&keepsAlive();
+    co_return answered && !m_callerGone && keepsAlive();
 }
 
 template<Dialect D>
@@ -87,7 +88,9 @@
 {
     const bool reserved = co_await reserve(chosen);
     if (!reserved) {
-        co_await net::sleepFor(detail::ChoosePause); // The memory was taken in the meantime.
+        // The memory was taken in the meantime.
+        m_reservePause = std::min(m_reservePause * 2, core::Duration(detail::LongestReservePause));
+        co_await net::sleepFor(m_reservePause);
         co_return Next::SendAgain;
     }
     // The configuration may have changed while the request waited.
@@ -113,6 +116,9 @@
             co_return chosen;
         }
         m_failure = core::Reason::NoCapacity;
+        if (m_progress.waitedEnough(now)) {
+            co_return std::nullopt;
+        }
         auto event = co_await m_inbox->events.take(std::min(m_progress.deadline(), now + detail::ChoosePause));
         if (event && std::holds_alternative<CallerGone>(*event)) {
             m_callerGone = true;
@@ -124,17 +130,18 @@
 template<Dialect D>
 net::Task<bool> RequestRun<D>::reserve(const ChosenTargets &chosen)
 {
-    const auto hold = std::min(m_context.settings.bounds.freeAfter * detail::HoldShare,
-                               m_context.settings.bounds.longestHold);
+    const auto hold
+        = std::min(m_context.settings.bounds.freeAfter * detail::HoldShare, m_context.settings.bounds.longestHold);
     for (std::size_t i = 0; i < chosen.holdingTokens.size(); ++i) {
-        const auto id = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-",
-                                  ++m_context.reservations);
-        auto reservation = core::makeCounted<Reservation>(
-            m_context.loop, chosen.helpers[i]->entry.address, id,
-            m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold), m_dialect.releaseOrder(id), hold);
+        const auto id
+            = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-", ++m_context.reservations);
+        auto reservation = core::makeCounted<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
+                                                          m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold),
+                                                          m_dialect.releaseOrder(id), hold);
         const bool granted = co_await reservation->acquire(m_progress.deadline());
         if (!granted) {
             m_failure = core::Reason::ReservationRefused;
+            m_progress.helpRefused(chosen.helpers[i]->entry.address, core::now());
             co_return false;
         }
         m_reservations.push_back(std::move(reservation));
@@ -253,7 +260,7 @@
     const auto verdict = judgeAnswer(answer, m_progress.facts().id);
     const auto now = core::now();
     if (answer.faultAt) {
-        m_progress.helperFailed(*answer.faultAt, now);
+        m_progress.helpRefused(*answer.faultAt, now);
     }
     const auto detail = core::cat("status ", answer.status);
     if (verdict.outcome != core::Outcome::Completed) {
@@ -380,8 +387,8 @@
     net::Response response{m_dialect.answerHead(m_head), std::move(m_body)};
     const bool written = co_await m_caller->write(std::move(response), keepsAlive(), m_progress.deadline());
     m_callerGone = !written;
-    m_progress.finish(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None,
-                      m_head.status, core::now());
+    m_progress.finish(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None, m_head.status,
+                      core::now());
     co_return Next::Done;
 }
 
@@ -406,7 +413,7 @@
     auto response = m_dialect.refusal(refusal, m_progress.facts());
     const bool written
         = co_await m_caller->write(std::move(response), keepsAlive(), core::now() + core::Duration(WriteTimeout));
-    co_return written && keepsAlive();
+    co_return written &&keepsAlive();
 }
 
 template<Dialect D>
--- a/include/spurlug/relay/target_health.h
+++ b/include/spurlug/relay/target_health.h
@@ -28,7 +28,8 @@
 {
     /// Weight of the newest result in the running share of failures: about the last eight results count.
     double weight = 0.13;
-    double errorShare = 0.45; ///< Share of failures that ejects; plain services may fail one in seven when they are well.
+    double errorShare
+        = 0.45; ///< Share of failures that ejects; plain services may fail one in seven when they are well.
     int inARow = 3; ///< Failures in a row that eject, whatever the share.
     core::Duration first = absl::Milliseconds(1500); ///< Doubles with each ejection in a row.
     core::Duration longest = absl::Seconds(8);
@@ -78,9 +79,12 @@
 {
     using Fault = relay::TargetFault;
     static constexpr std::array table{
-        EnumName<Fault>{Fault::Unreachable, "unreachable"}, EnumName<Fault>{Fault::Silent, "silent"},
-        EnumName<Fault>{Fault::Broken, "broken"},           EnumName<Fault>{Fault::Garbled, "garbled"},
-        EnumName<Fault>{Fault::Error, "error"},             EnumName<Fault>{Fault::Busy, "busy"},
+        EnumName<Fault>{Fault::Unreachable, "unreachable"},
+        EnumName<Fault>{Fault::Silent, "silent"},
+        EnumName<Fault>{Fault::Broken, "broken"},
+        EnumName<Fault>{Fault::Garbled, "garbled"},
+        EnumName<Fault>{Fault::Error, "error"},
+        EnumName<Fault>{Fault::Busy, "busy"},
     };
 };
 
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -48,7 +48,8 @@
     /// \param work What the share adds to the target's work while its prompt is not read.
     /// \param expected When reading should end; what is left of it shrinks towards that time.
     /// \param tight Whether the request bears short pauses only.
-    Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time expected, bool tight);
+    Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time sentAt, core::Time expected,
+          bool tight);
     Share(const Share &) = delete;
     Share &operator=(const Share &) = delete;
 
@@ -57,11 +58,13 @@
 
     [[nodiscard]] Outstanding work(core::Time now) const noexcept;
     [[nodiscard]] const core::Ref<Target> &target() const noexcept;
+    [[nodiscard]] core::Time sentAt() const noexcept;
 
 private:
     core::Ref<Target> m_target;
     Kind m_kind;
     Outstanding m_work;
+    core::Time m_sentAt;
     core::Time m_expected;
     bool m_tight;
     bool m_reading = true;
@@ -77,11 +80,15 @@
     TargetHealth health;
     Outstanding peers; ///< What the peers said of their own work here.
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
+    core::Time noHelpUntil = absl::InfinitePast(); ///< It turned help or a reservation down; not asked before this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
 
     /// \brief Work of this daemon here.
     [[nodiscard]] Outstanding own(core::Time now) const noexcept;
 
+    /// \brief Work that this daemon sent here after `since`.
+    [[nodiscard]] Outstanding ownSince(core::Time since, core::Time now) const noexcept;
+
     /// \brief Whether it may get new work, as far as the directory goes.
     [[nodiscard]] bool listed(core::Time now) const noexcept
     {
--- a/include/spurlug/settings/placement_rule.h
+++ b/include/spurlug/settings/placement_rule.h
@@ -23,12 +23,24 @@
     double expectedWeight = 0.2; ///< Of each ms until the first event, while that is in time.
     double lateWeight = 3; ///< Of each ms beyond the part of the aim that is in time for sure.
     double aimShare = 0.6; ///< That part.
-    double helperCostMs = 2; ///< Of one more engine that reads a part.
+    double helperCostMs = 4; ///< Of one more engine that reads a part.
     /// Of a first tight stream at an engine: it keeps long prompts from being read there.
     double firstTightCostMs = 60;
     double otherDomainCostMs = 0.5; ///< Of a target elsewhere: the way there and back.
+    /// Reading that may wait at an engine before requests wait here instead, ms: whichever engine gets through first
+    /// can take them then.
+    double mostAheadTightMs = 250;
+    double mostAheadLooseMs = 1500; ///< The same, for streams that bear longer pauses.
+    /// Reading that may wait at an engine before requests are refused, ms: callers leave a silent stream after 2 s.
+    double mostQueueMs = 1000;
+    double queueShare = 0.5; ///< Requests that may queue at an engine beyond its slots, as a share of them.
+    /// Share of the engines that long prompts keep off. All daemons choose the same ones, by the order of their ids.
+    double tightOnlyShare = 0.28;
+    /// How much of what this daemon sent of late each other daemon is taken to have sent as well: all see the same
+    /// engine fall free.
+    double unseenShare = 1;
     int mostHelpers = 15; ///< An engine takes 16 at most.
-    std::int64_t leastPartTokens = 500; ///< Smaller parts are not worth a message.
+    std::int64_t leastPartTokens = 2000; ///< Smaller parts are not worth a message.
     double memoryShare = 0.97; ///< Part of an engine's memory that is given out; the rest covers rounding to blocks.
     /// Queue at a plain target beyond its slots, as a share of them, before requests wait here.
     double plainQueueShare = 1.0;
--- a/include/spurlug/targets/outstanding.h
+++ b/include/spurlug/targets/outstanding.h
@@ -23,6 +23,7 @@
 
     Outstanding &operator+=(const Outstanding &other) noexcept;
     Outstanding &operator-=(const Outstanding &other) noexcept;
+    Outstanding &operator*=(double factor) noexcept;
     [[nodiscard]] bool operator==(const Outstanding &) const = default;
 };
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -25,7 +25,8 @@
 {
 
 constexpr std::size_t MostWaitingBytes = 1 << 20; // Some 4,000 lines: seconds of a busy daemon.
-constexpr std::int64_t MostLinesPerSecond = 300; // Of one kind; a daemon's share of the peak is some tens of requests/s.
+constexpr std::int64_t MostLinesPerSecond
+    = 300; // Of one kind; a daemon's share of the peak is some tens of requests/s.
 
 /// What startLog sets up. Lock order: `mutex` is a leaf.
 struct Logger
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -18,9 +18,9 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 9> HopByHopNames{"Connection", "Keep-Alive", "Proxy-Connection",
-                                                        "Proxy-Authenticate", "Proxy-Authorization", "TE",
-                                                        "Trailer", "Transfer-Encoding", "Upgrade"};
+constexpr std::array<std::string_view, 9> HopByHopNames{
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade"};
 
 } // namespace
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -242,8 +242,7 @@
 {
     const auto impl = m_impl;
     const auto error = co_await impl->within(deadline - core::now(), [&]() -> Task<error_code> {
-        auto [failure, sent]
-            = co_await asio::async_write(impl->socket, http::make_chunk(asio::buffer(bytes)), Awaited);
+        auto [failure, sent] = co_await asio::async_write(impl->socket, http::make_chunk(asio::buffer(bytes)), Awaited);
         co_return failure;
     });
     co_return !error;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -30,8 +30,9 @@
     net::asio::co_spawn(
         m_loop,
         [](core::Ref<Attempt> self, core::Address to, net::Request sent, core::Duration timeout,
-           core::Time until) -> net::Task<> { co_await self->run(std::move(to), std::move(sent), timeout, until); }(
-            core::Ref<Attempt>(this), target, std::move(message), connectTimeout, deadline),
+           core::Time until) -> net::Task<> {
+            co_await self->run(std::move(to), std::move(sent), timeout, until);
+        }(core::Ref<Attempt>(this), target, std::move(message), connectTimeout, deadline),
         net::asio::detached);
 }
 
@@ -48,8 +49,7 @@
     }
 }
 
-net::Task<> Attempt::run(core::Address target, net::Request message, core::Duration connectTimeout,
-                         core::Time deadline)
+net::Task<> Attempt::run(core::Address target, net::Request message, core::Duration connectTimeout, core::Time deadline)
 {
     if (m_aborted) {
         co_return;
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -72,7 +72,8 @@
 {
     const auto known = m_context.targets.find(entry.id);
     const bool wasGone = known && known->dropAt != absl::InfiniteFuture();
-    const bool news = !known || wasGone || known->entry.draining != entry.draining || known->entry.service != entry.service;
+    const bool news
+        = !known || wasGone || known->entry.draining != entry.draining || known->entry.service != entry.service;
     m_context.targets.put(entry);
     if (news) {
         core::log(core::LogLevel::Info, "target_listed",
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -20,16 +20,21 @@
 namespace
 {
 
-using net::asio::ip::udp;
 using boost::system::error_code;
+using net::asio::ip::udp;
 
 constexpr std::string_view Fleet = "fleet"; // All relaying daemons are one group, whatever their failure domain.
 constexpr auto PeerTimeout = absl::Milliseconds(1500); // Work of a peer that is silent this long is not counted.
 constexpr auto ShortestInterval = absl::Milliseconds(50); // Between a burst's requests at one daemon.
 constexpr auto LongestInterval = absl::Milliseconds(500); // So that PeerTimeout spans three heartbeats.
-constexpr double MostBytesPerSecond = 12'000; // Of the 15 KB/s that control may take.
+constexpr double MostBytesPerSecond = 12'000; // Of the 15 KB/s that control may take in a large fleet.
+/// Bytes a second of all daemons together that a small fleet may take instead: at a few machines nothing else is near
+/// its limit, and choices are as good as the loads they go by are new.
+constexpr double SmallFleetBytesPerSecond = 500'000;
+constexpr auto HeartbeatDelay = absl::Milliseconds(20); // On the way, and until both ends have come to it.
 constexpr auto CandidateLife = absl::Seconds(20); // An address that never answers is forgotten.
-constexpr std::size_t PeersNamed = 6; // In each heartbeat.
+constexpr std::size_t PeersNamed = 6; // In each heartbeat that introduces its sender.
+constexpr std::uint64_t IntroductionEvery = 10; // Heartbeats; the others carry no addresses.
 constexpr std::size_t LargestDatagram = 64 << 10;
 constexpr auto PauseNoticed = absl::Milliseconds(700); // A gap between rounds that only a stopped process explains.
 
@@ -55,7 +60,8 @@
 core::Duration PeerLink::interval(std::size_t bytes) const
 {
     const auto perRound = static_cast<double>(bytes * m_peers.peers().size());
-    const auto span = absl::Seconds(perRound / MostBytesPerSecond);
+    const auto budget = std::max(MostBytesPerSecond, SmallFleetBytesPerSecond / static_cast<double>(m_context.daemons));
+    const auto span = absl::Seconds(perRound / budget);
     return std::clamp(span, core::Duration(ShortestInterval), core::Duration(LongestInterval));
 }
 
@@ -74,7 +80,9 @@
         noteSilence(now);
         sendRound(now);
         const auto jitter = std::uniform_real_distribution<double>(LeastJitter, MostJitter)(m_context.random);
-        co_await net::sleepFor(interval(m_lastBytes) * jitter);
+        const auto pause = interval(m_lastBytes);
+        m_context.peerWorkAge = pause + HeartbeatDelay;
+        co_await net::sleepFor(pause * jitter);
     }
 }
 
@@ -82,14 +90,18 @@
 {
     membership::Heartbeat heartbeat;
     heartbeat.news.vm = m_context.settings.vm;
-    heartbeat.news.failureDomain = Fleet;
-    heartbeat.news.peerAddress = m_context.settings.peerAddress;
-    heartbeat.news.rpcAddress = m_context.settings.controlAddress;
     heartbeat.news.incarnation = m_incarnation;
     heartbeat.news.sequence = ++m_sequence;
     heartbeat.news.state = m_context.draining ? membership::DaemonState::Leaving : membership::DaemonState::Serving;
     heartbeat.news.generation = m_context.table ? m_context.table->version : 0;
     heartbeat.work = m_context.targets.ownWork(now);
+    if (m_sequence % IntroductionEvery != 1 && !m_introduce) {
+        return heartbeat;
+    }
+    m_introduce = false;
+    heartbeat.news.failureDomain = Fleet;
+    heartbeat.news.peerAddress = m_context.settings.peerAddress;
+    heartbeat.news.rpcAddress = m_context.settings.controlAddress;
     std::vector<core::Address> known;
     for (const auto &vm : m_alive) {
         known.push_back(m_peers.find(vm)->news.peerAddress);
@@ -162,6 +174,7 @@
         return;
     }
     if (m_alive.insert(news.vm).second || heard == membership::HeardResult::New) {
+        m_introduce = true; // It may not know this daemon either.
         core::log(core::LogLevel::Info, "peer_heard",
                   {{"vm", news.vm}, {"address", news.peerAddress.text()}, {"incarnation", news.incarnation}});
     }
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -51,7 +51,7 @@
             const auto part = partMs(m_costs, m_request.prompt.promptTokens, count + 1);
             const auto readers = bestReaders(part, count + 1);
             for (std::size_t i = 0; i < m_candidates.size(); ++i) {
-                if (m_candidates[i].mayAnswer && hasSlot(i) && freeMemory(i) >= m_request.prompt.memoryTokens()) {
+                if (mayAnswer(i) && freeMemory(i) >= m_request.prompt.memoryTokens()) {
                     consider(i, readers, count, part);
                 }
             }
@@ -101,9 +101,22 @@
         return part >= m_rule.leastPartTokens && helpers <= mostHelpers();
     }
 
-    [[nodiscard]] bool hasSlot(std::size_t candidate) const
+    /// Whether the engine has a slot, and not more to read than requests should wait for there.
+    [[nodiscard]] bool hasRoom(std::size_t candidate) const
     {
-        return m_candidates[candidate].load.requests < m_candidates[candidate].slots;
+        const auto &at = m_candidates[candidate];
+        const auto requests = static_cast<double>(at.load.requests + at.unseen.requests);
+        const auto ahead = aheadMs(at.load) + aheadMs(at.unseen);
+        if (m_request.mayQueue) {
+            return requests < at.slots * (1 + m_rule.queueShare) && ahead <= m_rule.mostQueueMs;
+        }
+        return requests < at.slots && ahead <= (m_request.tight ? m_rule.mostAheadTightMs : m_rule.mostAheadLooseMs);
+    }
+
+    [[nodiscard]] bool mayAnswer(std::size_t candidate) const
+    {
+        const auto &at = m_candidates[candidate];
+        return at.mayAnswer && (m_request.tight || !at.tightOnly) && hasRoom(candidate);
     }
 
     [[nodiscard]] std::int64_t freeMemory(std::size_t candidate) const
@@ -114,7 +127,8 @@
 
     [[nodiscard]] bool mayHelp(std::size_t candidate) const
     {
-        return m_candidates[candidate].mayHelp && m_candidates[candidate].load.parts < m_candidates[candidate].slots;
+        const auto &at = m_candidates[candidate];
+        return at.mayHelp && !at.tightOnly && at.load.parts + at.unseen.parts < at.slots;
     }
 
     [[nodiscard]] static double aheadMs(const Outstanding &load)
@@ -183,7 +197,8 @@
             cost += harmMs(helper, part) + m_rule.helperCostMs;
         }
         const auto &load = m_candidates[target].load;
-        const bool firstTight = m_request.tight && load.tightWriters == 0 && load.requests == load.writers;
+        const bool gathersHere = m_candidates[target].tightOnly || load.tightWriters > 0;
+        const bool firstTight = m_request.tight && !gathersHere;
         return cost + (firstTight ? m_rule.firstTightCostMs : 0);
     }
 
@@ -202,8 +217,7 @@
         const auto cost = costOf(target, helpers, part, expected);
         if (cost < m_bestCost) {
             m_bestCost = cost;
-            m_best
-                = Placement{target, std::move(helpers), {}, absl::Milliseconds(expected), absl::Milliseconds(part)};
+            m_best = Placement{target, std::move(helpers), {}, absl::Milliseconds(expected), absl::Milliseconds(part)};
         }
     }
 
@@ -211,7 +225,7 @@
     {
         std::optional<std::size_t> best;
         for (std::size_t i = 0; i < m_candidates.size(); ++i) {
-            if (m_candidates[i].mayAnswer && hasSlot(i) && (!best || freeMemory(i) > freeMemory(*best))) {
+            if (mayAnswer(i) && (!best || freeMemory(i) > freeMemory(*best))) {
                 best = i;
             }
         }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -9,6 +9,7 @@
 #include "spurlug/core/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace spurlug::relay
@@ -31,6 +32,9 @@
 
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
+constexpr std::int64_t LengthRanks = 3; // Ranks by length within one of the operator's.
+constexpr std::int64_t ShortPrompt = 16'000; // Tokens.
+constexpr std::int64_t LongPrompt = 70'000; // Tokens.
 
 /// Patience before another engine is tried: some times what the first event was expected to take, and a floor that
 /// covers passes which the daemon's view of the load does not show yet.
@@ -40,6 +44,11 @@
 constexpr auto LeastGapPatience = absl::Milliseconds(1400); // Callers leave a stream after two seconds of silence.
 /// A target that answered any request within this is alive: passes of a busy engine are shorter.
 constexpr auto LivesWithin = absl::Milliseconds(700);
+/// Part of the aim that a request waits here for a free target: a refusal after it comes too late to be made up for.
+constexpr double WaitShare = 0.22;
+/// Aims that a request with a long prompt waits here at most: its engines free up in seconds, not in milliseconds.
+constexpr double LooseWaitAims = 2;
+constexpr auto NoHelpSpan = absl::Milliseconds(300); // An engine gets through its reading in less.
 constexpr double PlainPatienceFactor = 2; // Of the aim; work of plain services is short.
 constexpr auto LeastPlainPatience = absl::Milliseconds(300);
 
@@ -131,8 +140,9 @@
 const std::string &RequestProgress::chooseService()
 {
     const auto &shares = m_route->services;
-    const bool stays = std::any_of(shares.begin(), shares.end(),
-                                   [this](const auto &share) { return share.service == m_service && share.weight > 0; });
+    const bool stays = std::any_of(shares.begin(), shares.end(), [this](const auto &share) {
+        return share.service == m_service && share.weight > 0;
+    });
     if (stays) {
         return m_service;
     }
@@ -175,17 +185,24 @@
 
 std::vector<Candidate> RequestProgress::candidates(const TargetSet::Targets &targets, core::Time now) const
 {
-    const bool someWell = std::any_of(targets.begin(), targets.end(),
-                                      [&](const auto &target) { return usable(*target, false, now); });
+    const bool someWell
+        = std::any_of(targets.begin(), targets.end(), [&](const auto &target) { return usable(*target, false, now); });
+    const auto &rule = m_context.settings.placement;
+    const auto tightOnly
+        = static_cast<std::size_t>(std::floor(static_cast<double>(targets.size()) * rule.tightOnlyShare));
+    const auto others = static_cast<double>(m_context.daemons - 1) * rule.unseenShare;
     std::vector<Candidate> all;
     for (const auto &target : targets) {
         Candidate candidate;
         candidate.load = target->own(now);
         candidate.load += target->peers;
+        candidate.unseen = target->ownSince(now - m_context.peerWorkAge, now);
+        candidate.unseen *= others;
+        candidate.tightOnly = all.size() < tightOnly;
         candidate.slots = target->entry.slots;
         candidate.atHome = target->entry.failureDomain == m_context.settings.failureDomain;
         candidate.mayAnswer = usable(*target, !someWell, now);
-        candidate.mayHelp = !target->health.ejected(now) && !target->health.onProbation();
+        candidate.mayHelp = !target->health.ejected(now) && !target->health.onProbation() && now >= target->noHelpUntil;
         all.push_back(candidate);
     }
     return all;
@@ -205,7 +222,8 @@
     const bool isPrompt = spec != nullptr && spec->engine && m_facts.prompt;
     std::optional<Placement> placement;
     if (isPrompt) {
-        const PromptRequest prompt{*m_facts.prompt, m_route->aim, isTight()};
+        const bool mayQueue = now - m_arrivedAt >= m_route->aim * WaitShare;
+        const PromptRequest prompt{*m_facts.prompt, m_route->aim, isTight(), mayQueue};
         placement = placePrompt(*spec->engine, prompt, all, m_context.settings.placement, pick);
     } else {
         placement = placePlain(all, m_context.settings.placement, pick);
@@ -240,13 +258,13 @@
         work.partMicros = readMicros;
         work.memoryTokens = i < chosen.holdingTokens.size() ? chosen.holdingTokens[i] : 0;
         held += work.memoryTokens;
-        m_shares.push_back(std::make_unique<Share>(chosen.helpers[i], Share::Kind::Part, work, expected, false));
+        m_shares.push_back(std::make_unique<Share>(chosen.helpers[i], Share::Kind::Part, work, now, expected, false));
     }
     Outstanding work;
     work.requests = 1;
     work.readMicros = readMicros;
     work.memoryTokens = m_facts.prompt ? std::max<std::int64_t>(m_facts.prompt->memoryTokens() - held, 0) : 0;
-    m_shares.push_back(std::make_unique<Share>(chosen.target, Share::Kind::Request, work, expected, isTight()));
+    m_shares.push_back(std::make_unique<Share>(chosen.target, Share::Kind::Request, work, now, expected, isTight()));
     m_context.metrics.count(metrics::Counter::AttemptsStarted);
     core::log(core::LogLevel::Info, "request_sent",
               {{"request", m_facts.id},
@@ -266,6 +284,16 @@
     m_current.target->heardAt = now;
 }
 
+bool RequestProgress::waitedEnough(core::Time now) const noexcept
+{
+    // A stream that the caller has begun to read, or work that may have run, is worth waiting for.
+    if (m_ranSomewhere) {
+        return false;
+    }
+    const auto longest = isTight() || !m_facts.prompt ? m_route->aim : m_route->aim * LooseWaitAims;
+    return now - m_arrivedAt >= longest;
+}
+
 bool RequestProgress::targetLives(core::Time now) const noexcept
 {
     return now - m_current.target->heardAt < LivesWithin;
@@ -325,12 +353,12 @@
                {"targetLeftOut", health.ejected(now)}});
 }
 
-void RequestProgress::helperFailed(const core::Address &helper, core::Time now)
+void RequestProgress::helpRefused(const core::Address &helper, core::Time now)
 {
     const auto target = m_context.targets.at(helper, now);
     if (target && target != m_current.target) {
-        target->health.failed(TargetFault::Silent, m_context.ejection, now);
-        core::log(core::LogLevel::Info, "helper_failed", {{"request", m_facts.id}, {"target", target->entry.id}});
+        target->noHelpUntil = now + NoHelpSpan;
+        core::log(core::LogLevel::Info, "help_refused", {{"request", m_facts.id}, {"target", target->entry.id}});
     }
 }
 
@@ -405,7 +433,10 @@
 
 int RequestProgress::enginePriority() const noexcept
 {
-    return static_cast<int>(std::clamp<std::int64_t>(m_priority, MostUrgent, LeastUrgent));
+    // Among requests that the operator ranks alike, engines let short prompts in first: they hold a slot for less.
+    const auto tokens = m_facts.prompt->promptTokens;
+    const auto length = tokens < ShortPrompt ? 0 : tokens < LongPrompt ? 1 : 2;
+    return static_cast<int>(std::clamp<std::int64_t>(m_priority * LengthRanks + length, MostUrgent, LeastUrgent));
 }
 
 core::Duration RequestProgress::patience(const ChosenTargets &chosen, bool answering) const noexcept
--- a/src/relay/reservation.cpp
+++ b/src/relay/reservation.cpp
@@ -75,8 +75,7 @@
             co_return;
         }
         std::string problem;
-        const auto answer
-            = co_await net::exchange(m_loop, m_engine, m_reserve, core::now() + OrderTimeout, problem);
+        const auto answer = co_await net::exchange(m_loop, m_engine, m_reserve, core::now() + OrderTimeout, problem);
         if (!answer || answer->head.status != Granted) {
             core::log(core::LogLevel::Warning, "reservation_not_renewed",
                       {{"reservation", m_id},
@@ -91,8 +90,7 @@
 {
     for (int i = 0; i < ReleaseTries; ++i) {
         std::string problem;
-        const auto answer
-            = co_await net::exchange(m_loop, m_engine, m_release, core::now() + OrderTimeout, problem);
+        const auto answer = co_await net::exchange(m_loop, m_engine, m_release, core::now() + OrderTimeout, problem);
         if (answer) {
             co_return;
         }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -27,10 +27,12 @@
 
 } // namespace
 
-Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time expected, bool tight)
+Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time sentAt, core::Time expected,
+             bool tight)
     : m_target(std::move(target))
     , m_kind(kind)
     , m_work(work)
+    , m_sentAt(sentAt)
     , m_expected(expected)
     , m_tight(tight)
 {
@@ -67,6 +69,11 @@
     return m_target;
 }
 
+core::Time Share::sentAt() const noexcept
+{
+    return m_sentAt;
+}
+
 Target::Target(TargetEntry entry)
     : entry(std::move(entry))
 { }
@@ -80,6 +87,17 @@
     return sum;
 }
 
+Outstanding Target::ownSince(core::Time since, core::Time now) const noexcept
+{
+    Outstanding sum;
+    for (const auto &share : m_shares) {
+        if (share.sentAt() > since) {
+            sum += share.work(now);
+        }
+    }
+    return sum;
+}
+
 void TargetSet::put(const TargetEntry &entry)
 {
     auto &target = m_targets[entry.id];
--- a/src/targets/outstanding.cpp
+++ b/src/targets/outstanding.cpp
@@ -5,6 +5,8 @@
 
 #include "spurlug/targets/outstanding.h"
 
+#include <initializer_list>
+
 namespace spurlug::targets
 {
 
@@ -34,4 +36,13 @@
     return *this;
 }
 
+Outstanding &Outstanding::operator*=(double factor) noexcept
+{
+    for (auto *field :
+         {&readMicros, &partMicros, &requests, &writers, &tightWriters, &parts, &memoryTokens, &contextTokens}) {
+        *field = static_cast<std::int64_t>(static_cast<double>(*field) * factor);
+    }
+    return *this;
+}
+
 } // namespace spurlug::targets
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -146,8 +146,7 @@
         while (mood == StoreMood::Silent) {
             co_await net::sleepFor(absl::Milliseconds(10));
         }
-        const bool written
-            = co_await connection.write(std::move(response), true, core::now() + absl::Seconds(1));
+        const bool written = co_await connection.write(std::move(response), true, core::now() + absl::Seconds(1));
         if (!written) {
             co_return;
         }
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -27,10 +27,10 @@
 
 nlohmann::json route(const std::string &name, const std::string &kind, const std::string &service)
 {
-    return {{"name", name},         {"host", "ferry.example"}, {"path_prefix", "/" + name + "/"},
-            {"kind", kind},         {"timeout_ms", 3000},      {"slo_ms", 100},
-            {"priority", 1},        {"service", service},      {"max_attempts", 2},
-            {"public", false},      {"sticky", false},         {"resumable", kind == "streaming"},
+    return {{"name", name},     {"host", "ferry.example"}, {"path_prefix", "/" + name + "/"},
+            {"kind", kind},     {"timeout_ms", 3000},      {"slo_ms", 100},
+            {"priority", 1},    {"service", service},      {"max_attempts", 2},
+            {"public", false},  {"sticky", false},         {"resumable", kind == "streaming"},
             {"gap_aim_ms", 100}};
 }
 
@@ -87,8 +87,7 @@
     settings.store = store.address();
     settings.bounds.grace = absl::Seconds(5);
     place.directory = std::make_unique<platform::StoreDirectory>(loop, settings.store, absl::Milliseconds(500));
-    place.daemon
-        = std::make_unique<Daemon>(loop, settings, "/dev/null", platform::RequestCodec(), *place.directory);
+    place.daemon = std::make_unique<Daemon>(loop, settings, "/dev/null", platform::RequestCodec(), *place.directory);
     m_daemons.push_back(std::move(place));
     m_daemons.back().daemon->start();
 }
@@ -99,22 +98,22 @@
     store.put("config", "main", configuration);
 }
 
-FakeTarget &RelayFleet::addTarget(const std::string &service, const std::string &, int)
+FakeTarget &RelayFleet::addTarget(const std::string &service, int slots)
 {
     auto target = std::make_unique<FakeTarget>(loop, core::cat("i-", targets.size() + 1));
-    announce(*target, service);
+    announce(*target, service, "ready", slots);
     targets.push_back(std::move(target));
     return *targets.back();
 }
 
-void RelayFleet::announce(const FakeTarget &target, const std::string &service, const std::string &state)
+void RelayFleet::announce(const FakeTarget &target, const std::string &service, const std::string &state, int slots)
 {
     store.put("servers", target.id(),
               {{"service", service},
                {"address", target.address().text()},
                {"zone", "hall-a"},
                {"version", "v1"},
-               {"slots", 16},
+               {"slots", slots},
                {"state", state},
                {"cold_remaining_ms", 0},
                {"call_seq", 0}});
@@ -205,8 +204,8 @@
     request.method = "GET";
     request.target = "/v1/ready";
     std::string problem;
-    const auto answer = co_await net::exchange(loop, m_daemons.at(daemon).settings.readinessAddress,
-                                               std::move(request), core::now() + absl::Seconds(1), problem);
+    const auto answer = co_await net::exchange(loop, m_daemons.at(daemon).settings.readinessAddress, std::move(request),
+                                               core::now() + absl::Seconds(1), problem);
     co_return answer ? answer->head.status : 0;
 }
 
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -56,9 +56,10 @@
     void run(std::function<net::Task<>()> test);
 
     /// \brief Adds a process of a service and its entry in the store.
-    FakeTarget &addTarget(const std::string &service, const std::string &zone = "hall-a", int slots = 16);
+    FakeTarget &addTarget(const std::string &service, int slots = 16);
     /// \brief Writes the entry of a target anew.
-    void announce(const FakeTarget &target, const std::string &service, const std::string &state = "ready");
+    void announce(const FakeTarget &target, const std::string &service, const std::string &state = "ready",
+                  int slots = 16);
     /// \brief Writes the next version of the configuration.
     void configure();
 
--- a/tests/property/fake_api.h
+++ b/tests/property/fake_api.h
@@ -18,7 +18,7 @@
 {
 
 namespace core = spurlug::core;
-namespace platform = spurlug::platform;
+namespace objects = spurlug::objects;
 
 /// What the fake platform does with the next calls.
 enum class Fault
@@ -68,7 +68,7 @@
     }
 
     [[nodiscard]] std::optional<objects::Object> waitForChange(const std::string &name, std::int64_t version,
-                                                                core::Duration /*wait*/) const
+                                                               core::Duration /*wait*/) const
     {
         const auto object = read(name);
         return object && object->version > version ? object : std::nullopt;
