--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace spurlug::relay
@@ -141,7 +142,8 @@
 private:
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
-    std::unordered_map<std::string, std::vector<TargetWork>> m_peerWorks;
+    /// What each peer said last. Holds the targets themselves: one that is forgotten and comes back begins at nothing.
+    std::unordered_map<std::string, std::vector<std::pair<core::Ref<Target>, Outstanding>>> m_peerWorks;
 };
 
 } // namespace spurlug::relay
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -37,7 +37,7 @@
 {
     const auto &message = parser.get();
     ResponseHead head;
-    head.status = message.result_int();
+    head.status = static_cast<int>(message.result_int());
     const auto phrase = message.reason();
     head.phrase.assign(phrase.data(), phrase.size());
     head.headers = fromBeast(message);
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -142,7 +142,7 @@
         const auto found = m_byHash.find(work.target);
         if (found != m_byHash.end()) {
             found->second->peers += work.work;
-            kept.push_back(work);
+            kept.emplace_back(found->second, work.work);
         }
     }
 }
@@ -153,11 +153,8 @@
     if (known == m_peerWorks.end()) {
         return;
     }
-    for (const auto &work : known->second) {
-        const auto found = m_byHash.find(work.target);
-        if (found != m_byHash.end()) {
-            found->second->peers -= work.work;
-        }
+    for (const auto &[target, work] : known->second) {
+        target->peers -= work;
     }
     m_peerWorks.erase(known);
 }
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -198,6 +198,11 @@
     return m_daemons.at(daemon).settings.callerAddress;
 }
 
+void RelayFleet::stop(std::size_t daemon)
+{
+    m_daemons.at(daemon).daemon->stop();
+}
+
 net::Task<int> RelayFleet::readiness(std::size_t daemon)
 {
     net::Request request;
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -69,6 +69,8 @@
     [[nodiscard]] net::Request write(const Ask &ask);
     /// \brief Waits until every daemon says that it is ready.
     [[nodiscard]] net::Task<> ready();
+    /// \brief Begins a daemon's planned stop.
+    void stop(std::size_t daemon = 0);
     /// \brief Status of a daemon's readiness; 0: no answer.
     [[nodiscard]] net::Task<int> readiness(std::size_t daemon = 0);
     /// \brief Address of a daemon for callers.
--- /dev/null
+++ b/tests/platform/trust_test.cpp
@@ -0,0 +1,157 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: keys, targets that leave and planned stops while the store fails
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+Ask plain()
+{
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(trust)
+
+BOOST_AUTO_TEST_CASE(a_key_that_was_taken_away_stops_working)
+{
+    RelayFleet fleet;
+    fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        fleet.configuration["tenants"][0]["api_keys"] = {"key-2"};
+        fleet.configure();
+        co_await net::sleepFor(absl::Milliseconds(200));
+        const auto got = co_await fleet.ask(plain());
+        BOOST_TEST(got.status == 401);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(keys_fail_closed_when_the_store_cannot_be_asked_and_public_routes_go_on)
+{
+    RelayFleet fleet;
+    fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        fleet.store.mood = StoreMood::Silent;
+        co_await net::sleepFor(absl::Milliseconds(5000));
+        const auto keyed = co_await fleet.ask(plain());
+        BOOST_TEST(keyed.status == 503);
+        const auto ready = co_await fleet.readiness();
+        BOOST_TEST(ready == 503);
+        Ask open;
+        open.path = "/open/1";
+        const auto got = co_await fleet.ask(open);
+        BOOST_TEST(got.status == 200);
+        fleet.store.mood = StoreMood::Well;
+        co_await fleet.ready();
+        const auto again = co_await fleet.ask(plain());
+        BOOST_TEST(again.status == 200);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_leaves_gets_nothing_new)
+{
+    RelayFleet fleet;
+    auto &first = fleet.addTarget("app");
+    auto &second = fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        fleet.announce(first, "app", "draining");
+        co_await net::sleepFor(absl::Milliseconds(100));
+        for (int i = 0; i < 5; ++i) {
+            const auto got = co_await fleet.ask(plain());
+            BOOST_TEST(got.status == 200);
+        }
+        BOOST_TEST(first.ran().empty());
+        BOOST_TEST(second.ran().size() == 5U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_history_loses_no_change)
+{
+    RelayFleet fleet;
+    auto &first = fleet.addTarget("app");
+    fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        fleet.store.remove("servers", first.id());
+        fleet.store.forgetHistory();
+        co_await net::sleepFor(absl::Milliseconds(200));
+        for (int i = 0; i < 5; ++i) {
+            const auto got = co_await fleet.ask(plain());
+            BOOST_TEST(got.status == 200);
+        }
+        BOOST_TEST(first.ran().empty());
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_without_a_configuration_refuses_and_is_not_ready)
+{
+    RelayFleet fleet;
+    fleet.store.mood = StoreMood::Busy;
+    fleet.run([&]() -> net::Task<> {
+        co_await net::sleepFor(absl::Milliseconds(100));
+        const auto ready = co_await fleet.readiness();
+        BOOST_TEST(ready == 503);
+        const auto got = co_await fleet.ask(plain());
+        BOOST_TEST(got.status == 503);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_finishes_what_was_begun)
+{
+    RelayFleet fleet;
+    auto &target = fleet.addTarget("app");
+    target.behaviour.work = absl::Milliseconds(600);
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        net::asio::co_spawn(
+            fleet.loop,
+            [&]() -> net::Task<> {
+                co_await net::sleepFor(absl::Milliseconds(100));
+                fleet.stop();
+            },
+            net::asio::detached);
+        const auto got = co_await fleet.ask(plain());
+        BOOST_TEST(got.status == 200);
+        BOOST_TEST(got.head.headers.holdsToken("Connection", "close"));
+        const auto ready = co_await fleet.readiness();
+        BOOST_TEST(ready == 503);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_is_no_http_or_too_large_is_refused)
+{
+    RelayFleet fleet;
+    auto &target = fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        Ask large;
+        large.body = std::string(200'000, 'x');
+        const auto tooLarge = co_await fleet.ask(large);
+        BOOST_TEST(tooLarge.status == 413);
+        Ask wide;
+        wide.headers.emplace_back("Wide", std::string(20'000, 'x'));
+        const auto tooWide = co_await fleet.ask(wide);
+        BOOST_TEST(tooWide.status == 431);
+        Ask odd;
+        odd.headers.emplace_back("Token-Usage", "many");
+        const auto malformed = co_await fleet.ask(odd);
+        BOOST_TEST(malformed.status == 400);
+        BOOST_TEST(target.ran().empty());
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace spurlug::test
--- /dev/null
+++ b/tests/unit/relay_test.cpp
@@ -0,0 +1,348 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: decisions of the relay
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/line_budget.h"
+#include "spurlug/core/line_queue.h"
+#include "spurlug/relay/event_splitter.h"
+#include "spurlug/relay/follower.h"
+#include "spurlug/relay/freshness.h"
+#include "spurlug/relay/peer_state.h"
+#include "spurlug/relay/placement.h"
+#include "spurlug/relay/retry_ledger.h"
+#include "spurlug/relay/target_set.h"
+#include "spurlug/relay/verdict.h"
+#include "spurlug/settings/relay_settings.h"
+#include "spurlug/targets/target_table.h"
+
+#include <absl/synchronization/notification.h>
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+
+namespace
+{
+
+using namespace spurlug;
+using namespace spurlug::relay;
+
+const core::Time Start = absl::FromUnixSeconds(1000);
+
+core::Time at(std::int64_t ms)
+{
+    return Start + core::fromMs(ms);
+}
+
+TargetEntry entry(const std::string &id, bool draining = false)
+{
+    return {id, "model", {"127.0.0.1", 8000}, "hall-a", 16, draining};
+}
+
+config::EngineCosts engine()
+{
+    config::EngineCosts costs;
+    costs.stepMs = 1;
+    costs.readTokensPerMs = 200;
+    costs.pairsMsPerMillion = 0.1;
+    costs.stepsPerPass = 40;
+    costs.slots = 16;
+    costs.memoryTokens = 200'000;
+    return costs;
+}
+
+std::vector<Candidate> idle(std::size_t count)
+{
+    Candidate candidate;
+    candidate.slots = 16;
+    return std::vector<Candidate>(count, candidate);
+}
+
+PromptRequest prompt(std::int64_t tokens, bool tight = true)
+{
+    return {{tokens, 500}, tight ? absl::Milliseconds(300) : absl::Milliseconds(2500), tight, false};
+}
+
+struct RelayState
+{
+    net::Loop loop;
+    settings::RelaySettings settings;
+    metrics::Metrics metrics;
+    RelayContext context{loop, settings, metrics};
+    DirectoryLink link{context, "targets"};
+    TargetIntake intake{context, link};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(relay_decisions)
+
+BOOST_AUTO_TEST_CASE(a_proof_counts_from_the_moment_of_the_question_and_only_for_the_newest_version)
+{
+    Freshness proof;
+    BOOST_TEST((proof.age(1, Start) == absl::InfiniteDuration()));
+    proof.confirm(5, at(0));
+    proof.confirm(5, at(-500));
+    BOOST_TEST((proof.age(5, at(100)) == core::fromMs(100)));
+    proof.confirm(6, at(50));
+    BOOST_TEST((proof.age(5, at(100)) == absl::InfiniteDuration()));
+    proof.confirm(5, at(90));
+    BOOST_TEST((proof.age(6, at(100)) == core::fromMs(50)));
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_not_fresh_without_a_recent_proof)
+{
+    RelayState state;
+    auto table = core::makeCounted<config::RouteTable>();
+    table->version = 3;
+    state.context.configurationProof.confirm(3, at(0));
+    BOOST_TEST(!state.context.keysAreFresh(at(0)));
+    state.context.adopt(table, "{}", "test", at(0));
+    BOOST_TEST(state.context.keysAreFresh(at(1000)));
+    BOOST_TEST(!state.context.keysAreFresh(at(4000)));
+    state.context.configurationProof.confirm(4, at(3900)); // A newer one is known of, but not here yet.
+    BOOST_TEST(!state.context.keysAreFresh(at(3900)));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_never_goes_back)
+{
+    RelayState state;
+    for (const auto version : {3, 5, 4}) {
+        auto table = core::makeCounted<config::RouteTable>();
+        table->version = version;
+        state.context.adopt(table, "{}", "test", Start);
+    }
+    BOOST_TEST(state.context.table->version == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_entry_is_gone_at_once_in_ordinary_times)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, 10, "test", at(0));
+    state.intake.changes({{entry("b"), true}}, 11, "test", at(10));
+    BOOST_TEST(state.context.targets.listed("model", at(10)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_while_the_directory_was_away_is_kept_for_a_moment_unless_it_was_leaving)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}, {entry("leaving", true), false}}, 10, "test", at(0));
+    const auto lost = state.link.ended(DirectoryStatus::Unreachable, "", at(100));
+    const auto regained = state.link.ended(DirectoryStatus::Ok, "", at(5000));
+    BOOST_TEST((lost > regained));
+    state.intake.whole({}, 12, "test", at(5000));
+    BOOST_TEST(state.context.targets.listed("model", at(5100)).size() == 1U);
+    BOOST_TEST(state.context.targets.listed("model", at(7000)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_older_list_brings_nobody_back)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}}, 10, "test", at(0));
+    state.intake.changes({{entry("a"), true}}, 11, "test", at(10));
+    state.intake.whole({{entry("a"), false}}, 10, "a slow peer", at(20));
+    BOOST_TEST(state.context.targets.listed("model", at(30)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(peers_are_told_only_of_targets_that_are_listed)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, 10, "test", at(0));
+    state.context.targets.drop("b", at(2000)); // Kept for a moment here.
+    const auto told = readPeerState(writePeerState(peerState(state.context, 0, at(10))));
+    BOOST_REQUIRE(told.targets.size() == 1U);
+    BOOST_TEST(told.targets.front().entry.id == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_s_state_that_cannot_be_read_is_refused)
+{
+    BOOST_CHECK_THROW(readPeerState("{"), core::InvalidDocument);
+    BOOST_CHECK_THROW(readPeerState(R"({"version":"x"})"), core::InvalidDocument);
+}
+
+BOOST_AUTO_TEST_CASE(work_of_peers_is_replaced_and_forgotten_also_when_its_target_comes_back)
+{
+    TargetSet targets;
+    targets.put(entry("a"));
+    TargetWork work;
+    work.target = targets::targetHash("a");
+    work.work.requests = 3;
+    targets.peerWork("p", {work});
+    targets.peerWork("p", {work});
+    BOOST_TEST(targets.find("a")->peers.requests == 3);
+    targets.drop("a", at(0));
+    targets.forgetGone(at(60'000));
+    targets.put(entry("a"));
+    targets.forgetPeer("p");
+    BOOST_TEST(targets.find("a")->peers.requests == 0);
+}
+
+BOOST_AUTO_TEST_CASE(events_come_out_whole_and_unchanged)
+{
+    EventSplitter splitter;
+    splitter.feed("id: 7\ndata: a\n");
+    BOOST_TEST(!splitter.next().has_value());
+    splitter.feed("\nversions: 2\nid: 8\r\ndata: b\r\n\r\nid:");
+    const auto first = splitter.next();
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->bytes == "id: 7\ndata: a\n\n");
+    BOOST_TEST((first->id == 7));
+    const auto second = splitter.next();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST((second->id == 8));
+    BOOST_TEST(!splitter.next().has_value());
+    BOOST_TEST(splitter.inTheMiddle());
+}
+
+BOOST_AUTO_TEST_CASE(only_the_target_s_own_word_says_that_a_request_did_not_run)
+{
+    AnswerFacts answer;
+    answer.requestId = "r";
+    answer.hasSignature = true;
+    for (const auto status : {408, 429, 503}) {
+        answer.status = status;
+        answer.notRun = false;
+        BOOST_TEST((judgeAnswer(answer, "r").outcome == core::Outcome::MayHaveRun));
+        answer.notRun = true;
+        BOOST_TEST((judgeAnswer(answer, "r").outcome == core::Outcome::NotRun));
+    }
+    answer.notRun = false;
+    answer.status = 200;
+    BOOST_TEST((judgeAnswer(answer, "r").outcome == core::Outcome::Completed));
+    BOOST_TEST((judgeAnswer(answer, "another").outcome == core::Outcome::MayHaveRun));
+    answer.encoded = true;
+    BOOST_TEST((judgeAnswer(answer, "r").outcome == core::Outcome::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_CASE(the_last_word_promises_nothing_that_may_be_false)
+{
+    for (const auto &row : core::EnumNames<core::Reason>::table) {
+        BOOST_TEST(finalStatus(true, row.value) >= 502);
+        BOOST_TEST(finalStatus(true, row.value) != 503);
+        BOOST_TEST(finalStatus(false, row.value) == 503);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_goes_to_no_more_targets_than_allowed_but_may_return_to_one_that_did_not_begin)
+{
+    ResendState state;
+    state.repeatable = true;
+    state.ranSomewhere = true;
+    state.targets = 2;
+    state.mostTargets = 2;
+    state.attempts = 2;
+    state.deadline = at(1000);
+    BOOST_TEST(!mayResend(state, at(0)));
+    state.someRefused = true;
+    BOOST_TEST(mayResend(state, at(0)));
+    BOOST_TEST(!mayResend(state, at(999)));
+    state.repeatable = false;
+    BOOST_TEST(!mayResend(state, at(0)));
+}
+
+BOOST_AUTO_TEST_CASE(repeated_sends_of_all_daemons_stay_within_the_fleet_s_bound)
+{
+    constexpr int Daemons = 6;
+    RetryBound bound;
+    std::vector<RetryLedger> ledgers(Daemons, RetryLedger(bound));
+    int requests = 0;
+    int repeats = 0;
+    for (int ms = 0; ms < 10'000; ms += 10) {
+        for (auto &ledger : ledgers) {
+            if (ms % 50 == 0) {
+                ledger.request("s", at(ms));
+                ++requests;
+            }
+            repeats += ledger.take("s", Daemons, at(ms)) ? 1 : 0;
+        }
+    }
+    BOOST_TEST(repeats > 0);
+    BOOST_TEST(repeats <= bound.ratio * requests + bound.slack);
+}
+
+BOOST_AUTO_TEST_CASE(a_short_prompt_stays_in_one_place_and_joins_others_of_its_kind)
+{
+    auto candidates = idle(6);
+    candidates[4].load.requests = candidates[4].load.writers = candidates[4].load.tightWriters = 3;
+    const auto placement = placePrompt(engine(), prompt(2000), candidates, {}, 1);
+    BOOST_REQUIRE(placement.has_value());
+    BOOST_TEST(placement->target == 4U);
+    BOOST_TEST(placement->helpers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_long_prompt_is_read_in_parts_away_from_tight_streams_and_from_engines_kept_free)
+{
+    auto candidates = idle(8);
+    candidates[0].tightOnly = true;
+    candidates[1].load.requests = candidates[1].load.writers = candidates[1].load.tightWriters = 10;
+    const auto placement = placePrompt(engine(), prompt(130'000, false), candidates, {}, 1);
+    BOOST_REQUIRE(placement.has_value());
+    BOOST_TEST(!placement->helpers.empty());
+    for (const std::size_t avoided : {0, 1}) {
+        BOOST_TEST(placement->target != avoided);
+        BOOST_TEST(std::count(placement->helpers.begin(), placement->helpers.end(), avoided) == 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_beyond_one_memory_gets_the_rest_reserved_elsewhere_or_nothing)
+{
+    const auto placement = placePrompt(engine(), prompt(450'000, false), idle(4), {}, 1);
+    BOOST_REQUIRE(placement.has_value());
+    std::int64_t held = 0;
+    for (const auto &holding : placement->holdings) {
+        held += holding.tokens;
+    }
+    BOOST_TEST(held + 200'000 >= 450'500);
+    BOOST_TEST(!placePrompt(engine(), prompt(900'000, false), idle(4), {}, 1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(full_engines_get_nothing_also_when_others_may_have_filled_them_unseen)
+{
+    auto candidates = idle(1);
+    candidates[0].load.requests = 10;
+    BOOST_TEST(placePrompt(engine(), prompt(2000), candidates, {}, 1).has_value());
+    candidates[0].unseen.requests = 6;
+    BOOST_TEST(!placePrompt(engine(), prompt(2000), candidates, {}, 1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_the_settings_are_all_listed)
+{
+    const std::string path = "relay_settings_test.json";
+    std::ofstream(path) << R"({"vm": "a", "callerAddress": "nowhere", "bounds": {"drainMs": -1}, "misspelt": 1})";
+    try {
+        static_cast<void>(settings::loadRelaySettings(path));
+        BOOST_ERROR("the file was taken");
+    } catch (const core::InvalidDocument &error) {
+        const std::string lines = error.what();
+        for (const auto *fault : {"/failureDomain", "/callerAddress", "/store", "/bounds/drainMs", "/misspelt"}) {
+            BOOST_TEST(lines.find(fault) != std::string::npos, fault);
+        }
+    }
+    std::remove(path.c_str());
+}
+
+BOOST_AUTO_TEST_CASE(a_reader_of_the_log_that_stands_still_holds_nobody_up)
+{
+    absl::Notification release;
+    core::LineQueue queue([&release](const std::string &) { release.WaitForNotification(); }, 1000);
+    for (int i = 0; i < 100; ++i) {
+        queue.add(std::string(100, 'x'));
+    }
+    BOOST_TEST(queue.takeDropped() >= 80);
+    release.Notify();
+}
+
+BOOST_AUTO_TEST_CASE(lines_of_one_kind_are_bounded_and_what_was_left_out_is_told)
+{
+    core::LineBudget budget(2);
+    std::int64_t leftOut = 0;
+    BOOST_TEST(budget.take("a", at(0), leftOut));
+    BOOST_TEST(budget.take("a", at(1), leftOut));
+    BOOST_TEST(!budget.take("a", at(2), leftOut));
+    BOOST_TEST(budget.take("b", at(2), leftOut));
+    BOOST_TEST(budget.take("a", at(1000), leftOut));
+    BOOST_TEST(leftOut == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
