One timer for prompt lengths; how long a request waits in a file of its own; refused help has its test

The two copies of the choice of a timer are one, in metrics. The test of refused help is on the decision: through the whole relay it could not fail, because engines that are all left out are used again.

--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -110,6 +110,10 @@
 namespace spurlug::metrics
 {
 
+/// \brief Timer of the first token of a prompt.
+/// \param tokens Length of the prompt.
+[[nodiscard]] Timer firstTokenTimer(std::int64_t tokens) noexcept;
+
 /// \brief All metrics of one daemon. Safe to use from several threads.
 class Metrics
 {
--- a/src/dispatch/request_run.cpp
+++ b/src/dispatch/request_run.cpp
@@ -29,20 +29,6 @@
 constexpr auto LongestGrantCall = absl::Seconds(1);
 constexpr auto BrokerBackoff = absl::Milliseconds(100);
 
-metrics::Timer timerFor(std::int64_t tokens)
-{
-    constexpr std::int64_t Medium = 4'000;
-    constexpr std::int64_t Large = 16'000;
-    constexpr std::int64_t Huge = 100'000;
-    if (tokens >= Huge) {
-        return metrics::Timer::FirstToken100k;
-    }
-    if (tokens >= Large) {
-        return metrics::Timer::FirstToken16k;
-    }
-    return tokens >= Medium ? metrics::Timer::FirstToken4k : metrics::Timer::FirstToken1k;
-}
-
 AttemptEnd deadlineEnd(bool mayHaveRun)
 {
     return {mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun, Reason::DeadlinePassed, 0, "the deadline has passed"};
@@ -314,7 +300,7 @@
         m_context.targets.firstToken(id, m_request.id);
     }
     if (m_request.kind == TargetKind::Engine) {
-        m_context.metrics.time(timerFor(m_request.tokens), m_decision.firstToken);
+        m_context.metrics.time(metrics::firstTokenTimer(m_request.tokens), m_decision.firstToken);
     }
 }
 
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -52,6 +52,20 @@
 
 } // namespace
 
+Timer firstTokenTimer(std::int64_t tokens) noexcept
+{
+    constexpr std::int64_t Medium = 4'000;
+    constexpr std::int64_t Large = 16'000;
+    constexpr std::int64_t Huge = 100'000;
+    if (tokens >= Huge) {
+        return Timer::FirstToken100k;
+    }
+    if (tokens >= Large) {
+        return Timer::FirstToken16k;
+    }
+    return tokens >= Medium ? Timer::FirstToken4k : Timer::FirstToken1k;
+}
+
 struct Metrics::Quantiles
 {
     using Set = acc::accumulator_set<
--- /dev/null
+++ b/src/relay/request_patience.cpp
@@ -0,0 +1,82 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: how long a relayed request waits for what
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/request_progress.h"
+
+#include <algorithm>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+using core::Reason;
+
+constexpr auto RetryAfterElsewhere = absl::Milliseconds(50); // Another daemon can serve at once.
+constexpr auto RetryAfterFull = absl::Milliseconds(100); // A slot falls free several times in this time.
+constexpr auto RetryAfterUnknown = absl::Milliseconds(300); // A daemon reads its configuration in less.
+
+/// Patience before another engine is tried: some times what the first event was expected to take, and a floor that
+/// covers passes which the daemon's view of the load does not show yet.
+constexpr double PatienceFactor = 4;
+constexpr auto LeastPatience = absl::Milliseconds(1200);
+constexpr double GapPatienceFactor = 4; // Of the longest pause that counts as in time.
+constexpr auto LeastGapPatience = absl::Milliseconds(1400); // Callers leave a stream after two seconds of silence.
+/// A target that answered any request within this is alive: passes of a busy engine are shorter.
+constexpr auto LivesWithin = absl::Milliseconds(700);
+/// Aims that a request with a long prompt waits here at most: its engines free up in seconds, not in milliseconds.
+constexpr double LooseWaitAims = 2;
+constexpr double PlainPatienceFactor = 2; // Of the aim; work of plain services is short.
+constexpr auto LeastPlainPatience = absl::Milliseconds(300);
+
+} // namespace
+
+bool RequestProgress::waitedEnough(core::Time now) const noexcept
+{
+    // A stream that the caller has begun to read, or work that may have run, is worth waiting for.
+    if (m_ranSomewhere) {
+        return false;
+    }
+    const auto longest = isTight() || !m_facts.prompt ? m_route->aim : m_route->aim * LooseWaitAims;
+    return now - m_arrivedAt >= longest;
+}
+
+bool RequestProgress::targetLives(core::Time now) const noexcept
+{
+    return now - m_current.target->heardAt < LivesWithin;
+}
+
+core::Duration RequestProgress::patience(const ChosenTargets &chosen, bool answering) const noexcept
+{
+    if (m_route->kind != config::RouteKind::Stream) {
+        return std::max(m_route->aim * PlainPatienceFactor, core::Duration(LeastPlainPatience));
+    }
+    if (!answering) {
+        return std::max(chosen.expected * PatienceFactor, core::Duration(LeastPatience));
+    }
+    return m_route->gapAim == absl::InfiniteDuration()
+        ? m_route->gapAim
+        : std::max(m_route->gapAim * GapPatienceFactor, core::Duration(LeastGapPatience));
+}
+
+core::Duration RequestProgress::retryAfter(Reason reason) const noexcept
+{
+    switch (reason) {
+    case Reason::Stopping:
+    case Reason::StaleConfiguration:
+        return RetryAfterElsewhere;
+    case Reason::NotReady:
+        return RetryAfterUnknown;
+    case Reason::UnknownPath:
+    case Reason::MissingKey:
+    case Reason::UnknownKey:
+        return absl::ZeroDuration(); // Coming back will not help.
+    default:
+        return RetryAfterFull;
+    }
+}
+
+} // namespace spurlug::relay
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -26,45 +26,15 @@
 constexpr auto CertainAge = absl::Milliseconds(2500);
 constexpr auto RefusedWhileDrainingAfter = absl::Seconds(3); // Later requests may not end before the process must.
 
-constexpr auto RetryAfterElsewhere = absl::Milliseconds(50); // Another daemon can serve at once.
-constexpr auto RetryAfterFull = absl::Milliseconds(100); // A slot falls free several times in this time.
-constexpr auto RetryAfterUnknown = absl::Milliseconds(300); // A daemon reads its configuration in less.
-
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
 constexpr std::int64_t LengthRanks = 3; // Ranks by length within one of the operator's.
 constexpr std::int64_t ShortPrompt = 16'000; // Tokens.
 constexpr std::int64_t LongPrompt = 70'000; // Tokens.
 
-/// Patience before another engine is tried: some times what the first event was expected to take, and a floor that
-/// covers passes which the daemon's view of the load does not show yet.
-constexpr double PatienceFactor = 4;
-constexpr auto LeastPatience = absl::Milliseconds(1200);
-constexpr double GapPatienceFactor = 4; // Of the longest pause that counts as in time.
-constexpr auto LeastGapPatience = absl::Milliseconds(1400); // Callers leave a stream after two seconds of silence.
-/// A target that answered any request within this is alive: passes of a busy engine are shorter.
-constexpr auto LivesWithin = absl::Milliseconds(700);
 /// Part of the aim that a request waits here for a free target: a refusal after it comes too late to be made up for.
 constexpr double WaitShare = 0.22;
-/// Aims that a request with a long prompt waits here at most: its engines free up in seconds, not in milliseconds.
-constexpr double LooseWaitAims = 2;
 constexpr auto NoHelpSpan = absl::Milliseconds(300); // An engine gets through its reading in less.
-constexpr double PlainPatienceFactor = 2; // Of the aim; work of plain services is short.
-constexpr auto LeastPlainPatience = absl::Milliseconds(300);
-
-metrics::Timer timerFor(std::int64_t tokens)
-{
-    constexpr std::int64_t Medium = 4'000;
-    constexpr std::int64_t Large = 16'000;
-    constexpr std::int64_t Huge = 100'000;
-    if (tokens >= Huge) {
-        return metrics::Timer::FirstToken100k;
-    }
-    if (tokens >= Large) {
-        return metrics::Timer::FirstToken16k;
-    }
-    return tokens >= Medium ? metrics::Timer::FirstToken4k : metrics::Timer::FirstToken1k;
-}
 
 bool contains(const std::vector<std::string> &ids, const std::string &id)
 {
@@ -284,21 +254,6 @@
     m_current.target->heardAt = now;
 }
 
-bool RequestProgress::waitedEnough(core::Time now) const noexcept
-{
-    // A stream that the caller has begun to read, or work that may have run, is worth waiting for.
-    if (m_ranSomewhere) {
-        return false;
-    }
-    const auto longest = isTight() || !m_facts.prompt ? m_route->aim : m_route->aim * LooseWaitAims;
-    return now - m_arrivedAt >= longest;
-}
-
-bool RequestProgress::targetLives(core::Time now) const noexcept
-{
-    return now - m_current.target->heardAt < LivesWithin;
-}
-
 void RequestProgress::answered(core::Time now)
 {
     for (const auto &share : m_shares) {
@@ -312,7 +267,7 @@
     m_answeredAt = now;
     m_lastEventAt = now;
     if (m_facts.prompt) {
-        m_context.metrics.time(timerFor(m_facts.prompt->promptTokens), now - m_arrivedAt);
+        m_context.metrics.time(metrics::firstTokenTimer(m_facts.prompt->promptTokens), now - m_arrivedAt);
     }
 }
 
@@ -439,36 +394,6 @@
     return static_cast<int>(std::clamp<std::int64_t>(m_priority * LengthRanks + length, MostUrgent, LeastUrgent));
 }
 
-core::Duration RequestProgress::patience(const ChosenTargets &chosen, bool answering) const noexcept
-{
-    if (m_route->kind != config::RouteKind::Stream) {
-        return std::max(m_route->aim * PlainPatienceFactor, core::Duration(LeastPlainPatience));
-    }
-    if (!answering) {
-        return std::max(chosen.expected * PatienceFactor, core::Duration(LeastPatience));
-    }
-    return m_route->gapAim == absl::InfiniteDuration()
-        ? m_route->gapAim
-        : std::max(m_route->gapAim * GapPatienceFactor, core::Duration(LeastGapPatience));
-}
-
-core::Duration RequestProgress::retryAfter(Reason reason) const noexcept
-{
-    switch (reason) {
-    case Reason::Stopping:
-    case Reason::StaleConfiguration:
-        return RetryAfterElsewhere;
-    case Reason::NotReady:
-        return RetryAfterUnknown;
-    case Reason::UnknownPath:
-    case Reason::MissingKey:
-    case Reason::UnknownKey:
-        return absl::ZeroDuration(); // Coming back will not help.
-    default:
-        return RetryAfterFull;
-    }
-}
-
 Refusal RequestProgress::lastWord(Reason reason) const noexcept
 {
     Refusal refusal;
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -11,6 +11,7 @@
 #include "spurlug/relay/freshness.h"
 #include "spurlug/relay/peer_state.h"
 #include "spurlug/relay/placement.h"
+#include "spurlug/relay/request_progress.h"
 #include "spurlug/relay/retry_ledger.h"
 #include "spurlug/relay/target_set.h"
 #include "spurlug/relay/verdict.h"
@@ -178,6 +179,18 @@
     BOOST_TEST(targets.find("a")->peers.requests == 0);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_turned_help_down_still_gets_requests_of_its_own)
+{
+    RelayState state;
+    state.context.targets.put(entry("a"));
+    RequestProgress request(state.context, {}, at(0));
+    request.helpRefused(entry("a").address, at(0));
+    const auto target = state.context.targets.find("a");
+    BOOST_TEST(!target->health.ejected(at(1)));
+    BOOST_TEST((target->noHelpUntil > at(1)));
+    BOOST_TEST((target->noHelpUntil < at(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(events_come_out_whole_and_unchanged)
 {
     EventSplitter splitter;
