Long prompts are read evenly by all engines whose streams stay in time; short ones do not queue for slots

In fare bursts 0.5 to 1.9 s passed before the first event at engines whose passes were short: all their slots were taken, which the estimate did not know. Change: prompts with long pauses go evenly over every engine that stays calm (passes below 200 ms with tight streams, 450 ms else), wait 0.22 of the aim for such, then take all but those kept for tight streams, whose number follows the tight requests (was a fixed share of 0.28); memory of several engines is chosen among the same ones; the wait for a slot counts; requests that are still read count as tight; 2.5 s patience with long prompts instead of 1.2 s, since each resend reads them again.

--- a/include/spurlug/config/route_table.h
+++ b/include/spurlug/config/route_table.h
@@ -65,7 +65,7 @@
     double readTokensPerMs = 200; ///< Prompt tokens read in one ms.
     double pairsMsPerMillion = 0; ///< Added to reading by each million pairs of a token and an earlier one, ms.
     double hopMs = 0; ///< Added to each step by a prompt that lies on several engines, ms.
-    std::int64_t chunkTokens = 2048; ///< Most prompt tokens read in one pass.
+    std::int64_t chunkTokens = 2048; ///< Most prompt tokens read in one step.
     int stepsPerPass = 1; ///< Token steps of a pass that has generating requests.
     int slots = 1; ///< Requests that run at once.
     std::int64_t memoryTokens = 0; ///< KV memory, tokens.
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -63,6 +63,13 @@
 /// \brief Time to read one of `parts` even parts of a prompt, ms. Each has its share of the pairs of the whole prompt.
 [[nodiscard]] double partMs(const config::EngineCosts &costs, std::int64_t promptTokens, std::size_t parts) noexcept;
 
+/// \brief Engines to be kept for tight streams: enough for those there are.
+[[nodiscard]] std::size_t enginesForTight(const std::vector<Outstanding> &loads, int slots,
+                                          const PlacementRule &rule) noexcept;
+
+/// \brief Spreads choices: a number from 0 to 1 that differs by candidate and request.
+[[nodiscard]] double choiceJitter(std::uint64_t pick, std::size_t candidate) noexcept;
+
 /// \brief Chooses engines for a prompt.
 /// \param pick A random number: daemons that see the same loads must not all choose alike.
 /// \returns Nothing when no engine has a slot and memory for it.
--- a/include/spurlug/settings/placement_rule.h
+++ b/include/spurlug/settings/placement_rule.h
@@ -17,25 +17,26 @@
     /// Streams whose longest pause is below this are tight: a long prompt read beside them makes them late.
     core::Duration tightGap = absl::Milliseconds(400);
     /// A pass longer than this makes tight streams late: their pause less the time in which loads are not known yet.
-    double tightPassMs = 160;
-    double loosePassMs = 400; ///< The same, of other streams.
+    double tightPassMs = 200;
+    double loosePassMs = 450; ///< The same, of other streams.
     double harmWeight = 1; ///< Of each ms beyond that, for each stream that it delays.
     double expectedWeight = 0.2; ///< Of each ms until the first event, while that is in time.
     double lateWeight = 3; ///< Of each ms beyond the part of the aim that is in time for sure.
     double aimShare = 0.6; ///< That part.
-    double helperCostMs = 4; ///< Of one more engine that reads a part.
+    double helperCostMs = 4; ///< Of one more engine that reads a part of a tight prompt.
     /// Of a first tight stream at an engine: it keeps long prompts from being read there.
     double firstTightCostMs = 60;
     double otherDomainCostMs = 0.5; ///< Of a target elsewhere: the way there and back.
     /// Reading that may wait at an engine before requests wait here instead, ms: whichever engine gets through first
     /// can take them then.
     double mostAheadTightMs = 250;
-    double mostAheadLooseMs = 1500; ///< The same, for streams that bear longer pauses.
     /// Reading that may wait at an engine before requests are refused, ms: callers leave a silent stream after 2 s.
     double mostQueueMs = 1000;
     double queueShare = 0.5; ///< Requests that may queue at an engine beyond its slots, as a share of them.
-    /// Share of the engines that long prompts keep off. All daemons choose the same ones, by the order of their ids.
-    double tightOnlyShare = 0.28;
+    /// Share of their slots that engines kept for tight streams are filled to before one more is kept.
+    double tightFill = 0.75;
+    double tightSpare = 4; ///< Tight streams that room is kept for beyond those there are.
+    double tightOnlyShare = 0.6; ///< Most of the engines that are kept for tight streams.
     /// How much of what this daemon sent of late each other daemon is taken to have sent as well: all see the same
     /// engine fall free.
     double unseenShare = 1;
--- a/include/spurlug/targets/outstanding.h
+++ b/include/spurlug/targets/outstanding.h
@@ -16,7 +16,7 @@
     std::int64_t partMicros = 0; ///< The same, of parts of prompts for other targets; read ahead of its own, us.
     std::int64_t requests = 0; ///< Requests that the target answers, read or generating.
     std::int64_t writers = 0; ///< Of these, requests that generate.
-    std::int64_t tightWriters = 0; ///< Of these, requests that bear short pauses only.
+    std::int64_t tightRequests = 0; ///< Of `requests`, those that bear short pauses only.
     std::int64_t parts = 0; ///< Parts of prompts being read for other targets.
     std::int64_t memoryTokens = 0; ///< KV memory that the work can come to need.
     std::int64_t contextTokens = 0; ///< Of the requests that generate.
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -106,7 +106,7 @@
     out.set_part_micros(clamp32(work.work.partMicros));
     out.set_requests(clamp32(work.work.requests));
     out.set_writers(clamp32(work.work.writers));
-    out.set_tight_writers(clamp32(work.work.tightWriters));
+    out.set_tight_requests(clamp32(work.work.tightRequests));
     out.set_parts(clamp32(work.work.parts));
     out.set_memory_tokens(clamp32(work.work.memoryTokens));
     out.set_context_tokens(clamp32(work.work.contextTokens));
@@ -120,7 +120,7 @@
     work.work.partMicros = in.part_micros();
     work.work.requests = in.requests();
     work.work.writers = in.writers();
-    work.work.tightWriters = in.tight_writers();
+    work.work.tightRequests = in.tight_requests();
     work.work.parts = in.parts();
     work.work.memoryTokens = in.memory_tokens();
     work.work.contextTokens = in.context_tokens();
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -23,6 +23,9 @@
 /// covers passes which the daemon's view of the load does not show yet.
 constexpr double PatienceFactor = 4;
 constexpr auto LeastPatience = absl::Milliseconds(1200);
+/// The same for long prompts: an engine that waits for a dead one says so itself after its own time-out, and reading
+/// them again elsewhere slows all others.
+constexpr auto LeastLoosePatience = absl::Milliseconds(2500);
 constexpr double GapPatienceFactor = 4; // Of the longest pause that counts as in time.
 constexpr auto LeastGapPatience = absl::Milliseconds(1400); // Callers leave a stream after two seconds of silence.
 /// A target that answered any request within this is alive: passes of a busy engine are shorter.
@@ -55,7 +58,8 @@
         return std::max(m_route->aim * PlainPatienceFactor, core::Duration(LeastPlainPatience));
     }
     if (!answering) {
-        return std::max(chosen.expected * PatienceFactor, core::Duration(LeastPatience));
+        return std::max(chosen.expected * PatienceFactor,
+                        core::Duration(isTight() ? LeastPatience : LeastLoosePatience));
     }
     return m_route->gapAim == absl::InfiniteDuration()
         ? m_route->gapAim
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -34,6 +34,8 @@
 
 /// Part of the aim that a request waits here for a free target: a refusal after it comes too late to be made up for.
 constexpr double WaitShare = 0.22;
+/// The same of a request whose stream bears longer pauses: it waits for engines whose streams it will not disturb.
+constexpr double CalmWaitShare = 0.22;
 constexpr auto NoHelpSpan = absl::Milliseconds(300); // An engine gets through its reading in less.
 
 bool contains(const std::vector<std::string> &ids, const std::string &id)
@@ -158,14 +160,20 @@
     const bool someWell
         = std::any_of(targets.begin(), targets.end(), [&](const auto &target) { return usable(*target, false, now); });
     const auto &rule = m_context.settings.placement;
-    const auto tightOnly
-        = static_cast<std::size_t>(std::floor(static_cast<double>(targets.size()) * rule.tightOnlyShare));
+    std::vector<Outstanding> loads;
+    loads.reserve(targets.size());
+    for (const auto &target : targets) {
+        auto load = target->own(now);
+        load += target->peers;
+        loads.push_back(load);
+    }
+    const auto slots = targets.empty() ? 1 : targets.front()->entry.slots;
+    const auto tightOnly = enginesForTight(loads, slots, rule);
     const auto others = static_cast<double>(m_context.daemons - 1) * rule.unseenShare;
     std::vector<Candidate> all;
     for (const auto &target : targets) {
         Candidate candidate;
-        candidate.load = target->own(now);
-        candidate.load += target->peers;
+        candidate.load = loads[all.size()];
         candidate.unseen = target->ownSince(now - m_context.peerWorkAge, now);
         candidate.unseen *= others;
         candidate.tightOnly = all.size() < tightOnly;
@@ -192,7 +200,7 @@
     const bool isPrompt = spec != nullptr && spec->engine && m_facts.prompt;
     std::optional<Placement> placement;
     if (isPrompt) {
-        const bool mayQueue = now - m_arrivedAt >= m_route->aim * WaitShare;
+        const bool mayQueue = now - m_arrivedAt >= m_route->aim * (isTight() ? WaitShare : CalmWaitShare);
         const PromptRequest prompt{*m_facts.prompt, m_route->aim, isTight(), mayQueue};
         placement = placePrompt(*spec->engine, prompt, all, m_context.settings.placement, pick);
     } else {
--- /dev/null
+++ b/src/relay/spread_placement.cpp
@@ -0,0 +1,180 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: where a prompt goes whose stream bears longer pauses
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/engine_estimate.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+constexpr std::int64_t MemoryBlock = 16; // Tokens; reservations are whole blocks.
+constexpr std::int64_t LeastHolding = 4096; // Tokens; smaller ones are not worth an order.
+
+/// Reads one prompt in even parts, each at an engine of its own.
+class SpreadPlacer
+{
+public:
+    using Readers = std::vector<std::size_t>;
+
+    SpreadPlacer(const config::EngineCosts &costs, const PromptRequest &request, const EngineEstimate &engines,
+                 const PlacementRule &rule)
+        : m_costs(costs)
+        , m_request(request)
+        , m_engines(engines)
+        , m_rule(rule)
+    { }
+
+    [[nodiscard]] std::optional<Placement> place() const
+    {
+        auto readers = m_request.mayQueue ? notKeptFree() : calmOnes();
+        const auto part = partOver(readers.size());
+        std::sort(readers.begin(), readers.end(), [&](std::size_t left, std::size_t right) {
+            return m_engines.readingCost(left, part) < m_engines.readingCost(right, part);
+        });
+        Placement placement;
+        if (const auto target = writerAmong(readers, part)) {
+            placement.target = *target;
+        } else if (!holdAmong(readers, placement)) {
+            return std::nullopt;
+        }
+        addReaders(readers, placement);
+        placement.expected = absl::Milliseconds(m_engines.finishMs(placement.target, placement.helpers, part));
+        placement.partRead = absl::Milliseconds(part);
+        return placement;
+    }
+
+private:
+    [[nodiscard]] std::size_t mostHelpers() const
+    {
+        return static_cast<std::size_t>(m_rule.mostHelpers);
+    }
+
+    /// Most parts of the prompt that are worth a message each.
+    [[nodiscard]] std::size_t mostParts() const
+    {
+        const auto parts = m_request.prompt.promptTokens / m_rule.leastPartTokens;
+        return static_cast<std::size_t>(std::clamp<std::int64_t>(parts, 1, m_rule.mostHelpers + 1));
+    }
+
+    [[nodiscard]] double partOver(std::size_t readers) const
+    {
+        return partMs(m_costs, m_request.prompt.promptTokens, std::clamp<std::size_t>(readers, 1, mostParts()));
+    }
+
+    [[nodiscard]] Readers all() const
+    {
+        Readers readers;
+        for (std::size_t i = 0; i < m_engines.size(); ++i) {
+            if (m_engines.takesPart(i)) {
+                readers.push_back(i);
+            }
+        }
+        return readers;
+    }
+
+    /// All but the engines kept for tight streams, unless there are only those.
+    [[nodiscard]] Readers notKeptFree() const
+    {
+        const auto every = all();
+        auto readers = every;
+        std::erase_if(readers, [&](std::size_t i) { return m_engines.at(i).tightOnly; });
+        return readers.empty() ? every : readers;
+    }
+
+    /// Engines whose streams stay in time. The fewer they are, the larger each part: looks until none is left out.
+    [[nodiscard]] Readers calmOnes() const
+    {
+        auto readers = all();
+        std::size_t before = 0;
+        do {
+            before = readers.size();
+            const auto part = partOver(before);
+            std::erase_if(readers, [&](std::size_t i) { return !m_engines.staysCalm(i, part); });
+        } while (readers.size() != before);
+        return readers;
+    }
+
+    /// The best of the readers to generate the answer; nothing when none has a slot and memory.
+    [[nodiscard]] std::optional<std::size_t> writerAmong(const Readers &readers, double part) const
+    {
+        std::optional<std::size_t> best;
+        double bestCost = std::numeric_limits<double>::infinity();
+        for (const auto i : readers) {
+            if (!m_engines.hasSlot(i) || !m_engines.holdsPrompt(i)) {
+                continue;
+            }
+            const auto amongTight = m_engines.servesTight(i) ? m_rule.firstTightCostMs : 0;
+            const auto cost = m_engines.readingCost(i, part) + amongTight;
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    /// Lays a prompt that no reader can hold alone into the memory of several.
+    /// \returns False when they have not enough together.
+    [[nodiscard]] bool holdAmong(const Readers &readers, Placement &placement) const
+    {
+        auto roomiest = readers;
+        std::stable_sort(roomiest.begin(), roomiest.end(), [this](std::size_t left, std::size_t right) {
+            return m_engines.freeMemory(left) > m_engines.freeMemory(right);
+        });
+        const auto target
+            = std::find_if(roomiest.begin(), roomiest.end(), [this](std::size_t i) { return m_engines.hasSlot(i); });
+        if (target == roomiest.end() || m_engines.freeMemory(*target) <= 0) {
+            return false;
+        }
+        placement.target = *target;
+        roomiest.erase(target);
+        auto missing = m_request.prompt.memoryTokens() - m_engines.freeMemory(placement.target);
+        for (const auto holder : roomiest) {
+            const auto free = m_engines.freeMemory(holder) / MemoryBlock * MemoryBlock;
+            if (missing <= 0 || free < LeastHolding || placement.holdings.size() == mostHelpers()) {
+                break;
+            }
+            const auto wanted = (missing + MemoryBlock - 1) / MemoryBlock * MemoryBlock;
+            const auto tokens = std::min(free, std::max(wanted, LeastHolding));
+            placement.holdings.push_back({holder, tokens});
+            placement.helpers.push_back(holder);
+            missing -= tokens;
+        }
+        return missing <= 0;
+    }
+
+    /// Adds readers that are not in the placement yet, best first, up to the most parts.
+    void addReaders(const Readers &readers, Placement &placement) const
+    {
+        const auto holders = placement.helpers;
+        for (const auto reader : readers) {
+            const bool used
+                = reader == placement.target || std::find(holders.begin(), holders.end(), reader) != holders.end();
+            if (!used && placement.helpers.size() + 1 < mostParts()) {
+                placement.helpers.push_back(reader);
+            }
+        }
+    }
+
+    const config::EngineCosts &m_costs;
+    const PromptRequest &m_request;
+    const EngineEstimate &m_engines;
+    const PlacementRule &m_rule;
+};
+
+} // namespace
+
+std::optional<Placement> placeSpread(const config::EngineCosts &costs, const PromptRequest &request,
+                                     const EngineEstimate &engines, const PlacementRule &rule)
+{
+    return SpreadPlacer(costs, request, engines, rule).place();
+}
+
+} // namespace spurlug::relay
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -47,6 +47,7 @@
 Outstanding Share::work(core::Time now) const noexcept
 {
     auto work = m_work;
+    work.tightRequests = m_tight ? 1 : 0;
     if (m_reading) {
         work.readMicros = unread(work.readMicros, m_expected, now);
         work.partMicros = unread(work.partMicros, m_expected, now);
@@ -56,7 +57,6 @@
     work.partMicros = 0;
     if (m_kind == Kind::Request) {
         work.writers = 1;
-        work.tightWriters = m_tight ? 1 : 0;
         work.contextTokens = work.memoryTokens;
     } else {
         work.parts = 0;
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -44,9 +44,10 @@
     rule.firstTightCostMs = reader.number("firstTightCostMs", 0, MostMs, rule.firstTightCostMs);
     rule.otherDomainCostMs = reader.number("otherDomainCostMs", 0, MostMs, rule.otherDomainCostMs);
     rule.mostAheadTightMs = reader.number("mostAheadTightMs", 0, MostMs, rule.mostAheadTightMs);
-    rule.mostAheadLooseMs = reader.number("mostAheadLooseMs", 0, MostMs, rule.mostAheadLooseMs);
     rule.mostQueueMs = reader.number("mostQueueMs", 0, MostMs, rule.mostQueueMs);
     rule.queueShare = reader.number("queueShare", 0, MostWeight, rule.queueShare);
+    rule.tightFill = reader.number("tightFill", 0.1, 1, rule.tightFill);
+    rule.tightSpare = reader.number("tightSpare", 0, MostWeight, rule.tightSpare);
     rule.tightOnlyShare = reader.number("tightOnlyShare", 0, 1, rule.tightOnlyShare);
     rule.unseenShare = reader.number("unseenShare", 0, MostWeight, rule.unseenShare);
     rule.mostHelpers = static_cast<int>(reader.integer("mostHelpers", 0, MostEngines, rule.mostHelpers));
--- a/src/targets/outstanding.cpp
+++ b/src/targets/outstanding.cpp
@@ -16,7 +16,7 @@
     partMicros += other.partMicros;
     requests += other.requests;
     writers += other.writers;
-    tightWriters += other.tightWriters;
+    tightRequests += other.tightRequests;
     parts += other.parts;
     memoryTokens += other.memoryTokens;
     contextTokens += other.contextTokens;
@@ -29,7 +29,7 @@
     partMicros -= other.partMicros;
     requests -= other.requests;
     writers -= other.writers;
-    tightWriters -= other.tightWriters;
+    tightRequests -= other.tightRequests;
     parts -= other.parts;
     memoryTokens -= other.memoryTokens;
     contextTokens -= other.contextTokens;
@@ -39,7 +39,7 @@
 Outstanding &Outstanding::operator*=(double factor) noexcept
 {
     for (auto *field :
-         {&readMicros, &partMicros, &requests, &writers, &tightWriters, &parts, &memoryTokens, &contextTokens}) {
+         {&readMicros, &partMicros, &requests, &writers, &tightRequests, &parts, &memoryTokens, &contextTokens}) {
         *field = static_cast<std::int64_t>(static_cast<double>(*field) * factor);
     }
     return *this;
