--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -60,7 +60,12 @@
                                      std::uint64_t pick)
 {
     const EngineEstimate engines(costs, request, candidates, rule, pick);
-    return request.tight ? placeTight(costs, request, engines, rule) : placeSpread(costs, request, engines, rule);
+    const auto largest = static_cast<double>(costs.memoryTokens) * rule.memoryShare;
+    const bool fitsOneEngine = static_cast<double>(request.prompt.memoryTokens()) <= largest;
+    if (request.tight && fitsOneEngine) {
+        return placeTight(costs, request, engines, rule);
+    }
+    return placeSpread(costs, request, engines, rule);
 }
 
 std::optional<Placement> placePlain(const std::vector<Candidate> &candidates, const PlacementRule &rule,
