--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -26,6 +26,7 @@
     std::vector<ObservedLoad> loads;
     std::vector<DomainSummary> summaries;
     std::vector<targets::TargetWork> work; ///< Of the sender itself.
+    std::vector<std::uint32_t> unreachable; ///< targets::targetHash of targets that do not answer the sender.
     std::vector<core::Address> knownPeers; ///< Of some daemons that the sender hears.
 };
 
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -96,7 +96,7 @@
     /// @}
 
 private:
-    [[nodiscard]] std::vector<Candidate> candidates(const TargetSet::Targets &targets, core::Time now) const;
+    [[nodiscard]] std::vector<Candidate> candidates(const TargetSet::Targets &targets, core::Time now);
     [[nodiscard]] bool usable(const Target &target, bool evenEjected, core::Time now) const;
     [[nodiscard]] const std::string &chooseService();
     [[nodiscard]] bool isTight() const noexcept;
@@ -112,6 +112,7 @@
     std::int64_t m_priority = 0;
     core::Time m_deadline = absl::InfiniteFuture();
     bool m_counted = false; ///< Whether the service's ledger knows of the request.
+    bool m_heedsReports = true; ///< Whether peers' reports of unreachable targets are few enough to be believed.
     std::vector<std::unique_ptr<Share>> m_shares;
     std::vector<std::string> m_sentTo; ///< Ids of targets that have seen the request.
     std::vector<std::string> m_unreachable; ///< Ids of targets that took no connection.
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -212,7 +212,9 @@
             }
             m_attempt->abort();
             m_failure = core::Reason::TargetSilent;
-            m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, TargetFault::Silent, "silence", now);
+            // With helpers it is not known which of the engines is at fault.
+            const auto fault = chosen.helpers.empty() ? std::optional(TargetFault::Silent) : std::nullopt;
+            m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, fault, "silence", now);
             co_return Next::SendAgain;
         }
         if (std::holds_alternative<HeadArrived>(*event) || std::holds_alternative<BytesArrived>(*event)) {
--- a/include/spurlug/relay/target_health.h
+++ b/include/spurlug/relay/target_health.h
@@ -48,6 +48,12 @@
         return now < m_ejectedUntil;
     }
 
+    /// \brief Whether it was ejected because it could not be reached or kept silent, and has not answered since.
+    [[nodiscard]] bool unreachable() const noexcept
+    {
+        return m_unreachable && onProbation();
+    }
+
     /// \brief Whether it was ejected and has not answered since: it gets one request at a time.
     [[nodiscard]] bool onProbation() const noexcept
     {
@@ -66,6 +72,7 @@
     double m_share = 0;
     int m_inARow = 0;
     int m_ejections = 0;
+    bool m_unreachable = false; ///< Why it was ejected last.
     core::Time m_ejectedUntil = absl::InfinitePast();
 };
 
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -82,6 +82,7 @@
     Outstanding peers; ///< What the peers said of their own work here.
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
     core::Time noHelpUntil = absl::InfinitePast(); ///< It turned help or a reservation down; not asked before this.
+    core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
 
     /// \brief Work of this daemon here.
@@ -123,6 +124,10 @@
     /// \brief Forgets the work of a peer that is not heard any more.
     void forgetPeer(const std::string &peer);
 
+    /// \brief Takes a peer's report of targets that do not answer it. A peer that can reach few targets is itself cut
+    /// off, so its report says nothing of them.
+    void peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now);
+
     /// @}
     /// \name Queries
     /// @{
@@ -135,6 +140,8 @@
     [[nodiscard]] core::Ref<Target> at(const core::Address &address, core::Time now) const;
     /// \brief Work of this daemon at each target where it has some.
     [[nodiscard]] std::vector<TargetWork> ownWork(core::Time now) const;
+    /// \brief Hashes of targets that do not answer this daemon.
+    [[nodiscard]] std::vector<std::uint32_t> unreachable(core::Time now) const;
     [[nodiscard]] const std::unordered_map<std::string, core::Ref<Target>> &all() const noexcept;
 
     /// @}
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -146,6 +146,9 @@
     for (const auto &work : heartbeat.work) {
         writeWork(work, *out.add_work());
     }
+    for (const auto target : heartbeat.unreachable) {
+        out.add_unreachable(target);
+    }
     for (const auto &peer : heartbeat.knownPeers) {
         out.add_known_peers(peer.text());
     }
@@ -211,6 +214,7 @@
         for (const auto &work : inner.work()) {
             heartbeat.work.push_back(readWork(work));
         }
+        heartbeat.unreachable.assign(inner.unreachable().begin(), inner.unreachable().end());
         for (const auto &peer : inner.known_peers()) {
             heartbeat.knownPeers.push_back(core::parseAddress(peer));
         }
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -95,6 +95,7 @@
     heartbeat.news.state = m_context.draining ? membership::DaemonState::Leaving : membership::DaemonState::Serving;
     heartbeat.news.generation = m_context.table ? m_context.table->version : 0;
     heartbeat.work = m_context.targets.ownWork(now);
+    heartbeat.unreachable = m_context.targets.unreachable(now);
     if (m_sequence % IntroductionEvery != 1 && !m_introduce) {
         return heartbeat;
     }
@@ -179,6 +180,7 @@
                   {{"vm", news.vm}, {"address", news.peerAddress.text()}, {"incarnation", news.incarnation}});
     }
     m_context.targets.peerWork(news.vm, heartbeat->work);
+    m_context.targets.peerReport(heartbeat->unreachable, now);
     for (const auto &address : heartbeat->knownPeers) {
         m_candidates.emplace(address.text(), now);
     }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -36,6 +36,11 @@
 constexpr double WaitShare = 0.22;
 /// The same of a request whose stream bears longer pauses: it waits for engines whose streams it will not disturb.
 constexpr double CalmWaitShare = 0.22;
+/// An engine that turns a request down after this waited for one that helps it in vain; it says so at once when the
+/// helper is only busy or leaving. Engines wait 1.5 s on the users' platform.
+constexpr auto HelperStall = absl::Milliseconds(900);
+/// Share of a service's targets up to which peers' reports are believed: beyond it the network is at fault.
+constexpr double MostAvoidedShare = 0.34;
 constexpr auto NoHelpSpan = absl::Milliseconds(300); // An engine gets through its reading in less.
 
 bool contains(const std::vector<std::string> &ids, const std::string &id)
@@ -151,12 +156,19 @@
     if (evenEjected) {
         return true;
     }
+    // A daemon that could not reach it either tries it itself: if all waited for each other it would never return.
+    if (m_heedsReports && now < target.reportedUntil && !target.health.onProbation()) {
+        return false;
+    }
     const bool waitsForProof = target.health.onProbation() && target.own(now).requests > 0;
     return !target.health.ejected(now) && !waitsForProof;
 }
 
-std::vector<Candidate> RequestProgress::candidates(const TargetSet::Targets &targets, core::Time now) const
+std::vector<Candidate> RequestProgress::candidates(const TargetSet::Targets &targets, core::Time now)
 {
+    const auto reported = std::count_if(targets.begin(), targets.end(),
+                                        [&](const auto &target) { return now < target->reportedUntil; });
+    m_heedsReports = static_cast<double>(reported) <= static_cast<double>(targets.size()) * MostAvoidedShare;
     const bool someWell
         = std::any_of(targets.begin(), targets.end(), [&](const auto &target) { return usable(*target, false, now); });
     const auto &rule = m_context.settings.placement;
@@ -180,7 +192,9 @@
         candidate.slots = target->entry.slots;
         candidate.atHome = target->entry.failureDomain == m_context.settings.failureDomain;
         candidate.mayAnswer = usable(*target, !someWell, now);
-        candidate.mayHelp = !target->health.ejected(now) && !target->health.onProbation() && now >= target->noHelpUntil;
+        const bool avoided = m_heedsReports && now < target->reportedUntil;
+        candidate.mayHelp
+            = !avoided && !target->health.ejected(now) && !target->health.onProbation() && now >= target->noHelpUntil;
         all.push_back(candidate);
     }
     return all;
@@ -319,10 +333,20 @@
 void RequestProgress::helpRefused(const core::Address &helper, core::Time now)
 {
     const auto target = m_context.targets.at(helper, now);
-    if (target && target != m_current.target) {
-        target->noHelpUntil = now + NoHelpSpan;
-        core::log(core::LogLevel::Info, "help_refused", {{"request", m_facts.id}, {"target", target->entry.id}});
+    if (!target || target == m_current.target) {
+        return;
     }
+    target->noHelpUntil = now + NoHelpSpan;
+    const bool silent = m_current.target && now - m_sentAt >= HelperStall;
+    if (silent) {
+        target->health.failed(TargetFault::Silent, m_context.ejection, now);
+    }
+    core::log(core::LogLevel::Info, "help_refused",
+              {{"request", m_facts.id},
+               {"target", target->entry.id},
+               {"silent", silent},
+               {"afterMs", m_current.target ? core::toMs(now - m_sentAt) : 0},
+               {"targetLeftOut", target->health.ejected(now)}});
 }
 
 bool RequestProgress::takeResend(bool mayRepeat, core::Time now)
--- a/src/relay/target_health.cpp
+++ b/src/relay/target_health.cpp
@@ -35,6 +35,9 @@
     m_share += (1 - m_share) * rule.weight;
     ++m_inARow;
     const bool unreachable = fault == TargetFault::Unreachable || fault == TargetFault::Silent;
+    if (!ejected(now)) {
+        m_unreachable = unreachable;
+    }
     if (unreachable || m_inARow >= rule.inARow || m_share > rule.errorShare) {
         eject(rule, now);
     }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -17,6 +17,10 @@
 
 /// Part of a prompt that counts as unread until the first event has come, however long it takes.
 constexpr double LeastUnread = 0.05;
+/// A report counts this long: it is told anew with each heartbeat while it holds.
+constexpr auto ReportLife = absl::Milliseconds(1200);
+/// A daemon that cannot reach more than this share of all targets is taken to be cut off itself.
+constexpr double MostReportedShare = 0.2;
 
 /// What is left of `micros` of reading that should end at `expected`.
 std::int64_t unread(std::int64_t micros, core::Time expected, core::Time now)
@@ -159,6 +163,31 @@
     m_peerWorks.erase(known);
 }
 
+void TargetSet::peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now)
+{
+    const auto most = std::max(1.0, static_cast<double>(m_targets.size()) * MostReportedShare);
+    if (static_cast<double>(unreachable.size()) > most) {
+        return;
+    }
+    for (const auto hash : unreachable) {
+        const auto found = m_byHash.find(hash);
+        if (found != m_byHash.end()) {
+            found->second->reportedUntil = now + ReportLife;
+        }
+    }
+}
+
+std::vector<std::uint32_t> TargetSet::unreachable(core::Time now) const
+{
+    std::vector<std::uint32_t> hashes;
+    for (const auto &[hash, target] : m_byHash) {
+        if (target->listed(now) && target->health.unreachable()) {
+            hashes.push_back(hash);
+        }
+    }
+    return hashes;
+}
+
 TargetSet::Targets TargetSet::listed(const std::string &service, core::Time now) const
 {
     Targets found;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -92,6 +92,7 @@
     load.report.queuedTokens = 123'456;
     load.age = absl::Milliseconds(250);
     sent.loads.push_back(load);
+    sent.unreachable = {7, 0xfeedface};
     auto datagram = membership::writeHeartbeat(sent, "key");
     const auto received = membership::readHeartbeat(datagram, "key");
     BOOST_REQUIRE(received.has_value());
@@ -99,6 +100,7 @@
     BOOST_TEST(received->news.generation == 42);
     BOOST_TEST(received->news.rpcAddress.text() == "127.0.0.1:2");
     BOOST_TEST(received->loads.at(0).target == 0xdeadbeef);
+    BOOST_TEST((received->unreachable == std::vector<std::uint32_t>{7, 0xfeedface}));
     BOOST_TEST(received->loads.at(0).report.queuedTokens == 123'456);
     BOOST_TEST((received->loads.at(0).report.condition == targets::TargetCondition::Leaving));
     BOOST_TEST(!membership::readHeartbeat(datagram, "other").has_value());
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -23,6 +23,7 @@
 #include <cstdio>
 #include <fstream>
 #include <memory>
+#include <set>
 
 namespace
 {
@@ -76,10 +77,108 @@
     TargetIntake intake{context, link};
 };
 
+/// A configuration with one public route to engines.
+config::RouteTableRef chatTable()
+{
+    auto table = core::makeCounted<config::RouteTable>();
+    table->version = 1;
+    config::Route route;
+    route.name = "chat";
+    route.host = "a.example";
+    route.pathPrefix = "/";
+    route.kind = config::RouteKind::Stream;
+    route.services = {{"model", 1}};
+    route.timeout = absl::Seconds(10);
+    route.aim = absl::Milliseconds(2500);
+    route.isPublic = true;
+    route.resumable = true;
+    route.mostTargets = 2;
+    table->routes.push_back(route);
+    config::ServiceSpec service;
+    service.name = "model";
+    service.engine = engine();
+    table->services.emplace("model", service);
+    return table;
+}
+
+RequestFacts longPrompt()
+{
+    RequestFacts facts;
+    facts.id = "r";
+    facts.host = "a.example";
+    facts.path = "/";
+    facts.prompt = PromptFacts{40'000, 500};
+    return facts;
+}
+
+/// Ids of all engines that a choice uses.
+std::set<std::string> idsOf(const ChosenTargets &chosen)
+{
+    std::set<std::string> ids{chosen.target->entry.id};
+    for (const auto &helper : chosen.helpers) {
+        ids.insert(helper->entry.id);
+    }
+    return ids;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(relay_decisions)
 
+BOOST_AUTO_TEST_CASE(a_target_that_a_peer_cannot_reach_is_avoided_unless_the_peer_reaches_few)
+{
+    RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
+    for (const auto *id : {"a", "b", "c", "d", "e", "f"}) {
+        state.context.targets.put(entry(id));
+    }
+    RequestProgress request(state.context, longPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    state.context.targets.peerReport({targets::targetHash("f")}, at(0));
+    const auto chosen = request.choose(at(1));
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(idsOf(*chosen).size() == 5U);
+    BOOST_TEST(!idsOf(*chosen).contains("f"));
+    state.context.targets.peerReport({targets::targetHash("e"), targets::targetHash("f")}, at(100));
+    BOOST_TEST(!idsOf(*request.choose(at(101))).contains("f"));
+    BOOST_TEST(idsOf(*request.choose(at(101))).contains("e")); // Two of six: that peer is cut off itself.
+    BOOST_TEST(idsOf(*request.choose(at(2000))).contains("f")); // The report is old.
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_could_not_reach_a_target_itself_tries_it_whatever_its_peers_report)
+{
+    RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
+    state.context.targets.put(entry("a"));
+    const auto target = state.context.targets.find("a");
+    target->health.failed(TargetFault::Unreachable, {}, at(0));
+    BOOST_TEST(state.context.targets.unreachable(at(5000)).size() == 1U); // Until it answers, not only while ejected.
+    target->health.succeeded(at(5000));
+    BOOST_TEST(state.context.targets.unreachable(at(5000)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_helper_that_an_engine_waited_for_in_vain_is_left_out_and_reported)
+{
+    RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
+    for (const auto *id : {"a", "b"}) {
+        state.context.targets.put({id, "model", {"127.0.0.1", static_cast<std::uint16_t>(id[0])}, "hall-a", 16, false});
+    }
+    RequestProgress request(state.context, longPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    const auto chosen = request.choose(at(0));
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_REQUIRE(chosen->helpers.size() == 1U);
+    const auto helper = chosen->helpers.front();
+    request.begin(*chosen, at(0));
+    request.helpRefused(helper->entry.address, at(100)); // Busy or leaving.
+    BOOST_TEST(state.context.targets.unreachable(at(101)).empty());
+    request.helpRefused(helper->entry.address, at(1500));
+    BOOST_TEST(helper->health.ejected(at(1501)));
+    BOOST_REQUIRE(state.context.targets.unreachable(at(1501)).size() == 1U);
+    BOOST_TEST(state.context.targets.unreachable(at(1501)).front() == targets::targetHash(helper->entry.id));
+}
+
 BOOST_AUTO_TEST_CASE(a_proof_counts_from_the_moment_of_the_question_and_only_for_the_newest_version)
 {
     Freshness proof;
