Fewer calls to the store and to peers; choices spread by the age of loads

Each daemon polled for a first configuration, took every start of a target as a call of its own, and asked its peers for 0.3 s of every 2 s although the store answered, since a proof counts from the question and gets two waits old. All daemons chose the same engines by loads 0.5 s old, and each took its own last request for 75 others' at the same engine. Change: a missing configuration is waited for; targets are listed once there is one, and changes that come together are read together; peers are asked when the store is silent, not when a proof is old; a wait is 1.2 s; jitter of choices grows with the age of loads and at most 7 unseen daemons are assumed; heartbeats take 5 MB/s of the whole fleet (0.2 s at 76 daemons; at 420 as before); parts of long prompts go to engines without tight streams first.

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -32,7 +32,9 @@
     config::RouteTableRef table; ///< Null until the first configuration was read.
     std::string document; ///< The table's source, for peers.
     Freshness configurationProof;
+    core::Time configurationHeardAt = absl::InfinitePast(); ///< When the directory last answered for the configuration.
     core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
+    core::Time targetsHeardAt = absl::InfinitePast(); ///< When the directory last answered for the targets.
     std::int64_t targetsRevision = 0; ///< The directory's revision that the list of targets is from.
     TargetSet targets;
     RetryLedger retries;
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -89,9 +89,13 @@
     }
 
 private:
-    /// Each answered wait proves the configuration anew; its length bounds the age of the proof. One call a wait.
-    static constexpr auto ConfigurationWait = absl::Milliseconds(1000);
+    /// Each answered wait proves the configuration anew from the moment it was asked for, so a proof gets two waits
+    /// old. One call a wait.
+    static constexpr auto ConfigurationWait = absl::Milliseconds(1200);
     static constexpr auto TargetsWait = absl::Milliseconds(4000);
+    /// After a change: others that come with it, as at a start or in a release, cost no call each.
+    static constexpr auto TargetsPause = absl::Milliseconds(150);
+    static constexpr auto StartPause = absl::Milliseconds(20); ///< Between looks for a first configuration.
 
     RelayContext &m_context;
     D &m_directory;
@@ -114,7 +118,13 @@
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
-        if (answer.status == DirectoryStatus::Ok) {
+        const bool answered = answer.status == DirectoryStatus::Ok || answer.status == DirectoryStatus::Missing;
+        if (answered) {
+            m_context.configurationHeardAt = now;
+        }
+        if (answer.status == DirectoryStatus::Missing) {
+            revision = answer.revision; // It is waited for from here.
+        } else if (answer.status == DirectoryStatus::Ok) {
             revision = answer.revision;
             const auto version
                 = answer.table ? answer.table->version : (m_context.table ? m_context.table->version : 0);
@@ -125,7 +135,10 @@
         } else {
             revision = 0;
         }
-        const auto wait = m_configurationLink.ended(answer.status, answer.detail, now);
+        auto wait = m_configurationLink.ended(answer.status, answer.detail, now);
+        if (answer.status == DirectoryStatus::Missing && revision > 0) {
+            wait = absl::ZeroDuration();
+        }
         if (wait > absl::ZeroDuration()) {
             co_await net::sleepFor(wait);
         }
@@ -135,6 +148,10 @@
 template<Directory D>
 net::Task<> Follower<D>::followTargets()
 {
+    // Nobody is sent anywhere before there is a configuration, and one list then replaces the news of all that start.
+    while (!m_context.table) {
+        co_await net::sleepFor(StartPause);
+    }
     std::int64_t revision = 0;
     for (;;) {
         const auto askedAt = core::now();
@@ -147,9 +164,11 @@
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
-        const auto wait = m_targetsLink.ended(answer.status, answer.detail, now);
+        auto wait = m_targetsLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
+            wait = answer.changes.empty() ? absl::ZeroDuration() : core::Duration(TargetsPause);
             revision = answer.revision;
+            m_context.targetsHeardAt = now;
             m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt);
             if (whole) {
                 m_intake.whole(answer.changes, revision, "directory", now);
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -36,6 +36,7 @@
     core::Duration aim; ///< Time to the first event that counts as in time.
     bool tight = true; ///< Whether its stream bears short pauses only.
     bool mayQueue = false; ///< Whether it may go where others wait already: it has waited here long enough.
+    core::Duration loadAge = absl::ZeroDuration(); ///< How old the known loads of other daemons are.
 };
 
 using settings::PlacementRule;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -266,8 +266,10 @@
         co_await net::sleepFor(AskPause);
         const auto now = core::now();
         const auto version = m_context.table ? m_context.table->version : 0;
-        const bool lacksProof = m_context.configurationProof.age(version, now) > AskAfter;
-        const bool lacksTargets = now - m_context.targetsKnownAt > AskForTargetsAfter;
+        const bool lacksProof = now - m_context.configurationHeardAt > AskAfter
+            && m_context.configurationProof.age(version, now) > AskAfter;
+        const bool lacksTargets = now - m_context.targetsHeardAt > AskForTargetsAfter
+            && now - m_context.targetsKnownAt > AskForTargetsAfter;
         if (!lacksProof && !lacksTargets) {
             continue;
         }
@@ -290,6 +292,7 @@
     request.target = core::cat("/state?version=", m_context.table ? m_context.table->version : 0);
     request.headers.add("Host", peer.text());
     std::string problem;
+    m_metrics.count(metrics::Counter::PeerQuestions);
     const auto answer = co_await net::exchange(m_loop, peer, std::move(request), askedAt + AskTimeout, problem);
     if (!answer || answer->head.status != core::http_status::Ok) {
         co_return; // The next question goes to other peers.
--- a/src/relay/engine_estimate.cpp
+++ b/src/relay/engine_estimate.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr double JitterMs = 4; // Spreads choices of daemons that see the same loads.
+/// Age of loads at which that is enough; the older they are, the more daemons choose by the same ones.
+constexpr auto FreshLoads = absl::Milliseconds(70);
 
 double readingMs(const Outstanding &load) noexcept
 {
@@ -121,7 +123,9 @@
 
 double EngineEstimate::wayMs(std::size_t candidate) const noexcept
 {
-    return (at(candidate).atHome ? 0 : m_rule.otherDomainCostMs) + JitterMs * choiceJitter(m_pick, candidate);
+    const auto staleness = std::max(1.0, absl::FDivDuration(m_request.loadAge, FreshLoads));
+    const auto jitter = JitterMs * staleness * choiceJitter(m_pick, candidate);
+    return (at(candidate).atHome ? 0 : m_rule.otherDomainCostMs) + jitter;
 }
 
 double EngineEstimate::readingCost(std::size_t candidate, double part) const noexcept
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -28,9 +28,9 @@
 constexpr auto ShortestInterval = absl::Milliseconds(50); // Between a burst's requests at one daemon.
 constexpr auto LongestInterval = absl::Milliseconds(500); // So that PeerTimeout spans three heartbeats.
 constexpr double MostBytesPerSecond = 12'000; // Of the 15 KB/s that control may take in a large fleet.
-/// Bytes a second of all daemons together that a small fleet may take instead: at a few machines nothing else is near
-/// its limit, and choices are as good as the loads they go by are new.
-constexpr double SmallFleetBytesPerSecond = 500'000;
+/// Bytes a second of all daemons together that a fleet may take instead, up to some hundred machines: nothing else is
+/// near its limit there, and choices are as good as the loads they go by are new (docs/ROUTING.md).
+constexpr double SmallFleetBytesPerSecond = 5'000'000;
 constexpr auto HeartbeatDelay = absl::Milliseconds(20); // On the way, and until both ends have come to it.
 constexpr auto CandidateLife = absl::Seconds(20); // An address that never answers is forgotten.
 constexpr std::size_t PeersNamed = 6; // In each heartbeat that introduces its sender.
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -36,6 +36,8 @@
 constexpr double WaitShare = 0.22;
 /// The same of a request whose stream bears longer pauses: it waits for engines whose streams it will not disturb.
 constexpr double CalmWaitShare = 0.22;
+/// Most daemons taken to have sent what this one sent of late: in a large fleet the jitter of choices spreads them.
+constexpr double MostUnseen = 7;
 /// An engine that turns a request down after this waited for one that helps it in vain; it says so at once when the
 /// helper is only busy or leaving. Engines wait 1.5 s on the users' platform.
 constexpr auto HelperStall = absl::Milliseconds(900);
@@ -181,7 +183,7 @@
     }
     const auto slots = targets.empty() ? 1 : targets.front()->entry.slots;
     const auto tightOnly = enginesForTight(loads, slots, rule);
-    const auto others = static_cast<double>(m_context.daemons - 1) * rule.unseenShare;
+    const auto others = std::min(static_cast<double>(m_context.daemons - 1), MostUnseen) * rule.unseenShare;
     std::vector<Candidate> all;
     for (const auto &target : targets) {
         Candidate candidate;
@@ -215,7 +217,7 @@
     std::optional<Placement> placement;
     if (isPrompt) {
         const bool mayQueue = now - m_arrivedAt >= m_route->aim * (isTight() ? WaitShare : CalmWaitShare);
-        const PromptRequest prompt{*m_facts.prompt, m_route->aim, isTight(), mayQueue};
+        const PromptRequest prompt{*m_facts.prompt, m_route->aim, isTight(), mayQueue, m_context.peerWorkAge};
         placement = placePrompt(*spec->engine, prompt, all, m_context.settings.placement, pick);
     } else {
         placement = placePlain(all, m_context.settings.placement, pick);
--- a/src/relay/spread_placement.cpp
+++ b/src/relay/spread_placement.cpp
@@ -35,9 +35,8 @@
     {
         auto readers = m_request.mayQueue ? notKeptFree() : calmOnes();
         const auto part = partOver(readers.size());
-        std::sort(readers.begin(), readers.end(), [&](std::size_t left, std::size_t right) {
-            return m_engines.readingCost(left, part) < m_engines.readingCost(right, part);
-        });
+        std::sort(readers.begin(), readers.end(),
+                  [&](std::size_t left, std::size_t right) { return costOf(left, part) < costOf(right, part); });
         Placement placement;
         if (const auto target = writerAmong(readers, part)) {
             placement.target = *target;
@@ -101,6 +100,13 @@
         return readers;
     }
 
+    /// Cost of reading a part at an engine; where others are left, those with tight streams get none.
+    [[nodiscard]] double costOf(std::size_t candidate, double part) const
+    {
+        const auto amongTight = m_engines.servesTight(candidate) ? m_rule.firstTightCostMs : 0;
+        return m_engines.readingCost(candidate, part) + amongTight;
+    }
+
     /// The best of the readers to generate the answer; nothing when none has a slot and memory.
     [[nodiscard]] std::optional<std::size_t> writerAmong(const Readers &readers, double part) const
     {
@@ -110,8 +116,7 @@
             if (!m_engines.hasSlot(i) || !m_engines.holdsPrompt(i)) {
                 continue;
             }
-            const auto amongTight = m_engines.servesTight(i) ? m_rule.firstTightCostMs : 0;
-            const auto cost = m_engines.readingCost(i, part) + amongTight;
+            const auto cost = costOf(i, part);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = i;
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -203,17 +203,28 @@
     m_daemons.at(daemon).daemon->stop();
 }
 
-net::Task<int> RelayFleet::readiness(std::size_t daemon)
+net::Task<std::optional<net::Response>> RelayFleet::read(core::Address address, std::string path)
 {
     net::Request request;
     request.method = "GET";
-    request.target = "/v1/ready";
+    request.target = std::move(path);
     std::string problem;
-    const auto answer = co_await net::exchange(loop, m_daemons.at(daemon).settings.readinessAddress, std::move(request),
-                                               core::now() + absl::Seconds(1), problem);
+    co_return co_await net::exchange(loop, std::move(address), std::move(request), core::now() + absl::Seconds(1),
+                                     problem);
+}
+
+net::Task<int> RelayFleet::readiness(std::size_t daemon)
+{
+    const auto answer = co_await read(m_daemons.at(daemon).settings.readinessAddress, "/v1/ready");
     co_return answer ? answer->head.status : 0;
 }
 
+net::Task<std::string> RelayFleet::metrics(std::size_t daemon)
+{
+    const auto answer = co_await read(m_daemons.at(daemon).settings.metricsAddress, "/metrics");
+    co_return answer ? answer->body : std::string();
+}
+
 net::Task<> RelayFleet::ready()
 {
     for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
--- a/tests/platform/trust_test.cpp
+++ b/tests/platform/trust_test.cpp
@@ -59,6 +59,52 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(while_nothing_happens_the_store_is_asked_seldom_and_peers_not_at_all)
+{
+    RelayFleet fleet(2);
+    for (int i = 0; i < 6; ++i) {
+        fleet.addTarget("model");
+    }
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        co_await net::sleepFor(absl::Milliseconds(300)); // All daemons have read everything.
+        const auto before = fleet.store.calls();
+        constexpr int Spans = 8; // As many waits for the configuration as fit; those for targets are longer.
+        co_await net::sleepFor(absl::Milliseconds(1200) * Spans);
+        int calls = 0;
+        for (const auto &[path, count] : fleet.store.calls()) {
+            const auto known = before.find(path);
+            calls += count - (known == before.end() ? 0 : known->second);
+        }
+        BOOST_TEST(calls <= 2 * (Spans + 4));
+        for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+            const auto metrics = co_await fleet.metrics(daemon);
+            BOOST_TEST(metrics.find("peer_questions_total 0") != std::string::npos);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_before_the_configuration_is_written_waits_for_it_instead_of_polling)
+{
+    RelayFleet fleet;
+    fleet.store.remove("config", "main");
+    fleet.run([&]() -> net::Task<> {
+        co_await net::sleepFor(absl::Milliseconds(3000));
+        for (int i = 0; i < 6; ++i) {
+            fleet.addTarget("app");
+        }
+        int calls = 0;
+        for (const auto &[path, count] : fleet.store.calls()) {
+            calls += count;
+        }
+        BOOST_TEST(calls <= 5);
+        fleet.configure();
+        co_await fleet.ready();
+        const auto got = co_await fleet.ask(plain());
+        BOOST_TEST(got.status == 200);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_leaves_gets_nothing_new)
 {
     RelayFleet fleet;
