A store that is back is noticed at once, so targets that leave later are not kept for a lapse

Entries that lapsed are back within 2 s of the store's return; after that a missing one has left. Change: after a failed call the next wait for targets is 1 ms.

--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -25,6 +25,12 @@
     /// \returns Wait before the next call.
     [[nodiscard]] core::Duration ended(DirectoryStatus status, const std::string &detail, core::Time now);
 
+    /// \brief Whether the last call got no answer.
+    [[nodiscard]] bool lost() const noexcept
+    {
+        return m_status != DirectoryStatus::Ok;
+    }
+
     /// \brief When the directory was last regained; in the infinite past when it was never lost.
     [[nodiscard]] core::Time regainedAt() const noexcept
     {
@@ -93,6 +99,7 @@
     /// old. One call a wait.
     static constexpr auto ConfigurationWait = absl::Milliseconds(1200);
     static constexpr auto TargetsWait = absl::Milliseconds(4000);
+    static constexpr auto ShortestWait = absl::Milliseconds(1);
     /// After a change: others that come with it, as at a start or in a release, cost no call each.
     static constexpr auto TargetsPause = absl::Milliseconds(150);
     static constexpr auto StartPause = absl::Milliseconds(20); ///< Between looks for a first configuration.
@@ -160,7 +167,10 @@
         if (whole) {
             answer = co_await m_directory.listTargets();
         } else {
-            answer = co_await m_directory.awaitTargets(revision, TargetsWait);
+            // After a failure an answer at once tells when the directory is back: what is missing then may still
+            // return.
+            const auto span = m_targetsLink.lost() ? core::Duration(ShortestWait) : core::Duration(TargetsWait);
+            answer = co_await m_directory.awaitTargets(revision, span);
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
--- a/tests/platform/trust_test.cpp
+++ b/tests/platform/trust_test.cpp
@@ -123,6 +123,28 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_leaves_well_after_the_store_is_back_is_not_kept_for_a_lapse)
+{
+    RelayFleet fleet;
+    fleet.addTarget("app");
+    auto &leaving = fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        fleet.store.mood = StoreMood::Silent;
+        co_await net::sleepFor(absl::Milliseconds(5000));
+        fleet.store.mood = StoreMood::Well;
+        co_await net::sleepFor(absl::Milliseconds(3500)); // Entries that lapsed are back within 2 s, or gone.
+        fleet.store.remove("servers", leaving.id());
+        co_await net::sleepFor(absl::Milliseconds(300));
+        const auto before = leaving.ran().size();
+        for (int i = 0; i < 10; ++i) {
+            const auto got = co_await fleet.ask(plain());
+            BOOST_TEST(got.status == 200);
+        }
+        BOOST_TEST(leaving.ran().size() == before);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_forgotten_history_loses_no_change)
 {
     RelayFleet fleet;
