--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -100,8 +100,10 @@
     static constexpr auto ConfigurationWait = absl::Milliseconds(1200);
     static constexpr auto TargetsWait = absl::Milliseconds(4000);
     static constexpr auto ShortestWait = absl::Milliseconds(1);
-    /// After a change: others that come with it, as at a start or in a release, cost no call each.
+    /// Changes that follow each other within `ChangesInARow`, as in a release, are read together after a pause; the
+    /// first ones are read at once.
     static constexpr auto TargetsPause = absl::Milliseconds(150);
+    static constexpr auto ChangesInARow = absl::Milliseconds(600);
     static constexpr auto StartPause = absl::Milliseconds(20); ///< Between looks for a first configuration.
 
     RelayContext &m_context;
@@ -160,6 +162,7 @@
         co_await net::sleepFor(StartPause);
     }
     std::int64_t revision = 0;
+    core::Time changedAt = absl::InfinitePast();
     for (;;) {
         const auto askedAt = core::now();
         const bool whole = revision == 0;
@@ -176,7 +179,10 @@
         const auto now = core::now();
         auto wait = m_targetsLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
-            wait = answer.changes.empty() ? absl::ZeroDuration() : core::Duration(TargetsPause);
+            if (!whole && !answer.changes.empty()) {
+                wait = now - changedAt < ChangesInARow ? core::Duration(TargetsPause) : absl::ZeroDuration();
+                changedAt = now;
+            }
             revision = answer.revision;
             m_context.targetsHeardAt = now;
             m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt);
