--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -58,8 +58,9 @@
     /// \brief Notes that an attempt ended.
     void endAttempt(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
                     const std::string &detail, core::Time now);
-    /// \brief Notes that an engine did not help: it is gone, leaves, is full, or lacks the memory. It is not ejected:
-    /// it may answer requests of its own well.
+    /// \brief Notes that an engine did not help. One that leaves, is full or lacks the memory says so at once: it is
+    /// not asked for help for a while, and may answer requests of its own well. One that was waited for in vain is left
+    /// out.
     void helpRefused(const core::Address &helper, core::Time now);
 
     /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -126,7 +126,8 @@
 
     /// \brief Takes a peer's report of targets that do not answer it. A peer that can reach few targets is itself cut
     /// off, so its report says nothing of them.
-    void peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now);
+    /// \returns Targets that no peer had reported before, for the log.
+    Targets peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now);
 
     /// @}
     /// \name Queries
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -180,7 +180,10 @@
                   {{"vm", news.vm}, {"address", news.peerAddress.text()}, {"incarnation", news.incarnation}});
     }
     m_context.targets.peerWork(news.vm, heartbeat->work);
-    m_context.targets.peerReport(heartbeat->unreachable, now);
+    for (const auto &target : m_context.targets.peerReport(heartbeat->unreachable, now)) {
+        core::log(core::LogLevel::Info, "target_reported",
+                  {{"target", target->entry.id}, {"by", news.vm}, {"reported", heartbeat->unreachable.size()}});
+    }
     for (const auto &address : heartbeat->knownPeers) {
         m_candidates.emplace(address.text(), now);
     }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -163,18 +163,24 @@
     m_peerWorks.erase(known);
 }
 
-void TargetSet::peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now)
+TargetSet::Targets TargetSet::peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now)
 {
+    Targets fresh;
     const auto most = std::max(1.0, static_cast<double>(m_targets.size()) * MostReportedShare);
     if (static_cast<double>(unreachable.size()) > most) {
-        return;
+        return fresh;
     }
     for (const auto hash : unreachable) {
         const auto found = m_byHash.find(hash);
-        if (found != m_byHash.end()) {
-            found->second->reportedUntil = now + ReportLife;
+        if (found == m_byHash.end()) {
+            continue;
+        }
+        if (found->second->reportedUntil < now) {
+            fresh.push_back(found->second);
         }
+        found->second->reportedUntil = now + ReportLife;
     }
+    return fresh;
 }
 
 std::vector<std::uint32_t> TargetSet::unreachable(core::Time now) const
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -134,7 +134,8 @@
     }
     RequestProgress request(state.context, longPrompt(), at(0));
     BOOST_REQUIRE(!request.authorise(at(0)));
-    state.context.targets.peerReport({targets::targetHash("f")}, at(0));
+    BOOST_TEST(state.context.targets.peerReport({targets::targetHash("f")}, at(0)).size() == 1U);
+    BOOST_TEST(state.context.targets.peerReport({targets::targetHash("f")}, at(1)).empty()); // Known already.
     const auto chosen = request.choose(at(1));
     BOOST_REQUIRE(chosen.has_value());
     BOOST_TEST(idsOf(*chosen).size() == 5U);
