An engine that was left out may answer long prompts again, so that it returns where no short ones come

Cause: since a long prompt was answered by one of its readers only. An engine that had been ejected reads for others only after it has answered a request of its own, so on a deployment without short prompts it would never have been used again. Found by making a test check what its name says; that test and a new one were red before the change. Change: engines that may answer but not help are among those that may generate.

--- a/src/relay/spread_placement.cpp
+++ b/src/relay/spread_placement.cpp
@@ -38,7 +38,7 @@
         std::sort(readers.begin(), readers.end(),
                   [&](std::size_t left, std::size_t right) { return costOf(left, part) < costOf(right, part); });
         Placement placement;
-        if (const auto target = writerAmong(readers, part)) {
+        if (const auto target = bestWriter(readers, part)) {
             placement.target = *target;
         } else if (!holdAmong(readers, placement)) {
             return std::nullopt;
@@ -107,12 +107,27 @@
         return m_engines.readingCost(candidate, part) + amongTight;
     }
 
-    /// The best of the readers to generate the answer; nothing when none has a slot and memory.
-    [[nodiscard]] std::optional<std::size_t> writerAmong(const Readers &readers, double part) const
+    /// Engines that may generate the answer: the readers, and those that may not help others now but may answer. An
+    /// engine that was left out is among the latter: it is not asked for help before it has answered a request of its
+    /// own.
+    [[nodiscard]] Readers writers(const Readers &readers, double part) const
+    {
+        auto writers = readers;
+        for (std::size_t i = 0; i < m_engines.size(); ++i) {
+            const bool calmEnough = m_request.mayQueue ? !m_engines.at(i).tightOnly : m_engines.staysCalm(i, part);
+            if (!m_engines.at(i).mayHelp && calmEnough) {
+                writers.push_back(i);
+            }
+        }
+        return writers;
+    }
+
+    /// The best engine to generate the answer; nothing when none has a slot and memory.
+    [[nodiscard]] std::optional<std::size_t> bestWriter(const Readers &readers, double part) const
     {
         std::optional<std::size_t> best;
         double bestCost = std::numeric_limits<double>::infinity();
-        for (const auto i : readers) {
+        for (const auto i : writers(readers, part)) {
             if (!m_engines.hasSlot(i) || !m_engines.holdsPrompt(i)) {
                 continue;
             }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -75,6 +75,17 @@
     BOOST_TEST(std::count(later->helpers.begin(), later->helpers.end(), 0) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_is_not_asked_for_help_may_still_answer_a_long_prompt)
+{
+    auto candidates = idle(2);
+    candidates[0].load.requests = 16;
+    candidates[1].mayHelp = false;
+    const auto placement = placePrompt(engine(), prompt(40'000, false), candidates, {}, 1);
+    BOOST_REQUIRE(placement.has_value());
+    BOOST_TEST(placement->target == 1U);
+    BOOST_TEST((placement->helpers == std::vector<std::size_t>{0}));
+}
+
 BOOST_AUTO_TEST_CASE(a_long_prompt_waits_while_all_engines_are_in_long_passes)
 {
     auto candidates = idle(4);
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -116,10 +116,28 @@
 {
     RelayState state;
     state.context.adopt(chatTable(), "{}", "test", at(0));
-    state.context.targets.put(entry("a"));
-    const auto target = state.context.targets.find("a");
+    for (const auto *id : {"a", "b", "c", "d", "e", "f"}) {
+        state.context.targets.put(entry(id));
+    }
+    const auto target = state.context.targets.find("f");
     target->health.failed(TargetFault::Unreachable, {}, at(0));
     BOOST_TEST(state.context.targets.unreachable(at(5000)).size() == 1U); // Until it answers, not only while ejected.
+    state.context.targets.peerReport({targets::targetHash("f")}, at(5000));
+    std::vector<TargetWork> full;
+    for (const auto *id : {"a", "b", "c", "d", "e"}) {
+        TargetWork work;
+        work.target = targets::targetHash(id);
+        work.work.requests = 16;
+        full.push_back(work);
+    }
+    state.context.targets.peerWork("p", full);
+    auto facts = longPrompt();
+    facts.prompt = PromptFacts{1000, 100};
+    RequestProgress request(state.context, facts, at(4000)); // It has waited long enough to go anywhere.
+    BOOST_REQUIRE(!request.authorise(at(5000)));
+    const auto chosen = request.choose(at(5000));
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(chosen->target->entry.id == "f");
     target->health.succeeded(at(5000));
     BOOST_TEST(state.context.targets.unreachable(at(5000)).empty());
 }
