--- /dev/null
+++ b/include/spurlug/control/roster.h
@@ -0,0 +1,97 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: which daemon holds which role
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/address.h"
+#include "spurlug/core/enum_names.h"
+#include "spurlug/membership/peer_table.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace spurlug::control
+{
+
+/// \brief A duty that few daemons have for the others.
+enum class Role
+{
+    Scheduler, ///< Chooses engines for prompts.
+    Reader, ///< Reads the directory for its failure domain.
+};
+
+/// \brief A daemon that lives, as far as roles depend on it.
+struct Member
+{
+    std::string vm;
+    std::string failureDomain;
+    double processorShare = 0; ///< Of a core; 0: not known.
+    membership::DaemonState state = membership::DaemonState::Serving;
+    core::Address datagrams; ///< Where it takes datagrams.
+    core::Address control; ///< Where it takes requests of other daemons.
+};
+
+/// \brief The daemons that live, this one included, and the order in which they hold roles.
+///
+/// Nobody is elected: daemons that hear the same others come to the same order, and two that disagree for a moment cost
+/// efficiency only. Those that serve come before those that have just started, VMs with a larger share of a processor
+/// before smaller ones (a role costs processor time that small VMs need for callers), then rendezvous hashing decides,
+/// so that a daemon that comes or goes moves few roles. Daemons that stop hold none.
+class Roster
+{
+public:
+    /// \param self Name of this daemon's VM.
+    explicit Roster(std::string self);
+
+    /// \brief Replaces the members; this daemon is one of them.
+    void replace(std::vector<Member> members);
+
+    [[nodiscard]] const std::string &self() const noexcept
+    {
+        return m_self;
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_members.size();
+    }
+
+    /// \brief Holders of a role in order, over all failure domains.
+    /// \param most Most of them.
+    [[nodiscard]] std::vector<Member> holders(Role role, std::size_t most) const;
+    /// \brief Holders of a role in one failure domain.
+    [[nodiscard]] std::vector<Member> holdersIn(const std::string &failureDomain, Role role, std::size_t most) const;
+    /// \brief Whether this daemon is among the first `most` of its failure domain.
+    [[nodiscard]] bool holdsAtHome(Role role, std::size_t most) const;
+
+    /// \brief Failure domains that have members.
+    [[nodiscard]] std::vector<std::string> failureDomains() const;
+    /// \brief A member; null when there is none of that name.
+    [[nodiscard]] const Member *find(const std::string &vm) const;
+
+private:
+    template<typename Wanted>
+    [[nodiscard]] std::vector<Member> ranked(Role role, std::size_t most, Wanted wanted) const;
+
+    std::string m_self;
+    std::vector<Member> m_members;
+};
+
+} // namespace spurlug::control
+
+namespace spurlug::core
+{
+
+template<>
+struct EnumNames<control::Role>
+{
+    using Role = control::Role;
+    static constexpr std::array table{
+        EnumName<Role>{Role::Scheduler, "scheduler"},
+        EnumName<Role>{Role::Reader, "reader"},
+    };
+};
+
+} // namespace spurlug::core
--- a/include/spurlug/membership/peer_table.h
+++ b/include/spurlug/membership/peer_table.h
@@ -32,6 +32,7 @@
     std::string failureDomain; ///< Empty unless the heartbeat introduces its sender.
     core::Address peerAddress; ///< Port 0 unless the heartbeat introduces its sender.
     core::Address rpcAddress; ///< Port 0 unless the heartbeat introduces its sender.
+    double processorShare = 0; ///< Of a core; 0 unless the heartbeat introduces its sender.
     std::uint64_t incarnation = 0; ///< Higher after each start of the daemon.
     std::uint64_t sequence = 0; ///< Higher with each heartbeat of one incarnation.
     DaemonState state = DaemonState::Starting;
--- /dev/null
+++ b/include/spurlug/membership/work_codec.h
@@ -0,0 +1,21 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a daemon's work at a target, on the wire
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/heartbeat.pb.h"
+#include "spurlug/targets/outstanding.h"
+
+#include <cstdint>
+
+namespace spurlug::membership
+{
+
+/// \brief A number as 32-bit fields carry it: what does not fit becomes the nearest number that does.
+[[nodiscard]] std::uint32_t clamp32(std::int64_t value) noexcept;
+
+void writeWork(const targets::TargetWork &work, wire::TargetWork &out);
+[[nodiscard]] targets::TargetWork readWork(const wire::TargetWork &in);
+
+} // namespace spurlug::membership
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -44,6 +44,15 @@
     ConfigurationsApplied,
     ConfigurationsRefused,
     PausesNoticed,
+    WorkReportsSent,
+    WorkReportsTaken,
+    AsksSent,
+    AsksQueued, ///< At this daemon as the scheduler: no engine was free for them at once.
+    PlacementsGranted, ///< By this daemon as the scheduler.
+    DecidedAlone, ///< Prompts placed by this daemon without a scheduler.
+    SchedulersSuspected, ///< Schedulers that did not answer.
+    RolesTaken,
+    RolesLost,
 };
 
 /// \brief What the daemon times; seconds.
@@ -89,6 +98,15 @@
         EnumName<Counter>{Counter::ConfigurationsApplied, "configurations_applied"},
         EnumName<Counter>{Counter::ConfigurationsRefused, "configurations_refused"},
         EnumName<Counter>{Counter::PausesNoticed, "pauses_noticed"},
+        EnumName<Counter>{Counter::WorkReportsSent, "work_reports_sent"},
+        EnumName<Counter>{Counter::WorkReportsTaken, "work_reports_taken"},
+        EnumName<Counter>{Counter::AsksSent, "asks_sent"},
+        EnumName<Counter>{Counter::AsksQueued, "asks_queued"},
+        EnumName<Counter>{Counter::PlacementsGranted, "placements_granted"},
+        EnumName<Counter>{Counter::DecidedAlone, "decided_alone"},
+        EnumName<Counter>{Counter::SchedulersSuspected, "schedulers_suspected"},
+        EnumName<Counter>{Counter::RolesTaken, "roles_taken"},
+        EnumName<Counter>{Counter::RolesLost, "roles_lost"},
     };
 };
 
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/control/messages.h"
 #include "spurlug/core/counted.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
@@ -48,8 +49,14 @@
 struct CallerGone
 { };
 
+/// \brief The scheduler answered.
+struct PlacementArrived
+{
+    control::PlacementAnswer answer;
+};
+
 /// \brief What happens to a request.
-using RequestEvent = std::variant<HeadArrived, BytesArrived, AttemptEnded, CallerGone>;
+using RequestEvent = std::variant<HeadArrived, BytesArrived, AttemptEnded, CallerGone, PlacementArrived>;
 
 /// \brief The events of one request; outlives it while an attempt still runs.
 struct RequestInbox : core::Counted<RequestInbox>
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -5,11 +5,13 @@
 #pragma once
 
 #include "spurlug/config/route_table.h"
+#include "spurlug/control/roster.h"
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/net/io.h"
 #include "spurlug/relay/freshness.h"
 #include "spurlug/relay/placement.h"
 #include "spurlug/relay/retry_ledger.h"
+#include "spurlug/relay/target_log.h"
 #include "spurlug/relay/target_set.h"
 #include "spurlug/settings/relay_settings.h"
 
@@ -18,6 +20,11 @@
 #include <string>
 #include <unordered_map>
 
+namespace spurlug::control
+{
+class SchedulerClient;
+} // namespace spurlug::control
+
 namespace spurlug::relay
 {
 
@@ -38,23 +45,31 @@
     core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
     core::Time targetsHeardAt = absl::InfinitePast(); ///< When the directory last answered for the targets.
     std::int64_t targetsRevision = 0; ///< The directory's revision that the list of targets is from.
+    TargetLog targetLog; ///< How the list came to be what it is.
     TargetSet targets;
     RetryLedger retries;
     EjectionRule ejection;
     std::mt19937_64 random;
+    control::Roster roster; ///< Daemons that live.
+    control::SchedulerClient *scheduling = nullptr; ///< Null: this daemon decides alone.
     std::size_t daemons = 1; ///< Daemons that live, this one included.
-    core::Duration peerWorkAge = absl::Milliseconds(100); ///< How late the work of other daemons is known.
+    std::size_t largestFleet = 1; ///< Most daemons that this one or any that it heard ever knew of at once.
+    const core::Time startedAt;
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
     std::int64_t inProgress = 0; ///< Requests that were read and are not answered.
     std::uint64_t reservations = 0; ///< Numbers the reservations of this life.
+    std::size_t directoryCallers = 1; ///< Daemons that call the directory as this one does.
+
+    /// \brief Part of the fleet's slack of repeated sends that this daemon may spend.
+    [[nodiscard]] double retrySlackShare(core::Time now) const;
 
     /// \brief Whether keys can be checked: the configuration was known to be the newest not long ago.
     [[nodiscard]] bool keysAreFresh(core::Time now) const;
 
-    /// \brief Whether peers should be asked: the directory is silent, and no peer has made up for it yet. The age of a
-    /// proof alone does not tell, since it counts from the question.
-    [[nodiscard]] bool needsPeers(core::Time now) const;
+    /// \brief When the directory last answered this daemon for all that it is asked for: waits for targets are longer
+    /// than those for the configuration.
+    [[nodiscard]] core::Time directoryHeardAt() const;
 
     /// \brief Takes a configuration that is newer than the one in force.
     /// \param from Where it came from, for logs.
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -4,10 +4,12 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/control/source_choice.h"
 #include "spurlug/relay/backoff.h"
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/directory.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -25,6 +27,12 @@
     /// \returns Wait before the next call.
     [[nodiscard]] core::Duration ended(DirectoryStatus status, const std::string &detail, core::Time now);
 
+    /// \brief Notes that the directory was regained elsewhere, as another daemon tells.
+    void noteRegained(core::Time at) noexcept
+    {
+        m_regainedAt = std::max(m_regainedAt, at);
+    }
+
     /// \brief Whether the last call got no answer.
     [[nodiscard]] bool lost() const noexcept
     {
@@ -71,14 +79,15 @@
     const DirectoryLink &m_link;
 };
 
-/// \brief Runs the two loops that read a directory and wait on it.
+/// \brief Runs the two loops that read a directory and wait on it, while this daemon should read it itself.
 template<Directory D>
 class Follower
 {
 public:
-    Follower(RelayContext &context, D &directory)
+    Follower(RelayContext &context, D &directory, const control::SourceChoice &sources)
         : m_context(context)
         , m_directory(directory)
+        , m_sources(sources)
         , m_configurationLink(context, "configuration")
         , m_targetsLink(context, "targets")
         , m_intake(context, m_targetsLink)
@@ -94,36 +103,71 @@
         return m_intake;
     }
 
+    [[nodiscard]] DirectoryLink &targetsLink() noexcept
+    {
+        return m_targetsLink;
+    }
+
 private:
     /// Each answered wait proves the configuration anew from the moment it was asked for, so a proof gets two waits
     /// old. One call a wait.
     static constexpr auto ConfigurationWait = absl::Milliseconds(1200);
+    /// The same where others follow: they add a third of a second to the age of a proof.
+    static constexpr auto ConfigurationWaitForOthers = absl::Milliseconds(600);
+    static constexpr auto RolePause = absl::Milliseconds(50); ///< Between looks whether to read.
     static constexpr auto TargetsWait = absl::Milliseconds(4000);
     static constexpr auto ShortestWait = absl::Milliseconds(1);
     /// Changes that follow each other within `ChangesInARow`, as in a release, are read together after a pause; the
     /// first ones are read at once.
     static constexpr auto TargetsPause = absl::Milliseconds(150);
     static constexpr auto ChangesInARow = absl::Milliseconds(600);
+    /// The targets are read while the directory answers for the configuration: one of the two finds it again.
+    static constexpr auto HeardOfLate = absl::Milliseconds(2500);
     static constexpr auto StartPause = absl::Milliseconds(20); ///< Between looks for a first configuration.
 
+    [[nodiscard]] core::Duration configurationWait() const;
+    void noteCallers();
+
     RelayContext &m_context;
     D &m_directory;
+    const control::SourceChoice &m_sources;
     DirectoryLink m_configurationLink;
     DirectoryLink m_targetsLink;
     TargetIntake m_intake;
 };
 
+template<Directory D>
+core::Duration Follower<D>::configurationWait() const
+{
+    const bool others = m_context.roster.size() > m_context.directoryCallers;
+    return others ? ConfigurationWaitForOthers : ConfigurationWait;
+}
+
+template<Directory D>
+void Follower<D>::noteCallers()
+{
+    const auto readers = static_cast<std::size_t>(m_context.settings.readersPerDomain)
+        * std::max<std::size_t>(m_context.roster.failureDomains().size(), 1);
+    m_context.directoryCallers = m_sources.isReader() ? readers : m_context.daemons;
+}
+
 template<Directory D>
 net::Task<> Follower<D>::followConfiguration()
 {
     std::int64_t revision = 0;
     for (;;) {
         const auto askedAt = core::now();
+        if (!m_sources.readsItself(askedAt)) {
+            revision = 0;
+            co_await net::sleepFor(RolePause);
+            continue;
+        }
+        noteCallers();
         ConfigurationAnswer answer; // Not `?:`, whose temporaries the compiler destroys twice around co_await (GCC 12).
         if (revision == 0) {
             answer = co_await m_directory.readConfiguration();
         } else {
-            answer = co_await m_directory.awaitConfiguration(revision, ConfigurationWait);
+            answer = co_await m_directory.awaitConfiguration(revision, configurationWait());
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
@@ -165,6 +209,11 @@
     core::Time changedAt = absl::InfinitePast();
     for (;;) {
         const auto askedAt = core::now();
+        if (!m_sources.readsItself(askedAt) || askedAt - m_context.configurationHeardAt > HeardOfLate) {
+            revision = 0;
+            co_await net::sleepFor(RolePause);
+            continue;
+        }
         const bool whole = revision == 0;
         TargetsAnswer answer;
         if (whole) {
--- a/include/spurlug/relay/peer_state.h
+++ b/include/spurlug/relay/peer_state.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/control/messages.h"
 #include "spurlug/core/time.h"
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/directory.h"
@@ -23,12 +24,20 @@
     std::string document; ///< Source of the configuration; empty when the asker has that version.
     core::Duration targetsAge = absl::InfiniteDuration();
     std::int64_t targetsRevision = 0; ///< The directory's revision that the list is from.
+    bool wholeList = true; ///< Whether `targets` are all; else what changed since the asker's revision.
     std::vector<TargetChange> targets;
 };
 
 /// \brief What this daemon knows.
-/// \param askersVersion Version that the asker has.
-[[nodiscard]] PeerState peerState(const RelayContext &context, std::int64_t askersVersion, core::Time now);
+/// \param askersVersion Version of the configuration that the asker has.
+/// \param askersRevision Revision of the list of targets that the asker has; 0: none.
+[[nodiscard]] PeerState peerState(const RelayContext &context, std::int64_t askersVersion, std::int64_t askersRevision,
+                                  core::Time now);
+
+/// \brief How new what this daemon knows is.
+/// \param regainedAt When the directory was regained last; in the infinite past: it was never lost.
+[[nodiscard]] control::ProofAnswer proofAnswer(const RelayContext &context, std::uint64_t number, core::Time regainedAt,
+                                               core::Time now);
 
 [[nodiscard]] std::string writePeerState(const PeerState &state);
 
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -11,8 +11,7 @@
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/listener.h"
 #include "spurlug/relay/context.h"
-#include "spurlug/relay/follower.h"
-#include "spurlug/relay/peer_link.h"
+#include "spurlug/relay/control_plane.h"
 #include "spurlug/relay/peer_state.h"
 #include "spurlug/relay/request_run.h"
 #include "spurlug/relay/simple_server.h"
@@ -47,9 +46,6 @@
     static constexpr auto QuietBeforeEnd = absl::Milliseconds(2500); ///< For the balancer to notice, twice a second.
     static constexpr auto StopCheck = absl::Milliseconds(50);
     static constexpr auto EndBeforeKill = absl::Milliseconds(500); ///< Part of the grace left unused.
-    static constexpr auto AskPause = absl::Milliseconds(250); ///< Between questions to peers while they are needed.
-    static constexpr auto AskTimeout = absl::Milliseconds(500);
-    static constexpr std::size_t PeersAsked = 2; ///< At a time.
     static constexpr double IdleSlack = 1.25; ///< Callers may use a connection until its idle timeout has passed.
 
     void spawn(net::Task<> task);
@@ -62,8 +58,6 @@
     [[nodiscard]] net::Task<> drain();
     [[nodiscard]] net::Task<> watchSettings();
     void reload();
-    [[nodiscard]] net::Task<> askPeers();
-    [[nodiscard]] net::Task<> askPeer(core::Address peer);
     [[nodiscard]] bool ready(core::Time now) const;
 
     net::Loop &m_loop;
@@ -72,9 +66,7 @@
     metrics::Metrics m_metrics;
     RelayContext m_context;
     Protocol m_protocol;
-    Source &m_source;
-    Follower<Source> m_follower;
-    PeerLink m_peers;
+    ControlPlane<Source> m_controlPlane;
     net::Listener m_callers;
     SimpleServer m_readiness;
     SimpleServer m_control;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -22,9 +22,7 @@
     , m_settingsPath(std::move(settingsPath))
     , m_context(loop, m_settings, m_metrics)
     , m_protocol(std::move(protocol))
-    , m_source(source)
-    , m_follower(m_context, source)
-    , m_peers(m_context)
+    , m_controlPlane(m_context, source)
     , m_callers(loop, m_settings.callerAddress)
     , m_readiness(loop, m_settings.readinessAddress, [this](const net::Request &request) { return readiness(request); })
     , m_control(loop, m_settings.controlAddress, [this](const net::Request &request) { return control(request); })
@@ -54,11 +52,7 @@
     m_readiness.start();
     m_control.start();
     m_metricsServer.start();
-    spawn(m_follower.followConfiguration());
-    spawn(m_follower.followTargets());
-    spawn(m_peers.send());
-    spawn(m_peers.receive());
-    spawn(askPeers());
+    m_controlPlane.start();
     spawn(awaitSignals());
     spawn(watchSettings());
 }
@@ -176,16 +170,22 @@
 template<Dialect Protocol, Directory Source>
 net::Response RelayDaemon<Protocol, Source>::control(const net::Request &request) const
 {
-    constexpr std::string_view StatePath = "/state?version=";
-    if (!request.target.starts_with(StatePath)) {
+    constexpr std::string_view VersionPart = "/state?version=";
+    constexpr std::string_view TargetsPart = "&targets=";
+    const std::string_view path = request.target;
+    const auto split = path.find(TargetsPart);
+    if (!path.starts_with(VersionPart) || split == std::string_view::npos) {
         return textResponse(core::http_status::NotFound, "not found\n", "text/plain");
     }
     std::int64_t version = 0;
-    if (!core::readNumber(std::string_view(request.target).substr(StatePath.size()), version)) {
-        return textResponse(core::http_status::BadRequest, "version is no number\n", "text/plain");
+    std::int64_t revision = 0;
+    const auto versionText = path.substr(VersionPart.size(), split - VersionPart.size());
+    if (!core::readNumber(versionText, version)
+        || !core::readNumber(path.substr(split + TargetsPart.size()), revision)) {
+        return textResponse(core::http_status::BadRequest, "version or targets is no number\n", "text/plain");
     }
-    return textResponse(core::http_status::Ok, writePeerState(peerState(m_context, version, core::now())),
-                        "application/json");
+    const auto state = peerState(m_context, version, revision, core::now());
+    return textResponse(core::http_status::Ok, writePeerState(state), "application/json");
 }
 
 template<Dialect Protocol, Directory Source>
@@ -211,6 +211,7 @@
     m_context.draining = true;
     m_context.drainingSince = begin;
     core::log(core::LogLevel::Info, "stopping", {{"vm", m_settings.vm}, {"inProgress", m_context.inProgress}});
+    m_controlPlane.announceStop(begin);
     const auto end = begin + m_settings.bounds.grace - EndBeforeKill;
     for (;;) {
         co_await net::sleepFor(StopCheck);
@@ -259,54 +260,4 @@
     }
 }
 
-template<Dialect Protocol, Directory Source>
-net::Task<> RelayDaemon<Protocol, Source>::askPeers()
-{
-    for (;;) {
-        co_await net::sleepFor(AskPause);
-        const auto now = core::now();
-        if (!m_context.needsPeers(now)) {
-            continue;
-        }
-        auto peers = m_peers.toAsk(now);
-        std::erase(peers, m_settings.controlAddress);
-        std::shuffle(peers.begin(), peers.end(), m_context.random);
-        peers.resize(std::min(peers.size(), PeersAsked));
-        for (const auto &peer : peers) {
-            spawn(askPeer(peer));
-        }
-    }
-}
-
-template<Dialect Protocol, Directory Source>
-net::Task<> RelayDaemon<Protocol, Source>::askPeer(core::Address peer)
-{
-    const auto askedAt = core::now();
-    net::Request request;
-    request.method = "GET";
-    request.target = core::cat("/state?version=", m_context.table ? m_context.table->version : 0);
-    request.headers.add("Host", peer.text());
-    std::string problem;
-    m_metrics.count(metrics::Counter::PeerQuestions);
-    const auto answer = co_await net::exchange(m_loop, peer, std::move(request), askedAt + AskTimeout, problem);
-    if (!answer || answer->head.status != core::http_status::Ok) {
-        co_return; // The next question goes to other peers.
-    }
-    try {
-        const auto state = readPeerState(answer->body);
-        const auto now = core::now();
-        // The peer's ages count from the moment it was asked: the answer may have been long on its way.
-        if (state.version > 0 && state.proofAge != absl::InfiniteDuration()) {
-            m_context.configurationProof.confirm(state.version, askedAt - state.proofAge);
-        }
-        if (!state.document.empty()) {
-            m_context.adopt(m_source.readDocument(state.document), state.document, "peer", now);
-        }
-        m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt - state.targetsAge);
-        m_follower.intake().whole(state.targets, state.targetsRevision, "peer", now);
-    } catch (const core::InvalidDocument &error) {
-        core::log(core::LogLevel::Warning, "peer_state_unreadable", {{"peer", peer.text()}, {"error", error.what()}});
-    }
-}
-
 } // namespace spurlug::relay
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -6,26 +6,18 @@
 
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/request_facts.h"
+#include "spurlug/relay/target_choice.h"
 #include "spurlug/relay/verdict.h"
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace spurlug::relay
 {
 
-/// \brief A chosen target and the engines that help it.
-struct ChosenTargets
-{
-    core::Ref<Target> target;
-    std::vector<core::Ref<Target>> helpers; ///< Those that hold memory first.
-    std::vector<std::int64_t> holdingTokens; ///< Of the first helpers.
-    core::Duration expected; ///< Until the first event.
-    core::Duration partRead; ///< Time that each engine reads.
-};
-
 /// \brief What is decided about one request from its arrival to its end, and the record of it.
 ///
 /// Knows no socket: the coroutine that moves the bytes asks it what to do and tells it what happened.
@@ -45,12 +37,16 @@
     /// \returns Why the request must not run, or nothing.
     [[nodiscard]] std::optional<Refusal> authorise(core::Time now);
 
-    /// \brief Chooses targets with what is known now. A request that has waited a part of its aim may queue at a
-    /// target.
+    /// \brief What the request asks of its target now. A request that has waited a part of its aim may queue at one.
+    /// The first call counts the request in the fleet's bound on repeated sends.
+    [[nodiscard]] TargetQuery query(core::Time now);
+
+    /// \brief Chooses targets with what this daemon knows now.
     [[nodiscard]] std::optional<ChosenTargets> choose(core::Time now);
 
     /// \brief Notes that the request goes to these targets: their work counts from here.
-    void begin(const ChosenTargets &chosen, core::Time now);
+    /// \param scheduler Name of the VM whose scheduler chose them; empty: this daemon did.
+    void begin(const ChosenTargets &chosen, std::string_view scheduler, core::Time now);
     /// \brief Notes that the target said something.
     void heard(core::Time now) noexcept;
     /// \brief Notes an event or the whole answer.
@@ -77,6 +73,8 @@
     [[nodiscard]] const RequestFacts &facts() const noexcept;
     [[nodiscard]] const config::Route &route() const noexcept;
     [[nodiscard]] const std::string &organisation() const noexcept;
+    /// \brief The operator's priority of the request; 0 is the most urgent.
+    [[nodiscard]] int priority() const noexcept;
     [[nodiscard]] core::Time deadline() const noexcept;
     [[nodiscard]] int attempts() const noexcept;
     /// \brief Whether some attempt may have run.
@@ -101,7 +99,6 @@
     /// @}
 
 private:
-    [[nodiscard]] std::vector<Candidate> candidates(const TargetSet::Targets &targets, core::Time now);
     /// Requests that a service's targets can run at once, as this daemon believes.
     struct Places
     {
@@ -109,9 +106,10 @@
         std::int64_t all = 0;
     };
 
+    /// Tells the scheduler soon that this daemon's work changed.
+    void noteWork();
     [[nodiscard]] Places placesOf(const std::string &service, core::Time now) const;
     [[nodiscard]] PromptRequest promptRequest(core::Time now) const;
-    [[nodiscard]] bool usable(const Target &target, bool evenEjected, core::Time now) const;
     [[nodiscard]] const std::string &chooseService();
     [[nodiscard]] bool isTight() const noexcept;
     [[nodiscard]] Refusal refuse(core::Reason reason) const;
@@ -126,12 +124,12 @@
     std::int64_t m_priority = 0;
     core::Time m_deadline = absl::InfiniteFuture();
     bool m_counted = false; ///< Whether the service's ledger knows of the request.
-    bool m_heedsReports = true; ///< Whether peers' reports of unreachable targets are few enough to be believed.
     std::vector<std::unique_ptr<Share>> m_shares;
-    std::vector<std::string> m_sentTo; ///< Ids of targets that have seen the request.
-    std::vector<std::string> m_unreachable; ///< Ids of targets that took no connection.
-    std::vector<std::string> m_refusedBy; ///< Of these, those that did not begin.
+    std::vector<std::uint32_t> m_sentTo; ///< Hashes of targets that have seen the request.
+    std::vector<std::uint32_t> m_unreachable; ///< Hashes of targets that took no connection.
+    std::vector<std::uint32_t> m_refusedBy; ///< Of those in `m_sentTo`, the ones that did not begin.
     ChosenTargets m_current;
+    bool m_helperAtFault = false; ///< Whether the current target was kept from answering by one that should help it.
     core::Time m_sentAt = absl::InfinitePast();
     core::Time m_answeredAt = absl::InfinitePast(); ///< First event, or the whole answer.
     core::Time m_lastEventAt = absl::InfinitePast();
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/control/scheduler_client.h"
 #include "spurlug/core/error.h"
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/text.h"
@@ -79,6 +80,7 @@
     core::Ref<RequestInbox> m_inbox;
     core::Ref<Attempt> m_attempt;
     std::vector<core::Ref<Reservation>> m_reservations;
+    std::optional<control::PlacementAnswer> m_grant; ///< What the targets were chosen by; nothing: this daemon alone.
     core::Duration m_reservePause = absl::Milliseconds(10); ///< Doubles while memory is refused.
     core::Reason m_failure = core::Reason::None; ///< Why the last attempt failed.
     bool m_callerGone = false;
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -106,24 +106,38 @@
 template<Dialect D>
 net::Task<std::optional<ChosenTargets>> RequestRun<D>::chooseOrWait()
 {
+    control::PlacementSession session(m_context, m_context.scheduling, m_inbox);
+    m_grant = {};
     for (;;) {
         const auto now = core::now();
         if (now >= m_progress.deadline()) {
             m_failure = core::Reason::DeadlinePassed;
             co_return std::nullopt;
         }
-        if (auto chosen = m_progress.choose(now)) {
-            co_return chosen;
+        const auto query = m_progress.query(now);
+        const bool asked = session.pursue(query, m_progress.priority(), now);
+        if (!asked) {
+            if (auto chosen = chooseTargets(m_context, query, now)) {
+                m_context.metrics.count(metrics::Counter::DecidedAlone, query.prompt ? 1 : 0);
+                co_return chosen;
+            }
         }
         m_failure = core::Reason::NoCapacity;
         if (m_progress.waitedEnough(now)) {
             co_return std::nullopt;
         }
-        auto event = co_await m_inbox->events.take(std::min(m_progress.deadline(), now + detail::ChoosePause));
+        const auto look = asked ? session.dueAt() : now + detail::ChoosePause;
+        const auto event = co_await m_inbox->events.take(std::min(m_progress.deadline(), look));
         if (event && std::holds_alternative<CallerGone>(*event)) {
             m_callerGone = true;
             co_return std::nullopt;
         }
+        if (const auto *arrived = event ? std::get_if<PlacementArrived>(&*event) : nullptr) {
+            if (auto chosen = session.take(arrived->answer, core::now())) {
+                m_grant = arrived->answer;
+                co_return chosen;
+            }
+        }
     }
 }
 
@@ -162,7 +176,10 @@
 void RequestRun<D>::send(const ChosenTargets &chosen)
 {
     const auto now = core::now();
-    m_progress.begin(chosen, now);
+    m_progress.begin(chosen, m_grant ? m_grant->vm : "", now);
+    if (m_grant) {
+        m_context.scheduling->begun(*m_grant);
+    }
     m_isStream = false;
     m_body.clear();
     m_events = {};
--- a/include/spurlug/relay/retry_ledger.h
+++ b/include/spurlug/relay/retry_ledger.h
@@ -20,14 +20,31 @@
     double ratio = 0.2; ///< Repeated sends for each request.
     core::Duration window = absl::Seconds(10); ///< Any span of this length counts.
     double slack = 100; ///< Repeated sends beyond the ratio.
-    /// Part of its own share that a daemon spends: the rest covers requests that the bound does not count.
+    /// Part of the ratio that a daemon spends: the rest covers requests that the bound does not count.
     double margin = 0.8;
 };
 
+/// \brief What a daemon knows of its fleet.
+struct FleetKnowledge
+{
+    std::size_t largest = 1; ///< Most daemons that it, or any that it heard, ever knew of at once.
+    bool hearsOthers = false; ///< Whether it hears any other daemon now.
+    bool hasOthers = false; ///< Whether its settings name other daemons.
+    core::Duration life = absl::ZeroDuration(); ///< Since it started.
+};
+
+/// \brief Part of the fleet's slack that one daemon may spend in a window.
+///
+/// Nobody tells a daemon how large its fleet is, and what it spent in an earlier life is forgotten. So one that has
+/// just started, or hears nobody, spends nothing; until it has lived for a window it spends a small part of what it may
+/// spend later. A cut from birth makes each side take itself for the whole fleet. Learning takes 3 s of a life, so a
+/// window of 10 s sees three young ones at most. The sum over both sides stays within the slack: 2 x (0.4 + 3 x 0.03).
+[[nodiscard]] double slackShare(const FleetKnowledge &fleet, core::Duration window) noexcept;
+
 /// \brief Counts requests and repeated sends of each service over a sliding window.
 ///
 /// A daemon spends `ratio` x its own requests + its part of the slack: summed over all daemons that is within the
-/// bound, without a message between them. A daemon that restarts begins with an empty ledger, so it gets half a part.
+/// bound, without a message between them.
 class RetryLedger
 {
 public:
@@ -37,9 +54,14 @@
     void request(const std::string &service, core::Time now);
 
     /// \brief Takes one repeated send.
-    /// \param daemons Daemons that share the slack; at least 1.
+    /// \param slackShare Part of the fleet's slack that this daemon may spend, 0 to 1.
     /// \returns False when this daemon's part is spent.
-    [[nodiscard]] bool take(const std::string &service, std::size_t daemons, core::Time now);
+    [[nodiscard]] bool take(const std::string &service, double slackShare, core::Time now);
+
+    [[nodiscard]] const RetryBound &bound() const noexcept
+    {
+        return m_bound;
+    }
 
 private:
     struct Counts
@@ -50,7 +72,7 @@
 
     void forget(Counts &counts, core::Time now) const;
 
-    const RetryBound m_bound;
+    RetryBound m_bound;
     std::map<std::string, Counts> m_services;
 };
 
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -34,6 +34,9 @@
 using targets::Outstanding;
 using targets::TargetWork;
 
+/// An engine that turned a request down gets none for this long: its queue is longer than what it gets through in less.
+inline constexpr auto FullSpan = absl::Milliseconds(200);
+
 class Target;
 
 /// \brief One piece of this daemon's work at a target, for as long as the object lives.
@@ -78,10 +81,12 @@
     explicit Target(TargetEntry entry);
 
     TargetEntry entry;
+    const std::uint32_t hash; ///< targets::targetHash of its id.
     TargetHealth health;
     Outstanding peers; ///< What the peers said of their own work here.
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
     core::Time noHelpUntil = absl::InfinitePast(); ///< It turned help or a reservation down; not asked before this.
+    core::Time fullUntil = absl::InfinitePast(); ///< It turned a request down; it gets none before this.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
 
@@ -137,6 +142,8 @@
     [[nodiscard]] Targets listed(const std::string &service, core::Time now) const;
     /// \brief The target with an id; null when there is none.
     [[nodiscard]] core::Ref<Target> find(const std::string &id) const;
+    /// \brief The target whose id has this hash; null when there is none.
+    [[nodiscard]] core::Ref<Target> withHash(std::uint32_t hash) const;
     /// \brief The target at an address; null when there is none.
     [[nodiscard]] core::Ref<Target> at(const core::Address &address, core::Time now) const;
     /// \brief Work of this daemon at each target where it has some.
--- /dev/null
+++ b/src/control/scheduler.cpp
@@ -0,0 +1,241 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: one daemon's placement of the prompts of all
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/control/scheduler.h"
+
+#include "spurlug/core/log.h"
+#include "spurlug/core/text.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <tuple>
+
+namespace spurlug::control
+{
+
+namespace
+{
+
+/// A daemon with work reports every half a second at the latest: three reports lost in a row mean that it is gone.
+constexpr auto ReportLife = absl::Milliseconds(1600);
+/// A grant whose daemon has not reported its work by then was not used, or its daemon is gone.
+constexpr auto GrantLife = absl::Milliseconds(800);
+constexpr auto AskLife = absl::Milliseconds(500); ///< Daemons repeat asks that wait every 150 ms.
+/// Asks of one kind that find no engine one after the other before the rest of that kind is left for the next look:
+/// they differ little, and a look costs some tens of us each.
+constexpr int MostVainLooks = 4;
+constexpr auto LoadAge = absl::Milliseconds(20); ///< On the way, and until both ends have come to it.
+
+/// Name under which a grant's work counts beside the reports of daemons.
+std::string grantName(std::uint64_t number)
+{
+    return core::cat("grant ", number);
+}
+
+} // namespace
+
+Scheduler::Scheduler(relay::RelayContext &context)
+    : m_context(context)
+{ }
+
+bool Scheduler::schedules(const std::string &service) const
+{
+    if (m_context.draining || !m_context.table) {
+        return false;
+    }
+    const auto *spec = m_context.table->service(service);
+    return spec != nullptr && spec->engine;
+}
+
+void Scheduler::report(const WorkReport &report, core::Time now)
+{
+    auto &heard = m_heard[report.vm];
+    const auto known = std::tie(heard.incarnation, heard.sequence);
+    if (std::tie(report.incarnation, report.sequence) <= known) {
+        return;
+    }
+    heard = {report.incarnation, report.sequence, now};
+    m_context.targets.peerWork(report.vm, report.work);
+    m_context.metrics.count(metrics::Counter::WorkReportsTaken);
+    for (auto grant = m_grants.begin(); grant != m_grants.end();) {
+        const bool told = grant->second.vm == report.vm && grant->first <= report.newestGrant;
+        grant = told ? forget(grant) : std::next(grant);
+    }
+    for (const auto &target : m_context.targets.peerReport(report.unreachable, now)) {
+        core::log(core::LogLevel::Info, "target_reported",
+                  {{"target", target->entry.id}, {"by", report.vm}, {"reported", report.unreachable.size()}});
+    }
+    for (const auto &outcome : report.outcomes) {
+        takeOutcome(outcome, now);
+    }
+}
+
+void Scheduler::takeOutcome(const TargetOutcome &outcome, core::Time now)
+{
+    const auto target = m_context.targets.withHash(outcome.target);
+    if (!target) {
+        return;
+    }
+    if (!outcome.fault) {
+        target->health.succeeded(now);
+    } else if (*outcome.fault == relay::TargetFault::Busy) {
+        target->fullUntil = now + relay::FullSpan;
+    } else {
+        target->health.failed(*outcome.fault, m_context.ejection, now);
+    }
+}
+
+Scheduler::Grants::iterator Scheduler::forget(Grants::iterator grant)
+{
+    m_context.targets.forgetPeer(grantName(grant->first));
+    return m_grants.erase(grant);
+}
+
+PlacementAnswer Scheduler::ask(const PlacementAsk &ask, core::Time now)
+{
+    PlacementAnswer answer;
+    answer.vm = m_context.settings.vm;
+    answer.ask = ask.ask;
+    if (!schedules(ask.service)) {
+        return answer;
+    }
+    for (const auto &[number, grant] : m_grants) {
+        if (grant.vm == ask.vm && grant.answer.ask == ask.ask) {
+            return grant.answer;
+        }
+    }
+    const auto known = std::find_if(m_waiting.begin(), m_waiting.end(), [&ask](const Waiting &waiting) {
+        return waiting.ask.vm == ask.vm && waiting.ask.ask == ask.ask;
+    });
+    answer.kind = AnswerKind::Queued;
+    if (known != m_waiting.end()) {
+        known->heardAt = now;
+        return answer;
+    }
+    if (auto granted = place(ask, now - ask.waited, now)) {
+        return *granted;
+    }
+    keepWaiting(ask, now);
+    return answer;
+}
+
+void Scheduler::keepWaiting(const PlacementAsk &ask, core::Time now)
+{
+    Waiting fresh{ask, now - ask.waited, now};
+    const auto orderOf = [](const Waiting &waiting) {
+        return std::make_tuple(waiting.ask.priority, !waiting.ask.tight, waiting.arrivedAt);
+    };
+    const auto place = std::upper_bound(
+        m_waiting.begin(), m_waiting.end(), fresh,
+        [&orderOf](const Waiting &left, const Waiting &right) { return orderOf(left) < orderOf(right); });
+    m_waiting.insert(place, std::move(fresh));
+    m_context.metrics.count(metrics::Counter::AsksQueued);
+}
+
+std::optional<PlacementAnswer> Scheduler::place(const PlacementAsk &ask, core::Time arrivedAt, core::Time now)
+{
+    relay::PromptRequest request;
+    request.prompt = ask.prompt;
+    request.aim = ask.aim;
+    request.tight = ask.tight;
+    request.waited = now - arrivedAt;
+    request.mayQueue = relay::mayQueueAfter(request.waited, ask.aim);
+    request.patience = ask.patience;
+    if (const auto found = m_context.pauses.find(ask.service); found != m_context.pauses.end()) {
+        request.pauses = found->second;
+    }
+    request.loadAge = LoadAge;
+    relay::TargetQuery query;
+    query.service = ask.service;
+    query.prompt = request;
+    query.notAt = ask.notAt;
+    if (!ask.onlyAt.empty()) {
+        query.onlyAt = ask.onlyAt;
+    }
+    query.atHome = ask.atHome;
+    const auto chosen = relay::chooseTargets(m_context, query, now);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    PlacementAnswer answer;
+    answer.vm = m_context.settings.vm;
+    answer.ask = ask.ask;
+    answer.kind = AnswerKind::Granted;
+    answer.grant = ++m_newestGrant;
+    answer.target = chosen->target->hash;
+    for (const auto &helper : chosen->helpers) {
+        answer.helpers.push_back(helper->hash);
+    }
+    answer.holdingTokens = chosen->holdingTokens;
+    answer.expected = chosen->expected;
+    answer.partRead = chosen->partRead;
+    std::vector<targets::TargetWork> works;
+    for (const auto &[target, work] : relay::workOf(*chosen, ask.prompt)) {
+        works.push_back({target->hash, work});
+    }
+    works.back().work.tightRequests = ask.tight ? 1 : 0;
+    m_context.targets.peerWork(grantName(answer.grant), works);
+    m_grants[answer.grant] = {answer, ask.vm, now};
+    m_context.metrics.count(metrics::Counter::PlacementsGranted);
+    return answer;
+}
+
+void Scheduler::cancel(const PlacementCancel &cancel)
+{
+    std::erase_if(m_waiting, [&cancel](const Waiting &waiting) {
+        return waiting.ask.vm == cancel.vm && waiting.ask.ask == cancel.ask;
+    });
+    for (auto grant = m_grants.begin(); grant != m_grants.end();) {
+        const bool meant = grant->second.vm == cancel.vm && grant->second.answer.ask == cancel.ask;
+        grant = meant ? forget(grant) : std::next(grant);
+    }
+}
+
+void Scheduler::begun(std::uint64_t grant)
+{
+    const auto found = m_grants.find(grant);
+    if (found != m_grants.end()) {
+        forget(found);
+    }
+}
+
+std::vector<std::pair<std::string, PlacementAnswer>> Scheduler::serveWaiting(core::Time now)
+{
+    std::vector<std::pair<std::string, PlacementAnswer>> grants;
+    int vainTight = 0;
+    int vainLoose = 0;
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        auto &vain = waiting->ask.tight ? vainTight : vainLoose;
+        if (vain >= MostVainLooks) {
+            ++waiting;
+            continue;
+        }
+        auto answer = place(waiting->ask, waiting->arrivedAt, now);
+        if (!answer) {
+            ++vain;
+            ++waiting;
+            continue;
+        }
+        vain = 0;
+        grants.emplace_back(waiting->ask.vm, std::move(*answer));
+        waiting = m_waiting.erase(waiting);
+    }
+    return grants;
+}
+
+void Scheduler::forgetSilent(core::Time now)
+{
+    std::erase_if(m_waiting, [now](const Waiting &waiting) { return now - waiting.heardAt > AskLife; });
+    for (auto grant = m_grants.begin(); grant != m_grants.end();) {
+        grant = now - grant->second.grantedAt > GrantLife ? forget(grant) : std::next(grant);
+    }
+    for (auto &[vm, heard] : m_heard) {
+        if (now - heard.at > ReportLife) {
+            m_context.targets.forgetPeer(vm);
+        }
+    }
+}
+
+} // namespace spurlug::control
--- /dev/null
+++ b/src/control/scheduler_client.cpp
@@ -0,0 +1,338 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: this daemon's dealings with the scheduler
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/control/scheduler_client.h"
+
+#include "spurlug/core/log.h"
+
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::control
+{
+
+namespace
+{
+
+/// Ways between failure domains and work at the scheduler take some ms; datagrams get lost now and then.
+constexpr auto AskAgainAfter = absl::Milliseconds(30);
+/// A scheduler that said nothing to two asks by then is left aside: a fifth of the shortest aim of a prompt.
+constexpr auto SuspectAfter = absl::Milliseconds(80);
+constexpr auto RepeatQueued = absl::Milliseconds(150); ///< Keeps an ask waiting; it lapses there after 500 ms.
+constexpr auto ProbeEvery = absl::Milliseconds(500); ///< Of a scheduler that was left aside.
+constexpr auto SuspectedFor = absl::Seconds(10); ///< It is asked again then, should its words have been lost.
+constexpr std::size_t Deputies = 3; ///< In a failure domain, one after the other.
+
+/// Pause between reports while there is work: the more daemons report to one scheduler, the longer.
+constexpr auto ReportPauseForEach = absl::Milliseconds(1);
+constexpr auto ShortestReportPause = absl::Milliseconds(50);
+constexpr auto LongestReportPause = absl::Milliseconds(500);
+/// Changes that follow each other are told together.
+constexpr auto ChangePauseForEach = absl::Microseconds(30);
+constexpr auto ShortestChangePause = absl::Milliseconds(2);
+constexpr std::size_t MostOutcomes = 64; ///< In one report.
+constexpr std::size_t MostExcluded = 32; ///< Targets that an ask names.
+
+std::vector<std::uint32_t> firstOf(std::vector<std::uint32_t> hashes)
+{
+    hashes.resize(std::min(hashes.size(), MostExcluded));
+    return hashes;
+}
+
+} // namespace
+
+SchedulerClient::SchedulerClient(relay::RelayContext &context, Scheduler &own, Send send)
+    : m_context(context)
+    , m_own(own)
+    , m_send(std::move(send))
+    , m_changes(context.loop)
+    , m_incarnation(static_cast<std::uint64_t>(absl::ToUnixNanos(absl::Now())))
+    , m_newestAsk(context.random() >> 1U) // Asks of an earlier life may still be known.
+{ }
+
+bool SchedulerClient::suspected(const std::string &vm) const
+{
+    return m_suspects.contains(vm);
+}
+
+std::optional<ChosenScheduler> SchedulerClient::scheduler(core::Time) const
+{
+    const auto &roster = m_context.roster;
+    const auto first = roster.holders(Role::Scheduler, 1);
+    if (first.empty()) {
+        return std::nullopt;
+    }
+    if (!suspected(first.front().vm)) {
+        return ChosenScheduler{first.front(), false};
+    }
+    for (const auto &member : roster.holdersIn(m_context.settings.failureDomain, Role::Scheduler, Deputies)) {
+        if (!suspected(member.vm)) {
+            return ChosenScheduler{member, true};
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t SchedulerClient::open(core::Ref<relay::RequestInbox> inbox)
+{
+    m_asks[++m_newestAsk] = std::move(inbox);
+    return m_newestAsk;
+}
+
+void SchedulerClient::send(const PlacementAsk &ask, const ChosenScheduler &scheduler, core::Time now)
+{
+    m_context.metrics.count(metrics::Counter::AsksSent);
+    if (scheduler.member.vm == m_context.settings.vm) {
+        m_askedAt.erase(ask.ask);
+        take(m_own.ask(ask, now), now);
+        return;
+    }
+    if (m_lastScheduler != scheduler.member.vm) {
+        m_lastScheduler = scheduler.member.vm;
+        m_newestGrant = 0;
+        m_send(scheduler.member.datagrams, compose(now)); // It may know nothing of this daemon's work.
+    }
+    m_askedAt[ask.ask] = scheduler.member.datagrams;
+    m_send(scheduler.member.datagrams, ask);
+}
+
+void SchedulerClient::close(std::uint64_t ask, bool needed)
+{
+    m_asks.erase(ask);
+    const auto asked = m_askedAt.extract(ask);
+    if (needed) {
+        return;
+    }
+    const PlacementCancel cancel{m_context.settings.vm, ask};
+    m_own.cancel(cancel);
+    if (!asked.empty()) {
+        m_send(asked.mapped(), cancel);
+    }
+}
+
+void SchedulerClient::take(const PlacementAnswer &answer, core::Time now)
+{
+    if (answer.kind == AnswerKind::NotHere) {
+        suspect(answer.vm, "it schedules nothing", now);
+    } else {
+        trust(answer.vm, now);
+    }
+    const auto asked = m_asks.find(answer.ask);
+    if (asked != m_asks.end()) {
+        asked->second->events.post(relay::PlacementArrived{answer});
+    }
+}
+
+void SchedulerClient::begun(const PlacementAnswer &answer)
+{
+    if (answer.vm == m_context.settings.vm) {
+        m_own.begun(answer.grant);
+    } else if (answer.vm == m_lastScheduler) {
+        m_newestGrant = std::max(m_newestGrant, answer.grant);
+    }
+}
+
+void SchedulerClient::suspect(const std::string &vm, std::string_view reason, core::Time now)
+{
+    if (!m_suspects.emplace(vm, Suspicion{now, now}).second) {
+        return;
+    }
+    m_context.metrics.count(metrics::Counter::SchedulersSuspected);
+    core::log(core::LogLevel::Warning, "scheduler_left_aside", {{"vm", vm}, {"reason", reason}});
+}
+
+void SchedulerClient::trust(const std::string &vm, core::Time now)
+{
+    const auto suspicion = m_suspects.extract(vm);
+    if (!suspicion.empty()) {
+        core::log(core::LogLevel::Info, "scheduler_answers",
+                  {{"vm", vm}, {"afterMs", core::toMs(now - suspicion.mapped().since)}});
+    }
+}
+
+void SchedulerClient::workChanged()
+{
+    if (!m_changed) {
+        m_changed = true;
+        m_changes.post(Changed{});
+    }
+}
+
+void SchedulerClient::outcome(std::uint32_t target, std::optional<relay::TargetFault> fault)
+{
+    if (m_outcomes.size() < MostOutcomes) {
+        m_outcomes.push_back({target, fault});
+    }
+}
+
+WorkReport SchedulerClient::compose(core::Time now)
+{
+    WorkReport report;
+    report.vm = m_context.settings.vm;
+    report.incarnation = m_incarnation;
+    report.sequence = ++m_sequence;
+    report.newestGrant = m_newestGrant;
+    report.work = m_context.targets.ownWork(now);
+    report.unreachable = m_context.targets.unreachable(now);
+    report.outcomes = std::exchange(m_outcomes, {});
+    m_context.metrics.count(metrics::Counter::WorkReportsSent);
+    return report;
+}
+
+void SchedulerClient::report(core::Time now)
+{
+    m_changed = false;
+    const auto chosen = scheduler(now);
+    if (!chosen || chosen->member.vm == m_context.settings.vm) {
+        m_outcomes.clear();
+        return;
+    }
+    auto report = compose(now);
+    const bool news = !report.work.empty() || m_reportedWork || !report.outcomes.empty();
+    m_reportedWork = !report.work.empty();
+    if (news) {
+        m_lastScheduler = chosen->member.vm;
+        m_send(chosen->member.datagrams, std::move(report));
+    }
+}
+
+void SchedulerClient::probeSuspects(core::Time now)
+{
+    std::erase_if(m_suspects, [&](const auto &item) {
+        return now - item.second.since > SuspectedFor || m_context.roster.find(item.first) == nullptr;
+    });
+    for (auto &[vm, suspicion] : m_suspects) {
+        if (now - suspicion.probedAt < ProbeEvery) {
+            continue;
+        }
+        suspicion.probedAt = now;
+        auto report = compose(now);
+        report.wantsWord = true;
+        m_send(m_context.roster.find(vm)->datagrams, std::move(report));
+    }
+}
+
+core::Duration SchedulerClient::interval() const
+{
+    const auto pause = ReportPauseForEach * static_cast<double>(m_context.daemons);
+    return std::clamp(core::Duration(pause), core::Duration(ShortestReportPause), core::Duration(LongestReportPause));
+}
+
+net::Task<> SchedulerClient::reportWork()
+{
+    for (;;) {
+        const auto span = m_reportedWork ? interval() : core::Duration(LongestReportPause);
+        const auto change = co_await m_changes.take(core::now() + span);
+        if (change) {
+            const auto pause = ChangePauseForEach * static_cast<double>(m_context.daemons);
+            co_await net::sleepFor(std::max(core::Duration(pause), core::Duration(ShortestChangePause)));
+        }
+        const auto now = core::now();
+        report(now);
+        probeSuspects(now);
+    }
+}
+
+PlacementSession::PlacementSession(relay::RelayContext &context, SchedulerClient *client,
+                                   core::Ref<relay::RequestInbox> inbox)
+    : m_context(context)
+    , m_client(client)
+    , m_inbox(std::move(inbox))
+{ }
+
+PlacementSession::~PlacementSession()
+{
+    if (m_ask != 0) {
+        m_client->close(m_ask, m_granted);
+    }
+}
+
+bool PlacementSession::pursue(const relay::TargetQuery &query, int priority, core::Time now)
+{
+    if (m_client == nullptr || m_unusable || !query.prompt) {
+        return false;
+    }
+    auto scheduler = m_client->scheduler(now);
+    const bool silent
+        = !m_queued && scheduler && scheduler->member.vm == m_scheduler && now - m_askedAt >= SuspectAfter;
+    if (silent) {
+        m_client->suspect(m_scheduler, "it does not answer", now);
+        scheduler = m_client->scheduler(now);
+    }
+    if (!scheduler) {
+        return false;
+    }
+    if (scheduler->member.vm != m_scheduler || now >= m_dueAt) {
+        sendTo(*scheduler, query, priority, now);
+    }
+    return true;
+}
+
+void PlacementSession::sendTo(const ChosenScheduler &scheduler, const relay::TargetQuery &query, int priority,
+                              core::Time now)
+{
+    if (m_ask == 0) {
+        m_ask = m_client->open(m_inbox);
+    }
+    if (scheduler.member.vm != m_scheduler) {
+        m_scheduler = scheduler.member.vm;
+        m_askedAt = now;
+        m_queued = false;
+    } else if (m_queued) {
+        m_queued = false; // It must say so again.
+        m_askedAt = now;
+    }
+    PlacementAsk ask;
+    ask.vm = m_context.settings.vm;
+    ask.ask = m_ask;
+    ask.service = query.service;
+    ask.prompt = query.prompt->prompt;
+    ask.aim = query.prompt->aim;
+    ask.tight = query.prompt->tight;
+    ask.waited = query.prompt->waited;
+    ask.patience = query.prompt->patience;
+    ask.priority = priority;
+    ask.notAt = firstOf(query.notAt);
+    ask.onlyAt = firstOf(query.onlyAt.value_or(std::vector<std::uint32_t>()));
+    ask.atHome = scheduler.deputy;
+    m_dueAt = now + AskAgainAfter;
+    m_client->send(ask, scheduler, now);
+}
+
+std::optional<relay::ChosenTargets> PlacementSession::take(const PlacementAnswer &answer, core::Time now)
+{
+    if (answer.ask != m_ask || answer.kind == AnswerKind::NotHere) {
+        return std::nullopt;
+    }
+    if (answer.kind == AnswerKind::Queued) {
+        m_queued = true;
+        m_dueAt = now + RepeatQueued;
+        return std::nullopt;
+    }
+    const auto usable = [&](std::uint32_t hash) -> core::Ref<relay::Target> {
+        auto target = m_context.targets.withHash(hash);
+        return target && target->listed(now) ? target : nullptr;
+    };
+    relay::ChosenTargets chosen;
+    chosen.target = usable(answer.target);
+    bool whole = chosen.target != nullptr;
+    for (const auto hash : answer.helpers) {
+        chosen.helpers.push_back(usable(hash));
+        whole = whole && chosen.helpers.back() != nullptr;
+    }
+    if (!whole) {
+        m_unusable = true; // One list of targets is newer than the other.
+        core::log(core::LogLevel::Info, "grant_unusable", {{"scheduler", answer.vm}, {"grant", answer.grant}});
+        return std::nullopt;
+    }
+    chosen.holdingTokens = answer.holdingTokens;
+    chosen.expected = answer.expected;
+    chosen.partRead = answer.partRead;
+    m_granted = true;
+    return chosen;
+}
+
+} // namespace spurlug::control
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/hash.h"
 #include "spurlug/heartbeat.pb.h"
+#include "spurlug/membership/work_codec.h"
 
 #include <algorithm>
 
@@ -19,11 +20,7 @@
 
 constexpr std::size_t SignatureBytes = 16;
 constexpr double RateUnit = 100;
-
-std::uint32_t clamp32(std::int64_t value)
-{
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, UINT32_MAX));
-}
+constexpr double ShareUnit = 100; // Of a core's share.
 
 void writeLoad(const ObservedLoad &load, wire::TargetLoad &out)
 {
@@ -99,34 +96,6 @@
     return summary;
 }
 
-void writeWork(const targets::TargetWork &work, wire::TargetWork &out)
-{
-    out.set_target(work.target);
-    out.set_read_micros(clamp32(work.work.readMicros));
-    out.set_part_micros(clamp32(work.work.partMicros));
-    out.set_requests(clamp32(work.work.requests));
-    out.set_writers(clamp32(work.work.writers));
-    out.set_tight_requests(clamp32(work.work.tightRequests));
-    out.set_parts(clamp32(work.work.parts));
-    out.set_memory_tokens(clamp32(work.work.memoryTokens));
-    out.set_context_tokens(clamp32(work.work.contextTokens));
-}
-
-targets::TargetWork readWork(const wire::TargetWork &in)
-{
-    targets::TargetWork work;
-    work.target = in.target();
-    work.work.readMicros = in.read_micros();
-    work.work.partMicros = in.part_micros();
-    work.work.requests = in.requests();
-    work.work.writers = in.writers();
-    work.work.tightRequests = in.tight_requests();
-    work.work.parts = in.parts();
-    work.work.memoryTokens = in.memory_tokens();
-    work.work.contextTokens = in.context_tokens();
-    return work;
-}
-
 wire::Heartbeat toWire(const Heartbeat &heartbeat)
 {
     const auto &news = heartbeat.news;
@@ -152,10 +121,13 @@
     for (const auto &peer : heartbeat.knownPeers) {
         out.add_known_peers(peer.text());
     }
+    out.set_largest_fleet(clamp32(static_cast<std::int64_t>(heartbeat.largestFleet)));
     if (news.peerAddress.port != 0) {
         out.mutable_hello()->set_failure_domain(news.failureDomain);
         out.mutable_hello()->set_peer_address(news.peerAddress.text());
         out.mutable_hello()->set_rpc_address(news.rpcAddress.text());
+        out.mutable_hello()->set_processor_share(
+            clamp32(static_cast<std::int64_t>(news.processorShare * ShareUnit + 0.5)));
     }
     return out;
 }
@@ -174,6 +146,7 @@
         news.failureDomain = in.hello().failure_domain();
         news.peerAddress = core::parseAddress(in.hello().peer_address());
         news.rpcAddress = core::parseAddress(in.hello().rpc_address());
+        news.processorShare = in.hello().processor_share() / ShareUnit;
     }
     return news;
 }
@@ -218,6 +191,7 @@
         for (const auto &peer : inner.known_peers()) {
             heartbeat.knownPeers.push_back(core::parseAddress(peer));
         }
+        heartbeat.largestFleet = inner.largest_fleet();
         return heartbeat;
     } catch (const core::InvalidDocument &) {
         return std::nullopt;
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -29,6 +29,7 @@
         news.failureDomain = known.failureDomain;
         news.peerAddress = known.peerAddress;
         news.rpcAddress = known.rpcAddress;
+        news.processorShare = known.processorShare;
     }
     return news;
 }
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -21,9 +21,8 @@
 /// from a moment ago, and the way of a request to its target.
 constexpr double OldestProofShare = 0.75;
 
-/// Silence of the directory that shows it is away: the wait for a new configuration, and half a second.
-constexpr auto AskAfter = absl::Milliseconds(1700);
-constexpr auto AskForTargetsAfter = absl::Milliseconds(4500); // The same, of the list of targets.
+/// A wait for targets is that much longer than one for the configuration.
+constexpr auto TargetsSlack = absl::Milliseconds(3400);
 
 RetryBound retryBound(const settings::RelayBounds &bounds)
 {
@@ -42,8 +41,20 @@
     , metrics(metrics)
     , retries(retryBound(settings.bounds))
     , random(core::fastHash(core::cat(settings.vm, absl::ToUnixNanos(core::now()))))
+    , roster(settings.vm)
+    , startedAt(core::now())
 { }
 
+double RelayContext::retrySlackShare(core::Time now) const
+{
+    FleetKnowledge fleet;
+    fleet.largest = largestFleet;
+    fleet.hearsOthers = roster.size() > 1;
+    fleet.hasOthers = !settings.seeds.empty();
+    fleet.life = now - startedAt;
+    return slackShare(fleet, retries.bound().window);
+}
+
 bool RelayContext::keysAreFresh(core::Time now) const
 {
     if (!settings.bounds.failClosed) {
@@ -52,12 +63,12 @@
     return table && configurationProof.age(table->version, now) <= settings.bounds.revoke * OldestProofShare;
 }
 
-bool RelayContext::needsPeers(core::Time now) const
+core::Time RelayContext::directoryHeardAt() const
 {
-    const auto proofAge = configurationProof.age(table ? table->version : 0, now);
-    const bool lacksProof = now - configurationHeardAt > AskAfter && proofAge > AskAfter;
-    const bool lacksTargets = now - targetsHeardAt > AskForTargetsAfter && now - targetsKnownAt > AskForTargetsAfter;
-    return lacksProof || lacksTargets;
+    if (!table) {
+        return configurationHeardAt; // Targets are not asked for before there is a configuration.
+    }
+    return std::min(configurationHeardAt, targetsHeardAt + TargetsSlack);
 }
 
 void RelayContext::adopt(config::RouteTableRef newer, std::string source, std::string_view from, core::Time now)
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -60,7 +60,7 @@
                   {{"what", m_what}, {"status", core::nameOf(status)}, {"detail", detail}});
     }
     const auto jitter = std::uniform_real_distribution<double>(0, 1)(m_context.random);
-    return std::min(m_backoff.failed(jitter), longestWait(m_context.daemons));
+    return std::min(m_backoff.failed(jitter), longestWait(m_context.directoryCallers));
 }
 
 TargetIntake::TargetIntake(RelayContext &context, const DirectoryLink &link)
@@ -128,6 +128,7 @@
     for (const auto &id : missing) {
         drop(id, from, now);
     }
+    m_context.targetLog.restart(revision);
     m_context.targets.forgetGone(now);
 }
 
@@ -144,6 +145,9 @@
             put(change.entry, from);
         }
     }
+    if (!changes.empty()) {
+        m_context.targetLog.add(revision, changes);
+    }
     m_context.targets.forgetGone(now);
 }
 
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -1,5 +1,5 @@
 //----------------------------------------------------------------------------------------------------------------------
-// spurlug: heartbeats between relaying daemons: who lives, and what each has at the targets
+// spurlug: heartbeats between relaying daemons, and the socket of the control plane
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
@@ -23,27 +23,34 @@
 using boost::system::error_code;
 using net::asio::ip::udp;
 
-constexpr std::string_view Fleet = "fleet"; // All relaying daemons are one group, whatever their failure domain.
-constexpr auto PeerTimeout = absl::Milliseconds(1500); // Work of a peer that is silent this long is not counted.
-constexpr auto ShortestInterval = absl::Milliseconds(50); // Between a burst's requests at one daemon.
-constexpr auto LongestInterval = absl::Milliseconds(500); // So that PeerTimeout spans three heartbeats.
-constexpr double MostBytesPerSecond = 12'000; // Of the 15 KB/s that control may take in a large fleet.
-/// Bytes a second of all daemons together that a fleet may take instead, up to some hundred machines: nothing else is
-/// near its limit there, and choices are as good as the loads they go by are new (docs/ROUTING.md).
-constexpr double SmallFleetBytesPerSecond = 5'000'000;
-constexpr auto HeartbeatDelay = absl::Milliseconds(20); // On the way, and until both ends have come to it.
+/// Silence after which a peer counts as gone: three heartbeats at the longest interval, and one lost. A holder of a
+/// role that does not answer is left aside long before, by those that ask it.
+constexpr auto PeerTimeout = absl::Seconds(7);
+constexpr auto ShortestInterval = absl::Milliseconds(250);
+constexpr auto LongestInterval = absl::Seconds(2);
+constexpr double BytesPerSecond = 6'000; // Of the 15 KB/s that control may take in a large fleet.
+constexpr std::size_t DatagramOverhead = 28; // Bytes of the headers of IP and UDP.
+/// A daemon that just started sends more often until it knows the others; then it may hold roles.
+constexpr auto YouthSpan = absl::Seconds(3);
+constexpr auto YouthInterval = absl::Milliseconds(300);
 constexpr auto CandidateLife = absl::Seconds(20); // An address that never answers is forgotten.
-constexpr std::size_t PeersNamed = 6; // In each heartbeat that introduces its sender.
-constexpr std::uint64_t IntroductionEvery = 10; // Heartbeats; the others carry no addresses.
+constexpr std::size_t HoldersNamed = 4; // In an introduction, of the role that all daemons need.
+constexpr std::size_t PeersNamed = 12; // In an introduction, in all.
+constexpr std::uint64_t IntroductionEvery = 5; // Heartbeats; the others carry no addresses.
 constexpr std::size_t LargestDatagram = 64 << 10;
-constexpr auto PauseNoticed = absl::Milliseconds(700); // A gap between rounds that only a stopped process explains.
+constexpr auto PauseNoticed = absl::Milliseconds(3000); // A gap between rounds that only a stopped process explains.
+
+core::Address addressOf(const udp::endpoint &endpoint)
+{
+    return {endpoint.address().to_string(), endpoint.port()};
+}
 
 } // namespace
 
 PeerLink::PeerLink(RelayContext &context)
     : m_context(context)
     , m_socket(context.loop)
-    , m_peers(context.settings.vm, std::string(Fleet), PeerTimeout)
+    , m_peers(context.settings.vm, context.settings.failureDomain, PeerTimeout)
     , m_incarnation(static_cast<std::uint64_t>(absl::ToUnixNanos(absl::Now())))
 {
     const auto &address = context.settings.peerAddress;
@@ -57,15 +64,22 @@
     }
 }
 
-core::Duration PeerLink::interval(std::size_t bytes) const
+void PeerLink::onMessage(TakeMessage take)
+{
+    m_takeMessage = std::move(take);
+}
+
+core::Duration PeerLink::interval(core::Time now) const
 {
-    const auto perRound = static_cast<double>(bytes * m_peers.peers().size());
-    const auto budget = std::max(MostBytesPerSecond, SmallFleetBytesPerSecond / static_cast<double>(m_context.daemons));
-    const auto span = absl::Seconds(perRound / budget);
+    if (now - m_context.startedAt < YouthSpan) {
+        return YouthInterval;
+    }
+    const auto perRound = static_cast<double>((m_lastBytes + DatagramOverhead) * m_peers.peers().size());
+    const auto span = absl::Seconds(perRound / BytesPerSecond);
     return std::clamp(span, core::Duration(ShortestInterval), core::Duration(LongestInterval));
 }
 
-net::Task<> PeerLink::send()
+net::Task<> PeerLink::sendHeartbeats()
 {
     constexpr double LeastJitter = 0.9;
     constexpr double MostJitter = 1.1;
@@ -80,10 +94,17 @@
         noteSilence(now);
         sendRound(now);
         const auto jitter = std::uniform_real_distribution<double>(LeastJitter, MostJitter)(m_context.random);
-        const auto pause = interval(m_lastBytes);
-        m_context.peerWorkAge = pause + HeartbeatDelay;
-        co_await net::sleepFor(pause * jitter);
+        co_await net::sleepFor(interval(now) * jitter);
+    }
+}
+
+membership::DaemonState PeerLink::state(core::Time now) const
+{
+    if (m_context.draining) {
+        return membership::DaemonState::Leaving;
     }
+    const bool young = now - m_context.startedAt < YouthSpan;
+    return young || !m_context.table ? membership::DaemonState::Starting : membership::DaemonState::Serving;
 }
 
 membership::Heartbeat PeerLink::compose(core::Time now)
@@ -92,56 +113,71 @@
     heartbeat.news.vm = m_context.settings.vm;
     heartbeat.news.incarnation = m_incarnation;
     heartbeat.news.sequence = ++m_sequence;
-    heartbeat.news.state = m_context.draining ? membership::DaemonState::Leaving : membership::DaemonState::Serving;
+    heartbeat.news.state = state(now);
     heartbeat.news.generation = m_context.table ? m_context.table->version : 0;
-    heartbeat.work = m_context.targets.ownWork(now);
-    heartbeat.unreachable = m_context.targets.unreachable(now);
-    if (m_sequence % IntroductionEvery != 1 && !m_introduce) {
-        return heartbeat;
-    }
-    m_introduce = false;
-    heartbeat.news.failureDomain = Fleet;
+    heartbeat.largestFleet = m_context.largestFleet;
+    return heartbeat;
+}
+
+std::string PeerLink::introduction(core::Time now)
+{
+    auto heartbeat = compose(now);
+    heartbeat.news.failureDomain = m_context.settings.failureDomain;
     heartbeat.news.peerAddress = m_context.settings.peerAddress;
     heartbeat.news.rpcAddress = m_context.settings.controlAddress;
-    std::vector<core::Address> known;
+    heartbeat.news.processorShare = m_context.settings.processorShare;
+    for (const auto &holder : m_context.roster.holders(control::Role::Scheduler, HoldersNamed)) {
+        heartbeat.knownPeers.push_back(holder.datagrams);
+    }
+    std::vector<core::Address> others;
     for (const auto &vm : m_alive) {
-        known.push_back(m_peers.find(vm)->news.peerAddress);
+        others.push_back(m_peers.find(vm)->news.peerAddress);
     }
-    std::shuffle(known.begin(), known.end(), m_context.random);
-    known.resize(std::min(known.size(), PeersNamed));
-    heartbeat.knownPeers = std::move(known);
-    return heartbeat;
+    std::shuffle(others.begin(), others.end(), m_context.random);
+    others.resize(std::min(others.size(), PeersNamed - heartbeat.knownPeers.size()));
+    heartbeat.knownPeers.insert(heartbeat.knownPeers.end(), others.begin(), others.end());
+    return membership::writeHeartbeat(heartbeat, "");
 }
 
 void PeerLink::sendRound(core::Time now)
 {
-    const auto datagram = membership::writeHeartbeat(compose(now), "");
-    m_lastBytes = datagram.size();
-    std::set<std::string> receivers;
-    for (const auto &[vm, peer] : m_peers.peers()) {
-        receivers.insert(peer.news.peerAddress.text());
-    }
+    std::set<std::string> strangers;
     for (const auto &[address, toldAt] : m_candidates) {
-        receivers.insert(address);
+        strangers.insert(address);
     }
     for (const auto &seed : m_context.settings.seeds) {
         // Seeds are control addresses; the port for heartbeats is the same on all daemons.
-        receivers.insert(core::Address{seed.host, m_context.settings.peerAddress.port}.text());
+        strangers.insert(core::Address{seed.host, m_context.settings.peerAddress.port}.text());
+    }
+    strangers.erase(m_context.settings.peerAddress.text());
+    for (const auto &[vm, peer] : m_peers.peers()) {
+        strangers.erase(peer.news.peerAddress.text());
+    }
+    const auto hello = introduction(now);
+    for (const auto &stranger : strangers) {
+        sendTo(core::parseAddress(stranger), hello);
     }
-    receivers.erase(m_context.settings.peerAddress.text());
-    for (const auto &receiver : receivers) {
-        sendTo(core::parseAddress(receiver), datagram);
+    const bool introduces = m_sequence % IntroductionEvery == 0;
+    const auto datagram = introduces ? introduction(now) : membership::writeHeartbeat(compose(now), "");
+    m_lastBytes = introduces ? m_lastBytes : datagram.size();
+    for (const auto &[vm, peer] : m_peers.peers()) {
+        sendTo(peer.news.peerAddress, datagram);
+        m_context.metrics.count(metrics::Counter::HeartbeatsSent);
+        m_context.metrics.count(metrics::Counter::HeartbeatBytesSent, static_cast<std::int64_t>(datagram.size()));
     }
 }
 
+void PeerLink::announce(core::Time now)
+{
+    sendRound(now);
+}
+
 void PeerLink::sendTo(const core::Address &peer, const std::string &datagram)
 {
     error_code error; // A datagram may be lost anyway: the next one makes up for it.
     const udp::endpoint endpoint(net::asio::ip::make_address(peer.host, error), peer.port);
     if (!error) {
         m_socket.send_to(net::asio::buffer(datagram), endpoint, 0, error);
-        m_context.metrics.count(metrics::Counter::HeartbeatsSent);
-        m_context.metrics.count(metrics::Counter::HeartbeatBytesSent, static_cast<std::int64_t>(datagram.size()));
     }
 }
 
@@ -155,13 +191,19 @@
             co_return;
         }
         if (!error) { // Else an earlier datagram met a closed port: its receiver is away.
-            take(buffer.substr(0, bytes), core::now());
+            take(buffer.substr(0, bytes), addressOf(sender), core::now());
         }
     }
 }
 
-void PeerLink::take(const std::string &datagram, core::Time now)
+void PeerLink::take(const std::string &datagram, const core::Address &from, core::Time now)
 {
+    if (auto message = control::readMessage(datagram)) {
+        if (m_takeMessage) {
+            m_takeMessage(std::move(*message), from);
+        }
+        return;
+    }
     m_context.metrics.count(metrics::Counter::HeartbeatsReceived);
     m_context.metrics.count(metrics::Counter::HeartbeatBytesReceived, static_cast<std::int64_t>(datagram.size()));
     const auto heartbeat = membership::readHeartbeat(datagram, "");
@@ -169,25 +211,38 @@
         m_context.metrics.count(metrics::Counter::HeartbeatsRejected);
         return;
     }
-    const auto &news = heartbeat->news;
+    takeHeartbeat(*heartbeat, now);
+}
+
+void PeerLink::takeHeartbeat(const membership::Heartbeat &heartbeat, core::Time now)
+{
+    const auto &news = heartbeat.news;
+    const auto *known = m_peers.find(news.vm);
+    const bool changed = known == nullptr || known->news.state != news.state;
     const auto heard = m_peers.hear(news, now);
+    if (heard == membership::HeardResult::Unknown) {
+        return; // It introduces itself soon.
+    }
     if (heard != membership::HeardResult::Accepted && heard != membership::HeardResult::New) {
         return;
     }
-    if (m_alive.insert(news.vm).second || heard == membership::HeardResult::New) {
-        m_introduce = true; // It may not know this daemon either.
+    const auto &address = m_peers.find(news.vm)->news.peerAddress;
+    const bool isNew = m_alive.insert(news.vm).second || heard == membership::HeardResult::New;
+    if (isNew) {
         core::log(core::LogLevel::Info, "peer_heard",
-                  {{"vm", news.vm}, {"address", news.peerAddress.text()}, {"incarnation", news.incarnation}});
+                  {{"vm", news.vm}, {"address", address.text()}, {"incarnation", news.incarnation}});
+    }
+    m_context.largestFleet = std::max(m_context.largestFleet, heartbeat.largestFleet);
+    for (const auto &candidate : heartbeat.knownPeers) {
+        m_candidates.emplace(candidate.text(), now);
     }
-    m_context.targets.peerWork(news.vm, heartbeat->work);
-    for (const auto &target : m_context.targets.peerReport(heartbeat->unreachable, now)) {
-        core::log(core::LogLevel::Info, "target_reported",
-                  {{"target", target->entry.id}, {"by", news.vm}, {"reported", heartbeat->unreachable.size()}});
+    m_candidates.erase(address.text());
+    if (isNew || changed) {
+        refreshRoster(now);
     }
-    for (const auto &address : heartbeat->knownPeers) {
-        m_candidates.emplace(address.text(), now);
+    if (heard == membership::HeardResult::New) {
+        sendTo(address, introduction(now)); // It may not know this daemon either.
     }
-    m_candidates.erase(news.peerAddress.text());
 }
 
 void PeerLink::noteSilence(core::Time now)
@@ -198,23 +253,25 @@
             return false;
         }
         core::log(core::LogLevel::Warning, "peer_silent", {{"vm", vm}});
-        m_context.targets.forgetPeer(vm);
         return true;
     });
     m_peers.forgetSilent(now);
     std::erase_if(m_candidates, [&](const auto &item) { return now - item.second > CandidateLife; });
-    m_context.daemons = std::max(m_alive.size() + 1, m_context.settings.seeds.size());
+    refreshRoster(now);
 }
 
-std::vector<core::Address> PeerLink::toAsk(core::Time now) const
+void PeerLink::refreshRoster(core::Time now)
 {
-    std::vector<core::Address> addresses;
-    for (const auto &[vm, peer] : m_peers.peers()) {
-        if (m_peers.alive(peer, now)) {
-            addresses.push_back(peer.news.rpcAddress);
-        }
+    const auto &settings = m_context.settings;
+    std::vector<control::Member> members{{settings.vm, settings.failureDomain, settings.processorShare, state(now),
+                                          settings.peerAddress, settings.controlAddress}};
+    for (const auto &vm : m_alive) {
+        const auto &news = m_peers.find(vm)->news;
+        members.push_back({vm, news.failureDomain, news.processorShare, news.state, news.peerAddress, news.rpcAddress});
     }
-    return addresses.empty() ? m_context.settings.seeds : addresses;
+    m_context.roster.replace(std::move(members));
+    m_context.daemons = std::max(m_context.roster.size(), settings.seeds.size());
+    m_context.largestFleet = std::max(m_context.largestFleet, m_context.daemons);
 }
 
 } // namespace spurlug::relay
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -30,7 +30,25 @@
 
 } // namespace
 
-PeerState peerState(const RelayContext &context, std::int64_t askersVersion, core::Time now)
+control::ProofAnswer proofAnswer(const RelayContext &context, std::uint64_t number, core::Time regainedAt,
+                                 core::Time now)
+{
+    control::ProofAnswer answer;
+    answer.vm = context.settings.vm;
+    answer.number = number;
+    if (context.table) {
+        answer.version = context.table->version;
+        answer.proofAge = context.configurationProof.age(answer.version, now);
+    }
+    answer.contactAge = now - context.directoryHeardAt();
+    answer.targetsRevision = context.targetLog.newest();
+    answer.targetsAge = now - context.targetsKnownAt;
+    answer.regainedAge = now - regainedAt;
+    return answer;
+}
+
+PeerState peerState(const RelayContext &context, std::int64_t askersVersion, std::int64_t askersRevision,
+                    core::Time now)
 {
     PeerState state;
     if (context.table) {
@@ -40,6 +58,11 @@
     }
     state.targetsAge = now - context.targetsKnownAt;
     state.targetsRevision = context.targetsRevision;
+    if (auto changes = context.targetLog.since(askersRevision)) {
+        state.wholeList = false;
+        state.targets = std::move(*changes);
+        return state;
+    }
     for (const auto &[id, target] : context.targets.all()) {
         // A target that is only kept for a while is gone: told on, it would come back elsewhere.
         if (target->dropAt == absl::InfiniteFuture()) {
@@ -55,6 +78,7 @@
     for (const auto &change : state.targets) {
         const auto &entry = change.entry;
         targets.push_back({{"id", entry.id},
+                           {"gone", change.gone},
                            {"service", entry.service},
                            {"address", entry.address.text()},
                            {"failureDomain", entry.failureDomain},
@@ -66,6 +90,7 @@
                           {"document", state.document},
                           {"targetsAgeMs", ageMs(state.targetsAge)},
                           {"targetsRevision", state.targetsRevision},
+                          {"wholeList", state.wholeList},
                           {"targets", std::move(targets)}}
         .dump();
 }
@@ -80,9 +105,15 @@
         state.document = document.at("document");
         state.targetsAge = ageFrom(document.at("targetsAgeMs"));
         state.targetsRevision = document.at("targetsRevision");
+        state.wholeList = document.at("wholeList");
         for (const auto &item : document.at("targets")) {
             TargetEntry entry;
             entry.id = item.at("id");
+            const bool gone = item.at("gone");
+            if (gone) {
+                state.targets.push_back({std::move(entry), true});
+                continue;
+            }
             entry.service = item.at("service");
             entry.address = core::parseAddress(item.at("address").get<std::string>());
             entry.failureDomain = item.at("failureDomain");
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -5,6 +5,7 @@
 
 #include "spurlug/relay/request_progress.h"
 
+#include "spurlug/control/scheduler_client.h"
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
 
@@ -32,20 +33,17 @@
 constexpr std::int64_t ShortPrompt = 16'000; // Tokens.
 constexpr std::int64_t LongPrompt = 70'000; // Tokens.
 
-/// Part of the aim that a request waits here for a free target: a refusal after it comes too late to be made up for.
-constexpr double WaitShare = 0.22;
-/// Most daemons taken to have sent what this one sent of late: in a large fleet the jitter of choices spreads them.
-constexpr double MostUnseen = 7;
 /// An engine that turns a request down after this waited for one that helps it in vain; it says so at once when the
 /// helper is only busy or leaving. Engines wait 1.5 s on the users' platform.
 constexpr auto HelperStall = absl::Milliseconds(900);
-/// Share of a service's targets up to which peers' reports are believed: beyond it the network is at fault.
-constexpr double MostAvoidedShare = 0.34;
+/// Work of other daemons is not known to one that decides alone. It is taken to be this old, so that the request
+/// considers a random seventh of the engines and daemons do not choose alike.
+constexpr auto LoadAgeAlone = absl::Milliseconds(500);
 constexpr auto NoHelpSpan = absl::Milliseconds(300); // An engine gets through its reading in less.
 
-bool contains(const std::vector<std::string> &ids, const std::string &id)
+bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash)
 {
-    return std::find(ids.begin(), ids.end(), id) != ids.end();
+    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
 }
 
 nlohmann::json idsOf(const std::vector<core::Ref<Target>> &targets)
@@ -146,63 +144,6 @@
     return m_route->gapAim < m_context.settings.placement.tightGap;
 }
 
-bool RequestProgress::usable(const Target &target, bool evenEjected, core::Time now) const
-{
-    const auto &id = target.entry.id;
-    const bool mayReturn = m_sentTo.size() >= static_cast<std::size_t>(m_route->mostTargets);
-    const bool fits = mayReturn ? contains(m_refusedBy, id) : !contains(m_sentTo, id);
-    if (!fits || contains(m_unreachable, id)) {
-        return false;
-    }
-    if (evenEjected) {
-        return true;
-    }
-    // A daemon that could not reach it either tries it itself: if all waited for each other it would never return.
-    if (m_heedsReports && now < target.reportedUntil && !target.health.onProbation()) {
-        return false;
-    }
-    const bool waitsForProof = target.health.onProbation() && target.own(now).requests > 0;
-    return !target.health.ejected(now) && !waitsForProof;
-}
-
-std::vector<Candidate> RequestProgress::candidates(const TargetSet::Targets &targets, core::Time now)
-{
-    const auto reported = std::count_if(targets.begin(), targets.end(),
-                                        [&](const auto &target) { return now < target->reportedUntil; });
-    m_heedsReports = static_cast<double>(reported) <= static_cast<double>(targets.size()) * MostAvoidedShare;
-    const bool someWell
-        = std::any_of(targets.begin(), targets.end(), [&](const auto &target) { return usable(*target, false, now); });
-    const auto &rule = m_context.settings.placement;
-    std::vector<Outstanding> loads;
-    loads.reserve(targets.size());
-    for (const auto &target : targets) {
-        auto load = target->own(now);
-        load += target->peers;
-        loads.push_back(load);
-    }
-    const auto slots = targets.empty() ? 1 : targets.front()->entry.slots;
-    const auto tightOnly = enginesForTight(loads, slots, rule);
-    const auto others = std::min(static_cast<double>(m_context.daemons - 1), MostUnseen) * rule.unseenShare;
-    std::size_t kept = 0;
-    std::vector<Candidate> all;
-    for (const auto &target : targets) {
-        Candidate candidate;
-        candidate.load = loads[all.size()];
-        candidate.unseen = target->ownSince(now - m_context.peerWorkAge, now);
-        candidate.unseen *= others;
-        candidate.slots = target->entry.slots;
-        candidate.atHome = target->entry.failureDomain == m_context.settings.failureDomain;
-        candidate.mayAnswer = usable(*target, !someWell, now);
-        candidate.tightOnly = candidate.mayAnswer && kept < tightOnly;
-        kept += candidate.tightOnly ? 1 : 0;
-        const bool avoided = m_heedsReports && now < target->reportedUntil;
-        candidate.mayHelp
-            = !avoided && !target->health.ejected(now) && !target->health.onProbation() && now >= target->noHelpUntil;
-        all.push_back(candidate);
-    }
-    return all;
-}
-
 PromptRequest RequestProgress::promptRequest(core::Time now) const
 {
     PromptRequest request;
@@ -210,70 +151,59 @@
     request.aim = m_route->aim;
     request.tight = isTight();
     request.waited = now - m_arrivedAt;
-    request.mayQueue = request.waited >= m_route->aim * WaitShare;
+    request.mayQueue = mayQueueAfter(request.waited, m_route->aim);
     request.patience = std::min(callerPatience(), m_deadline - m_arrivedAt);
     if (const auto found = m_context.pauses.find(m_service); found != m_context.pauses.end()) {
         request.pauses = found->second;
     }
-    request.loadAge = m_context.peerWorkAge;
+    request.loadAge = LoadAgeAlone;
     return request;
 }
 
-std::optional<ChosenTargets> RequestProgress::choose(core::Time now)
+TargetQuery RequestProgress::query(core::Time now)
 {
-    const auto &service = chooseService();
+    TargetQuery query;
+    query.service = chooseService();
     if (!m_counted) {
-        m_context.retries.request(service, now);
+        m_context.retries.request(query.service, now);
         m_counted = true;
     }
-    const auto targets = m_context.targets.listed(service, now);
-    const auto *spec = m_table->service(service);
-    const auto all = candidates(targets, now);
-    const auto pick = m_context.random();
-    const bool isPrompt = spec != nullptr && spec->engine && m_facts.prompt;
-    std::optional<Placement> placement;
-    if (isPrompt) {
-        placement = placePrompt(*spec->engine, promptRequest(now), all, m_context.settings.placement, pick);
-    } else {
-        placement = placePlain(all, m_context.settings.placement, pick);
-    }
-    if (!placement) {
-        return std::nullopt;
-    }
-    ChosenTargets chosen;
-    chosen.target = targets[placement->target];
-    for (const auto helper : placement->helpers) {
-        chosen.helpers.push_back(targets[helper]);
+    const auto *spec = m_table->service(query.service);
+    if (spec != nullptr && spec->engine && m_facts.prompt) {
+        query.prompt = promptRequest(now);
     }
-    for (const auto &holding : placement->holdings) {
-        chosen.holdingTokens.push_back(holding.tokens);
+    query.notAt = m_unreachable;
+    const bool mayReturn = m_sentTo.size() >= static_cast<std::size_t>(m_route->mostTargets);
+    if (mayReturn) {
+        query.onlyAt = m_refusedBy;
+    } else {
+        query.notAt.insert(query.notAt.end(), m_sentTo.begin(), m_sentTo.end());
     }
-    chosen.expected = placement->expected;
-    chosen.partRead = placement->partRead;
-    return chosen;
+    return query;
+}
+
+std::optional<ChosenTargets> RequestProgress::choose(core::Time now)
+{
+    return chooseTargets(m_context, query(now), now);
 }
 
-void RequestProgress::begin(const ChosenTargets &chosen, core::Time now)
+void RequestProgress::begin(const ChosenTargets &chosen, std::string_view scheduler, core::Time now)
 {
     m_current = chosen;
+    m_helperAtFault = false;
     m_sentAt = now;
     ++m_attempts;
     const auto expected = now + chosen.expected;
-    const auto readMicros = absl::ToInt64Microseconds(chosen.partRead);
-    std::int64_t held = 0;
-    for (std::size_t i = 0; i < chosen.helpers.size(); ++i) {
-        Outstanding work;
-        work.parts = 1;
-        work.partMicros = readMicros;
-        work.memoryTokens = i < chosen.holdingTokens.size() ? chosen.holdingTokens[i] : 0;
-        held += work.memoryTokens;
-        m_shares.push_back(std::make_unique<Share>(chosen.helpers[i], Share::Kind::Part, work, now, expected, false));
-    }
-    Outstanding work;
-    work.requests = 1;
-    work.readMicros = readMicros;
-    work.memoryTokens = m_facts.prompt ? std::max<std::int64_t>(m_facts.prompt->memoryTokens() - held, 0) : 0;
-    m_shares.push_back(std::make_unique<Share>(chosen.target, Share::Kind::Request, work, now, expected, isTight()));
+    const auto works = workOf(chosen, m_facts.prompt.value_or(PromptFacts{}));
+    for (std::size_t i = 0; i < works.size(); ++i) {
+        const bool answers = i + 1 == works.size();
+        const auto kind = answers ? Share::Kind::Request : Share::Kind::Part;
+        const auto &[target, work] = works[i];
+        m_shares.push_back(std::make_unique<Share>(target, kind, work, now, expected, answers && isTight()));
+    }
+    if (scheduler.empty()) {
+        noteWork();
+    }
     m_context.metrics.count(metrics::Counter::AttemptsStarted);
     core::log(core::LogLevel::Info, "request_sent",
               {{"request", m_facts.id},
@@ -287,10 +217,17 @@
                {"expectedMs", core::toMs(chosen.expected)},
                {"waitedMs", core::toMs(now - m_arrivedAt)},
                {"readMs", core::toMs(chosen.partRead) * static_cast<std::int64_t>(chosen.helpers.size() + 1)},
-               {"loadAgeMs", core::toMs(m_context.peerWorkAge)},
+               {"scheduler", scheduler},
                {"timeLeftMs", core::toMs(m_deadline - now)}});
 }
 
+void RequestProgress::noteWork()
+{
+    if (m_context.scheduling != nullptr) {
+        m_context.scheduling->workChanged();
+    }
+}
+
 void RequestProgress::heard(core::Time now) noexcept
 {
     m_current.target->heardAt = now;
@@ -308,6 +245,7 @@
     }
     m_answeredAt = now;
     m_lastEventAt = now;
+    noteWork();
     if (m_facts.prompt) {
         m_context.metrics.time(metrics::firstTokenTimer(m_facts.prompt->promptTokens), now - m_arrivedAt);
     }
@@ -317,18 +255,26 @@
                                  const std::string &detail, core::Time now)
 {
     m_shares.clear();
-    const auto &id = m_current.target->entry.id;
-    if (reason != Reason::ConnectFailed && !contains(m_sentTo, id)) {
-        m_sentTo.push_back(id);
+    noteWork();
+    const auto hash = m_current.target->hash;
+    if (reason != Reason::ConnectFailed && !contains(m_sentTo, hash)) {
+        m_sentTo.push_back(hash);
     }
     if (reason == Reason::ConnectFailed) {
-        m_unreachable.push_back(id);
+        m_unreachable.push_back(hash);
     } else if (outcome == Outcome::NotRun) {
-        m_refusedBy.push_back(id);
+        m_refusedBy.push_back(hash);
     } else {
-        std::erase(m_refusedBy, id);
+        std::erase(m_refusedBy, hash);
+    }
+    if (reason == Reason::TargetRefused && !m_helperAtFault) {
+        m_current.target->fullUntil = now + FullSpan;
     }
     m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
+    const bool isBusy = fault == TargetFault::Busy && m_helperAtFault;
+    if (m_context.scheduling != nullptr && (fault || outcome == Outcome::Completed) && !isBusy) {
+        m_context.scheduling->outcome(hash, fault);
+    }
     auto &health = m_current.target->health;
     if (fault) {
         health.failed(*fault, m_context.ejection, now);
@@ -356,10 +302,14 @@
     if (!target || target == m_current.target) {
         return;
     }
+    m_helperAtFault = true;
     target->noHelpUntil = now + NoHelpSpan;
     const bool silent = m_current.target && now - m_sentAt >= HelperStall;
     if (silent) {
         target->health.failed(TargetFault::Silent, m_context.ejection, now);
+        if (m_context.scheduling != nullptr) {
+            m_context.scheduling->outcome(target->hash, TargetFault::Silent);
+        }
     }
     core::log(core::LogLevel::Info, "help_refused",
               {{"request", m_facts.id},
@@ -383,7 +333,7 @@
         return false;
     }
     // Attempts that found no connection never arrived: the next one is the first.
-    return state.targets == 0 || m_context.retries.take(m_service, m_context.daemons, now);
+    return state.targets == 0 || m_context.retries.take(m_service, m_context.retrySlackShare(now), now);
 }
 
 RequestProgress::Places RequestProgress::placesOf(const std::string &service, core::Time now) const
@@ -442,6 +392,11 @@
     return m_organisation;
 }
 
+int RequestProgress::priority() const noexcept
+{
+    return static_cast<int>(m_priority);
+}
+
 core::Time RequestProgress::deadline() const noexcept
 {
     return m_deadline;
--- a/src/relay/retry_ledger.cpp
+++ b/src/relay/retry_ledger.cpp
@@ -13,8 +13,10 @@
 namespace
 {
 
-/// A daemon that was killed and starts again may spend a second part within one window.
-constexpr double LivesInAWindow = 2;
+constexpr double SettledShare = 0.4; ///< Of the slack, of all daemons that have lived for a window.
+constexpr double YoungShare = 0.03; ///< Of all others.
+constexpr double YoungAloneShare = 0.15; ///< Of a daemon that is the whole fleet.
+constexpr auto LearningSpan = absl::Seconds(3); ///< A daemon that started hears all others within it.
 
 void forgetBefore(std::deque<core::Time> &times, core::Time oldest)
 {
@@ -25,6 +27,18 @@
 
 } // namespace
 
+double slackShare(const FleetKnowledge &fleet, core::Duration window) noexcept
+{
+    if (!fleet.hasOthers) {
+        return fleet.life >= window ? SettledShare : YoungAloneShare;
+    }
+    if (!fleet.hearsOthers || fleet.life < LearningSpan) {
+        return 0;
+    }
+    const auto share = fleet.life >= window ? SettledShare : YoungShare;
+    return share / static_cast<double>(std::max<std::size_t>(fleet.largest, 1));
+}
+
 RetryLedger::RetryLedger(RetryBound bound)
     : m_bound(bound)
 { }
@@ -42,13 +56,12 @@
     counts.requests.push_back(now);
 }
 
-bool RetryLedger::take(const std::string &service, std::size_t daemons, core::Time now)
+bool RetryLedger::take(const std::string &service, double slackShare, core::Time now)
 {
     auto &counts = m_services[service];
     forget(counts, now);
-    const auto parts = static_cast<double>(std::max<std::size_t>(daemons, 1)) * LivesInAWindow;
-    const auto allowed
-        = m_bound.margin * (m_bound.ratio * static_cast<double>(counts.requests.size()) + m_bound.slack / parts);
+    const auto ofRequests = m_bound.margin * m_bound.ratio * static_cast<double>(counts.requests.size());
+    const auto allowed = ofRequests + m_bound.slack * slackShare;
     if (static_cast<double>(counts.repeats.size()) + 1 > allowed) {
         return false;
     }
--- /dev/null
+++ b/src/relay/target_choice.cpp
@@ -0,0 +1,189 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the choice among the targets that are known, by the work that is known there
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/relay/target_choice.h"
+
+#include <algorithm>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+/// Part of the aim that a tight request waits for a free target before it may queue at one.
+constexpr double WaitShare = 0.22;
+/// Share of a service's targets up to which peers' reports are believed: beyond it the network is at fault.
+constexpr double MostAvoidedShare = 0.34;
+
+bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash)
+{
+    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
+}
+
+/// Makes the candidates of one request.
+class CandidateList
+{
+public:
+    CandidateList(const RelayContext &context, const TargetQuery &query, const TargetSet::Targets &targets,
+                  core::Time now)
+        : m_context(context)
+        , m_query(query)
+        , m_targets(targets)
+        , m_now(now)
+    {
+        const auto reported = std::count_if(targets.begin(), targets.end(),
+                                            [now](const auto &target) { return now < target->reportedUntil; });
+        m_heedsReports = static_cast<double>(reported) <= static_cast<double>(targets.size()) * MostAvoidedShare;
+        for (const auto &target : targets) {
+            auto load = target->own(now);
+            load += target->peers;
+            m_loads.push_back(load);
+        }
+    }
+
+    [[nodiscard]] std::vector<Candidate> make() const
+    {
+        const auto slots = m_targets.empty() ? 1 : m_targets.front()->entry.slots;
+        const auto tightOnly = enginesForTight(m_loads, slots, m_context.settings.placement);
+        const bool someWell = anyUsable(false);
+        std::size_t kept = 0;
+        std::vector<Candidate> all;
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            const auto &target = *m_targets[i];
+            Candidate candidate;
+            candidate.load = m_loads[i];
+            candidate.slots = target.entry.slots;
+            candidate.atHome = target.entry.failureDomain == m_context.settings.failureDomain;
+            candidate.mayAnswer = usable(i, !someWell);
+            candidate.tightOnly = candidate.mayAnswer && kept < tightOnly;
+            kept += candidate.tightOnly ? 1 : 0;
+            candidate.mayHelp = mayHelp(target);
+            all.push_back(candidate);
+        }
+        return all;
+    }
+
+private:
+    [[nodiscard]] bool avoided(const Target &target) const
+    {
+        return m_heedsReports && m_now < target.reportedUntil;
+    }
+
+    [[nodiscard]] bool mayHelp(const Target &target) const
+    {
+        const auto &health = target.health;
+        return !avoided(target) && !health.ejected(m_now) && !health.onProbation() && m_now >= target.noHelpUntil;
+    }
+
+    [[nodiscard]] bool anyUsable(bool evenEjected) const
+    {
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            if (usable(i, evenEjected)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    [[nodiscard]] bool usable(std::size_t index, bool evenEjected) const
+    {
+        const auto &target = *m_targets[index];
+        const bool wanted = !m_query.onlyAt || contains(*m_query.onlyAt, target.hash);
+        if (!wanted || contains(m_query.notAt, target.hash) || m_now < target.fullUntil) {
+            return false;
+        }
+        if (evenEjected) {
+            return true;
+        }
+        // A daemon that could not reach it either tries it itself: if all waited for each other it would never return.
+        if (avoided(target) && !target.health.onProbation()) {
+            return false;
+        }
+        const bool waitsForProof = target.health.onProbation() && m_loads[index].requests > 0;
+        return !target.health.ejected(m_now) && !waitsForProof;
+    }
+
+    const RelayContext &m_context;
+    const TargetQuery &m_query;
+    const TargetSet::Targets &m_targets;
+    const core::Time m_now;
+    bool m_heedsReports = true; ///< Whether reports of unreachable targets are few enough to be believed.
+    std::vector<Outstanding> m_loads;
+};
+
+TargetSet::Targets targetsFor(const RelayContext &context, const TargetQuery &query, core::Time now)
+{
+    auto targets = context.targets.listed(query.service, now);
+    if (!query.atHome) {
+        return targets;
+    }
+    TargetSet::Targets home;
+    for (const auto &target : targets) {
+        if (target->entry.failureDomain == context.settings.failureDomain) {
+            home.push_back(target);
+        }
+    }
+    return home.empty() ? targets : home;
+}
+
+} // namespace
+
+bool mayQueueAfter(core::Duration waited, core::Duration aim) noexcept
+{
+    return waited >= aim * WaitShare;
+}
+
+std::optional<ChosenTargets> chooseTargets(RelayContext &context, const TargetQuery &query, core::Time now)
+{
+    const auto targets = targetsFor(context, query, now);
+    const auto candidates = CandidateList(context, query, targets, now).make();
+    const auto *spec = context.table ? context.table->service(query.service) : nullptr;
+    const auto pick = context.random();
+    const auto &rule = context.settings.placement;
+    std::optional<Placement> placement;
+    if (query.prompt && spec != nullptr && spec->engine) {
+        placement = placePrompt(*spec->engine, *query.prompt, candidates, rule, pick);
+    } else {
+        placement = placePlain(candidates, rule, pick);
+    }
+    if (!placement) {
+        return std::nullopt;
+    }
+    ChosenTargets chosen;
+    chosen.target = targets[placement->target];
+    for (const auto helper : placement->helpers) {
+        chosen.helpers.push_back(targets[helper]);
+    }
+    for (const auto &holding : placement->holdings) {
+        chosen.holdingTokens.push_back(holding.tokens);
+    }
+    chosen.expected = placement->expected;
+    chosen.partRead = placement->partRead;
+    return chosen;
+}
+
+std::vector<std::pair<core::Ref<Target>, Outstanding>> workOf(const ChosenTargets &chosen, const PromptFacts &prompt)
+{
+    const auto readMicros = absl::ToInt64Microseconds(chosen.partRead);
+    std::vector<std::pair<core::Ref<Target>, Outstanding>> works;
+    std::int64_t held = 0;
+    for (std::size_t i = 0; i < chosen.helpers.size(); ++i) {
+        Outstanding work;
+        work.parts = 1;
+        work.partMicros = readMicros;
+        work.memoryTokens = i < chosen.holdingTokens.size() ? chosen.holdingTokens[i] : 0;
+        held += work.memoryTokens;
+        works.emplace_back(chosen.helpers[i], work);
+    }
+    Outstanding work;
+    work.requests = 1;
+    work.readMicros = readMicros;
+    work.memoryTokens = std::max<std::int64_t>(prompt.memoryTokens() - held, 0);
+    works.emplace_back(chosen.target, work);
+    return works;
+}
+
+} // namespace spurlug::relay
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -82,6 +82,7 @@
 
 Target::Target(TargetEntry entry)
     : entry(std::move(entry))
+    , hash(targets::targetHash(this->entry.id))
 { }
 
 Outstanding Target::own(core::Time now) const noexcept
@@ -109,7 +110,7 @@
     auto &target = m_targets[entry.id];
     if (!target) {
         target = core::makeCounted<Target>(entry);
-        m_byHash[targets::targetHash(entry.id)] = target;
+        m_byHash[target->hash] = target;
         return;
     }
     const bool draining = target->entry.draining || entry.draining;
@@ -133,7 +134,7 @@
         const auto &target = item.second;
         const bool old = now - KeptAfterwards > target->dropAt;
         if (old && target->own(now) == Outstanding{}) {
-            m_byHash.erase(targets::targetHash(target->entry.id));
+            m_byHash.erase(target->hash);
             return true;
         }
         return false;
@@ -215,6 +216,12 @@
     return found == m_targets.end() ? nullptr : found->second;
 }
 
+core::Ref<Target> TargetSet::withHash(std::uint32_t hash) const
+{
+    const auto found = m_byHash.find(hash);
+    return found == m_byHash.end() ? nullptr : found->second;
+}
+
 core::Ref<Target> TargetSet::at(const core::Address &address, core::Time now) const
 {
     for (const auto &[id, target] : m_targets) {
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr double MostRatio = 1000;
+constexpr double MostCores = 1024;
+constexpr std::int64_t MostReaders = 1000;
 
 void readBounds(core::ObjectReader &reader, RelayBounds &bounds)
 {
@@ -73,6 +75,9 @@
     settings.metricsAddress = readAddress(reader, "metricsAddress");
     settings.store = readAddress(reader, "store");
     settings.seeds = readAddresses(reader, "seeds");
+    settings.processorShare = reader.number("processorShare", 0, MostCores, settings.processorShare);
+    settings.readersPerDomain
+        = static_cast<int>(reader.integer("readersPerDomain", 1, MostReaders, settings.readersPerDomain));
     settings.logLevel = readLogLevel(reader);
     reader.object("bounds", [&](core::ObjectReader &child) { readBounds(child, settings.bounds); });
     reader.object("placement", [&](core::ObjectReader &child) { readPlacement(child, settings.placement); });
