What others told of reading shrinks with time; prompts that can be in time go before those that can't

Reports are 0.3 s apart at this size and a part is read in 0.25 s, so the scheduler took engines for busy that were done. Asks were served in the order of arrival, so that once some were late all were. Change: a report tells until when reading should be done, and its share shrinks towards that; asks are ordered by whether they can still be in time, then by the time they have to spare; late long ones step back while others wait that are not late. Removed: the guess of unseen work (`unseenShare`): a scheduler knows it.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -46,8 +46,9 @@
     /// \brief Notes that a grant was used by this daemon itself, whose work is known without reports.
     void begun(std::uint64_t grant);
 
-    /// \brief Places asks that wait: the operator's priority first, then those that bear short pauses only (they hold
-    /// an engine for a fraction of the time of the others), then the oldest.
+    /// \brief Places asks that wait: the operator's priority first, then those that can still be in time, of these those
+    /// that bear short pauses only (they hold an engine for a fraction of the time of the others), then the ones with the
+    /// least time to spare. A long prompt that is late anyway steps back while others wait that are not.
     /// \returns The grants, by daemon.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementAnswer>> serveWaiting(core::Time now);
 
@@ -88,13 +89,15 @@
 
     [[nodiscard]] std::optional<PlacementAnswer> place(const PlacementAsk &ask, core::Time arrivedAt, core::Time now);
     [[nodiscard]] bool schedules(const std::string &service) const;
-    void keepWaiting(const PlacementAsk &ask, core::Time now);
+    void sortWaiting(core::Time now);
+    /// Time that would be left of a prompt's aim if all engines began to read it now; below 0: it will be late.
+    [[nodiscard]] core::Duration timeToSpare(const Waiting &waiting, core::Time now) const;
     void takeOutcome(const TargetOutcome &outcome, core::Time now);
     Grants::iterator forget(Grants::iterator grant);
 
     relay::RelayContext &m_context;
     Grants m_grants; ///< By number.
-    std::vector<Waiting> m_waiting; ///< In the order in which they are served.
+    std::vector<Waiting> m_waiting;
     std::map<std::string, Heard> m_heard; ///< By daemon.
     std::uint64_t m_newestGrant = 0;
 };
--- a/include/spurlug/relay/engine_estimate.h
+++ b/include/spurlug/relay/engine_estimate.h
@@ -39,7 +39,7 @@
     /// \brief Whether the prompt and its answer fit into the free memory.
     [[nodiscard]] bool holdsPrompt(std::size_t candidate) const noexcept;
 
-    /// \brief Reading that waits there, what peers may have sent unseen included.
+    /// \brief Reading that waits there.
     [[nodiscard]] double aheadMs(std::size_t candidate) const noexcept;
     /// \brief Time until it has read a part behind what is there.
     [[nodiscard]] double finishMs(std::size_t candidate, double part) const noexcept;
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -21,7 +21,6 @@
 struct Candidate
 {
     Outstanding load; ///< Work of all daemons there, as far as it is known.
-    Outstanding unseen; ///< Work that other daemons may have sent there since they were heard.
     int slots = 1;
     bool atHome = false; ///< In this daemon's failure domain.
     bool mayAnswer = true; ///< Whether it may get the request itself.
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -12,6 +12,7 @@
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -63,6 +64,8 @@
     [[nodiscard]] Outstanding work(core::Time now) const noexcept;
     [[nodiscard]] const core::Ref<Target> &target() const noexcept;
     [[nodiscard]] core::Time sentAt() const noexcept;
+    /// \brief When reading should end; in the infinite past once it has.
+    [[nodiscard]] core::Time readingDueAt() const noexcept;
 
 private:
     core::Ref<Target> m_target;
@@ -74,6 +77,24 @@
     bool m_reading = true;
 };
 
+/// \brief Work of another daemon at a target, as it was told, for as long as the object lives. What is left of the reading
+/// shrinks towards the time at which it should be done: reports are some hundred ms apart, and a part of a prompt takes
+/// as long.
+class PeerShare : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    PeerShare(core::Ref<Target> target, const Outstanding &work, core::Time dueAt);
+    PeerShare(const PeerShare &) = delete;
+    PeerShare &operator=(const PeerShare &) = delete;
+
+    [[nodiscard]] Outstanding work(core::Time now) const noexcept;
+
+private:
+    core::Ref<Target> m_target;
+    Outstanding m_work;
+    core::Time m_dueAt;
+};
+
 /// \brief A target as this daemon knows it. Used on the loop's thread only.
 class Target : public core::Counted<Target>
 {
@@ -83,7 +104,6 @@
     TargetEntry entry;
     const std::uint32_t hash; ///< targets::targetHash of its id.
     TargetHealth health;
-    Outstanding peers; ///< What the peers said of their own work here.
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
     core::Time noHelpUntil = absl::InfinitePast(); ///< It turned help or a reservation down; not asked before this.
     core::Time fullUntil = absl::InfinitePast(); ///< It turned a request down; it gets none before this.
@@ -93,8 +113,14 @@
     /// \brief Work of this daemon here.
     [[nodiscard]] Outstanding own(core::Time now) const noexcept;
 
-    /// \brief Work that this daemon sent here after `since`.
-    [[nodiscard]] Outstanding ownSince(core::Time since, core::Time now) const noexcept;
+    /// \brief When all reading of this daemon here should be done.
+    [[nodiscard]] core::Time ownDueAt() const noexcept;
+
+    /// \brief Work of other daemons here, as they told it.
+    [[nodiscard]] Outstanding peers(core::Time now) const noexcept;
+
+    /// \brief Work of all daemons here, as far as it is known.
+    [[nodiscard]] Outstanding load(core::Time now) const noexcept;
 
     /// \brief Whether it may get new work, as far as the directory goes.
     [[nodiscard]] bool listed(core::Time now) const noexcept
@@ -104,9 +130,12 @@
 
 private:
     friend class Share;
+    friend class PeerShare;
     using Shares = boost::intrusive::list<Share, boost::intrusive::constant_time_size<false>>;
+    using PeerShares = boost::intrusive::list<PeerShare, boost::intrusive::constant_time_size<false>>;
 
     Shares m_shares;
+    PeerShares m_peerShares;
 };
 
 /// \brief All targets. Used on the loop's thread only.
@@ -125,7 +154,7 @@
     /// \brief Forgets targets that are gone and have no work of this daemon.
     void forgetGone(core::Time now);
     /// \brief Takes a peer's own work at all targets, in place of what it said before.
-    void peerWork(const std::string &peer, const std::vector<TargetWork> &works);
+    void peerWork(const std::string &peer, const std::vector<TargetWork> &works, core::Time now);
     /// \brief Forgets the work of a peer that is not heard any more.
     void forgetPeer(const std::string &peer);
 
@@ -158,7 +187,7 @@
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
     /// What each peer said last. Holds the targets themselves: one that is forgotten and comes back begins at nothing.
-    std::unordered_map<std::string, std::vector<std::pair<core::Ref<Target>, Outstanding>>> m_peerWorks;
+    std::unordered_map<std::string, std::vector<std::unique_ptr<PeerShare>>> m_peerWorks;
 };
 
 } // namespace spurlug::relay
--- a/include/spurlug/settings/placement_rule.h
+++ b/include/spurlug/settings/placement_rule.h
@@ -45,9 +45,6 @@
     double tightFill = 0.75;
     double tightSpare = 4; ///< Tight streams that room is kept for beyond those there are.
     double tightOnlyShare = 0.6; ///< Most of the engines that are kept for tight streams.
-    /// How much of what this daemon sent of late each other daemon is taken to have sent as well: all see the same
-    /// engine fall free.
-    double unseenShare = 1;
     int mostHelpers = 15; ///< An engine takes 16 at most.
     std::int64_t leastPartTokens = 2000; ///< Smaller parts are not worth a message.
     double memoryShare = 0.97; ///< Part of an engine's memory that is given out; the rest covers rounding to blocks.
--- a/include/spurlug/targets/outstanding.h
+++ b/include/spurlug/targets/outstanding.h
@@ -27,11 +27,12 @@
     [[nodiscard]] bool operator==(const Outstanding &) const = default;
 };
 
-/// \brief One daemon's work at one target, as its heartbeats tell it.
+/// \brief One daemon's work at one target, as it tells others.
 struct TargetWork
 {
     std::uint32_t target = 0; ///< targets::targetHash of its id.
     Outstanding work;
+    std::int64_t dueMicros = 0; ///< From the moment it is told until all of its reading should be done, us.
 };
 
 } // namespace spurlug::targets
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -57,7 +57,7 @@
         return;
     }
     heard = {report.incarnation, report.sequence, now};
-    m_context.targets.peerWork(report.vm, report.work);
+    m_context.targets.peerWork(report.vm, report.work, now);
     m_context.metrics.count(metrics::Counter::WorkReportsTaken);
     for (auto grant = m_grants.begin(); grant != m_grants.end();) {
         const bool told = grant->second.vm == report.vm && grant->first <= report.newestGrant;
@@ -117,21 +117,43 @@
     if (auto granted = place(ask, now - ask.waited, now)) {
         return *granted;
     }
-    keepWaiting(ask, now);
+    m_waiting.push_back({ask, now - ask.waited, now});
+    m_context.metrics.count(metrics::Counter::AsksQueued);
     return answer;
 }
 
-void Scheduler::keepWaiting(const PlacementAsk &ask, core::Time now)
+core::Duration Scheduler::timeToSpare(const Waiting &waiting, core::Time now) const
+{
+    const auto &ask = waiting.ask;
+    const auto *spec = m_context.table->service(ask.service);
+    if (spec == nullptr || !spec->engine) {
+        return absl::ZeroDuration(); // The configuration changed: it is told so when it asks again.
+    }
+    const auto parts = ask.tight ? 1 : m_context.settings.placement.mostHelpers + 1;
+    const auto reading = relay::partMs(*spec->engine, ask.prompt.promptTokens, static_cast<std::size_t>(parts));
+    return waiting.arrivedAt + ask.aim - now - absl::Milliseconds(reading);
+}
+
+void Scheduler::sortWaiting(core::Time now)
 {
-    Waiting fresh{ask, now - ask.waited, now};
-    const auto orderOf = [](const Waiting &waiting) {
-        return std::make_tuple(waiting.ask.priority, !waiting.ask.tight, waiting.arrivedAt);
+    const auto orderOf = [this, now](const Waiting &waiting) {
+        const auto spare = timeToSpare(waiting, now);
+        const bool late = spare < absl::ZeroDuration();
+        return std::make_tuple(waiting.ask.priority, late, !waiting.ask.tight, spare);
     };
-    const auto place = std::upper_bound(
-        m_waiting.begin(), m_waiting.end(), fresh,
-        [&orderOf](const Waiting &left, const Waiting &right) { return orderOf(left) < orderOf(right); });
-    m_waiting.insert(place, std::move(fresh));
-    m_context.metrics.count(metrics::Counter::AsksQueued);
+    using Order = decltype(orderOf(m_waiting.front()));
+    std::vector<std::pair<Order, Waiting>> ordered;
+    ordered.reserve(m_waiting.size());
+    for (auto &waiting : m_waiting) {
+        auto order = orderOf(waiting);
+        ordered.emplace_back(std::move(order), std::move(waiting));
+    }
+    std::stable_sort(ordered.begin(), ordered.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    m_waiting.clear();
+    for (auto &[order, waiting] : ordered) {
+        m_waiting.push_back(std::move(waiting));
+    }
 }
 
 std::optional<PlacementAnswer> Scheduler::place(const PlacementAsk &ask, core::Time arrivedAt, core::Time now)
@@ -173,10 +195,10 @@
     answer.partRead = chosen->partRead;
     std::vector<targets::TargetWork> works;
     for (const auto &[target, work] : relay::workOf(*chosen, ask.prompt)) {
-        works.push_back({target->hash, work});
+        works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->expected)});
     }
     works.back().work.tightRequests = ask.tight ? 1 : 0;
-    m_context.targets.peerWork(grantName(answer.grant), works);
+    m_context.targets.peerWork(grantName(answer.grant), works, now);
     m_grants[answer.grant] = {answer, ask.vm, now};
     m_context.metrics.count(metrics::Counter::PlacementsGranted);
     return answer;
@@ -204,17 +226,23 @@
 std::vector<std::pair<std::string, PlacementAnswer>> Scheduler::serveWaiting(core::Time now)
 {
     std::vector<std::pair<std::string, PlacementAnswer>> grants;
+    if (m_waiting.empty() || !m_context.table) {
+        return grants;
+    }
+    sortWaiting(now);
     int vainTight = 0;
     int vainLoose = 0;
+    bool someInTimeWait = false; // Long prompts that wait for more engines to be free, and can still be in time.
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        const bool late = timeToSpare(*waiting, now) < absl::ZeroDuration();
         auto &vain = waiting->ask.tight ? vainTight : vainLoose;
-        if (vain >= MostVainLooks) {
-            ++waiting;
-            continue;
-        }
-        auto answer = place(waiting->ask, waiting->arrivedAt, now);
+        const bool stepsBack = late && !waiting->ask.tight && someInTimeWait;
+        auto answer = vain >= MostVainLooks || stepsBack
+            ? std::optional<PlacementAnswer>()
+            : place(waiting->ask, waiting->arrivedAt, now);
         if (!answer) {
             ++vain;
+            someInTimeWait = someInTimeWait || (!late && !waiting->ask.tight);
             ++waiting;
             continue;
         }
--- a/src/membership/work_codec.cpp
+++ b/src/membership/work_codec.cpp
@@ -26,6 +26,7 @@
     out.set_parts(clamp32(work.work.parts));
     out.set_memory_tokens(clamp32(work.work.memoryTokens));
     out.set_context_tokens(clamp32(work.work.contextTokens));
+    out.set_due_micros(clamp32(work.dueMicros));
 }
 
 targets::TargetWork readWork(const wire::TargetWork &in)
@@ -40,6 +41,7 @@
     work.work.parts = in.parts();
     work.work.memoryTokens = in.memory_tokens();
     work.work.contextTokens = in.context_tokens();
+    work.dueMicros = in.due_micros();
     return work;
 }
 
--- a/src/relay/engine_estimate.cpp
+++ b/src/relay/engine_estimate.cpp
@@ -52,13 +52,13 @@
 bool EngineEstimate::hasSlot(std::size_t candidate) const noexcept
 {
     const auto &engine = at(candidate);
-    return engine.mayAnswer && engine.load.requests + engine.unseen.requests < engine.slots;
+    return engine.mayAnswer && engine.load.requests < engine.slots;
 }
 
 bool EngineEstimate::takesPart(std::size_t candidate) const noexcept
 {
     const auto &engine = at(candidate);
-    return engine.mayHelp && engine.load.parts + engine.unseen.parts < engine.slots;
+    return engine.mayHelp && engine.load.parts < engine.slots;
 }
 
 std::int64_t EngineEstimate::freeMemory(std::size_t candidate) const noexcept
@@ -74,7 +74,7 @@
 
 double EngineEstimate::aheadMs(std::size_t candidate) const noexcept
 {
-    return readingMs(at(candidate).load) + readingMs(at(candidate).unseen);
+    return readingMs(at(candidate).load);
 }
 
 double EngineEstimate::finishMs(std::size_t candidate, double part) const noexcept
@@ -96,7 +96,7 @@
 double EngineEstimate::slotWaitMs(std::size_t candidate) const noexcept
 {
     const auto &engine = at(candidate);
-    const auto beyond = engine.load.requests + engine.unseen.requests + 1 - engine.slots;
+    const auto beyond = engine.load.requests + 1 - engine.slots;
     if (beyond <= 0) {
         return 0;
     }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -340,9 +340,7 @@
 {
     Places places;
     for (const auto &target : m_context.targets.listed(service, now)) {
-        auto load = target->own(now);
-        load += target->peers;
-        places.taken += std::min<std::int64_t>(load.requests, target->entry.slots);
+        places.taken += std::min<std::int64_t>(target->load(now).requests, target->entry.slots);
         places.all += target->entry.slots;
     }
     return places;
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -38,9 +38,7 @@
                                             [now](const auto &target) { return now < target->reportedUntil; });
         m_heedsReports = static_cast<double>(reported) <= static_cast<double>(targets.size()) * MostAvoidedShare;
         for (const auto &target : targets) {
-            auto load = target->own(now);
-            load += target->peers;
-            m_loads.push_back(load);
+            m_loads.push_back(target->load(now));
         }
     }
 
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -80,6 +80,27 @@
     return m_sentAt;
 }
 
+core::Time Share::readingDueAt() const noexcept
+{
+    return m_reading ? m_expected : absl::InfinitePast();
+}
+
+PeerShare::PeerShare(core::Ref<Target> target, const Outstanding &work, core::Time dueAt)
+    : m_target(std::move(target))
+    , m_work(work)
+    , m_dueAt(dueAt)
+{
+    m_target->m_peerShares.push_back(*this);
+}
+
+Outstanding PeerShare::work(core::Time now) const noexcept
+{
+    auto work = m_work;
+    work.readMicros = unread(work.readMicros, m_dueAt, now);
+    work.partMicros = unread(work.partMicros, m_dueAt, now);
+    return work;
+}
+
 Target::Target(TargetEntry entry)
     : entry(std::move(entry))
     , hash(targets::targetHash(this->entry.id))
@@ -94,17 +115,31 @@
     return sum;
 }
 
-Outstanding Target::ownSince(core::Time since, core::Time now) const noexcept
+core::Time Target::ownDueAt() const noexcept
 {
-    Outstanding sum;
+    auto due = absl::InfinitePast();
     for (const auto &share : m_shares) {
-        if (share.sentAt() > since) {
-            sum += share.work(now);
-        }
+        due = std::max(due, share.readingDueAt());
+    }
+    return due;
+}
+
+Outstanding Target::peers(core::Time now) const noexcept
+{
+    Outstanding sum;
+    for (const auto &share : m_peerShares) {
+        sum += share.work(now);
     }
     return sum;
 }
 
+Outstanding Target::load(core::Time now) const noexcept
+{
+    auto sum = own(now);
+    sum += peers(now);
+    return sum;
+}
+
 void TargetSet::put(const TargetEntry &entry)
 {
     auto &target = m_targets[entry.id];
@@ -141,29 +176,21 @@
     });
 }
 
-void TargetSet::peerWork(const std::string &peer, const std::vector<TargetWork> &works)
+void TargetSet::peerWork(const std::string &peer, const std::vector<TargetWork> &works, core::Time now)
 {
-    forgetPeer(peer);
     auto &kept = m_peerWorks[peer];
+    kept.clear();
     for (const auto &work : works) {
-        const auto found = m_byHash.find(work.target);
-        if (found != m_byHash.end()) {
-            found->second->peers += work.work;
-            kept.emplace_back(found->second, work.work);
+        if (const auto target = withHash(work.target)) {
+            const auto dueAt = now + absl::Microseconds(work.dueMicros);
+            kept.push_back(std::make_unique<PeerShare>(target, work.work, dueAt));
         }
     }
 }
 
 void TargetSet::forgetPeer(const std::string &peer)
 {
-    const auto known = m_peerWorks.find(peer);
-    if (known == m_peerWorks.end()) {
-        return;
-    }
-    for (const auto &[target, work] : known->second) {
-        target->peers -= work;
-    }
-    m_peerWorks.erase(known);
+    m_peerWorks.erase(peer);
 }
 
 TargetSet::Targets TargetSet::peerReport(const std::vector<std::uint32_t> &unreachable, core::Time now)
@@ -238,7 +265,8 @@
     for (const auto &[hash, target] : m_byHash) {
         const auto own = target->own(now);
         if (own != Outstanding{}) {
-            works.push_back({hash, own});
+            const auto due = std::max(target->ownDueAt() - now, absl::ZeroDuration());
+            works.push_back({hash, own, absl::ToInt64Microseconds(due)});
         }
     }
     return works;
--- a/src/relay/tight_placement.cpp
+++ b/src/relay/tight_placement.cpp
@@ -68,7 +68,7 @@
     [[nodiscard]] bool hasRoom(std::size_t candidate) const
     {
         const auto &engine = m_engines.at(candidate);
-        const auto requests = static_cast<double>(engine.load.requests + engine.unseen.requests);
+        const auto requests = static_cast<double>(engine.load.requests);
         const auto slots = engine.slots * (m_request.mayQueue ? 1 + m_rule.queueShare : 1);
         const auto mostAhead = m_request.mayQueue ? m_rule.mostQueueMs : m_rule.mostAheadTightMs;
         return engine.mayAnswer && requests < slots && m_engines.aheadMs(candidate) <= mostAhead;
@@ -108,7 +108,7 @@
     [[nodiscard]] double fillCost(std::size_t target) const
     {
         const auto &engine = m_engines.at(target);
-        const auto requests = static_cast<double>(engine.load.requests + engine.unseen.requests + 1);
+        const auto requests = static_cast<double>(engine.load.requests + 1);
         const auto beyond = requests / std::max(engine.slots, 1) - m_rule.tightFill;
         return m_rule.fillCostMs * std::max(0.0, beyond) / std::max(1 - m_rule.tightFill, LeastRoom);
     }
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -55,7 +55,6 @@
     rule.tightFill = reader.number("tightFill", 0.1, 1, rule.tightFill);
     rule.tightSpare = reader.number("tightSpare", 0, MostWeight, rule.tightSpare);
     rule.tightOnlyShare = reader.number("tightOnlyShare", 0, 1, rule.tightOnlyShare);
-    rule.unseenShare = reader.number("unseenShare", 0, MostWeight, rule.unseenShare);
     rule.mostHelpers = static_cast<int>(reader.integer("mostHelpers", 0, MostEngines, rule.mostHelpers));
     rule.leastPartTokens = reader.integer("leastPartTokens", 1, MostEntries, rule.leastPartTokens);
     rule.memoryShare = reader.number("memoryShare", 0, 1, rule.memoryShare);
