--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -46,9 +46,9 @@
     /// \brief Notes that a grant was used by this daemon itself, whose work is known without reports.
     void begun(std::uint64_t grant);
 
-    /// \brief Places asks that wait: the operator's priority first, then those that can still be in time, of these those
-    /// that bear short pauses only (they hold an engine for a fraction of the time of the others), then the ones with the
-    /// least time to spare. A long prompt that is late anyway steps back while others wait that are not.
+    /// \brief Places asks that wait: the operator's priority first, then those that can still be in time, of these
+    /// those that bear short pauses only (they hold an engine for a fraction of the time of the others), then the ones
+    /// with the least time to spare. A long prompt that is late anyway steps back while others wait that are not.
     /// \returns The grants, by daemon.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementAnswer>> serveWaiting(core::Time now);
 
--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -49,7 +49,8 @@
     static constexpr auto IdlePause = absl::Milliseconds(200);
     static constexpr auto SourceLook = absl::Milliseconds(100); ///< Between looks whether a question is due.
     static constexpr auto RoleLook = absl::Milliseconds(500);
-    static constexpr auto FetchTimeout = absl::Milliseconds(500);
+    /// A large configuration is some 400 KB, a small VM's link 2.5 MB/s, and thirty daemons may ask the same reader.
+    static constexpr auto FetchTimeout = absl::Milliseconds(2000);
 
     void spawn(net::Task<> task);
     void take(control::Message message, const core::Address &from, core::Time now);
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -77,9 +77,9 @@
     bool m_reading = true;
 };
 
-/// \brief Work of another daemon at a target, as it was told, for as long as the object lives. What is left of the reading
-/// shrinks towards the time at which it should be done: reports are some hundred ms apart, and a part of a prompt takes
-/// as long.
+/// \brief Work of another daemon at a target, as it was told, for as long as the object lives. What is left of the
+/// reading shrinks towards the time at which it should be done: reports are some hundred ms apart, and a part of a
+/// prompt takes as long.
 class PeerShare : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -237,9 +237,8 @@
         const bool late = timeToSpare(*waiting, now) < absl::ZeroDuration();
         auto &vain = waiting->ask.tight ? vainTight : vainLoose;
         const bool stepsBack = late && !waiting->ask.tight && someInTimeWait;
-        auto answer = vain >= MostVainLooks || stepsBack
-            ? std::optional<PlacementAnswer>()
-            : place(waiting->ask, waiting->arrivedAt, now);
+        auto answer = vain >= MostVainLooks || stepsBack ? std::optional<PlacementAnswer>()
+                                                         : place(waiting->ask, waiting->arrivedAt, now);
         if (!answer) {
             ++vain;
             someInTimeWait = someInTimeWait || (!late && !waiting->ask.tight);
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -85,7 +85,9 @@
         return refuse(Reason::Stopping);
     }
     m_table = m_context.table;
-    const bool certain = m_context.configurationProof.age(m_table->version, now) <= CertainAge;
+    const auto &proof = m_context.configurationProof;
+    const bool isNewest = proof.version() <= m_table->version;
+    const bool certain = isNewest && proof.age(m_table->version, now) <= CertainAge;
     m_route = m_table->find(m_facts.host, m_facts.path);
     if (m_route == nullptr) {
         return refuse(certain ? Reason::UnknownPath : Reason::StaleConfiguration);
