A second scheduler for the whole fleet; daemons that are cut off decide alone at once; fewer calls while the store is away

Cause: after the scheduler's failure domain was cut off, the others went to five deputies until heartbeats ended, seven seconds later; a daemon that was cut off alone paid 80 ms for each of five silent schedulers before it decided alone. Change: the fleet's second scheduler takes the first one's place before the deputies; a request tries two silent ones at most; a daemon whose last three questions to readers stayed without an answer decides alone at once, until one is answered. Daemons that all lost the store wait 10 ms for each of them, drawn at random; a daemon that starts looks for a reader for 0.3 s first.

--- a/include/spurlug/control/scheduler_client.h
+++ b/include/spurlug/control/scheduler_client.h
@@ -31,9 +31,9 @@
 /// \brief Knows which daemon schedules, tells it this daemon's work, and carries asks and answers.
 ///
 /// The first holder of the role in the fleet schedules. One that does not answer is left aside until it says that it
-/// lives; the first holder in this failure domain stands in for it, with the engines of that domain, so that the
-/// deputies of several domains never choose the same engine. When that one does not answer either, the daemon decides
-/// alone.
+/// lives, and the second one takes its place. Where that one is silent too, as in a failure domain that is cut off, the
+/// first holder at home stands in, with the engines of that domain, so that the deputies of several domains never
+/// choose the same engine. A daemon that hears nobody, or whose request met two silent schedulers, decides alone.
 class SchedulerClient
 {
 public:
@@ -141,6 +141,7 @@
     std::string m_scheduler; ///< Who was asked last.
     core::Time m_askedAt = absl::InfinitePast(); ///< When it was asked first.
     core::Time m_dueAt = absl::InfinitePast();
+    int m_silent = 0; ///< Schedulers that did not answer this request.
     bool m_queued = false; ///< Whether it said that the ask waits there.
     bool m_unusable = false; ///< A grant named targets that this daemon must not use.
     bool m_granted = false;
--- a/include/spurlug/control/source_choice.h
+++ b/include/spurlug/control/source_choice.h
@@ -38,7 +38,9 @@
 {
 public:
     /// \param seed Of the random wait.
-    SourceChoice(const Roster &roster, std::string failureDomain, int readersPerDomain, std::uint64_t seed);
+    /// \param startedAt When this daemon's life began.
+    SourceChoice(const Roster &roster, std::string failureDomain, int readersPerDomain, std::uint64_t seed,
+                 core::Time startedAt);
 
     /// \name Commands
     /// @{
@@ -56,6 +58,9 @@
     /// \brief Whether this daemon should read the directory itself.
     [[nodiscard]] bool readsItself(core::Time now) const;
 
+    /// \brief Whether the last questions, to different daemons, all stayed without an answer: this daemon is cut off.
+    [[nodiscard]] bool isolated() const noexcept;
+
     /// \brief Whether this daemon is one of the readers of its failure domain.
     [[nodiscard]] bool isReader() const;
 
@@ -77,8 +82,9 @@
     const std::size_t m_readersPerDomain;
     std::mt19937_64 m_random;
     Asked m_asked;
+    int m_unanswered = 0; ///< Questions in a row.
     std::map<std::string, core::Time> m_passedOverUntil;
-    core::Time m_freshAt = absl::InfinitePast(); ///< When some other daemon's knowledge was the directory's.
+    core::Time m_freshAt; ///< When some other daemon's knowledge was the directory's.
     core::Duration m_patience; ///< Age of that at which this daemon reads the directory itself.
 };
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -52,6 +52,7 @@
     std::mt19937_64 random;
     control::Roster roster; ///< Daemons that live.
     control::SchedulerClient *scheduling = nullptr; ///< Null: this daemon decides alone.
+    bool isolated = false; ///< No daemon answers this one's questions.
     std::size_t daemons = 1; ///< Daemons that live, this one included.
     std::size_t largestFleet = 1; ///< Most daemons that this one or any that it heard ever knew of at once.
     const core::Time startedAt;
--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -55,6 +55,7 @@
     void spawn(net::Task<> task);
     void take(control::Message message, const core::Address &from, core::Time now);
     void takeProof(const control::ProofAnswer &proof, core::Time now);
+    void noteIsolation(bool isolated);
     void sendGrants(core::Time now);
     [[nodiscard]] net::Task<> serveAsks();
     [[nodiscard]] net::Task<> followSources();
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -19,7 +19,8 @@
                    [this](const core::Address &to, const control::Message &message) {
                        m_peers.sendTo(to, control::writeMessage(message));
                    })
-    , m_sources(context.roster, context.settings.failureDomain, context.settings.readersPerDomain, context.random())
+    , m_sources(context.roster, context.settings.failureDomain, context.settings.readersPerDomain, context.random(),
+                context.startedAt)
     , m_follower(context, source, m_sources)
     , m_asksWait(context.loop)
 {
@@ -137,13 +138,24 @@
     for (;;) {
         co_await net::sleepFor(SourceLook);
         const auto now = core::now();
-        if (const auto question = m_sources.next(m_context.directoryHeardAt(), now)) {
+        const auto question = m_sources.next(m_context.directoryHeardAt(), now);
+        noteIsolation(m_sources.isolated());
+        if (question) {
             m_context.metrics.count(metrics::Counter::PeerQuestions);
             m_peers.sendTo(question->source.datagrams, control::writeMessage(control::ProofQuestion{question->number}));
         }
     }
 }
 
+template<Directory Source>
+void ControlPlane<Source>::noteIsolation(bool isolated)
+{
+    if (std::exchange(m_context.isolated, isolated) != isolated) {
+        core::log(core::LogLevel::Warning, isolated ? "peers_lost" : "peers_regained",
+                  {{"daemons", m_context.roster.size()}});
+    }
+}
+
 template<Directory Source>
 void ControlPlane<Source>::takeProof(const control::ProofAnswer &proof, core::Time now)
 {
@@ -151,6 +163,7 @@
     if (!askedAt) {
         return;
     }
+    noteIsolation(m_sources.isolated());
     // The other daemon's ages count from the moment of the question: the answer may have been long on its way.
     if (proof.version > 0 && proof.proofAge != absl::InfiniteDuration()) {
         m_context.configurationProof.confirm(proof.version, *askedAt - proof.proofAge);
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -24,7 +24,10 @@
 constexpr auto RepeatQueued = absl::Milliseconds(150); ///< Keeps an ask waiting; it lapses there after 500 ms.
 constexpr auto ProbeEvery = absl::Milliseconds(500); ///< Of a scheduler that was left aside.
 constexpr auto SuspectedFor = absl::Seconds(10); ///< It is asked again then, should its words have been lost.
-constexpr std::size_t Deputies = 3; ///< In a failure domain, one after the other.
+constexpr std::size_t InTheFleet = 2; ///< Schedulers of the whole fleet that are tried, one after the other.
+constexpr std::size_t Deputies = 2; ///< In this failure domain, after those.
+/// A request tries this many silent schedulers, then its daemon decides alone: each costs it 80 ms.
+constexpr int MostSilent = 2;
 
 /// Pause between reports while there is work: the more daemons report to one scheduler, the longer.
 constexpr auto ReportPauseForEach = absl::Milliseconds(1);
@@ -60,13 +63,14 @@
 
 std::optional<ChosenScheduler> SchedulerClient::scheduler(core::Time) const
 {
-    const auto &roster = m_context.roster;
-    const auto first = roster.holders(Role::Scheduler, 1);
-    if (first.empty()) {
+    if (m_context.isolated) {
         return std::nullopt;
     }
-    if (!suspected(first.front().vm)) {
-        return ChosenScheduler{first.front(), false};
+    const auto &roster = m_context.roster;
+    for (const auto &member : roster.holders(Role::Scheduler, InTheFleet)) {
+        if (!suspected(member.vm)) {
+            return ChosenScheduler{member, false};
+        }
     }
     for (const auto &member : roster.holdersIn(m_context.settings.failureDomain, Role::Scheduler, Deputies)) {
         if (!suspected(member.vm)) {
@@ -252,7 +256,7 @@
 
 bool PlacementSession::pursue(const relay::TargetQuery &query, int priority, core::Time now)
 {
-    if (m_client == nullptr || m_unusable || !query.prompt) {
+    if (m_client == nullptr || m_unusable || m_silent >= MostSilent || !query.prompt) {
         return false;
     }
     auto scheduler = m_client->scheduler(now);
@@ -260,7 +264,8 @@
         = !m_queued && scheduler && scheduler->member.vm == m_scheduler && now - m_askedAt >= SuspectAfter;
     if (silent) {
         m_client->suspect(m_scheduler, "it does not answer", now);
-        scheduler = m_client->scheduler(now);
+        ++m_silent;
+        scheduler = m_silent < MostSilent ? m_client->scheduler(now) : std::nullopt;
     }
     if (!scheduler) {
         return false;
--- a/src/control/source_choice.cpp
+++ b/src/control/source_choice.cpp
@@ -23,19 +23,29 @@
 constexpr auto OldAfter = absl::Milliseconds(1700);
 /// Age of all others' knowledge at which this daemon reads the directory itself, at the least.
 constexpr auto LeastPatience = absl::Milliseconds(2000);
+/// A daemon that starts hears of a reader within some tens of ms, if there is any; so long it does not read itself.
+constexpr auto StartPatience = absl::Milliseconds(300);
+constexpr int UnansweredWhenCutOff = 3; ///< Two readers at home and one elsewhere.
 /// Beyond that, for each daemon of the fleet: spreads their calls.
 constexpr auto PatienceForEach = absl::Milliseconds(8);
 
 } // namespace
 
-SourceChoice::SourceChoice(const Roster &roster, std::string failureDomain, int readersPerDomain, std::uint64_t seed)
+SourceChoice::SourceChoice(const Roster &roster, std::string failureDomain, int readersPerDomain, std::uint64_t seed,
+                           core::Time startedAt)
     : m_roster(roster)
     , m_failureDomain(std::move(failureDomain))
     , m_readersPerDomain(static_cast<std::size_t>(readersPerDomain))
     , m_random(seed)
+    , m_freshAt(startedAt - LeastPatience + StartPatience)
     , m_patience(LeastPatience)
 { }
 
+bool SourceChoice::isolated() const noexcept
+{
+    return m_unanswered >= UnansweredWhenCutOff;
+}
+
 bool SourceChoice::isReader() const
 {
     return m_roster.holdsAtHome(Role::Reader, m_readersPerDomain);
@@ -84,6 +94,7 @@
     }
     if (m_asked.open && now - m_asked.at >= AnswerTimeout) {
         m_asked.open = false;
+        ++m_unanswered;
         passOver(m_asked.vm, now);
     } else if (now - m_asked.at < QuestionPause) {
         return std::nullopt;
@@ -102,6 +113,7 @@
         return std::nullopt;
     }
     m_asked.open = false;
+    m_unanswered = 0;
     const auto askedAt = m_asked.at;
     const auto freshAt = askedAt - answer.contactAge;
     if (now - freshAt > OldAfter) {
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -18,17 +18,24 @@
 
 constexpr auto FirstWait = absl::Milliseconds(50);
 constexpr auto LongestWait = absl::Milliseconds(500);
-/// Longest wait in a large fleet: keeps the calls of daemons that all lost the directory within its rates.
-constexpr auto LongestWaitPerDaemon = absl::Milliseconds(10);
+/// Between calls of one daemon, for each that has lost the directory as it has: all together make some hundred calls a
+/// second.
+constexpr auto WaitForEach = absl::Milliseconds(10);
+/// So many daemons need no spreading: readers, and fleets as small.
+constexpr std::size_t FewCallers = 20;
 
 /// How long after the directory is back its missing entries may still come back.
 constexpr auto LapseTime = absl::Seconds(2);
 /// Part of the time in which a leaving target must get nothing more that a missing one is still used.
 constexpr double KeepShare = 0.8;
 
-core::Duration longestWait(std::size_t daemons)
+/// \param draw A random number from 0 to 1.
+core::Duration spread(std::size_t callers, double draw)
 {
-    return std::max(core::Duration(LongestWait), LongestWaitPerDaemon * static_cast<double>(daemons));
+    if (callers <= FewCallers) {
+        return absl::ZeroDuration();
+    }
+    return WaitForEach * static_cast<double>(callers) * (1 + draw) / 2;
 }
 
 } // namespace
@@ -59,8 +66,9 @@
         core::log(core::LogLevel::Warning, "directory_lost",
                   {{"what", m_what}, {"status", core::nameOf(status)}, {"detail", detail}});
     }
-    const auto jitter = std::uniform_real_distribution<double>(0, 1)(m_context.random);
-    return std::min(m_backoff.failed(jitter), longestWait(m_context.directoryCallers));
+    std::uniform_real_distribution<double> draw(0, 1);
+    const auto wait = m_backoff.failed(draw(m_context.random));
+    return std::max(wait, spread(m_context.directoryCallers, draw(m_context.random)));
 }
 
 TargetIntake::TargetIntake(RelayContext &context, const DirectoryLink &link)
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -146,7 +146,7 @@
     for (const auto &self : members) {
         Roster roster(self.vm);
         roster.replace(members);
-        control::SourceChoice choice(roster, self.failureDomain, 2, 1);
+        control::SourceChoice choice(roster, self.failureDomain, 2, 1, at(0));
         readers += choice.isReader() ? 1 : 0;
         const auto question = choice.next(choice.isReader() ? at(0) : absl::InfinitePast(), at(100));
         BOOST_TEST(question.has_value() == !choice.isReader());
@@ -166,7 +166,7 @@
 {
     Roster roster("vm-100");
     roster.replace(fleet(120, 3));
-    control::SourceChoice choice(roster, "hall-1", 2, 1);
+    control::SourceChoice choice(roster, "hall-1", 2, 1, at(0));
     std::set<std::string> asked;
     const auto first = choice.next(absl::InfinitePast(), at(0));
     BOOST_REQUIRE(first.has_value());
@@ -194,11 +194,38 @@
     BOOST_TEST(choice.readsItself(at(4000)));
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_whose_questions_stay_without_an_answer_takes_itself_for_cut_off)
+{
+    Roster roster("vm-100");
+    roster.replace(fleet(120, 3));
+    control::SourceChoice choice(roster, "hall-1", 2, 1, at(0));
+    for (int ms = 0; ms < 1000; ms += 50) {
+        static_cast<void>(choice.next(absl::InfinitePast(), at(ms)));
+        BOOST_TEST(choice.isolated() == (ms >= 450));
+    }
+    const auto question = choice.next(absl::InfinitePast(), at(3000)); // Those that were silent are asked again.
+    BOOST_REQUIRE(question.has_value());
+    control::ProofAnswer answer;
+    answer.vm = question->source.vm;
+    answer.number = question->number;
+    BOOST_REQUIRE(choice.answered(answer, at(3010)).has_value());
+    BOOST_TEST(!choice.isolated());
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_looks_for_a_reader_before_it_reads_itself)
+{
+    Roster roster("vm-100");
+    roster.replace(fleet(120, 3));
+    const control::SourceChoice choice(roster, "hall-1", 2, 1, at(0));
+    BOOST_TEST(!choice.readsItself(at(200)));
+    BOOST_TEST(choice.readsItself(at(400)));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_counts_once_and_only_from_whom_was_asked)
 {
     Roster roster("vm-100");
     roster.replace(fleet(120, 3));
-    control::SourceChoice choice(roster, "hall-1", 2, 1);
+    control::SourceChoice choice(roster, "hall-1", 2, 1, at(0));
     const auto question = choice.next(absl::InfinitePast(), at(0));
     BOOST_REQUIRE(question.has_value());
     control::ProofAnswer answer;
