--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -117,7 +117,7 @@
         const auto query = m_progress.query(now);
         const bool asked = session.pursue(query, m_progress.priority(), now);
         if (!asked) {
-            if (auto chosen = chooseTargets(m_context, query, now)) {
+            if (auto chosen = m_progress.choose(now)) {
                 m_context.metrics.count(metrics::Counter::DecidedAlone, query.prompt ? 1 : 0);
                 co_return chosen;
             }
