One reader a failure domain: readers of the other domains stand in for it

Change: `readersPerDomain` 1 instead of 2. A follower whose reader is silent asks one of each other domain in turn within 120 ms each, as before; its own failure domain has no second one to offer that those lack. Tests: unit 117, platform 25 green.

--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -43,7 +43,8 @@
     core::Address store; ///< Configuration and targets.
     std::vector<core::Address> seeds; ///< Control addresses of some daemons.
     double processorShare = 1; ///< Of a core that this VM has; larger VMs hold roles for the others.
-    int readersPerDomain = 2; ///< Daemons of a failure domain that read the store for it.
+    /// Daemons of a failure domain that read the store for it. Readers of other domains stand in for one that is gone.
+    int readersPerDomain = 1;
     core::LogLevel logLevel = core::LogLevel::Info;
     RelayBounds bounds;
     PlacementRule placement;
--- a/src/control/source_choice.cpp
+++ b/src/control/source_choice.cpp
@@ -25,7 +25,7 @@
 constexpr auto LeastPatience = absl::Milliseconds(2000);
 /// A daemon that starts hears of a reader within some tens of ms, if there is any; so long it does not read itself.
 constexpr auto StartPatience = absl::Milliseconds(300);
-constexpr int UnansweredWhenCutOff = 3; ///< Two readers at home and one elsewhere.
+constexpr int UnansweredWhenCutOff = 3; ///< Readers of three failure domains, mostly.
 /// Beyond that, for each daemon of the fleet: spreads their calls.
 constexpr auto PatienceForEach = absl::Milliseconds(8);
 
