The scheduler looks at waiting asks at a bounded pace, and forgets those that are gone also when it is busy

Change: one look 10 ms after the first ask that waits, whatever comes meanwhile; none with a report. A daemon's own asks wake it too. A daemon does not probe itself with a report of its own work, which would count twice. Test: `asks_of_daemons_that_are_gone_do_not_pile_up`.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -8,6 +8,7 @@
 #include "spurlug/relay/target_choice.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
 public:
     explicit Scheduler(relay::RelayContext &context);
 
+    /// \brief Sets what is called when an ask comes to wait: `serveWaiting` should follow soon.
+    void onWaiting(std::function<void()> notify);
+
     /// \name Commands
     /// @{
 
@@ -96,6 +100,7 @@
     Grants::iterator forget(Grants::iterator grant);
 
     relay::RelayContext &m_context;
+    std::function<void()> m_notifyWaiting = [] {};
     Grants m_grants; ///< By number.
     std::vector<Waiting> m_waiting;
     std::map<std::string, Heard> m_heard; ///< By daemon.
--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -58,6 +58,8 @@
     void noteIsolation(bool isolated);
     void sendGrants(core::Time now);
     [[nodiscard]] net::Task<> serveAsks();
+    /// Has the asks that wait looked at soon.
+    void wake();
     [[nodiscard]] net::Task<> followSources();
     [[nodiscard]] net::Task<> fetch(core::Address peer);
     [[nodiscard]] net::Task<> noteRoles();
@@ -70,6 +72,7 @@
     control::SourceChoice m_sources;
     Follower<Source> m_follower;
     net::Mailbox<Wake> m_asksWait;
+    bool m_wakePosted = false; ///< Whether `m_asksWait` holds a message that was not handled yet.
     std::map<std::string, core::Address> m_askers; ///< Where the answers of waiting asks go, by daemon.
     core::Time m_fetchingUntil = absl::InfinitePast(); ///< A peer is being asked for what is missing here.
 };
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -25,6 +25,7 @@
     , m_asksWait(context.loop)
 {
     context.scheduling = &m_scheduling;
+    m_scheduler.onWaiting([this] { wake(); });
     m_peers.onMessage(
         [this](control::Message message, const core::Address &from) { take(std::move(message), from, core::now()); });
 }
@@ -63,14 +64,9 @@
         if (report->wantsWord && !m_context.draining && m_context.table) {
             reply(control::ReportTaken{m_context.settings.vm});
         }
-        sendGrants(now);
     } else if (const auto *ask = std::get_if<control::PlacementAsk>(&message)) {
         m_askers[ask->vm] = from;
-        const auto answer = m_scheduler.ask(*ask, now);
-        reply(answer);
-        if (answer.kind == control::AnswerKind::Queued) {
-            m_asksWait.post(Wake{});
-        }
+        reply(m_scheduler.ask(*ask, now));
     } else if (const auto *cancel = std::get_if<control::PlacementCancel>(&message)) {
         m_scheduler.cancel(*cancel);
     } else if (const auto *answer = std::get_if<control::PlacementAnswer>(&message)) {
@@ -101,15 +97,27 @@
 net::Task<> ControlPlane<Source>::serveAsks()
 {
     for (;;) {
-        const bool someWait = m_scheduler.waiting() > 0;
-        const auto pause = someWait ? core::Duration(WaitingPause) : core::Duration(IdlePause);
-        const auto woken = co_await m_asksWait.take(core::now() + pause);
+        const auto woken = co_await m_asksWait.take(core::now() + IdlePause);
         if (woken) {
-            continue; // An ask has just come to wait: it is looked at again after a pause.
+            // Whatever comes meanwhile is looked at together: the looks are bounded, however many asks and reports
+            // come.
+            co_await net::sleepFor(WaitingPause);
         }
         const auto now = core::now();
         m_scheduler.forgetSilent(now);
         sendGrants(now);
+        m_wakePosted = false;
+        if (m_scheduler.waiting() > 0) {
+            wake();
+        }
+    }
+}
+
+template<Directory Source>
+void ControlPlane<Source>::wake()
+{
+    if (!std::exchange(m_wakePosted, true)) {
+        m_asksWait.post(Wake{});
     }
 }
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -40,6 +40,11 @@
     : m_context(context)
 { }
 
+void Scheduler::onWaiting(std::function<void()> notify)
+{
+    m_notifyWaiting = std::move(notify);
+}
+
 bool Scheduler::schedules(const std::string &service) const
 {
     if (m_context.draining || !m_context.table) {
@@ -119,6 +124,7 @@
     }
     m_waiting.push_back({ask, now - ask.waited, now});
     m_context.metrics.count(metrics::Counter::AsksQueued);
+    m_notifyWaiting();
     return answer;
 }
 
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -142,7 +142,7 @@
 void SchedulerClient::suspect(const std::string &vm, std::string_view reason, core::Time now)
 {
     if (!m_suspects.emplace(vm, Suspicion{now, now}).second) {
-        return;
+        return; // It is known already.
     }
     m_context.metrics.count(metrics::Counter::SchedulersSuspected);
     core::log(core::LogLevel::Warning, "scheduler_left_aside", {{"vm", vm}, {"reason", reason}});
@@ -209,7 +209,7 @@
         return now - item.second.since > SuspectedFor || m_context.roster.find(item.first) == nullptr;
     });
     for (auto &[vm, suspicion] : m_suspects) {
-        if (now - suspicion.probedAt < ProbeEvery) {
+        if (now - suspicion.probedAt < ProbeEvery || vm == m_context.settings.vm) {
             continue;
         }
         suspicion.probedAt = now;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -344,6 +344,27 @@
     BOOST_TEST(state.scheduler.waiting() == 0U);
 }
 
+/// Daemons that were killed while their asks waited, and others that go on asking.
+BOOST_AUTO_TEST_CASE(asks_of_daemons_that_are_gone_do_not_pile_up)
+{
+    SchedulerState state(1);
+    int wakes = 0;
+    state.scheduler.onWaiting([&wakes] { ++wakes; });
+    auto full = reportOf("busy", 1, 0);
+    targets::TargetWork work;
+    work.target = state.context.targets.find("engine-0")->hash;
+    work.work.requests = SchedulerState::Slots;
+    full.work = {work};
+    state.scheduler.report(full, at(0));
+    for (int ms = 0; ms < 1000; ms += 10) {
+        const auto answer = state.scheduler.ask(shortAsk(core::cat("vm-", ms), 1), at(ms));
+        BOOST_TEST((answer.kind == AnswerKind::Queued));
+        state.scheduler.forgetSilent(at(ms));
+    }
+    BOOST_TEST(wakes == 100);
+    BOOST_TEST(state.scheduler.waiting() <= 51U); // Half a second of them.
+}
+
 /// More long prompts than the engines can read in time: an older one that is late already, and one that still can be
 /// in time.
 BOOST_AUTO_TEST_CASE(a_long_prompt_that_will_be_late_steps_back_for_one_that_can_be_in_time)
