--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -11,6 +11,7 @@
 #include "spurlug/membership/work_codec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace spurlug::membership
 {
@@ -126,8 +127,7 @@
         out.mutable_hello()->set_failure_domain(news.failureDomain);
         out.mutable_hello()->set_peer_address(news.peerAddress.text());
         out.mutable_hello()->set_rpc_address(news.rpcAddress.text());
-        out.mutable_hello()->set_processor_share(
-            clamp32(static_cast<std::int64_t>(news.processorShare * ShareUnit + 0.5)));
+        out.mutable_hello()->set_processor_share(clamp32(std::lround(news.processorShare * ShareUnit)));
     }
     return out;
 }
