--- a/include/spurlug/control/scheduler_client.h
+++ b/include/spurlug/control/scheduler_client.h
@@ -70,7 +70,7 @@
     /// @}
 
     /// \brief Whom to ask now; nothing: this daemon decides alone.
-    [[nodiscard]] std::optional<ChosenScheduler> scheduler(core::Time now) const;
+    [[nodiscard]] std::optional<ChosenScheduler> scheduler() const;
 
     /// \brief Reports this daemon's work when it changes, and now and then while there is some.
     [[nodiscard]] net::Task<> reportWork();
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -61,7 +61,7 @@
     return m_suspects.contains(vm);
 }
 
-std::optional<ChosenScheduler> SchedulerClient::scheduler(core::Time) const
+std::optional<ChosenScheduler> SchedulerClient::scheduler() const
 {
     if (m_context.isolated) {
         return std::nullopt;
@@ -189,7 +189,7 @@
 void SchedulerClient::report(core::Time now)
 {
     m_changed = false;
-    const auto chosen = scheduler(now);
+    const auto chosen = scheduler();
     if (!chosen || chosen->member.vm == m_context.settings.vm) {
         m_outcomes.clear();
         return;
@@ -259,13 +259,13 @@
     if (m_client == nullptr || m_unusable || m_silent >= MostSilent || !query.prompt) {
         return false;
     }
-    auto scheduler = m_client->scheduler(now);
+    auto scheduler = m_client->scheduler();
     const bool silent
         = !m_queued && scheduler && scheduler->member.vm == m_scheduler && now - m_askedAt >= SuspectAfter;
     if (silent) {
         m_client->suspect(m_scheduler, "it does not answer", now);
         ++m_silent;
-        scheduler = m_silent < MostSilent ? m_client->scheduler(now) : std::nullopt;
+        scheduler = m_silent < MostSilent ? m_client->scheduler() : std::nullopt;
     }
     if (!scheduler) {
         return false;
