Sight on repeated sends: by cause and by what they are charged to, summed over the fleet from logs

Cause looked for: an incident reports repeated arrivals beyond the fleet's bound. No figure told how near the bound was: each daemon knows its own part only, two of three paths to a repeat were not counted by reason. Ruled out: a sum in the daemons themselves; no daemon hears of all repeats, and a lost one's count is gone. Change: a repeat_decided line with all that decides it, repeatCause and service in request_sent, counters repeats_by_ratio, repeats_by_slack, repeats_refused; retries_total counts all paths; the bound in the started line; 'spurlugctl repeats' finds the window nearest to the bound over all logs. No decision changes.

--- a/apps/spurlugctl.cpp
+++ b/apps/spurlugctl.cpp
@@ -10,6 +10,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/objects/object_api.h"
 #include "spurlug/report/log_report.h"
+#include "spurlug/report/repeat_report.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/time/clock.h>
@@ -229,6 +230,14 @@
     return core::ExitOk;
 }
 
+int repeats(const options::variables_map &given)
+{
+    spurlug::report::RepeatReport figures;
+    eachLog(given, [&](std::istream &lines) { figures.addAll(lines); });
+    std::cout << figures.text();
+    return core::ExitOk;
+}
+
 int explainFromLogs(const options::variables_map &given)
 {
     std::stringstream all;
@@ -306,6 +315,7 @@
         {"get", {"print the configuration in force (--platform)", get}},
         {"diff", {"FILE: what applying would change, as a JSON patch (--platform)", diff}},
         {"report", {"how requests fared, from daemons' logs (--logs, --interval)", report}},
+        {"repeats", {"repeated sends of the fleet against their bound, from all daemons' logs (--logs)", repeats}},
         {"status", {"a daemon's view of the fleet (--daemon)", status}},
         {"explain", {"REQUEST-ID: why a request was served the way it was (--daemon, or --logs of several)", explain}},
         {"watch", {"print decisions as they are made (--daemon)", watch}},
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -53,6 +53,9 @@
     SchedulersSuspected, ///< Schedulers that did not answer.
     RolesTaken,
     RolesLost,
+    RepeatsByRatio, ///< Sends beyond the first of a request, charged to this daemon's own requests.
+    RepeatsBySlack, ///< Charged to this daemon's part of the fleet's slack.
+    RepeatsRefused, ///< Not sent: this daemon's part of both was spent.
 };
 
 /// \brief What the daemon times; seconds.
@@ -107,6 +110,9 @@
         EnumName<Counter>{Counter::SchedulersSuspected, "schedulers_suspected"},
         EnumName<Counter>{Counter::RolesTaken, "roles_taken"},
         EnumName<Counter>{Counter::RolesLost, "roles_lost"},
+        EnumName<Counter>{Counter::RepeatsByRatio, "repeats_by_ratio"},
+        EnumName<Counter>{Counter::RepeatsBySlack, "repeats_by_slack"},
+        EnumName<Counter>{Counter::RepeatsRefused, "repeats_refused"},
     };
 };
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -62,8 +62,8 @@
     std::uint64_t reservations = 0; ///< Numbers the reservations of this life.
     std::size_t directoryCallers = 1; ///< Daemons that call the directory as this one does.
 
-    /// \brief Part of the fleet's slack of repeated sends that this daemon may spend.
-    [[nodiscard]] double retrySlackShare(core::Time now) const;
+    /// \brief What this daemon knows of its fleet: its part of the slack of repeated sends follows from it.
+    [[nodiscard]] FleetKnowledge fleetKnowledge(core::Time now) const;
 
     /// \brief Whether keys can be checked: the configuration was known to be the newest not long ago.
     [[nodiscard]] bool keysAreFresh(core::Time now) const;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -47,7 +47,10 @@
                {"failureDomain", m_settings.failureDomain},
                {"callers", m_callers.address().text()},
                {"control", m_control.address().text()},
-               {"store", m_settings.store.text()}});
+               {"store", m_settings.store.text()},
+               {"retryRatio", m_settings.bounds.retryRatio},
+               {"retrySlack", m_settings.bounds.retrySlack},
+               {"retryWindowMs", core::toMs(m_settings.bounds.retryWindow)}});
     spawn(m_callers.run([this](net::asio::ip::tcp::socket socket) { spawn(serveCaller(std::move(socket))); }));
     m_readiness.start();
     m_control.start();
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -60,7 +60,8 @@
     void helpRefused(const core::Address &helper, core::Time now);
 
     /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
-    [[nodiscard]] bool takeResend(bool mayRepeat, core::Time now);
+    /// \param cause Why the last attempt failed.
+    [[nodiscard]] bool takeResend(bool mayRepeat, core::Reason cause, core::Time now);
 
     /// \brief Notes the end of the request.
     /// \param status Status the caller got; 0: the connection ended instead.
@@ -106,6 +107,8 @@
         std::int64_t all = 0;
     };
 
+    /// Takes a repeated send out of the fleet's bound.
+    [[nodiscard]] bool takeRepeat(core::Reason cause, core::Time now);
     /// Tells the scheduler soon that this daemon's work changed.
     void noteWork();
     [[nodiscard]] Places placesOf(const std::string &service, core::Time now) const;
@@ -135,6 +138,7 @@
     core::Time m_lastEventAt = absl::InfinitePast();
     core::Duration m_longestGap = absl::ZeroDuration(); ///< Between events.
     int m_attempts = 0;
+    core::Reason m_repeatCause = core::Reason::None; ///< Why the request is sent beyond the first time; None: it isn't.
     bool m_ranSomewhere = false;
     bool m_finished = false;
 };
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -257,7 +257,7 @@
         m_progress.heard(now);
         co_return false;
     }
-    if (!mayRepeat() || !m_progress.takeResend(true, now)) {
+    if (!mayRepeat() || !m_progress.takeResend(true, core::Reason::TargetSilent, now)) {
         patient = true;
         co_return false;
     }
@@ -326,7 +326,7 @@
     }
     if (verdict.fault && mayRepeat()) {
         // A failure of the target itself: another one may do better. If none can be tried, this answer is passed on.
-        if (m_progress.takeResend(true, now)) {
+        if (m_progress.takeResend(true, core::Reason::TargetFailed, now)) {
             m_attempt->abort();
             ended = true;
             m_failure = core::Reason::TargetFailed;
@@ -455,10 +455,9 @@
     const auto now = core::now();
     m_failure = reason;
     m_progress.endAttempt(outcome, reason, fault, detail, now);
-    if (!m_progress.takeResend(mayRepeat(), now)) {
+    if (!m_progress.takeResend(mayRepeat(), reason, now)) {
         return Next::Fail;
     }
-    m_context.metrics.countRetry(reason);
     return Next::SendAgain;
 }
 
--- a/include/spurlug/relay/retry_ledger.h
+++ b/include/spurlug/relay/retry_ledger.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
 
 #include <cstddef>
@@ -24,6 +25,14 @@
     double margin = 0.8;
 };
 
+/// \brief What a repeated send is charged to.
+enum class RepeatCharge
+{
+    Ratio, ///< This daemon's own requests.
+    Slack, ///< Its part of the fleet's slack.
+    Refused, ///< Its part of both is spent.
+};
+
 /// \brief What a daemon knows of its fleet.
 struct FleetKnowledge
 {
@@ -41,6 +50,13 @@
 /// window of 10 s sees three young ones at most. The sum over both sides stays within the slack: 2 x (0.4 + 3 x 0.03).
 [[nodiscard]] double slackShare(const FleetKnowledge &fleet, core::Duration window) noexcept;
 
+/// \brief Requests and repeated sends of one daemon within a window.
+struct RepeatUse
+{
+    std::size_t requests = 0;
+    std::size_t repeats = 0;
+};
+
 /// \brief Counts requests and repeated sends of each service over a sliding window.
 ///
 /// A daemon spends `ratio` x its own requests + its part of the slack: summed over all daemons that is within the
@@ -55,13 +71,14 @@
 
     /// \brief Takes one repeated send.
     /// \param slackShare Part of the fleet's slack that this daemon may spend, 0 to 1.
-    /// \returns False when this daemon's part is spent.
-    [[nodiscard]] bool take(const std::string &service, double slackShare, core::Time now);
+    [[nodiscard]] RepeatCharge take(const std::string &service, double slackShare, core::Time now);
 
     [[nodiscard]] const RetryBound &bound() const noexcept
     {
         return m_bound;
     }
+    /// \brief What this daemon counts of a service within the window.
+    [[nodiscard]] RepeatUse use(const std::string &service, core::Time now);
 
 private:
     struct Counts
@@ -77,3 +94,19 @@
 };
 
 } // namespace spurlug::relay
+
+namespace spurlug::core
+{
+
+template<>
+struct EnumNames<relay::RepeatCharge>
+{
+    using Charge = relay::RepeatCharge;
+    static constexpr std::array table{
+        EnumName<Charge>{Charge::Ratio, "ratio"},
+        EnumName<Charge>{Charge::Slack, "slack"},
+        EnumName<Charge>{Charge::Refused, "refused"},
+    };
+};
+
+} // namespace spurlug::core
--- a/include/spurlug/report/log_report.h
+++ b/include/spurlug/report/log_report.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "spurlug/core/time.h"
+#include "spurlug/report/counts.h"
 
 #include <cstdint>
 #include <istream>
@@ -25,8 +26,8 @@
     std::int64_t lateFirst = 0; ///< Whole, but the first event was late.
     std::int64_t longPause = 0; ///< Whole and begun in time, but with a pause that was too long.
     std::int64_t notWhole = 0;
-    std::map<std::string, std::int64_t> ends; ///< Requests that were not whole, by reason.
-    std::map<std::string, std::int64_t> resends; ///< Attempts that failed, by reason.
+    Counts ends; ///< Requests that were not whole, by reason.
+    Counts resends; ///< Attempts that failed, by reason.
     std::vector<double> firstToExpected; ///< Of each whole stream: first event, measured from its sending / expected.
     std::vector<double> pausesMs; ///< Longest pause of each whole stream.
     double readMs = 0; ///< Engine time given to reading prompts.
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -45,14 +45,14 @@
     , startedAt(core::now())
 { }
 
-double RelayContext::retrySlackShare(core::Time now) const
+FleetKnowledge RelayContext::fleetKnowledge(core::Time now) const
 {
     FleetKnowledge fleet;
     fleet.largest = largestFleet;
     fleet.hearsOthers = roster.size() > 1;
     fleet.hasOthers = !settings.seeds.empty();
     fleet.life = now - startedAt;
-    return slackShare(fleet, retries.bound().window);
+    return fleet;
 }
 
 bool RelayContext::keysAreFresh(core::Time now) const
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -46,6 +46,19 @@
     return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
 }
 
+metrics::Counter counterOf(RepeatCharge charge)
+{
+    switch (charge) {
+    case RepeatCharge::Ratio:
+        return metrics::Counter::RepeatsByRatio;
+    case RepeatCharge::Slack:
+        return metrics::Counter::RepeatsBySlack;
+    case RepeatCharge::Refused:
+        break;
+    }
+    return metrics::Counter::RepeatsRefused;
+}
+
 nlohmann::json idsOf(const std::vector<core::Ref<Target>> &targets)
 {
     auto ids = nlohmann::json::array();
@@ -210,7 +223,9 @@
     core::log(core::LogLevel::Info, "request_sent",
               {{"request", m_facts.id},
                {"attempt", m_attempts},
+               {"repeatCause", m_repeatCause == Reason::None ? "" : core::nameOf(m_repeatCause)},
                {"route", m_route->name},
+               {"service", m_service},
                {"configuration", m_table->version},
                {"proofAgeMs", core::toMs(m_context.configurationProof.age(m_table->version, now))},
                {"target", chosen.target->entry.id},
@@ -321,7 +336,7 @@
                {"targetLeftOut", target->health.ejected(now)}});
 }
 
-bool RequestProgress::takeResend(bool mayRepeat, core::Time now)
+bool RequestProgress::takeResend(bool mayRepeat, Reason cause, core::Time now)
 {
     ResendState state;
     state.repeatable = mayRepeat;
@@ -335,7 +350,37 @@
         return false;
     }
     // Attempts that found no connection never arrived: the next one is the first.
-    return state.targets == 0 || m_context.retries.take(m_service, m_context.retrySlackShare(now), now);
+    const bool taken = state.targets == 0 || takeRepeat(cause, now);
+    if (taken) {
+        m_context.metrics.countRetry(cause);
+    }
+    return taken;
+}
+
+bool RequestProgress::takeRepeat(Reason cause, core::Time now)
+{
+    const auto fleet = m_context.fleetKnowledge(now);
+    const auto share = slackShare(fleet, m_context.retries.bound().window);
+    const auto charge = m_context.retries.take(m_service, share, now);
+    m_context.metrics.count(counterOf(charge));
+    const auto use = m_context.retries.use(m_service, now);
+    core::log(core::LogLevel::Info, "repeat_decided",
+              {{"request", m_facts.id},
+               {"attempt", m_attempts},
+               {"service", m_service},
+               {"cause", core::nameOf(cause)},
+               {"charge", core::nameOf(charge)},
+               {"requests", use.requests},
+               {"repeats", use.repeats},
+               {"slackShare", share},
+               {"largestFleet", fleet.largest},
+               {"hearsOthers", fleet.hearsOthers},
+               {"lifeMs", core::toMs(fleet.life)}});
+    if (charge == RepeatCharge::Refused) {
+        return false;
+    }
+    m_repeatCause = cause;
+    return true;
 }
 
 RequestProgress::Places RequestProgress::placesOf(const std::string &service, core::Time now) const
@@ -362,6 +407,7 @@
     core::log(core::LogLevel::Info, "request_ended",
               {{"request", m_facts.id},
                {"route", m_route != nullptr ? m_route->name : ""},
+               {"service", m_service},
                {"organisation", m_organisation},
                {"configuration", m_table ? m_table->version : 0},
                {"outcome", core::nameOf(outcome)},
--- a/src/relay/retry_ledger.cpp
+++ b/src/relay/retry_ledger.cpp
@@ -56,17 +56,24 @@
     counts.requests.push_back(now);
 }
 
-bool RetryLedger::take(const std::string &service, double slackShare, core::Time now)
+RepeatCharge RetryLedger::take(const std::string &service, double slackShare, core::Time now)
 {
     auto &counts = m_services[service];
     forget(counts, now);
     const auto ofRequests = m_bound.margin * m_bound.ratio * static_cast<double>(counts.requests.size());
-    const auto allowed = ofRequests + m_bound.slack * slackShare;
-    if (static_cast<double>(counts.repeats.size()) + 1 > allowed) {
-        return false;
+    const auto repeats = static_cast<double>(counts.repeats.size()) + 1;
+    if (repeats > ofRequests + m_bound.slack * slackShare) {
+        return RepeatCharge::Refused;
     }
     counts.repeats.push_back(now);
-    return true;
+    return repeats <= ofRequests ? RepeatCharge::Ratio : RepeatCharge::Slack;
+}
+
+RepeatUse RetryLedger::use(const std::string &service, core::Time now)
+{
+    auto &counts = m_services[service];
+    forget(counts, now);
+    return {counts.requests.size(), counts.repeats.size()};
 }
 
 } // namespace spurlug::relay
--- /dev/null
+++ b/src/report/counts.cpp
@@ -0,0 +1,22 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: numbers by name, as reports print them
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/report/counts.h"
+
+#include "spurlug/core/text.h"
+
+namespace spurlug::report
+{
+
+std::string countsText(const Counts &counts)
+{
+    std::string text;
+    for (const auto &[name, count] : counts) {
+        core::append(text, " ", name, " ", count);
+    }
+    return text;
+}
+
+} // namespace spurlug::report
--- /dev/null
+++ b/src/report/log_line.cpp
@@ -0,0 +1,43 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: one line of a daemon's structured log
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/report/log_line.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <system_error>
+
+namespace spurlug::report
+{
+
+std::optional<nlohmann::json> objectIn(std::string_view line)
+{
+    const auto begin = line.find('{');
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    auto object = nlohmann::json::parse(line.substr(begin), nullptr, false);
+    return object.is_object() ? std::optional(std::move(object)) : std::nullopt;
+}
+
+core::Time timeOf(const nlohmann::json &line)
+{
+    core::Time time = absl::InfinitePast();
+    std::string error;
+    const auto written = line.value("time", "");
+    return absl::ParseTime(absl::RFC3339_full, written, &time, &error) ? time : absl::InfinitePast();
+}
+
+core::Time collectedAt(std::string_view line, const nlohmann::json &object)
+{
+    const auto begin = std::min(line.find_first_not_of(' '), line.size());
+    double seconds = 0;
+    const auto *end = line.data() + line.size();
+    const bool stamped = std::from_chars(line.data() + begin, end, seconds).ec == std::errc();
+    return stamped ? absl::UnixEpoch() + absl::Seconds(seconds) : timeOf(object);
+}
+
+} // namespace spurlug::report
--- a/src/report/log_report.cpp
+++ b/src/report/log_report.cpp
@@ -7,13 +7,11 @@
 
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/text.h"
+#include "spurlug/report/log_line.h"
 
 #include <absl/strings/str_format.h>
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
-#include <optional>
-#include <sstream>
 
 namespace spurlug::report
 {
@@ -21,25 +19,6 @@
 namespace
 {
 
-/// The JSON object in a line; nothing when there is none.
-std::optional<nlohmann::json> objectIn(std::string_view line)
-{
-    const auto begin = line.find('{');
-    if (begin == std::string_view::npos) {
-        return std::nullopt;
-    }
-    auto object = nlohmann::json::parse(line.substr(begin), nullptr, false);
-    return object.is_object() ? std::optional(std::move(object)) : std::nullopt;
-}
-
-core::Time timeOf(const nlohmann::json &line)
-{
-    core::Time time = absl::InfinitePast();
-    std::string error;
-    const auto written = line.value("time", "");
-    return absl::ParseTime(absl::RFC3339_full, written, &time, &error) ? time : absl::InfinitePast();
-}
-
 /// The value below which a share of the samples lies; 0 without samples.
 double quantile(std::vector<double> samples, double share)
 {
@@ -51,15 +30,6 @@
     return samples[rank];
 }
 
-std::string causes(const std::map<std::string, std::int64_t> &counts)
-{
-    std::string text;
-    for (const auto &[reason, count] : counts) {
-        core::append(text, " ", reason, " ", count);
-    }
-    return text;
-}
-
 } // namespace
 
 LogReport::LogReport(core::Duration interval)
@@ -163,10 +133,10 @@
                                 quantile(row.pausesMs, Middle), quantile(row.pausesMs, High), row.readMs / MsPerSecond,
                                 row.readMs > 0 ? row.readInVainMs / row.readMs * 100 : 0));
             if (!row.ends.empty()) {
-                core::append(text, "            not whole:", causes(row.ends), "\n");
+                core::append(text, "            not whole:", countsText(row.ends), "\n");
             }
             if (!row.resends.empty()) {
-                core::append(text, "            attempts failed:", causes(row.resends), "\n");
+                core::append(text, "            attempts failed:", countsText(row.resends), "\n");
             }
         }
     }
--- a/tests/property/retry_property.cpp
+++ b/tests/property/retry_property.cpp
@@ -87,7 +87,8 @@
             }
             const relay::FleetKnowledge knowledge{daemon.largest, side > 1, true,
                                                   absl::Milliseconds(ms - daemon.startedMs)};
-            while (daemon.ledger.take("s", relay::slackShare(knowledge, bound.window), at(ms))) {
+            while (daemon.ledger.take("s", relay::slackShare(knowledge, bound.window), at(ms))
+                   != relay::RepeatCharge::Refused) {
                 ++inStep;
             }
         }
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -400,7 +400,7 @@
                 ledger.request("s", at(ms));
                 ++requests;
             }
-            repeats += ledger.take("s", share, at(ms)) ? 1 : 0;
+            repeats += ledger.take("s", share, at(ms)) != RepeatCharge::Refused ? 1 : 0;
         }
     }
     BOOST_TEST(repeats > 0);
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 #include "spurlug/report/log_report.h"
+#include "spurlug/report/repeat_report.h"
 
 #include <boost/test/unit_test.hpp>
 #include <sstream>
@@ -53,6 +54,48 @@
     BOOST_TEST(report.text().find("not whole: caller_gone 1") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(repeats_of_all_daemons_are_summed_in_every_window_against_the_bound)
+{
+    // Two requests, each sent twice by another daemon; the window that holds both repeats begins 10 s before the later.
+    std::istringstream lines(
+        R"({"time":"2026-01-01T10:00:00+00:00","event":"started","retryRatio":0.2,"retrySlack":5,"retryWindowMs":10000}
+{"time":"2026-01-01T10:00:01+00:00","event":"request_sent","request":"a","service":"model","repeatCause":"","waitedMs":500}
+{"time":"2026-01-01T10:00:02+00:00","event":"repeat_decided","request":"a","service":"model","cause":"target_silent","charge":"ratio"}
+{"time":"2026-01-01T10:00:03+00:00","event":"request_sent","request":"a","service":"model","repeatCause":"target_silent","waitedMs":2500}
+{"time":"2026-01-01T10:00:10+00:00","event":"request_sent","request":"b","service":"model","repeatCause":"","waitedMs":0}
+{"time":"2026-01-01T10:00:11+00:00","event":"repeat_decided","request":"b","service":"model","cause":"target_refused","charge":"slack"}
+{"time":"2026-01-01T10:00:12+00:00","event":"request_sent","request":"b","service":"model","repeatCause":"target_refused","waitedMs":2000}
+{"time":"2026-01-01T10:00:12.5+00:00","event":"repeat_decided","request":"b","service":"model","cause":"target_refused","charge":"refused","linesLeftOut":3}
+{"time":"2026-01-01T10:00:30+00:00","event":"request_ended","request":"c","service":"plain","totalMs":10}
+)");
+    report::RepeatReport report;
+    report.addAll(lines);
+    const auto nearest = report.nearest();
+    BOOST_REQUIRE(nearest.size() == 1U); // The plain service repeated nothing.
+    const auto &model = nearest.at("model");
+    BOOST_TEST(model.repeats == 2);
+    BOOST_TEST(model.requests == 1); // Of (2, 12], (-3, 7] and (-8, 2]: one in each.
+    BOOST_TEST(model.allowed == 5.2, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(model.causes.at("target_silent") == 1);
+    BOOST_TEST(model.charges.at("slack") == 1);
+    BOOST_TEST(report.refused() == 1);
+    BOOST_TEST(report.linesLeftOut() == 3);
+    BOOST_TEST(report.text().find("model from 10:00:02.0: 2 repeats of 1 requests, allowed 5;") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(repeats_are_summed_by_the_collector_s_clock_where_it_stamps_the_lines)
+{
+    // By the daemons' own clocks the two repeats are a minute apart.
+    std::istringstream lines(
+        R"( 0.5 vm-a {"time":"2026-01-01T10:00:00+00:00","event":"started","retryRatio":0.2,"retrySlack":5,"retryWindowMs":10000}
+ 1.0 vm-a {"time":"2026-01-01T10:00:01+00:00","event":"request_sent","request":"a","service":"model","repeatCause":"target_silent","waitedMs":0}
+ 2.0 vm-b {"time":"2026-01-01T10:01:02+00:00","event":"request_sent","request":"b","service":"model","repeatCause":"target_silent","waitedMs":0}
+)");
+    report::RepeatReport report;
+    report.addAll(lines);
+    BOOST_TEST(report.nearest().at("model").repeats == 2);
+}
+
 BOOST_AUTO_TEST_CASE(the_lines_of_a_request_come_in_the_order_of_their_times)
 {
     std::istringstream lines("{\"time\":\"2026-01-01T10:00:02+00:00\",\"request\":\"a\",\"event\":\"later\"}\n"
