The bound on repeated sends holds whoever hears whom: a part of the slack for each failure domain, half of the ratio

Cause: a daemon took its part of the fleet's slack by the fleet that it knew, so sides that were cut from each other from their start each took the whole; and it paid with the requests of its own last window, so that in one window of the fleet the requests of two were spent where callers moved or all restarted. Class: parts of a limit of the whole fleet that follow from what one daemon happens to know. The fixed part of a failure domain follows from the settings instead (failureDomains), and only the size of its own domain has to be learned. Ruled out: a lifetime for each request's credit (any lifetime up to a window gives the same bound of two windows of requests). Change: slackShare by domain; heartbeats carry the largest domain instead of the largest fleet; margin of the ratio 0.8 -> 0.5. Conclusion: sum over all daemons in any window <= ratio x (the larger of its windows) + 0.98 x slack, also with one cut inside a domain.

--- a/include/spurlug/control/roster.h
+++ b/include/spurlug/control/roster.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/enum_names.h"
 #include "spurlug/membership/peer_table.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -68,6 +69,12 @@
 
     /// \brief Failure domains that have members.
     [[nodiscard]] std::vector<std::string> failureDomains() const;
+    /// \brief How many members a predicate holds for.
+    template<typename Predicate>
+    [[nodiscard]] std::size_t count(Predicate holds) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), holds));
+    }
     /// \brief A member; null when there is none of that name.
     [[nodiscard]] const Member *find(const std::string &vm) const;
 
--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -28,7 +28,7 @@
     std::vector<targets::TargetWork> work; ///< Of the sender itself.
     std::vector<std::uint32_t> unreachable; ///< targets::targetHash of targets that do not answer the sender.
     std::vector<core::Address> knownPeers; ///< Of some daemons that the sender hears.
-    std::size_t largestFleet = 0; ///< Most daemons that the sender ever knew of at once.
+    std::size_t largestDomain = 0; ///< Most daemons of its own failure domain that the sender ever knew of at once.
 };
 
 /// \brief Writes and signs a heartbeat as one datagram.
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -54,7 +54,8 @@
     control::SchedulerClient *scheduling = nullptr; ///< Null: this daemon decides alone.
     bool isolated = false; ///< No daemon answers this one's questions.
     std::size_t daemons = 1; ///< Daemons that live, this one included.
-    std::size_t largestFleet = 1; ///< Most daemons that this one or any that it heard ever knew of at once.
+    /// Most daemons of this one's failure domain that it, or any of them that it heard, ever knew of at once.
+    std::size_t largestDomain = 1;
     const core::Time startedAt;
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
--- a/include/spurlug/relay/retry_ledger.h
+++ b/include/spurlug/relay/retry_ledger.h
@@ -21,8 +21,10 @@
     double ratio = 0.2; ///< Repeated sends for each request.
     core::Duration window = absl::Seconds(10); ///< Any span of this length counts.
     double slack = 100; ///< Repeated sends beyond the ratio.
-    /// Part of the ratio that a daemon spends: the rest covers requests that the bound does not count.
-    double margin = 0.8;
+    /// Part of the ratio that a daemon spends for the requests of its own last window. In any window all daemons then
+    /// spend for the requests of two windows at most, wherever their callers were meanwhile, and the bound counts the
+    /// larger one.
+    double margin = 0.5;
 };
 
 /// \brief What a repeated send is charged to.
@@ -36,18 +38,22 @@
 /// \brief What a daemon knows of its fleet.
 struct FleetKnowledge
 {
-    std::size_t largest = 1; ///< Most daemons that it, or any that it heard, ever knew of at once.
+    /// Most daemons of its failure domain that it, or any of them that it heard, ever knew of at once.
+    std::size_t largest = 1;
     bool hearsOthers = false; ///< Whether it hears any other daemon now.
     bool hasOthers = false; ///< Whether its settings name other daemons.
     core::Duration life = absl::ZeroDuration(); ///< Since it started.
+    std::size_t domains = 1; ///< Failure domains of the fleet, whether heard or not.
 };
 
 /// \brief Part of the fleet's slack that one daemon may spend in a window.
 ///
-/// Nobody tells a daemon how large its fleet is, and what it spent in an earlier life is forgotten. So one that has
-/// just started, or hears nobody, spends nothing; until it has lived for a window it spends a small part of what it may
-/// spend later. A cut from birth makes each side take itself for the whole fleet. Learning takes 3 s of a life, so a
-/// window of 10 s sees three young ones at most. The sum over both sides stays within the slack: 2 x (0.4 + 3 x 0.03).
+/// Each failure domain has the same part of the slack, whoever hears it: cuts between domains leave the sum as it is,
+/// and a daemon needs to know its own domain only. Nobody tells it how large that is, and what it spent in an earlier
+/// life is forgotten. So one that has just started, or hears nobody, spends nothing; until it has lived for a window it
+/// spends a small part of what it may spend later. Learning takes 3 s of a life, so a window of 10 s sees three young
+/// ones at most. A domain that falls into two sides from its start may spend twice its part: 2 x (0.4 + 3 x 0.03) of
+/// it.
 [[nodiscard]] double slackShare(const FleetKnowledge &fleet, core::Duration window) noexcept;
 
 /// \brief Requests and repeated sends of one daemon within a window.
--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -34,6 +34,7 @@
 {
     std::string vm; ///< Name of this VM, unique in the fleet.
     std::string failureDomain;
+    std::vector<std::string> failureDomains; ///< All of the fleet. Empty: all daemons count as one.
     std::string region;
     core::Address callerAddress; ///< Port 0 lets the kernel choose.
     core::Address readinessAddress;
@@ -48,6 +49,12 @@
     core::LogLevel logLevel = core::LogLevel::Info;
     RelayBounds bounds;
     PlacementRule placement;
+
+    /// \brief Whether this daemon shares its part of the fleet's limits with those of a failure domain.
+    [[nodiscard]] bool countsTogether(const std::string &domain) const
+    {
+        return failureDomains.empty() || domain == failureDomain;
+    }
 };
 
 /// \brief Reads and checks a settings file.
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -122,7 +122,7 @@
     for (const auto &peer : heartbeat.knownPeers) {
         out.add_known_peers(peer.text());
     }
-    out.set_largest_fleet(clamp32(static_cast<std::int64_t>(heartbeat.largestFleet)));
+    out.set_largest_domain(clamp32(static_cast<std::int64_t>(heartbeat.largestDomain)));
     if (news.peerAddress.port != 0) {
         out.mutable_hello()->set_failure_domain(news.failureDomain);
         out.mutable_hello()->set_peer_address(news.peerAddress.text());
@@ -191,7 +191,7 @@
         for (const auto &peer : inner.known_peers()) {
             heartbeat.knownPeers.push_back(core::parseAddress(peer));
         }
-        heartbeat.largestFleet = inner.largest_fleet();
+        heartbeat.largestDomain = inner.largest_domain();
         return heartbeat;
     } catch (const core::InvalidDocument &) {
         return std::nullopt;
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -48,10 +48,11 @@
 FleetKnowledge RelayContext::fleetKnowledge(core::Time now) const
 {
     FleetKnowledge fleet;
-    fleet.largest = largestFleet;
+    fleet.largest = largestDomain;
     fleet.hearsOthers = roster.size() > 1;
     fleet.hasOthers = !settings.seeds.empty();
     fleet.life = now - startedAt;
+    fleet.domains = std::max<std::size_t>(settings.failureDomains.size(), 1);
     return fleet;
 }
 
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -115,7 +115,7 @@
     heartbeat.news.sequence = ++m_sequence;
     heartbeat.news.state = state(now);
     heartbeat.news.generation = m_context.table ? m_context.table->version : 0;
-    heartbeat.largestFleet = m_context.largestFleet;
+    heartbeat.largestDomain = m_context.largestDomain;
     return heartbeat;
 }
 
@@ -232,7 +232,9 @@
         core::log(core::LogLevel::Info, "peer_heard",
                   {{"vm", news.vm}, {"address", address.text()}, {"incarnation", news.incarnation}});
     }
-    m_context.largestFleet = std::max(m_context.largestFleet, heartbeat.largestFleet);
+    if (m_context.settings.countsTogether(m_peers.find(news.vm)->news.failureDomain)) {
+        m_context.largestDomain = std::max(m_context.largestDomain, heartbeat.largestDomain);
+    }
     for (const auto &candidate : heartbeat.knownPeers) {
         m_candidates.emplace(candidate.text(), now);
     }
@@ -271,7 +273,9 @@
     }
     m_context.roster.replace(std::move(members));
     m_context.daemons = std::max(m_context.roster.size(), settings.seeds.size());
-    m_context.largestFleet = std::max(m_context.largestFleet, m_context.daemons);
+    const auto together = m_context.roster.count(
+        [&settings](const control::Member &member) { return settings.countsTogether(member.failureDomain); });
+    m_context.largestDomain = std::max(m_context.largestDomain, together);
 }
 
 } // namespace spurlug::relay
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -373,7 +373,8 @@
                {"requests", use.requests},
                {"repeats", use.repeats},
                {"slackShare", share},
-               {"largestFleet", fleet.largest},
+               {"largestDomain", fleet.largest},
+               {"domains", fleet.domains},
                {"hearsOthers", fleet.hearsOthers},
                {"lifeMs", core::toMs(fleet.life)}});
     if (charge == RepeatCharge::Refused) {
--- a/src/relay/retry_ledger.cpp
+++ b/src/relay/retry_ledger.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr double SettledShare = 0.4; ///< Of the slack, of all daemons that have lived for a window.
+constexpr double SettledShare = 0.4; ///< Of a domain's slack, of all its daemons that have lived for a window.
 constexpr double YoungShare = 0.03; ///< Of all others.
 constexpr double YoungAloneShare = 0.15; ///< Of a daemon that is the whole fleet.
 constexpr auto LearningSpan = absl::Seconds(3); ///< A daemon that started hears all others within it.
@@ -36,7 +36,8 @@
         return 0;
     }
     const auto share = fleet.life >= window ? SettledShare : YoungShare;
-    return share / static_cast<double>(std::max<std::size_t>(fleet.largest, 1));
+    const auto daemons = std::max<std::size_t>(fleet.domains, 1) * std::max<std::size_t>(fleet.largest, 1);
+    return share / static_cast<double>(daemons);
 }
 
 RetryLedger::RetryLedger(RetryBound bound)
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -66,6 +66,7 @@
     RelaySettings settings;
     settings.vm = reader.text("vm");
     settings.failureDomain = reader.text("failureDomain");
+    settings.failureDomains = reader.texts("failureDomains");
     settings.region = reader.text("region", "");
     settings.callerAddress = readAddress(reader, "callerAddress");
     settings.readinessAddress = readAddress(reader, "readinessAddress");
--- a/tests/property/repeat_bound_property.cpp
+++ b/tests/property/repeat_bound_property.cpp
@@ -107,7 +107,7 @@
     relay::RetryLedger ledger;
     std::size_t domain = 0;
     int startedAt = -Steps;
-    std::size_t largest = 0; ///< Fleet that it ever knew of.
+    std::size_t largest = 0; ///< Daemons of its failure domain that it ever knew of.
 };
 
 /// What all daemons together did in each step.
@@ -131,9 +131,11 @@
 relay::FleetKnowledge knowledgeOf(Daemon &daemon, const Fleet &fleet, int step)
 {
     const auto lifeMs = (step - daemon.startedAt) * StepMs;
-    const auto heard = lifeMs >= LearnsAfterMs ? daemonsHeard(fleet, fleet.domains[daemon.domain], step) : 1;
-    daemon.largest = std::max(daemon.largest, heard);
-    return {daemon.largest, heard > 1, true, absl::Milliseconds(lifeMs)};
+    const auto &own = fleet.domains[daemon.domain];
+    const bool hasLearned = lifeMs >= LearnsAfterMs;
+    const auto heard = hasLearned ? daemonsHeard(fleet, own, step) : 1;
+    daemon.largest = std::max(daemon.largest, hasLearned ? static_cast<std::size_t>(own.daemons) : 1);
+    return {daemon.largest, heard > 1, true, absl::Milliseconds(lifeMs), fleet.domains.size()};
 }
 
 void runStep(Daemon &daemon, const Fleet &fleet, int step, Day &day)
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -420,6 +420,21 @@
     BOOST_TEST(76 * (settled + young) < 1);
 }
 
+BOOST_AUTO_TEST_CASE(each_failure_domain_has_the_same_part_of_the_slack_whoever_hears_it)
+{
+    const auto window = absl::Seconds(10);
+    const auto ofSmall = 5 * slackShare({5, true, true, absl::Seconds(60), 3}, window);
+    const auto ofLarge = 25 * slackShare({25, true, true, absl::Seconds(60), 3}, window);
+    BOOST_TEST(ofSmall == ofLarge, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(3 * ofLarge < 1);
+    settings::RelaySettings settings;
+    settings.failureDomain = "a";
+    BOOST_TEST(settings.countsTogether("b")); // No domains are named: all daemons count as one.
+    settings.failureDomains = {"a", "b"};
+    BOOST_TEST(settings.countsTogether("a"));
+    BOOST_TEST(!settings.countsTogether("b"));
+}
+
 BOOST_AUTO_TEST_CASE(faults_of_the_settings_are_all_listed)
 {
     const std::string path = "relay_settings_test.json";
