--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -26,7 +26,6 @@
     bool mayAnswer = true; ///< Whether it may get the request itself.
     bool mayHelp = true; ///< Whether it may read a part for another one.
     bool tightOnly = false; ///< Kept free of long prompts.
-    bool proven = true; ///< It is known to have begun a request: it may be full of work that nobody tells of else.
 };
 
 /// \brief What the choice needs to know of a prompt.
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -109,7 +109,6 @@
     core::Time fullUntil = absl::InfinitePast(); ///< It turned a request down; it gets none before this.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
-    bool proven = false; ///< It began a request since this daemon knows it: what is known of its work can be all.
 
     /// \brief Work of this daemon here.
     [[nodiscard]] Outstanding own(core::Time now) const noexcept;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -85,7 +85,6 @@
     }
     if (!outcome.fault) {
         target->health.succeeded(now);
-        target->proven = true;
     } else if (*outcome.fault == relay::TargetFault::Busy) {
         target->fullUntil = now + relay::FullSpan;
     } else {
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -262,7 +262,6 @@
     }
     m_answeredAt = now;
     m_lastEventAt = now;
-    m_current.target->proven = true;
     noteWork();
     if (m_facts.prompt) {
         m_context.metrics.time(metrics::firstTokenTimer(m_facts.prompt->promptTokens), now - m_arrivedAt);
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -59,7 +59,6 @@
             candidate.tightOnly = candidate.mayAnswer && kept < tightOnly;
             kept += candidate.tightOnly ? 1 : 0;
             candidate.mayHelp = mayHelp(target);
-            candidate.proven = target.proven;
             all.push_back(candidate);
         }
         return all;
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -182,7 +182,6 @@
     kept.clear();
     for (const auto &work : works) {
         if (const auto target = withHash(work.target)) {
-            target->proven = target->proven || work.work.writers > 0;
             const auto dueAt = now + absl::Microseconds(work.dueMicros);
             kept.push_back(std::make_unique<PeerShare>(target, work.work, dueAt));
         }
--- a/src/relay/tight_placement.cpp
+++ b/src/relay/tight_placement.cpp
@@ -16,10 +16,6 @@
 {
 
 constexpr double LeastRoom = 0.05; // Of the slots.
-/// Requests that an engine gets before it is known to begin any, while there are others: after all daemons were killed
-/// engines still run what those had sent, and whoever chooses now knows nothing of it. An engine says within some 150
-/// ms whether it begins one; until then 150 engines take 300.
-constexpr std::int64_t MostUnproven = 2;
 constexpr std::array<std::size_t, 10> HelperCounts{0, 1, 2, 3, 4, 6, 8, 10, 12, 15};
 
 /// Looks for the cheapest placement of one prompt.
@@ -34,16 +30,12 @@
         , m_rule(rule)
     { }
 
-    /// The cheapest placement at an engine that the request considers, else at any; at one that waits for its proof
-    /// last.
+    /// The cheapest placement at an engine that the request considers, else at any.
     std::optional<Placement> cheapest()
     {
-        search([this](std::size_t i) { return !waitsForProof(i) && m_engines.considered(i); });
+        search([this](std::size_t i) { return m_engines.considered(i); });
         if (!m_best) {
-            search([this](std::size_t i) { return !waitsForProof(i) && !m_engines.considered(i); });
-        }
-        if (!m_best) {
-            search([this](std::size_t i) { return waitsForProof(i); });
+            search([this](std::size_t i) { return !m_engines.considered(i); });
         }
         return m_best;
     }
@@ -66,13 +58,6 @@
         }
     }
 
-    /// Whether the engine has all that it gets before it is known to begin anything.
-    [[nodiscard]] bool waitsForProof(std::size_t candidate) const
-    {
-        const auto &engine = m_engines.at(candidate);
-        return !engine.proven && engine.load.requests >= MostUnproven;
-    }
-
     [[nodiscard]] bool worthSplitting(std::size_t helpers) const
     {
         const auto part = m_request.prompt.promptTokens / static_cast<std::int64_t>(helpers + 1);
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -266,38 +266,6 @@
     BOOST_TEST(queued > 0); // The engines' reading is spoken for: the rest waits here, not there.
 }
 
-/// All daemons were killed and start again. Engines still run what those sent before, and nobody tells the new
-/// scheduler of it: it filled the same few engines from their first slot on, and each daemon had to learn for itself
-/// that they were full (284 requests turned down in the first second, nine of ten within 50 ms of another one at the
-/// same engine).
-BOOST_AUTO_TEST_CASE(a_scheduler_that_knows_of_no_work_tries_engines_before_it_fills_them)
-{
-    constexpr int Engines = 30;
-    SchedulerState state(Engines);
-    const auto mostAtOne = [&state](std::uint64_t firstAsk, int asks, core::Time now) {
-        std::map<std::uint32_t, int> atEngine;
-        int most = 0;
-        for (int i = 0; i < asks; ++i) {
-            const auto answer = state.scheduler.ask(shortAsk(core::cat("vm-", i), firstAsk), now);
-            BOOST_TEST((answer.kind == AnswerKind::Granted));
-            most = std::max(most, ++atEngine[answer.target]);
-        }
-        return most;
-    };
-    BOOST_TEST(mostAtOne(1, 2 * Engines, at(0)) == 2);
-    auto begun = reportOf("teller", 1, 0);
-    for (const auto &[id, target] : state.context.targets.all()) {
-        targets::TargetWork work;
-        work.target = target->hash;
-        work.work.requests = 1;
-        work.work.writers = 1;
-        begun.work.push_back(work);
-    }
-    state.scheduler.report(begun, at(100));
-    state.scheduler.forgetSilent(at(5000));
-    BOOST_TEST(mostAtOne(2, Engines, at(5000)) > 2); // They begin what they get: short prompts gather again.
-}
-
 BOOST_AUTO_TEST_CASE(a_grant_counts_until_its_daemon_reports_the_work_or_says_nothing)
 {
     SchedulerState state(1);
