--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -46,19 +46,6 @@
     return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
 }
 
-metrics::Counter counterOf(RepeatCharge charge)
-{
-    switch (charge) {
-    case RepeatCharge::Ratio:
-        return metrics::Counter::RepeatsByRatio;
-    case RepeatCharge::Slack:
-        return metrics::Counter::RepeatsBySlack;
-    case RepeatCharge::Refused:
-        break;
-    }
-    return metrics::Counter::RepeatsRefused;
-}
-
 nlohmann::json idsOf(const std::vector<core::Ref<Target>> &targets)
 {
     auto ids = nlohmann::json::array();
@@ -337,54 +324,6 @@
                {"targetLeftOut", target->health.ejected(now)}});
 }
 
-bool RequestProgress::takeResend(bool mayRepeat, Reason cause, core::Time now)
-{
-    ResendState state;
-    state.repeatable = mayRepeat;
-    state.ranSomewhere = m_ranSomewhere;
-    state.targets = static_cast<int>(m_sentTo.size()) + (m_shares.empty() ? 0 : 1); // One in progress counts.
-    state.someRefused = !m_refusedBy.empty();
-    state.attempts = m_attempts;
-    state.mostTargets = m_route->mostTargets;
-    state.deadline = m_deadline;
-    if (!mayResend(state, now)) {
-        return false;
-    }
-    // Attempts that found no connection never arrived: the next one is the first.
-    const bool taken = state.targets == 0 || takeRepeat(cause, now);
-    if (taken) {
-        m_context.metrics.countRetry(cause);
-    }
-    return taken;
-}
-
-bool RequestProgress::takeRepeat(Reason cause, core::Time now)
-{
-    const auto fleet = m_context.fleetKnowledge(now);
-    const auto share = slackShare(fleet, m_context.retries.bound().window);
-    const auto charge = m_context.retries.take(m_service, share, now);
-    m_context.metrics.count(counterOf(charge));
-    const auto use = m_context.retries.use(m_service, now);
-    core::log(core::LogLevel::Info, "repeat_decided",
-              {{"request", m_facts.id},
-               {"attempt", m_attempts},
-               {"service", m_service},
-               {"cause", core::nameOf(cause)},
-               {"charge", core::nameOf(charge)},
-               {"requests", use.requests},
-               {"repeats", use.repeats},
-               {"slackShare", share},
-               {"largestDomain", fleet.largest},
-               {"domains", fleet.domains},
-               {"hearsOthers", fleet.hearsOthers},
-               {"lifeMs", core::toMs(fleet.life)}});
-    if (charge == RepeatCharge::Refused) {
-        return false;
-    }
-    m_repeatCause = cause;
-    return true;
-}
-
 RequestProgress::Places RequestProgress::placesOf(const std::string &service, core::Time now) const
 {
     Places places;
