A failure domain that was never heard counts as large as the own one in limits of organisations

Change: setting failureDomains; Fleet::daemons counts named domains without a summary as large as this daemon's own. Test: a_failure_domain_that_was_never_heard_counts_as_large_as_the_own_one, seen failing first (4 of 12, 6 of 10). Conclusion: without the setting limits stay as they were.

--- a/include/spurlug/membership/fleet.h
+++ b/include/spurlug/membership/fleet.h
@@ -24,7 +24,9 @@
 class Fleet
 {
 public:
-    Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout);
+    /// \param allDomains Names of all failure domains of the fleet; empty: those that are heard of.
+    Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout,
+          std::vector<std::string> allDomains = {});
 
     /// \name Commands
     /// @{
@@ -56,7 +58,9 @@
     [[nodiscard]] std::vector<DomainSummary> domains(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
     /// \brief Summaries that this daemon repeats to its own failure domain.
     [[nodiscard]] std::vector<DomainSummary> summariesToRepeat(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
-    /// \brief Daemons of the whole fleet, those of domains that cannot be heard as they were last known.
+    /// \brief Daemons of the whole fleet, those of domains that cannot be heard as they were last known. One that was
+    /// never heard counts as large as this daemon's own: sides that are cut from their start do not each take
+    /// themselves for the fleet.
     [[nodiscard]] std::size_t daemons(core::Time now) const ABSL_LOCKS_EXCLUDED(m_mutex);
     [[nodiscard]] const std::string &failureDomain() const noexcept;
     [[nodiscard]] const std::string &self() const noexcept;
@@ -65,6 +69,7 @@
 private:
     const std::string m_self;
     const std::string m_failureDomain;
+    const std::vector<std::string> m_allDomains;
     std::atomic<DaemonState> m_state{DaemonState::Starting};
     mutable absl::Mutex m_mutex;
     PeerTable m_table ABSL_GUARDED_BY(m_mutex);
--- a/include/spurlug/settings/settings.h
+++ b/include/spurlug/settings/settings.h
@@ -41,6 +41,7 @@
 {
     std::string vm; ///< Name of this VM, unique in the fleet.
     std::string failureDomain;
+    std::vector<std::string> failureDomains; ///< All of the fleet. Empty: those that are heard of.
     std::string region;
     core::Address callerAddress; ///< Port 0 lets the kernel choose.
     core::Address adminAddress;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -102,7 +102,7 @@
 Daemon::Impl::Impl(const settings::DaemonSettings &theSettings)
     : settings(theSettings)
     , identity(makeIdentity(settings))
-    , fleet(settings.vm, settings.failureDomain, settings.timing.peerTimeout)
+    , fleet(settings.vm, settings.failureDomain, settings.timing.peerTimeout, settings.failureDomains)
     , decisions(static_cast<std::size_t>(settings.limits.decisionsKept))
     , store([this](const config::ConfigurationRef &configuration) { applied(configuration); })
     , platform(settings.platform)
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -13,9 +13,11 @@
 namespace spurlug::membership
 {
 
-Fleet::Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout)
+Fleet::Fleet(const std::string &self, const std::string &failureDomain, core::Duration timeout,
+             std::vector<std::string> allDomains)
     : m_self(self)
     , m_failureDomain(failureDomain)
+    , m_allDomains(std::move(allDomains))
     , m_table(self, failureDomain, timeout)
     , m_domains(failureDomain)
 { }
@@ -155,11 +157,15 @@
 
 std::size_t Fleet::daemons(core::Time now) const
 {
-    auto count = std::max<std::size_t>(roleHolders(now).size(), 1);
-    for (const auto &domain : domains(now)) {
+    const auto own = std::max<std::size_t>(roleHolders(now).size(), 1);
+    const auto known = domains(now);
+    auto count = own;
+    for (const auto &domain : known) {
         count += static_cast<std::size_t>(domain.daemons);
     }
-    return count;
+    const auto heardOf = known.size() + 1;
+    const auto never = m_allDomains.size() > heardOf ? m_allDomains.size() - heardOf : 0;
+    return count + never * own;
 }
 
 const std::string &Fleet::failureDomain() const noexcept
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -40,6 +40,7 @@
     DaemonSettings settings;
     settings.vm = reader.text("vm");
     settings.failureDomain = reader.text("failureDomain");
+    settings.failureDomains = reader.texts("failureDomains");
     settings.region = reader.text("region");
     settings.callerAddress = readAddress(reader, "callerAddress");
     settings.adminAddress = readAddress(reader, "adminAddress");
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -3,6 +3,7 @@
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
+#include "spurlug/membership/fleet.h"
 #include "spurlug/membership/heartbeat.h"
 #include "spurlug/membership/peer_table.h"
 
@@ -136,6 +137,25 @@
     BOOST_TEST(!table.hear(summary, true, Start));
 }
 
+/// A fleet of three failure domains starts while they are cut from each other: each took its own daemons for all, so
+/// together they let an organisation's limit through three times.
+BOOST_AUTO_TEST_CASE(a_failure_domain_that_was_never_heard_counts_as_large_as_the_own_one)
+{
+    membership::Fleet fleet("vm-0", "a", Timeout, {"a", "b", "c"});
+    for (const auto *vm : {"vm-1", "vm-2", "vm-3"}) {
+        fleet.hear(news(vm, 1, 1), Start);
+    }
+    fleet.setState(membership::DaemonState::Serving);
+    BOOST_TEST(fleet.daemons(Start) == 12U);
+    membership::Heartbeat heartbeat;
+    heartbeat.news.failureDomain = "b";
+    heartbeat.summaries.emplace_back();
+    heartbeat.summaries.back().failureDomain = "b";
+    heartbeat.summaries.back().daemons = 2;
+    fleet.hearSummaries(heartbeat, Start);
+    BOOST_TEST(fleet.daemons(Start) == 10U); // Four here, two as told, four as supposed.
+}
+
 BOOST_AUTO_TEST_CASE(a_delegate_prefers_contacts_that_it_hears)
 {
     membership::PeerTable table("self", "a", Timeout);
