--- a/include/spurlug/relay/retry_ledger.h
+++ b/include/spurlug/relay/retry_ledger.h
@@ -65,8 +65,8 @@
 
 /// \brief Counts requests and repeated sends of each service over a sliding window.
 ///
-/// A daemon spends `ratio` x its own requests + its part of the slack: summed over all daemons that is within the
-/// bound, without a message between them.
+/// A daemon spends `margin` x `ratio` x its own requests + its part of the slack: summed over all daemons that is
+/// within the bound, without a message between them.
 class RetryLedger
 {
 public:
