Targets start again under their id: beliefs belong to one life, and each entry of the list is judged alone

Cause: an id was taken to be new with each start. So a target that had said that it was leaving was never listed again, and work, failures, refusals and grants of an earlier life were believed of the next one, here and at other daemons. Entries were read as one document: a byte that is no UTF-8, a number out of range or an object without a name lost the whole list; missing fields had defaults, so entries that no target wrote were used, and a state that is not known made a target leave for good. Ruled out: keying the tables by id and start would list both lives; a set of the ids that restarted would have to be told between daemons, where a hash of the life says it by itself. Change: TargetLife (id and start), whose hash is what daemons tell each other; a later life is a new object, an earlier one is old news in any order. An entry that cannot be used names no target; one known by its id gets nothing until its next good entry; logged once a change with the reason, counted, told on to followers. An engine's refusal at an address goes to the life that was asked. A silent attempt whose target started again is given up at once. Not done: reports of engines are not read at all, so a start told there is not either.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -23,7 +23,7 @@
 /// \brief How an attempt at a target ended.
 struct TargetOutcome
 {
-    std::uint32_t target = 0; ///< targets::targetHash of its id.
+    std::uint32_t target = 0; ///< relay::lifeHash of its life.
     std::optional<relay::TargetFault> fault; ///< Nothing: it did well.
 };
 
@@ -78,7 +78,7 @@
     std::uint64_t ask = 0;
     AnswerKind kind = AnswerKind::NotHere;
     std::uint64_t grant = 0; ///< Counted up by the scheduler.
-    std::uint32_t target = 0; ///< targets::targetHash of the engine that answers the request.
+    std::uint32_t target = 0; ///< relay::lifeHash of the engine that answers the request.
     std::vector<std::uint32_t> helpers; ///< Holders of memory first, then those that only read.
     std::vector<std::int64_t> holdingTokens; ///< Of the first helpers.
     core::Duration expected = absl::ZeroDuration(); ///< Until the first event.
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -56,6 +56,8 @@
     RepeatsByRatio, ///< Sends beyond the first of a request, charged to this daemon's own requests.
     RepeatsBySlack, ///< Charged to this daemon's part of the fleet's slack.
     RepeatsRefused, ///< Not sent: this daemon's part of both was spent.
+    TargetsRestarted, ///< Later lives under ids that were known.
+    TargetEntriesUnusable, ///< Entries of targets that came to be unreadable or of a wrong form.
 };
 
 /// \brief What the daemon times; seconds.
@@ -113,6 +115,8 @@
         EnumName<Counter>{Counter::RepeatsByRatio, "repeats_by_ratio"},
         EnumName<Counter>{Counter::RepeatsBySlack, "repeats_by_slack"},
         EnumName<Counter>{Counter::RepeatsRefused, "repeats_refused"},
+        EnumName<Counter>{Counter::TargetsRestarted, "targets_restarted"},
+        EnumName<Counter>{Counter::TargetEntriesUnusable, "target_entries_unusable"},
     };
 };
 
--- a/include/spurlug/relay/directory.h
+++ b/include/spurlug/relay/directory.h
@@ -42,8 +42,9 @@
 /// \brief One change of the list of targets.
 struct TargetChange
 {
-    TargetEntry entry; ///< Of a target that is gone only the id.
+    TargetEntry entry; ///< Of one that is gone or cannot be used only its life, as far as it is told.
     bool gone = false;
+    std::string fault{}; ///< What is wrong with the entry: it names no target to use. Empty: nothing.
 };
 
 /// \brief All targets, or what changed.
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -10,6 +10,7 @@
 #include "spurlug/relay/directory.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 
@@ -58,6 +59,10 @@
 ///
 /// Entries that lapsed while the directory was away come back when their targets reach it again. So what is missing
 /// just after such a time is kept a little longer, unless the target had said that it was leaving.
+///
+/// Each entry is judged alone. One that cannot be read, as from a program that does not know their form, names no
+/// target; one that was known by its id gets nothing until its next good entry. Entries of an earlier life than the
+/// known one change nothing, whoever tells them.
 class TargetIntake
 {
 public:
@@ -72,11 +77,14 @@
 
 private:
     [[nodiscard]] bool isNews(std::int64_t revision);
+    void take(const TargetChange &change, std::string_view from, core::Time now);
     void put(const TargetEntry &entry, std::string_view from);
-    void drop(const std::string &id, std::string_view from, core::Time now);
+    void withdraw(const std::string &id, const std::string &fault, std::string_view from);
+    void drop(const TargetLife &life, std::string_view from, core::Time now);
 
     RelayContext &m_context;
     const DirectoryLink &m_link;
+    std::map<std::string, std::string> m_faults; ///< Of entries that cannot be used, by id: each is logged once.
 };
 
 /// \brief Runs the two loops that read a directory and wait on it, while this daemon should read it itself.
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -57,7 +57,7 @@
     /// \brief Notes that an engine did not help. One that leaves, is full or lacks the memory says so at once: it is
     /// not asked for help for a while, and may answer requests of its own well. One that was waited for in vain is left
     /// out.
-    void helpRefused(const core::Address &helper, core::Time now);
+    void helpRefused(const core::Ref<Target> &helper, core::Time now);
 
     /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
     /// \param cause Why the last attempt failed.
@@ -93,6 +93,10 @@
     [[nodiscard]] bool waitedEnough(core::Time now) const noexcept;
     /// \brief Whether the target said something to any request not long ago: it is slow then, not gone.
     [[nodiscard]] bool targetLives(core::Time now) const noexcept;
+    /// \brief Whether the target started again since the request went to it: what it had of the request is gone.
+    [[nodiscard]] bool targetRestarted() const;
+    /// \brief The engine at an address that was asked to help with the request; null when none was.
+    [[nodiscard]] core::Ref<Target> helperAt(const core::Address &address) const;
     /// \brief When a caller that is refused now should come back.
     [[nodiscard]] core::Duration retryAfter(core::Reason reason) const noexcept;
     /// \brief The relay's own last word.
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -157,7 +157,7 @@
         const bool granted = co_await reservation->acquire(m_progress.deadline());
         if (!granted) {
             m_failure = core::Reason::ReservationRefused;
-            m_progress.helpRefused(chosen.helpers[i]->entry.address, core::now());
+            m_progress.helpRefused(chosen.helpers[i], core::now());
             co_return false;
         }
         m_reservations.push_back(std::move(reservation));
@@ -247,10 +247,14 @@
 net::Task<bool> RequestRun<D>::leaveIfDead(const ChosenTargets &chosen, core::Time heardAt, bool answering,
                                            bool &patient)
 {
-    if (m_progress.targetLives(core::now())) {
+    const bool restarted = m_progress.targetRestarted();
+    if (!restarted && m_progress.targetLives(core::now())) {
         co_return false; // It is slow, not gone: the same work elsewhere would make everything slower.
     }
-    const bool reachable = co_await reaches(*chosen.target);
+    bool reachable = false; // A later life may take connections; it knows nothing of the request.
+    if (!restarted) {
+        reachable = co_await reaches(*chosen.target);
+    }
     const auto now = core::now();
     if (m_inbox->events.size() > 0) {
         co_return false; // It answered in the meantime.
@@ -271,7 +275,10 @@
         fault = TargetFault::Unreachable;
     }
     m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, fault,
-                          reachable ? "silence" : "silence, and it takes no connections", now);
+                          restarted       ? "silence, and the target started again"
+                              : reachable ? "silence"
+                                          : "silence, and it takes no connections",
+                          now);
     co_return true;
 }
 
@@ -318,7 +325,9 @@
     const auto verdict = judgeAnswer(answer, m_progress.facts().id);
     const auto now = core::now();
     if (answer.faultAt) {
-        m_progress.helpRefused(*answer.faultAt, now);
+        if (const auto helper = m_progress.helperAt(*answer.faultAt)) {
+            m_progress.helpRefused(helper, now);
+        }
     }
     const auto detail = core::cat("status ", answer.status);
     if (verdict.outcome != core::Outcome::Completed) {
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/counted.h"
 #include "spurlug/core/time.h"
 #include "spurlug/relay/target_health.h"
+#include "spurlug/relay/target_life.h"
 #include "spurlug/targets/outstanding.h"
 
 #include <boost/intrusive/list.hpp>
@@ -24,12 +25,18 @@
 /// \brief What the directory says of a target.
 struct TargetEntry
 {
-    std::string id; ///< New with each start of the target.
+    std::string id; ///< Several lives of the target may bear it, one after the other.
     std::string service;
     core::Address address;
     std::string failureDomain;
     int slots = 1; ///< Requests that run at once.
     bool draining = false; ///< It will end soon and must get nothing new.
+    std::int64_t startMs = 0; ///< Of this life, as TargetLife::startMs.
+
+    [[nodiscard]] TargetLife life() const
+    {
+        return {id, startMs};
+    }
 };
 
 using targets::Outstanding;
@@ -95,20 +102,21 @@
     core::Time m_dueAt;
 };
 
-/// \brief A target as this daemon knows it. Used on the loop's thread only.
+/// \brief One life of a target as this daemon knows it. Used on the loop's thread only.
 class Target : public core::Counted<Target>
 {
 public:
     explicit Target(TargetEntry entry);
 
     TargetEntry entry;
-    const std::uint32_t hash; ///< targets::targetHash of its id.
+    const std::uint32_t hash; ///< lifeHash of its life.
     TargetHealth health;
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
     core::Time noHelpUntil = absl::InfinitePast(); ///< It turned help or a reservation down; not asked before this.
     core::Time fullUntil = absl::InfinitePast(); ///< It turned a request down; it gets none before this.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
+    std::string fault; ///< Why its newest entry cannot be used; empty: it can.
 
     /// \brief Work of this daemon here.
     [[nodiscard]] Outstanding own(core::Time now) const noexcept;
@@ -125,7 +133,7 @@
     /// \brief Whether it may get new work, as far as the directory goes.
     [[nodiscard]] bool listed(core::Time now) const noexcept
     {
-        return !entry.draining && now < dropAt;
+        return !entry.draining && fault.empty() && now < dropAt;
     }
 
 private:
@@ -138,7 +146,16 @@
     PeerShares m_peerShares;
 };
 
-/// \brief All targets. Used on the loop's thread only.
+/// \brief What an entry was to the set of targets.
+enum class EntryNews
+{
+    Added, ///< Its id was not known.
+    Updated, ///< Of the life that is known.
+    Restarted, ///< A later life under a known id: nothing that was believed of the earlier one holds for it.
+    Outdated, ///< Of an earlier life than the known one: nothing was taken.
+};
+
+/// \brief The newest known life of each target. Used on the loop's thread only.
 class TargetSet
 {
 public:
@@ -147,10 +164,12 @@
     /// \name Commands
     /// @{
 
-    /// \brief Adds a target or takes what is new of it. A target that was draining stays so.
-    void put(const TargetEntry &entry);
+    /// \brief Adds a target or takes what is new of it. One that was draining stays so for the rest of its life.
+    EntryNews put(const TargetEntry &entry);
     /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
     void drop(const std::string &id, core::Time dropAt);
+    /// \brief Notes that a target's newest entry cannot be used: it gets nothing before it has a good one again.
+    void withdraw(const std::string &id, const std::string &fault);
     /// \brief Forgets targets that are gone and have no work of this daemon.
     void forgetGone(core::Time now);
     /// \brief Takes a peer's own work at all targets, in place of what it said before.
@@ -171,7 +190,7 @@
     [[nodiscard]] Targets listed(const std::string &service, core::Time now) const;
     /// \brief The target with an id; null when there is none.
     [[nodiscard]] core::Ref<Target> find(const std::string &id) const;
-    /// \brief The target whose id has this hash; null when there is none.
+    /// \brief The target whose life has this hash; null when there is none, or when it is over.
     [[nodiscard]] core::Ref<Target> withHash(std::uint32_t hash) const;
     /// \brief The target at an address; null when there is none.
     [[nodiscard]] core::Ref<Target> at(const core::Address &address, core::Time now) const;
--- a/include/spurlug/targets/outstanding.h
+++ b/include/spurlug/targets/outstanding.h
@@ -30,7 +30,7 @@
 /// \brief One daemon's work at one target, as it tells others.
 struct TargetWork
 {
-    std::uint32_t target = 0; ///< targets::targetHash of its id.
+    std::uint32_t target = 0; ///< relay::lifeHash of its life.
     Outstanding work;
     std::int64_t dueMicros = 0; ///< From the moment it is told until all of its reading should be done, us.
 };
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace spurlug::relay
 {
@@ -76,16 +77,39 @@
     , m_link(link)
 { }
 
+void TargetIntake::take(const TargetChange &change, std::string_view from, core::Time now)
+{
+    if (change.gone) {
+        drop(change.entry.life(), from, now);
+    } else if (!change.fault.empty()) {
+        withdraw(change.entry.id, change.fault, from);
+    } else {
+        put(change.entry, from);
+    }
+}
+
 void TargetIntake::put(const TargetEntry &entry, std::string_view from)
 {
     const auto known = m_context.targets.find(entry.id);
-    const bool wasGone = known && known->dropAt != absl::InfiniteFuture();
-    const bool news
-        = !known || wasGone || known->entry.draining != entry.draining || known->entry.service != entry.service;
-    m_context.targets.put(entry);
-    if (news) {
+    if (known && known->entry.startMs > 0 && entry.startMs == 0) {
+        withdraw(entry.id, "the start is missing, which an earlier entry told", from);
+        return;
+    }
+    const bool wasUnusable = known && (known->dropAt != absl::InfiniteFuture() || !known->fault.empty());
+    const bool changed = known && (known->entry.draining != entry.draining || known->entry.service != entry.service);
+    const auto news = m_context.targets.put(entry);
+    if (news == EntryNews::Outdated) {
+        return;
+    }
+    m_faults.erase(entry.id);
+    if (news == EntryNews::Restarted) {
+        m_context.metrics.count(metrics::Counter::TargetsRestarted);
+    }
+    if (news != EntryNews::Updated || wasUnusable || changed) {
         core::log(core::LogLevel::Info, "target_listed",
                   {{"target", entry.id},
+                   {"startMs", entry.startMs},
+                   {"restarted", news == EntryNews::Restarted},
                    {"service", entry.service},
                    {"address", entry.address.text()},
                    {"draining", entry.draining},
@@ -93,18 +117,34 @@
     }
 }
 
-void TargetIntake::drop(const std::string &id, std::string_view from, core::Time now)
+void TargetIntake::withdraw(const std::string &id, const std::string &fault, std::string_view from)
 {
-    const auto known = m_context.targets.find(id);
+    m_context.targets.withdraw(id, fault);
+    auto &known = m_faults[id];
+    if (std::exchange(known, fault) == fault) {
+        return;
+    }
+    m_context.metrics.count(metrics::Counter::TargetEntriesUnusable);
+    core::log(core::LogLevel::Warning, "target_entry_unusable",
+              {{"target", id}, {"fault", fault}, {"known", m_context.targets.find(id) != nullptr}, {"from", from}});
+}
+
+void TargetIntake::drop(const TargetLife &life, std::string_view from, core::Time now)
+{
+    m_faults.erase(life.id);
+    const auto known = m_context.targets.find(life.id);
     if (!known || known->dropAt != absl::InfiniteFuture()) {
         return;
     }
+    if (life.startMs > 0 && life.startMs < known->entry.startMs) {
+        return; // An earlier life ended.
+    }
     const bool mayComeBack = now - m_link.regainedAt() < LapseTime && !known->entry.draining;
     const auto kept = std::min(core::Duration(LapseTime), m_context.settings.bounds.drain) * KeepShare;
     const auto dropAt = mayComeBack ? now + kept : now;
-    m_context.targets.drop(id, dropAt);
+    m_context.targets.drop(life.id, dropAt);
     core::log(core::LogLevel::Info, "target_gone",
-              {{"target", id}, {"from", from}, {"keptMs", core::toMs(dropAt - now)}});
+              {{"target", life.id}, {"from", from}, {"keptMs", core::toMs(dropAt - now)}});
 }
 
 bool TargetIntake::isNews(std::int64_t revision)
@@ -125,7 +165,7 @@
     std::set<std::string> present;
     for (const auto &change : list) {
         present.insert(change.entry.id);
-        put(change.entry, from);
+        take(change, from, now);
     }
     std::vector<std::string> missing;
     for (const auto &[id, target] : m_context.targets.all()) {
@@ -134,8 +174,9 @@
         }
     }
     for (const auto &id : missing) {
-        drop(id, from, now);
+        drop({id, 0}, from, now);
     }
+    std::erase_if(m_faults, [&present](const auto &item) { return !present.contains(item.first); });
     m_context.targetLog.restart(revision);
     m_context.targets.forgetGone(now);
 }
@@ -147,11 +188,7 @@
         return;
     }
     for (const auto &change : changes) {
-        if (change.gone) {
-            drop(change.entry.id, from, now);
-        } else {
-            put(change.entry, from);
-        }
+        take(change, from, now);
     }
     if (!changes.empty()) {
         m_context.targetLog.add(revision, changes);
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -66,7 +66,7 @@
     for (const auto &[id, target] : context.targets.all()) {
         // A target that is only kept for a while is gone: told on, it would come back elsewhere.
         if (target->dropAt == absl::InfiniteFuture()) {
-            state.targets.push_back({target->entry, false});
+            state.targets.push_back({target->entry, false, target->fault});
         }
     }
     return state;
@@ -78,7 +78,9 @@
     for (const auto &change : state.targets) {
         const auto &entry = change.entry;
         targets.push_back({{"id", entry.id},
+                           {"startMs", entry.startMs},
                            {"gone", change.gone},
+                           {"fault", change.fault},
                            {"service", entry.service},
                            {"address", entry.address.text()},
                            {"failureDomain", entry.failureDomain},
@@ -109,9 +111,11 @@
         for (const auto &item : document.at("targets")) {
             TargetEntry entry;
             entry.id = item.at("id");
+            entry.startMs = item.at("startMs");
             const bool gone = item.at("gone");
-            if (gone) {
-                state.targets.push_back({std::move(entry), true});
+            std::string fault = item.at("fault");
+            if (gone || !fault.empty()) {
+                state.targets.push_back({std::move(entry), gone, std::move(fault)});
                 continue;
             }
             entry.service = item.at("service");
@@ -119,7 +123,7 @@
             entry.failureDomain = item.at("failureDomain");
             entry.slots = item.at("slots");
             entry.draining = item.at("draining");
-            state.targets.push_back({std::move(entry), false});
+            state.targets.push_back({std::move(entry), false, {}});
         }
         return state;
     } catch (const nlohmann::json::exception &error) {
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -301,12 +301,22 @@
                {"targetLeftOut", health.ejected(now)}});
 }
 
-void RequestProgress::helpRefused(const core::Address &helper, core::Time now)
+core::Ref<Target> RequestProgress::helperAt(const core::Address &address) const
+{
+    const auto &helpers = m_current.helpers;
+    const auto found = std::find_if(helpers.begin(), helpers.end(),
+                                    [&address](const auto &helper) { return helper->entry.address == address; });
+    return found == helpers.end() ? nullptr : *found;
+}
+
+bool RequestProgress::targetRestarted() const
+{
+    const auto known = m_context.targets.find(m_current.target->entry.id);
+    return known && known != m_current.target;
+}
+
+void RequestProgress::helpRefused(const core::Ref<Target> &target, core::Time now)
 {
-    const auto target = m_context.targets.at(helper, now);
-    if (!target || target == m_current.target) {
-        return;
-    }
     m_helperAtFault = true;
     target->noHelpUntil = now + NoHelpSpan;
     const bool silent = m_current.target && now - m_sentAt >= HelperStall;
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -5,8 +5,6 @@
 
 #include "spurlug/relay/target_set.h"
 
-#include "spurlug/targets/target_table.h"
-
 #include <algorithm>
 
 namespace spurlug::relay
@@ -103,7 +101,7 @@
 
 Target::Target(TargetEntry entry)
     : entry(std::move(entry))
-    , hash(targets::targetHash(this->entry.id))
+    , hash(lifeHash(this->entry.life()))
 { }
 
 Outstanding Target::own(core::Time now) const noexcept
@@ -140,18 +138,28 @@
     return sum;
 }
 
-void TargetSet::put(const TargetEntry &entry)
+EntryNews TargetSet::put(const TargetEntry &entry)
 {
     auto &target = m_targets[entry.id];
-    if (!target) {
+    if (target && entry.startMs < target->entry.startMs) {
+        return EntryNews::Outdated;
+    }
+    const bool restarted = target && entry.startMs > target->entry.startMs;
+    if (!target || restarted) {
+        if (restarted) {
+            m_byHash.erase(target->hash);
+        }
+        // Attempts in progress keep the earlier life; it is found by nobody else any more.
         target = core::makeCounted<Target>(entry);
         m_byHash[target->hash] = target;
-        return;
+        return restarted ? EntryNews::Restarted : EntryNews::Added;
     }
     const bool draining = target->entry.draining || entry.draining;
     target->entry = entry;
     target->entry.draining = draining;
     target->dropAt = absl::InfiniteFuture();
+    target->fault.clear();
+    return EntryNews::Updated;
 }
 
 void TargetSet::drop(const std::string &id, core::Time dropAt)
@@ -162,6 +170,14 @@
     }
 }
 
+void TargetSet::withdraw(const std::string &id, const std::string &fault)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second->fault = fault;
+    }
+}
+
 void TargetSet::forgetGone(core::Time now)
 {
     constexpr auto KeptAfterwards = absl::Seconds(30); // Answers in progress may still name them.
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -43,18 +43,41 @@
                         net::asio::detached);
 }
 
-nlohmann::json FakeStore::objectJson(const std::string &name, const Object &object)
+nlohmann::json FakeStore::objectJson(const std::string &name, const Object &object) const
 {
+    if (!object.text.empty()) {
+        return core::cat("text-", object.revision);
+    }
     return {{"metadata", {{"name", name}, {"revision", object.revision}, {"deleting", false}}}, {"spec", object.spec}};
 }
 
 void FakeStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
 {
     auto &object = m_kinds[kind][name];
-    object = {spec, ++m_revision};
+    object = {spec, ++m_revision, {}};
     m_history.push_back({m_revision, kind, {{"gone", false}, {"object", objectJson(name, object)}}});
 }
 
+void FakeStore::putText(const std::string &kind, const std::string &name, const std::string &object)
+{
+    put(kind, name, nullptr);
+    auto &stored = m_kinds[kind][name];
+    stored.text = object;
+    const auto placeholder = objectJson(name, stored);
+    m_texts[placeholder.dump()] = object;
+    m_history.back().event["object"] = placeholder;
+}
+
+std::string FakeStore::withTexts(std::string body) const
+{
+    for (const auto &[placeholder, text] : m_texts) {
+        for (auto at = body.find(placeholder); at != std::string::npos; at = body.find(placeholder, at + text.size())) {
+            body.replace(at, placeholder.size(), text);
+        }
+    }
+    return body;
+}
+
 void FakeStore::remove(const std::string &kind, const std::string &name)
 {
     const auto object = m_kinds[kind][name];
@@ -143,6 +166,7 @@
             co_return;
         }
         auto response = co_await answer(std::move(*result.request));
+        response.body = withTexts(std::move(response.body));
         while (mood == StoreMood::Silent) {
             co_await net::sleepFor(absl::Milliseconds(10));
         }
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -37,6 +37,8 @@
     /// \name The operator's and the targets' side
     /// @{
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    /// \brief Stores an object that some other program wrote, as these bytes.
+    void putText(const std::string &kind, const std::string &name, const std::string &object);
     void remove(const std::string &kind, const std::string &name);
     /// \brief Drops the history: waits from before now get 410.
     void forgetHistory();
@@ -52,6 +54,7 @@
     {
         nlohmann::json spec;
         std::int64_t revision = 0;
+        std::string text; ///< Stands in answers as it is, if it is not empty.
     };
     struct Change
     {
@@ -64,7 +67,9 @@
     [[nodiscard]] net::Task<net::Response> answer(net::Request request);
     [[nodiscard]] net::Task<net::Response> watch(std::string kind, std::int64_t from, core::Duration wait);
     [[nodiscard]] net::Response list(const std::string &kind) const;
-    [[nodiscard]] static nlohmann::json objectJson(const std::string &name, const Object &object);
+    [[nodiscard]] nlohmann::json objectJson(const std::string &name, const Object &object) const;
+    /// Puts the bytes of `putText` in their places.
+    [[nodiscard]] std::string withTexts(std::string body) const;
 
     net::Loop &m_loop;
     net::Listener m_listener;
@@ -73,6 +78,7 @@
     std::int64_t m_revision = 0;
     std::int64_t m_oldest = 0; ///< Changes up to this one are forgotten.
     std::map<std::string, int> m_calls;
+    std::map<std::string, std::string> m_texts; ///< By what stands for them in answers.
 };
 
 } // namespace spurlug::test
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -108,15 +108,26 @@
 
 void RelayFleet::announce(const FakeTarget &target, const std::string &service, const std::string &state, int slots)
 {
-    store.put("servers", target.id(),
-              {{"service", service},
-               {"address", target.address().text()},
-               {"zone", "hall-a"},
-               {"version", "v1"},
-               {"slots", slots},
-               {"state", state},
-               {"cold_remaining_ms", 0},
-               {"call_seq", 0}});
+    auto entry = entryOf(target, service, state);
+    entry["slots"] = slots;
+    store.put("servers", target.id(), entry);
+}
+
+nlohmann::json RelayFleet::entryOf(const FakeTarget &target, const std::string &service, const std::string &state,
+                                   std::int64_t startMs)
+{
+    nlohmann::json entry{{"service", service},
+                         {"address", target.address().text()},
+                         {"zone", "hall-a"},
+                         {"version", "v1"},
+                         {"slots", 16},
+                         {"state", state},
+                         {"cold_remaining_ms", 0},
+                         {"call_seq", 0}};
+    if (startMs > 0) {
+        entry["born"] = startMs;
+    }
+    return entry;
 }
 
 void RelayFleet::run(std::function<net::Task<>()> test)
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -60,6 +60,10 @@
     /// \brief Writes the entry of a target anew.
     void announce(const FakeTarget &target, const std::string &service, const std::string &state = "ready",
                   int slots = 16);
+    /// \brief The entry that a target writes of itself.
+    /// \param startMs Of its life; 0: the entry does not tell.
+    [[nodiscard]] static nlohmann::json entryOf(const FakeTarget &target, const std::string &service,
+                                                const std::string &state = "ready", std::int64_t startMs = 0);
     /// \brief Writes the next version of the configuration.
     void configure();
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -130,9 +130,9 @@
     BOOST_REQUIRE(chosen->helpers.size() == 1U);
     const auto helper = chosen->helpers.front();
     request.begin(*chosen, "", at(0));
-    request.helpRefused(helper->entry.address, at(100)); // Busy or leaving.
+    request.helpRefused(helper, at(100)); // Busy or leaving.
     BOOST_TEST(state.context.targets.unreachable(at(101)).empty());
-    request.helpRefused(helper->entry.address, at(1500));
+    request.helpRefused(helper, at(1500));
     BOOST_TEST(helper->health.ejected(at(1501)));
     BOOST_REQUIRE(state.context.targets.unreachable(at(1501)).size() == 1U);
     BOOST_TEST(state.context.targets.unreachable(at(1501)).front() == targets::targetHash(helper->entry.id));
@@ -271,8 +271,8 @@
     RelayState state;
     state.context.targets.put(entry("a"));
     RequestProgress request(state.context, {}, at(0));
-    request.helpRefused(entry("a").address, at(0));
     const auto target = state.context.targets.find("a");
+    request.helpRefused(target, at(0));
     BOOST_TEST(!target->health.ejected(at(1)));
     BOOST_TEST((target->noHelpUntil > at(1)));
     BOOST_TEST((target->noHelpUntil < at(1000)));
