Failure domains that do not reach each other are learnt from two failures, and the engines of a prompt reach each other

Cause: in the seconds of a cut the list of targets still names the engines beyond it. The scheduler heard of no refused help. Change: DomainLinks, a table of pairs of failure domains: two different targets that fail and none that is reached part a pair for 1.5 s, then it is tried again. Outcomes in work reports tell who asked for help, and that help was given; the scheduler chooses for the side of the daemon that asks. Memory that is not set aside is told apart from help.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -25,6 +25,7 @@
 {
     std::uint32_t target = 0; ///< relay::lifeHash of its life.
     std::optional<relay::TargetFault> fault; ///< Nothing: it did well.
+    std::uint32_t askedBy = 0; ///< relay::lifeHash of the engine that asked it for help; 0: the daemon did.
 };
 
 /// \brief All work of one daemon at the targets, in place of what it said before.
@@ -61,6 +62,7 @@
     std::vector<std::uint32_t> notAt; ///< Targets that must not answer it.
     std::vector<std::uint32_t> onlyAt; ///< If there are any, only these may answer it.
     bool atHome = false; ///< Only targets of the scheduler's failure domain, if there are any.
+    bool nearHelpers = false; ///< Helpers in the failure domain of the engine that answers only.
 };
 
 /// \brief What the scheduler says to an ask.
--- a/include/spurlug/control/scheduler_client.h
+++ b/include/spurlug/control/scheduler_client.h
@@ -64,8 +64,8 @@
 
     /// \brief Notes that this daemon's work changed: it is reported soon.
     void workChanged();
-    /// \brief Notes how an attempt ended; told with the next report.
-    void outcome(std::uint32_t target, std::optional<relay::TargetFault> fault);
+    /// \brief Notes how an attempt ended, or how an engine helped another one; told with the next report.
+    void outcome(const TargetOutcome &outcome);
 
     /// @}
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -8,6 +8,7 @@
 #include "spurlug/control/roster.h"
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/net/io.h"
+#include "spurlug/relay/domain_links.h"
 #include "spurlug/relay/freshness.h"
 #include "spurlug/relay/placement.h"
 #include "spurlug/relay/retry_ledger.h"
@@ -47,6 +48,7 @@
     std::int64_t targetsRevision = 0; ///< The directory's revision that the list of targets is from.
     TargetLog targetLog; ///< How the list came to be what it is.
     TargetSet targets;
+    DomainLinks links;
     RetryLedger retries;
     EjectionRule ejection;
     std::mt19937_64 random;
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -54,10 +54,12 @@
     /// \brief Notes that an attempt ended.
     void endAttempt(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
                     const std::string &detail, core::Time now);
-    /// \brief Notes that an engine did not help. One that leaves, is full or lacks the memory says so at once: it is
-    /// not asked for help for a while, and may answer requests of its own well. One that was waited for in vain is left
-    /// out.
+    /// \brief Notes that an engine did not help the target. One that leaves, is full or cannot be reached is named at
+    /// once: it is not asked for help for a while, and may answer requests of its own well. One that was waited for in
+    /// vain is left out.
     void helpRefused(const core::Ref<Target> &helper, core::Time now);
+    /// \brief Notes that an engine did not set memory aside.
+    void memoryRefused(const core::Ref<Target> &helper, core::Time now);
 
     /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
     /// \param cause Why the last attempt failed.
@@ -112,6 +114,8 @@
         std::int64_t all = 0;
     };
 
+    /// Notes that the target, and the engines that help it, were reached.
+    void noteReached();
     /// Takes a repeated send out of the fleet's bound.
     [[nodiscard]] bool takeRepeat(core::Reason cause, core::Time now);
     /// Tells the scheduler soon that this daemon's work changed.
@@ -137,6 +141,7 @@
     std::vector<std::uint32_t> m_unreachable; ///< Hashes of targets that took no connection.
     std::vector<std::uint32_t> m_refusedBy; ///< Of those in `m_sentTo`, the ones that did not begin.
     ChosenTargets m_current;
+    bool m_someHelpRefused = false; ///< Whether an engine did not help with this request before.
     bool m_helperAtFault = false; ///< Whether the current target was kept from answering by one that should help it.
     core::Duration m_atTargets = absl::ZeroDuration(); ///< Time spent in attempts that ended.
     core::Time m_sentAt = absl::InfinitePast();
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -157,7 +157,7 @@
         const bool granted = co_await reservation->acquire(m_progress.deadline());
         if (!granted) {
             m_failure = core::Reason::ReservationRefused;
-            m_progress.helpRefused(chosen.helpers[i], core::now());
+            m_progress.memoryRefused(chosen.helpers[i], core::now());
             co_return false;
         }
         m_reservations.push_back(std::move(reservation));
--- a/include/spurlug/relay/target_choice.h
+++ b/include/spurlug/relay/target_choice.h
@@ -34,6 +34,9 @@
     std::vector<std::uint32_t> notAt; ///< Hashes of targets that must not answer it.
     std::optional<std::vector<std::uint32_t>> onlyAt; ///< If set, only these may.
     bool atHome = false; ///< Only targets of this failure domain, if there are any.
+    std::string from; ///< Failure domain of the daemon that sends the request; empty: this one's.
+    /// Helpers in the failure domain of the engine that answers only: another one was refused for this request.
+    bool nearHelpers = false;
 };
 
 /// \brief Whether a tight request that has waited this long may queue at an engine instead of here: a refusal after it
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -59,6 +59,7 @@
         auto &outcomeOut = *out.add_outcomes();
         outcomeOut.set_target(outcome.target);
         outcomeOut.set_fault(outcome.fault ? static_cast<std::uint32_t>(*outcome.fault) + 1 : 0);
+        outcomeOut.set_asked_by(outcome.askedBy);
     }
     out.set_wants_word(report.wantsWord);
 }
@@ -78,6 +79,7 @@
     for (const auto &outcomeIn : in.outcomes()) {
         TargetOutcome outcome;
         outcome.target = outcomeIn.target();
+        outcome.askedBy = outcomeIn.asked_by();
         if (outcomeIn.fault() > 0) {
             outcome.fault = static_cast<relay::TargetFault>(std::min(outcomeIn.fault() - 1, last));
         }
@@ -108,6 +110,7 @@
     writeAll(ask.notAt, *out.mutable_not_at());
     writeAll(ask.onlyAt, *out.mutable_only_at());
     out.set_at_home(ask.atHome);
+    out.set_near_helpers(ask.nearHelpers);
 }
 
 PlacementAsk read(const wire::PlacementAsk &in)
@@ -125,6 +128,7 @@
     ask.notAt.assign(in.not_at().begin(), in.not_at().end());
     ask.onlyAt.assign(in.only_at().begin(), in.only_at().end());
     ask.atHome = in.at_home();
+    ask.nearHelpers = in.near_helpers();
     return ask;
 }
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -73,16 +73,43 @@
                   {{"target", target->entry.id}, {"by", report.vm}, {"reported", report.unreachable.size()}});
     }
     for (const auto &outcome : report.outcomes) {
-        takeOutcome(outcome, now);
+        takeOutcome(outcome, report.vm, now);
     }
 }
 
-void Scheduler::takeOutcome(const TargetOutcome &outcome, core::Time now)
+const std::string &Scheduler::domainOf(const std::string &vm) const
+{
+    const auto *member = m_context.roster.find(vm);
+    return member != nullptr ? member->failureDomain : m_context.settings.failureDomain;
+}
+
+void Scheduler::noteLink(const TargetOutcome &outcome, const std::string &vm, core::Time now)
+{
+    const auto target = m_context.targets.withHash(outcome.target);
+    const auto asker = outcome.askedBy != 0 ? m_context.targets.withHash(outcome.askedBy) : nullptr;
+    if (outcome.askedBy != 0 && !asker) {
+        return; // The engine that asked has ended.
+    }
+    const auto &from = asker ? asker->entry.failureDomain : domainOf(vm);
+    const auto &to = target->entry.failureDomain;
+    const bool unanswered = outcome.fault == relay::TargetFault::Unreachable;
+    if (!outcome.fault) {
+        m_context.links.reached(from, to);
+    } else if (unanswered || asker) {
+        m_context.links.failed(from, to, outcome.target, now);
+    }
+}
+
+void Scheduler::takeOutcome(const TargetOutcome &outcome, const std::string &vm, core::Time now)
 {
     const auto target = m_context.targets.withHash(outcome.target);
     if (!target) {
         return;
     }
+    noteLink(outcome, vm, now);
+    if (outcome.askedBy != 0 && outcome.fault != relay::TargetFault::Silent) {
+        return; // An engine that turned help down may answer requests of its own well.
+    }
     if (!outcome.fault) {
         target->health.succeeded(now);
     } else if (*outcome.fault == relay::TargetFault::Busy) {
@@ -183,6 +210,8 @@
         query.onlyAt = ask.onlyAt;
     }
     query.atHome = ask.atHome;
+    query.nearHelpers = ask.nearHelpers;
+    query.from = domainOf(ask.vm);
     const auto chosen = relay::chooseTargets(m_context, query, now);
     if (!chosen) {
         return std::nullopt;
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -165,10 +165,10 @@
     }
 }
 
-void SchedulerClient::outcome(std::uint32_t target, std::optional<relay::TargetFault> fault)
+void SchedulerClient::outcome(const TargetOutcome &outcome)
 {
     if (m_outcomes.size() < MostOutcomes) {
-        m_outcomes.push_back({target, fault});
+        m_outcomes.push_back(outcome);
     }
 }
 
@@ -303,6 +303,7 @@
     ask.notAt = firstOf(query.notAt);
     ask.onlyAt = firstOf(query.onlyAt.value_or(std::vector<std::uint32_t>()));
     ask.atHome = scheduler.deputy;
+    ask.nearHelpers = query.nearHelpers;
     m_dueAt = now + AskAgainAfter;
     m_client->send(ask, scheduler, now);
 }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace spurlug::relay
 {
@@ -174,6 +175,7 @@
     if (spec != nullptr && spec->engine && m_facts.prompt) {
         query.prompt = promptRequest(now);
     }
+    query.nearHelpers = m_someHelpRefused;
     query.notAt = m_unreachable;
     const bool mayReturn = m_sentTo.size() >= static_cast<std::size_t>(m_route->mostTargets);
     if (mayReturn) {
@@ -249,6 +251,7 @@
     }
     m_answeredAt = now;
     m_lastEventAt = now;
+    noteReached();
     noteWork();
     if (m_facts.prompt) {
         m_context.metrics.time(metrics::firstTokenTimer(m_facts.prompt->promptTokens), now - m_arrivedAt);
@@ -278,7 +281,10 @@
     m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
     const bool isBusy = fault == TargetFault::Busy && m_helperAtFault;
     if (m_context.scheduling != nullptr && (fault || outcome == Outcome::Completed) && !isBusy) {
-        m_context.scheduling->outcome(hash, fault);
+        m_context.scheduling->outcome({hash, fault});
+    }
+    if (fault == TargetFault::Unreachable) {
+        m_context.links.failed(m_context.settings.failureDomain, m_current.target->entry.failureDomain, hash, now);
     }
     auto &health = m_current.target->health;
     if (fault) {
@@ -315,23 +321,55 @@
     return known && known != m_current.target;
 }
 
-void RequestProgress::helpRefused(const core::Ref<Target> &target, core::Time now)
+void RequestProgress::memoryRefused(const core::Ref<Target> &helper, core::Time now)
+{
+    helper->noHelpUntil = now + NoHelpSpan;
+    core::log(core::LogLevel::Info, "memory_refused", {{"request", m_facts.id}, {"target", helper->entry.id}});
+}
+
+void RequestProgress::helpRefused(const core::Ref<Target> &helper, core::Time now)
 {
     m_helperAtFault = true;
-    target->noHelpUntil = now + NoHelpSpan;
-    const bool silent = m_current.target && now - m_sentAt >= HelperStall;
+    m_someHelpRefused = true;
+    helper->noHelpUntil = now + NoHelpSpan;
+    const auto &asker = *m_current.target;
+    const auto &to = helper->entry.failureDomain;
+    m_context.links.failed(asker.entry.failureDomain, to, helper->hash, now);
+    const bool silent = now - m_sentAt >= HelperStall;
     if (silent) {
-        target->health.failed(TargetFault::Silent, m_context.ejection, now);
-        if (m_context.scheduling != nullptr) {
-            m_context.scheduling->outcome(target->hash, TargetFault::Silent);
-        }
+        helper->health.failed(TargetFault::Silent, m_context.ejection, now);
+    }
+    if (m_context.scheduling != nullptr) {
+        m_context.scheduling->outcome({helper->hash, silent ? TargetFault::Silent : TargetFault::Busy, asker.hash});
     }
     core::log(core::LogLevel::Info, "help_refused",
               {{"request", m_facts.id},
-               {"target", target->entry.id},
+               {"target", helper->entry.id},
+               {"domain", to},
+               {"askedBy", asker.entry.id},
+               {"askersDomain", asker.entry.failureDomain},
                {"silent", silent},
-               {"afterMs", m_current.target ? core::toMs(now - m_sentAt) : 0},
-               {"targetLeftOut", target->health.ejected(now)}});
+               {"afterMs", core::toMs(now - m_sentAt)},
+               {"domainsParted", m_context.links.parted(asker.entry.failureDomain, to, now)},
+               {"targetLeftOut", helper->health.ejected(now)}});
+}
+
+void RequestProgress::noteReached()
+{
+    const auto &target = *m_current.target;
+    const auto &home = target.entry.failureDomain;
+    m_context.links.reached(m_context.settings.failureDomain, home);
+    std::set<std::string> told{home};
+    for (const auto &helper : m_current.helpers) {
+        const auto &domain = helper->entry.failureDomain;
+        if (!told.insert(domain).second) {
+            continue; // One engine of each domain is enough.
+        }
+        m_context.links.reached(home, domain);
+        if (m_context.scheduling != nullptr) {
+            m_context.scheduling->outcome({helper->hash, std::nullopt, target.hash});
+        }
+    }
 }
 
 RequestProgress::Places RequestProgress::placesOf(const std::string &service, core::Time now) const
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -32,6 +32,7 @@
         : m_context(context)
         , m_query(query)
         , m_targets(targets)
+        , m_from(query.from.empty() ? context.settings.failureDomain : query.from)
         , m_now(now)
     {
         const auto reported = std::count_if(targets.begin(), targets.end(),
@@ -70,10 +71,16 @@
         return m_heedsReports && m_now < target.reportedUntil;
     }
 
+    [[nodiscard]] bool cutOff(const Target &target) const
+    {
+        return m_context.links.parted(m_from, target.entry.failureDomain, m_now);
+    }
+
     [[nodiscard]] bool mayHelp(const Target &target) const
     {
         const auto &health = target.health;
-        return !avoided(target) && !health.ejected(m_now) && !health.onProbation() && m_now >= target.noHelpUntil;
+        return !avoided(target) && !cutOff(target) && !health.ejected(m_now) && !health.onProbation()
+            && m_now >= target.noHelpUntil;
     }
 
     [[nodiscard]] bool anyUsable(bool evenEjected) const
@@ -96,6 +103,9 @@
         if (evenEjected) {
             return true;
         }
+        if (cutOff(target)) {
+            return false;
+        }
         // A daemon that could not reach it either tries it itself: if all waited for each other it would never return.
         if (avoided(target) && !target.health.onProbation()) {
             return false;
@@ -107,6 +117,7 @@
     const RelayContext &m_context;
     const TargetQuery &m_query;
     const TargetSet::Targets &m_targets;
+    const std::string m_from; ///< Failure domain of the daemon that sends the request.
     const core::Time m_now;
     bool m_heedsReports = true; ///< Whether reports of unreachable targets are few enough to be believed.
     std::vector<Outstanding> m_loads;
@@ -127,6 +138,69 @@
     return home.empty() ? targets : home;
 }
 
+/// Chooses among candidates so that the engine that answers reaches its helpers.
+class Chooser
+{
+public:
+    Chooser(RelayContext &context, const TargetQuery &query, const TargetSet::Targets &targets, core::Time now)
+        : m_context(context)
+        , m_query(query)
+        , m_targets(targets)
+        , m_now(now)
+        , m_pick(context.random())
+    { }
+
+    [[nodiscard]] std::optional<Placement> choose() const
+    {
+        auto candidates = CandidateList(m_context, m_query, m_targets, m_now).make();
+        auto placement = place(candidates);
+        if (!placement || allMayHelp(*placement)) {
+            return placement;
+        }
+        const auto &answersIn = domainOf(placement->target);
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            candidates[i].mayAnswer = candidates[i].mayAnswer && domainOf(i) == answersIn;
+            candidates[i].mayHelp = candidates[i].mayHelp && helps(answersIn, domainOf(i));
+        }
+        return place(candidates);
+    }
+
+private:
+    [[nodiscard]] std::optional<Placement> place(const std::vector<Candidate> &candidates) const
+    {
+        const auto *spec = m_context.table ? m_context.table->service(m_query.service) : nullptr;
+        const auto &rule = m_context.settings.placement;
+        if (m_query.prompt && spec != nullptr && spec->engine) {
+            return placePrompt(*spec->engine, *m_query.prompt, candidates, rule, m_pick);
+        }
+        return placePlain(candidates, rule, m_pick);
+    }
+
+    [[nodiscard]] const std::string &domainOf(std::size_t candidate) const
+    {
+        return m_targets[candidate]->entry.failureDomain;
+    }
+
+    /// Whether engines of one failure domain may help one of another.
+    [[nodiscard]] bool helps(const std::string &answersIn, const std::string &helpsIn) const
+    {
+        return answersIn == helpsIn || !(m_query.nearHelpers || m_context.links.parted(answersIn, helpsIn, m_now));
+    }
+
+    [[nodiscard]] bool allMayHelp(const Placement &placement) const
+    {
+        const auto &answersIn = domainOf(placement.target);
+        return std::all_of(placement.helpers.begin(), placement.helpers.end(),
+                           [&](std::size_t helper) { return helps(answersIn, domainOf(helper)); });
+    }
+
+    const RelayContext &m_context;
+    const TargetQuery &m_query;
+    const TargetSet::Targets &m_targets;
+    const core::Time m_now;
+    const std::uint64_t m_pick;
+};
+
 } // namespace
 
 bool mayQueueAfter(core::Duration waited, core::Duration aim) noexcept
@@ -137,16 +211,8 @@
 std::optional<ChosenTargets> chooseTargets(RelayContext &context, const TargetQuery &query, core::Time now)
 {
     const auto targets = targetsFor(context, query, now);
-    const auto candidates = CandidateList(context, query, targets, now).make();
-    const auto *spec = context.table ? context.table->service(query.service) : nullptr;
-    const auto pick = context.random();
-    const auto &rule = context.settings.placement;
-    std::optional<Placement> placement;
-    if (query.prompt && spec != nullptr && spec->engine) {
-        placement = placePrompt(*spec->engine, *query.prompt, candidates, rule, pick);
-    } else {
-        placement = placePlain(candidates, rule, pick);
-    }
+    const Chooser chooser(context, query, targets, now);
+    const auto placement = chooser.choose();
     if (!placement) {
         return std::nullopt;
     }
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -269,9 +269,16 @@
 BOOST_AUTO_TEST_CASE(an_engine_that_turned_help_down_still_gets_requests_of_its_own)
 {
     RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
     state.context.targets.put(entry("a"));
-    RequestProgress request(state.context, {}, at(0));
-    const auto target = state.context.targets.find("a");
+    state.context.targets.put(entry("b"));
+    RequestProgress request(state.context, longPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    const auto chosen = request.choose(at(0));
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_REQUIRE(chosen->helpers.size() == 1U);
+    request.begin(*chosen, "", at(0));
+    const auto &target = chosen->helpers.front();
     request.helpRefused(target, at(0));
     BOOST_TEST(!target->health.ejected(at(1)));
     BOOST_TEST((target->noHelpUntil > at(1)));
