An engine that did not help is asked by no daemon for a while, and ever more seldom

Ruled out: ejecting it, since an engine that helps as many as it has slots answers requests of its own well. Change: HelpPause, 300 ms that double with each refusal in a row up to 1.2 s; the scheduler notes refused and given help from the outcomes in reports. Test: a_helper_that_turned_help_down_is_asked_by_no_daemon_and_ever_more_seldom, the load of a crash.

--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -45,6 +45,29 @@
 /// An engine that turned a request down gets none for this long: its queue is longer than what it gets through in less.
 inline constexpr auto FullSpan = absl::Milliseconds(200);
 
+/// \brief When an engine that did not help others is asked again: the pause doubles with each refusal in a row.
+class HelpPause
+{
+public:
+    /// \brief Notes that it turned help down, or could not be reached by the engine that asked it.
+    void refused(core::Time now) noexcept;
+    /// \brief Notes that it helped.
+    void helped() noexcept
+    {
+        m_inARow = 0;
+    }
+
+    /// \brief Whether it is not asked now.
+    [[nodiscard]] bool lasts(core::Time now) const noexcept
+    {
+        return now < m_until;
+    }
+
+private:
+    int m_inARow = 0;
+    core::Time m_until = absl::InfinitePast();
+};
+
 class Target;
 
 /// \brief One piece of this daemon's work at a target, for as long as the object lives.
@@ -112,7 +135,7 @@
     const std::uint32_t hash; ///< lifeHash of its life.
     TargetHealth health;
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
-    core::Time noHelpUntil = absl::InfinitePast(); ///< It turned help or a reservation down; not asked before this.
+    HelpPause helpPause; ///< After it turned help or a reservation down.
     core::Time fullUntil = absl::InfinitePast(); ///< It turned a request down; it gets none before this.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -100,6 +100,18 @@
     }
 }
 
+void Scheduler::noteHelp(relay::Target &target, const TargetOutcome &outcome, core::Time now)
+{
+    if (!outcome.fault) {
+        target.helpPause.helped();
+        return;
+    }
+    target.helpPause.refused(now);
+    if (*outcome.fault == relay::TargetFault::Silent) {
+        target.health.failed(*outcome.fault, m_context.ejection, now);
+    }
+}
+
 void Scheduler::takeOutcome(const TargetOutcome &outcome, const std::string &vm, core::Time now)
 {
     const auto target = m_context.targets.withHash(outcome.target);
@@ -107,8 +119,9 @@
         return;
     }
     noteLink(outcome, vm, now);
-    if (outcome.askedBy != 0 && outcome.fault != relay::TargetFault::Silent) {
-        return; // An engine that turned help down may answer requests of its own well.
+    if (outcome.askedBy != 0) {
+        noteHelp(*target, outcome, now);
+        return;
     }
     if (!outcome.fault) {
         target->health.succeeded(now);
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -40,7 +40,6 @@
 /// Work of other daemons is not known to one that decides alone. It is taken to be this old, so that the request
 /// considers a random seventh of the engines and daemons do not choose alike.
 constexpr auto LoadAgeAlone = absl::Milliseconds(500);
-constexpr auto NoHelpSpan = absl::Milliseconds(300); // An engine gets through its reading in less.
 
 bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash)
 {
@@ -323,7 +322,7 @@
 
 void RequestProgress::memoryRefused(const core::Ref<Target> &helper, core::Time now)
 {
-    helper->noHelpUntil = now + NoHelpSpan;
+    helper->helpPause.refused(now);
     core::log(core::LogLevel::Info, "memory_refused", {{"request", m_facts.id}, {"target", helper->entry.id}});
 }
 
@@ -331,7 +330,7 @@
 {
     m_helperAtFault = true;
     m_someHelpRefused = true;
-    helper->noHelpUntil = now + NoHelpSpan;
+    helper->helpPause.refused(now);
     const auto &asker = *m_current.target;
     const auto &to = helper->entry.failureDomain;
     m_context.links.failed(asker.entry.failureDomain, to, helper->hash, now);
@@ -362,6 +361,7 @@
     std::set<std::string> told{home};
     for (const auto &helper : m_current.helpers) {
         const auto &domain = helper->entry.failureDomain;
+        helper->helpPause.helped();
         if (!told.insert(domain).second) {
             continue; // One engine of each domain is enough.
         }
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -80,7 +80,7 @@
     {
         const auto &health = target.health;
         return !avoided(target) && !cutOff(target) && !health.ejected(m_now) && !health.onProbation()
-            && m_now >= target.noHelpUntil;
+            && !target.helpPause.lasts(m_now);
     }
 
     [[nodiscard]] bool anyUsable(bool evenEjected) const
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -29,8 +29,25 @@
     return std::clamp(absl::ToInt64Microseconds(expected - now), least, micros);
 }
 
+constexpr auto FirstHelpPause = absl::Milliseconds(300); ///< A full engine gets through its reading in less.
+/// One that crashed is back after some seconds; it is asked by one prompt in each pause.
+constexpr auto LongestHelpPause = absl::Milliseconds(1200);
+/// A pause that ended this long ago says nothing any more.
+constexpr auto PauseRemembered = absl::Seconds(4);
+
 } // namespace
 
+void HelpPause::refused(core::Time now) noexcept
+{
+    if (lasts(now)) {
+        return; // It was asked before the first refusal was known.
+    }
+    m_inARow = now - m_until > PauseRemembered ? 0 : m_inARow;
+    const auto pause = FirstHelpPause * (1 << m_inARow);
+    m_until = now + std::min(core::Duration(pause), core::Duration(LongestHelpPause));
+    m_inARow = pause < LongestHelpPause ? m_inARow + 1 : m_inARow;
+}
+
 Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time sentAt, core::Time expected,
              bool tight)
     : m_target(std::move(target))
--- a/tests/unit/domain_links_test.cpp
+++ b/tests/unit/domain_links_test.cpp
@@ -198,6 +198,35 @@
     BOOST_TEST(!state.context.links.parted("hall-a", "hall-c", at(11)));
 }
 
+// The load: prompts with fifteen helpers while one engine is down. Seen: fifty refusals by the same three engines
+// within a second, since each daemon left a helper alone by itself, for 300 ms. Cause: nobody told the scheduler, and
+// every pause was as short as that of an engine that is only full.
+BOOST_AUTO_TEST_CASE(a_helper_that_turned_help_down_is_asked_by_no_daemon_and_ever_more_seldom)
+{
+    ThreeDomains state;
+    control::Scheduler scheduler(state.context);
+    const auto down = state.engine("hall-a", 1);
+    const auto asker = state.engine("hall-a", 0)->hash;
+    control::WorkReport report;
+    report.vm = "other";
+    report.incarnation = 1;
+    std::int64_t refusedMs = 0;
+    for (const auto pauseMs : {300, 600, 1200, 1200, 1200}) {
+        ++report.sequence;
+        report.outcomes = {{down->hash, TargetFault::Busy, asker}, {down->hash, TargetFault::Busy, asker}};
+        scheduler.report(report, at(refusedMs));
+        BOOST_TEST(down->helpPause.lasts(at(refusedMs + pauseMs - 1)));
+        BOOST_TEST(!down->helpPause.lasts(at(refusedMs + pauseMs)));
+        refusedMs += pauseMs;
+    }
+    BOOST_TEST(!down->health.ejected(at(refusedMs))); // It may answer requests of its own well.
+    ++report.sequence;
+    report.outcomes = {{down->hash, std::nullopt, asker}};
+    scheduler.report(report, at(refusedMs));
+    down->helpPause.refused(at(refusedMs));
+    BOOST_TEST(!down->helpPause.lasts(at(refusedMs + 300)));
+}
+
 BOOST_AUTO_TEST_CASE(messages_carry_who_asked_for_help_and_where_helpers_may_be)
 {
     control::WorkReport report;
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -281,8 +281,8 @@
     const auto &target = chosen->helpers.front();
     request.helpRefused(target, at(0));
     BOOST_TEST(!target->health.ejected(at(1)));
-    BOOST_TEST((target->noHelpUntil > at(1)));
-    BOOST_TEST((target->noHelpUntil < at(1000)));
+    BOOST_TEST(target->helpPause.lasts(at(1)));
+    BOOST_TEST(!target->helpPause.lasts(at(1000)));
 }
 
 BOOST_AUTO_TEST_CASE(events_come_out_whole_and_unchanged)
