A daemon that stood still asks for a new proof of its configuration before it turns callers away

Cause: a daemon that was frozen for longer than its proof lasts refused all requests that had come meanwhile, since it looked at the proof before its question to a reader was answered: 87 in one freeze of 3.5 s, each with seconds left. Ruled out: waiting whenever the proof is old, since while the store is away that holds up what cannot be served; waiting by the length of the pause alone, since a daemon that hears nobody gets no proof. Change: a request waits for 150 ms at most where no attempt to renew the proof ended in the last 1.5 s (one that ended is the newest there is to know) and peers answer. Keys still never work with an older proof. Test: after_a_pause_of_the_process_a_new_proof_is_worth_waiting_for_after_failures_it_is_not.

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -42,6 +42,7 @@
     std::string document; ///< The table's source, for peers.
     std::unordered_map<std::string, config::ShortestPauses> pauses; ///< By service, of the table in force.
     Freshness configurationProof;
+    core::Time proofTriedAt = absl::InfinitePast(); ///< When an attempt to renew the proof ended last, however it did.
     core::Time configurationHeardAt = absl::InfinitePast(); ///< When the directory last answered for the configuration.
     core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
     core::Time targetsHeardAt = absl::InfinitePast(); ///< When the directory last answered for the targets.
@@ -71,6 +72,10 @@
     /// \brief Whether keys can be checked: the configuration was known to be the newest not long ago.
     [[nodiscard]] bool keysAreFresh(core::Time now) const;
 
+    /// \brief Whether a newer proof may come within moments: nothing is known against it, only this process did not
+    /// run.
+    [[nodiscard]] bool proofMayComeSoon(core::Time now) const;
+
     /// \brief When the directory last answered this daemon for all that it is asked for: waits for targets are longer
     /// than those for the configuration.
     [[nodiscard]] core::Time directoryHeardAt() const;
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -172,6 +172,7 @@
         return;
     }
     noteIsolation(m_sources.isolated());
+    m_context.proofTriedAt = now;
     // The other daemon's ages count from the moment of the question: the answer may have been long on its way.
     if (proof.version > 0 && proof.proofAge != absl::InfiniteDuration()) {
         m_context.configurationProof.confirm(proof.version, *askedAt - proof.proofAge);
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -179,6 +179,7 @@
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
+        m_context.proofTriedAt = now;
         const bool answered = answer.status == DirectoryStatus::Ok || answer.status == DirectoryStatus::Missing;
         if (answered) {
             m_context.configurationHeardAt = now;
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -44,6 +44,9 @@
         Fail, ///< The relay has the last word.
     };
 
+    /// Looks the request up in the configuration; waits for a new proof of it where one may come within moments.
+    /// \returns Why the request must not run, or nothing.
+    [[nodiscard]] net::Task<std::optional<Refusal>> authorise();
     [[nodiscard]] net::Task<bool> pursue();
     [[nodiscard]] net::Task<Next> attempt(const ChosenTargets &chosen);
     [[nodiscard]] net::Task<std::optional<ChosenTargets>> chooseOrWait();
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -17,6 +17,10 @@
 inline constexpr auto ConnectTimeout = absl::Milliseconds(150);
 inline constexpr auto ChoosePause = absl::Milliseconds(10); ///< Between looks for a free target.
 inline constexpr auto LongestReservePause = absl::Milliseconds(200); ///< Requests end and free memory meanwhile.
+/// A daemon that stood still has a new proof of its configuration some ms after it runs again: a question to a reader
+/// and its answer. Without the wait one that froze for 3.5 s turned 87 callers away.
+inline constexpr auto ProofWait = absl::Milliseconds(150);
+inline constexpr auto ProofLook = absl::Milliseconds(10);
 inline constexpr auto RefusedPause = absl::Milliseconds(20); ///< Before a request goes on that a target did not begin.
 inline constexpr double HoldShare = 0.85; ///< Of the time after which unused memory must be free again.
 
@@ -34,10 +38,27 @@
     , m_lastEvent(m_progress.facts().resumeAfter)
 { }
 
+template<Dialect D>
+net::Task<std::optional<Refusal>> RequestRun<D>::authorise()
+{
+    const auto until = core::now() + detail::ProofWait;
+    for (;;) {
+        const auto now = core::now();
+        auto refusal = m_progress.authorise(now);
+        const bool waits = refusal && refusal->reason == core::Reason::StaleConfiguration
+            && m_context.proofMayComeSoon(now) && now < until;
+        if (!waits) {
+            co_return refusal;
+        }
+        co_await net::sleepFor(detail::ProofLook);
+    }
+}
+
 template<Dialect D>
 net::Task<bool> RequestRun<D>::run()
 {
-    if (const auto refusal = m_progress.authorise(core::now())) {
+    const auto refusal = co_await authorise();
+    if (refusal) {
         m_progress.finish(core::Outcome::NotRun, refusal->reason, refusal->status, core::now());
         m_context.metrics.countRefusal(refusal->reason);
         co_return co_await refuse(*refusal);
@@ -96,7 +117,7 @@
         co_return Next::SendAgain;
     }
     // The configuration may have changed while the request waited.
-    const auto refusal = m_progress.authorise(core::now());
+    const auto refusal = co_await authorise();
     if (refusal) {
         m_failure = refusal->reason;
         co_return Next::Fail;
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -21,6 +21,10 @@
 /// from a moment ago, and the way of a request to its target.
 constexpr double OldestProofShare = 0.75;
 
+/// Proofs are asked for every 0.3 s, or by waits of 1.2 s at most. Where no attempt ended for longer, this process
+/// stood still; where one did, its outcome is the newest there is to know.
+constexpr auto ProofTriesApart = absl::Milliseconds(1500);
+
 /// A wait for targets is that much longer than one for the configuration.
 constexpr auto TargetsSlack = absl::Milliseconds(3400);
 
@@ -64,6 +68,11 @@
     return table && configurationProof.age(table->version, now) <= settings.bounds.revoke * OldestProofShare;
 }
 
+bool RelayContext::proofMayComeSoon(core::Time now) const
+{
+    return table && !isolated && now - proofTriedAt > ProofTriesApart;
+}
+
 core::Time RelayContext::directoryHeardAt() const
 {
     if (!table) {
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -224,6 +224,25 @@
     BOOST_TEST(state.context.targets.listed("model", at(7000)).empty());
 }
 
+// Seen: a daemon that stood still for 3.5 s turned away all 87 requests that had come meanwhile. Cause: its proof was
+// too old when it ran again, and it did not ask for a new one first. Where the last attempts failed, waiting has no
+// ground.
+BOOST_AUTO_TEST_CASE(after_a_pause_of_the_process_a_new_proof_is_worth_waiting_for_after_failures_it_is_not)
+{
+    RelayState state;
+    auto &context = state.context;
+    BOOST_TEST(!context.proofMayComeSoon(at(0))); // It knows no configuration yet.
+    context.adopt(chatTable(), "{}", "test", at(0));
+    context.proofTriedAt = at(0);
+    BOOST_TEST(!context.proofMayComeSoon(at(1000)));
+    BOOST_TEST(context.proofMayComeSoon(at(3500)));
+    context.isolated = true;
+    BOOST_TEST(!context.proofMayComeSoon(at(3500)));
+    context.isolated = false;
+    context.proofTriedAt = at(3600); // It ended, whatever came of it.
+    BOOST_TEST(!context.proofMayComeSoon(at(3700)));
+}
+
 BOOST_AUTO_TEST_CASE(an_older_list_brings_nobody_back)
 {
     RelayState state;
