Requests for a service without listed targets are refused at once

Ruled out: refusing while the list was not read yet; refusing what has run somewhere (a stream may be resumed). Change: reason no_target at once, Retry-After 1 s: entries that lapsed are back within 2 s of the store's return. Test: a_service_without_listed_targets_is_known_as_soon_as_the_list_is.

--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -90,6 +90,8 @@
     [[nodiscard]] core::Duration longestSilence(const ChosenTargets &chosen, bool answering) const noexcept;
     /// \brief How long a caller waits for the first event before it leaves.
     [[nodiscard]] core::Duration callerPatience() const noexcept;
+    /// \brief Whether no target of the request's service is listed: waiting for one has no ground.
+    [[nodiscard]] bool hasNoTarget(core::Time now) const;
     /// \brief Whether a request that no target takes should be refused now rather than wait on. Only time without a
     /// target counts: what was lost to one that did not take the connection says nothing of the others.
     [[nodiscard]] bool waitedEnough(core::Time now) const noexcept;
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -138,6 +138,10 @@
             co_return std::nullopt;
         }
         const auto query = m_progress.query(now);
+        if (m_progress.hasNoTarget(now)) {
+            m_failure = core::Reason::NoTarget;
+            co_return std::nullopt;
+        }
         const bool asked = session.pursue(query, m_progress.priority(), now);
         if (!asked) {
             if (auto chosen = m_progress.choose(now)) {
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -17,6 +17,8 @@
 
 constexpr auto RetryAfterElsewhere = absl::Milliseconds(50); // Another daemon can serve at once.
 constexpr auto RetryAfterFull = absl::Milliseconds(100); // A slot falls free several times in this time.
+/// Entries of targets that lapsed are back within 2 s of the directory's return, those of new ones sooner.
+constexpr auto RetryAfterNoTarget = absl::Seconds(1);
 constexpr auto RetryAfterUnknown = absl::Milliseconds(300); // A daemon reads its configuration in less.
 
 /// Silence after which a target is checked, in terms of what was expected; a live one has answered by then mostly.
@@ -51,6 +53,12 @@
     return patience;
 }
 
+bool RequestProgress::hasNoTarget(core::Time now) const
+{
+    const bool listRead = m_context.targetsRevision > 0;
+    return listRead && !m_ranSomewhere && m_context.targets.listed(m_service, now).empty();
+}
+
 bool RequestProgress::waitedEnough(core::Time now) const noexcept
 {
     // A stream that the caller has begun to read, or work that may have run, is worth waiting for.
@@ -96,6 +104,8 @@
         return RetryAfterElsewhere;
     case Reason::NotReady:
         return RetryAfterUnknown;
+    case Reason::NoTarget:
+        return RetryAfterNoTarget;
     case Reason::UnknownPath:
     case Reason::MissingKey:
     case Reason::UnknownKey:
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -243,6 +243,23 @@
     BOOST_TEST(!context.proofMayComeSoon(at(3700)));
 }
 
+BOOST_AUTO_TEST_CASE(a_service_without_listed_targets_is_known_as_soon_as_the_list_is)
+{
+    RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
+    RequestProgress request(state.context, longPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    static_cast<void>(request.query(at(0)));
+    BOOST_TEST(!request.hasNoTarget(at(0))); // The list was not read yet.
+    state.intake.whole({}, 1, "test", at(1));
+    BOOST_TEST(request.hasNoTarget(at(1)));
+    BOOST_TEST((request.retryAfter(core::Reason::NoTarget) > request.retryAfter(core::Reason::NoCapacity)));
+    state.intake.changes({{entry("a")}}, 2, "test", at(2));
+    BOOST_TEST(!request.hasNoTarget(at(2)));
+    state.intake.changes({{entry("a", true)}}, 3, "test", at(3));
+    BOOST_TEST(request.hasNoTarget(at(3))); // It leaves.
+}
+
 BOOST_AUTO_TEST_CASE(an_older_list_brings_nobody_back)
 {
     RelayState state;
