Streams of long prompts gather at few engines

Cause: opening another engine for an answer cost 30 ms in the choice, one and a half passes beside other streams 60 to 150 ms. So forty such streams lay at twenty engines of sixty, which then read no long part; prompts of 300,000 tokens found one or two engines and held them for seconds. Test: streams_of_long_prompts_gather_so_that_other_engines_read_parts_of_any_length.

--- a/src/relay/spread_placement.cpp
+++ b/src/relay/spread_placement.cpp
@@ -157,8 +157,9 @@
             if (!m_engines.hasSlot(i) || !m_engines.holdsPrompt(i)) {
                 continue;
             }
-            const auto opening = m_engines.at(i).load.requests == 0 ? m_rule.gatherCostMs : 0;
-            const auto cost = costOf(i, part) + opening;
+            const auto &load = m_engines.at(i).load;
+            const bool alone = load.requests == load.tightRequests;
+            const auto cost = costOf(i, part) + (alone ? m_rule.gatherCostMs : 0);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = i;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -190,6 +190,30 @@
     }
 }
 
+// The load: forty prompts of 40,000 tokens generate while longer ones are to be read. Seen: their streams lay two by
+// two at twenty engines of sixty, and prompts of 300,000 tokens, whose parts are too long beside streams, found one or
+// two engines. Cause: one and a half passes beside streams cost more than opening another engine.
+BOOST_AUTO_TEST_CASE(streams_of_long_prompts_gather_so_that_other_engines_read_parts_of_any_length)
+{
+    auto engines = idle(20);
+    for (int request = 0; request < 12; ++request) {
+        const auto placed
+            = placePrompt(engine(), prompt(40'000, false), engines, {}, static_cast<std::uint64_t>(request));
+        BOOST_REQUIRE(placed.has_value());
+        auto &load = engines[placed->target].load;
+        ++load.requests;
+        ++load.writers;
+        load.contextTokens += 40'500;
+        load.memoryTokens += 40'500;
+    }
+    const auto opened = std::count_if(engines.begin(), engines.end(),
+                                      [](const auto &candidate) { return candidate.load.requests > 0; });
+    BOOST_TEST(opened == 3); // The memory of an engine holds four of them.
+    const auto longest = placePrompt(engine(), prompt(150'000, false), engines, {}, 1);
+    BOOST_REQUIRE(longest.has_value());
+    BOOST_TEST(longest->helpers.size() == 15U);
+}
+
 BOOST_AUTO_TEST_CASE(a_short_prompt_goes_where_short_ones_are_kept_not_where_one_happens_to_be)
 {
     auto candidates = idle(6);
