A request whose engine is dead and that may not be sent again ends, and gives its memory back

Cause: an attempt whose engine took no connections any more was waited for until the deadline when no repeat was allowed (the daemon's part spent, or one target only), and went on renewing the memory that other engines had set aside for it. Change: endOrWait. Dead means restarted, or two refused checks; then the caller gets 502 at once. A stream that has begun is still waited for unless it holds memory. Test: a_request_whose_engine_is_gone_and_that_may_not_be_repeated_gives_its_memory_back; on the code before it is answered at its deadline.

--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -54,12 +54,20 @@
     void releaseAll();
     void send(const ChosenTargets &chosen);
     [[nodiscard]] net::Task<Next> follow(const ChosenTargets &chosen);
+    /// A silent attempt.
+    struct Silence
+    {
+        core::Time heardAt; ///< When its last bytes came, or when it was sent.
+        bool answering = false; ///< Whether some bytes of its answer came.
+        bool patient = false; ///< No other target can be tried: it is waited for until the deadline.
+        int refusedConnections = 0; ///< Checks in a row at which the target took no connection.
+    };
     /// Gives a silent attempt up if its target is dead, or silent for too long.
-    /// \param heardAt When its last bytes came, or when it was sent.
-    /// \param patient Set when no other target can be tried.
-    /// \returns Whether it was given up.
-    [[nodiscard]] net::Task<bool> leaveIfDead(const ChosenTargets &chosen, core::Time heardAt, bool answering,
-                                              bool &patient);
+    /// \returns What follows if it was given up.
+    [[nodiscard]] net::Task<std::optional<Next>> leaveIfDead(const ChosenTargets &chosen, Silence &silence);
+    /// Ends a silent attempt that may not be sent again: at once where the target is dead, so that memory at other
+    /// engines is not held for it, else it is waited for.
+    [[nodiscard]] std::optional<Next> endOrWait(Silence &silence, bool restarted, core::Time now);
     /// Whether a target still takes connections.
     [[nodiscard]] net::Task<bool> reaches(const Target &target);
     [[nodiscard]] net::Task<Next> take(RequestEvent event, const ChosenTargets &chosen, bool &ended);
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -21,6 +21,8 @@
 /// and its answer. Without the wait one that froze for 3.5 s turned 87 callers away.
 inline constexpr auto ProofWait = absl::Milliseconds(150);
 inline constexpr auto ProofLook = absl::Milliseconds(10);
+/// One connection that fails may be a lost packet; checks are 0.6 s and more apart.
+inline constexpr int RefusedWhenDead = 2;
 inline constexpr auto RefusedPause = absl::Milliseconds(20); ///< Before a request goes on that a target did not begin.
 inline constexpr double HoldShare = 0.85; ///< Of the time after which unused memory must be free again.
 
@@ -233,13 +235,12 @@
 template<Dialect D>
 net::Task<typename RequestRun<D>::Next> RequestRun<D>::follow(const ChosenTargets &chosen)
 {
-    bool answering = false;
-    bool patient = false; // No other target can be tried: wait until the deadline.
-    auto heardAt = core::now();
+    Silence silence;
+    silence.heardAt = core::now();
     for (;;) {
         auto until = m_progress.deadline();
-        if (!patient) {
-            until = std::min(until, core::now() + m_progress.patience(chosen, answering));
+        if (!silence.patient) {
+            until = std::min(until, core::now() + m_progress.patience(chosen, silence.answering));
         }
         auto event = co_await m_inbox->events.take(until);
         const auto now = core::now();
@@ -250,15 +251,16 @@
             co_return Next::Fail;
         }
         if (!event) {
-            const bool givenUp = co_await leaveIfDead(chosen, heardAt, answering, patient);
-            if (givenUp) {
-                co_return Next::SendAgain;
+            const auto next = co_await leaveIfDead(chosen, silence);
+            if (next) {
+                co_return *next;
             }
             continue;
         }
         if (std::holds_alternative<HeadArrived>(*event) || std::holds_alternative<BytesArrived>(*event)) {
             m_progress.heard(now);
-            heardAt = now;
+            silence.heardAt = now;
+            silence.refusedConnections = 0;
         }
         bool ended = false;
         const bool isBytes = std::holds_alternative<BytesArrived>(*event);
@@ -266,17 +268,17 @@
         if (ended) {
             co_return next;
         }
-        answering = answering || isBytes;
+        silence.answering = silence.answering || isBytes;
     }
 }
 
 template<Dialect D>
-net::Task<bool> RequestRun<D>::leaveIfDead(const ChosenTargets &chosen, core::Time heardAt, bool answering,
-                                           bool &patient)
+net::Task<std::optional<typename RequestRun<D>::Next>> RequestRun<D>::leaveIfDead(const ChosenTargets &chosen,
+                                                                                  Silence &silence)
 {
     const bool restarted = m_progress.targetRestarted();
     if (!restarted && m_progress.targetLives(core::now())) {
-        co_return false; // It is slow, not gone: the same work elsewhere would make everything slower.
+        co_return std::nullopt; // It is slow, not gone: the same work elsewhere would make everything slower.
     }
     bool reachable = false; // A later life may take connections; it knows nothing of the request.
     if (!restarted) {
@@ -284,15 +286,15 @@
     }
     const auto now = core::now();
     if (m_inbox->events.size() > 0) {
-        co_return false; // It answered in the meantime.
+        co_return std::nullopt; // It answered in the meantime.
     }
-    if (reachable && now - heardAt < m_progress.longestSilence(chosen, answering)) {
+    silence.refusedConnections = reachable ? 0 : silence.refusedConnections + 1;
+    if (reachable && now - silence.heardAt < m_progress.longestSilence(chosen, silence.answering)) {
         m_progress.heard(now);
-        co_return false;
+        co_return std::nullopt;
     }
     if (!mayRepeat() || !m_progress.takeResend(true, core::Reason::TargetSilent, now)) {
-        patient = true;
-        co_return false;
+        co_return endOrWait(silence, restarted, now);
     }
     m_attempt->abort();
     m_failure = core::Reason::TargetSilent;
@@ -306,7 +308,26 @@
                               : reachable ? "silence"
                                           : "silence, and it takes no connections",
                           now);
-    co_return true;
+    co_return Next::SendAgain;
+}
+
+template<Dialect D>
+std::optional<typename RequestRun<D>::Next> RequestRun<D>::endOrWait(Silence &silence, bool restarted, core::Time now)
+{
+    const bool dead = restarted || silence.refusedConnections >= detail::RefusedWhenDead;
+    if (!dead) {
+        silence.patient = silence.refusedConnections == 0;
+        return std::nullopt;
+    }
+    if (silence.answering && m_reservations.empty()) {
+        silence.patient = true; // What the caller has of the stream is worth more than its end.
+        return std::nullopt;
+    }
+    m_attempt->abort();
+    m_failure = core::Reason::TargetSilent;
+    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, TargetFault::Unreachable,
+                          "silence, it takes no connections, and no other target can be tried", now);
+    return Next::Fail;
 }
 
 template<Dialect D>
--- a/tests/platform/overload_test.cpp
+++ b/tests/platform/overload_test.cpp
@@ -5,6 +5,7 @@
 
 #include "relay_fleet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 namespace spurlug::test
@@ -12,6 +13,64 @@
 
 BOOST_AUTO_TEST_SUITE(overload)
 
+// Seen: memory of 125,744 tokens stayed set aside for 6.8 s after the request that used it was over; 4 s are allowed.
+// How: the engine that should answer a prompt of several engines went dark, in a burst in which the daemon's part of
+// the repeated sends was spent (shifted deployment, longest_prompts_in_a_burst_of_short_ones, varied, seed
+// 418597794268; one hunt of two plays). Cause: a request that could not be sent again waited on for the dead engine
+// until its deadline, and renewed its memory at the others. Proof: this test fails so; the caller waits for its
+// deadline, the memory with it.
+BOOST_AUTO_TEST_CASE(a_request_whose_engine_is_gone_and_that_may_not_be_repeated_gives_its_memory_back)
+{
+    RelayFleet fleet;
+    auto &route = fleet.configuration["routes"][2];
+    route["max_attempts"] = 1;
+    route["timeout_ms"] = 10'000;
+    route["slo_ms"] = 2000;
+    route["gap_aim_ms"] = 600;
+    fleet.configure();
+    for (int i = 0; i < 4; ++i) {
+        fleet.addTarget("model").behaviour.fault = Behaviour::Fault::Hang;
+    }
+    const auto holding = [&fleet] {
+        return std::count_if(fleet.targets.begin(), fleet.targets.end(),
+                             [](const auto &target) { return !target->held().empty(); });
+    };
+    const auto answering = [&fleet] {
+        return std::find_if(fleet.targets.begin(), fleet.targets.end(),
+                            [](const auto &target) { return !target->ran().empty(); });
+    };
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        Ask ask;
+        ask.path = "/chat/1";
+        ask.promptTokens = 220'000; // More than one engine holds.
+        ask.deadlineMs = 9000;
+        bool ended = false;
+        Got got;
+        net::asio::co_spawn(
+            fleet.loop,
+            [&]() -> net::Task<> {
+                got = co_await fleet.ask(ask);
+                ended = true;
+            },
+            net::asio::detached);
+        while (!ended && answering() == fleet.targets.end()) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+        BOOST_REQUIRE_MESSAGE(!ended, "answered with " << got.status << " " << got.body);
+        BOOST_TEST(holding() > 0);
+        (*answering())->stop();
+        while (!ended) {
+            co_await net::sleepFor(absl::Milliseconds(20));
+        }
+        BOOST_TEST(got.status == 502); // It may have run.
+        BOOST_TEST(got.body.find("target_silent") != std::string::npos); // Not the deadline, which is far.
+        while (holding() > 0) {
+            co_await net::sleepFor(absl::Milliseconds(20));
+        }
+    });
+}
+
 BOOST_AUTO_TEST_CASE(what_no_target_can_take_is_refused_truly_and_told_when_to_come_back)
 {
     RelayFleet fleet;
--- a/tests/platform/target_life_test.cpp
+++ b/tests/platform/target_life_test.cpp
@@ -166,7 +166,8 @@
             fleet.store.remove("servers", other.id());
             co_await net::sleepFor(Spread);
             fleet.store.put("servers", other.id(),
-                            RelayFleet::entryOf(other, "app", "ready", FirstStart + target.ran().size()));
+                            RelayFleet::entryOf(other, "app", "ready",
+                                                FirstStart + static_cast<std::int64_t>(target.ran().size())));
             co_await net::sleepFor(Spread);
         }
     });
