--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -22,6 +22,15 @@
 namespace spurlug::relay
 {
 
+namespace detail
+{
+
+/// A live target accepts within a few ms, also beside a pause of this process of a tenth of a second. What is left of
+/// an aim of 300 ms is enough for another target, which answers a short prompt in some 140 ms.
+inline constexpr auto ConnectTimeout = absl::Milliseconds(150);
+
+} // namespace detail
+
 /// \brief One request from a caller to its answer. The coroutine `run` does everything; all decisions are those of
 /// RequestProgress.
 template<Dialect D>
@@ -105,4 +114,6 @@
 
 } // namespace spurlug::relay
 
+#include "spurlug/relay/request_run_answer_impl.h"
+#include "spurlug/relay/request_run_follow_impl.h"
 #include "spurlug/relay/request_run_impl.h"
--- /dev/null
+++ b/include/spurlug/relay/request_run_follow_impl.h
@@ -0,0 +1,129 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: moves the bytes of one relayed request: an attempt until its target answers or is given up
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/relay/request_run.h" // For tools that read this file alone.
+
+namespace spurlug::relay
+{
+
+namespace detail
+{
+
+/// One connection that fails may be a lost packet; checks are 0.6 s and more apart.
+inline constexpr int RefusedWhenDead = 2;
+
+} // namespace detail
+
+template<Dialect D>
+net::Task<typename RequestRun<D>::Next> RequestRun<D>::follow(const ChosenTargets &chosen)
+{
+    Silence silence;
+    silence.heardAt = core::now();
+    for (;;) {
+        auto until = m_progress.deadline();
+        if (!silence.patient) {
+            until = std::min(until, core::now() + m_progress.patience(chosen, silence.answering));
+        }
+        auto event = co_await m_inbox->events.take(until);
+        const auto now = core::now();
+        if (!event && now >= m_progress.deadline()) {
+            m_attempt->abort();
+            m_failure = core::Reason::DeadlinePassed;
+            m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, std::nullopt, "no answer by the deadline", now);
+            co_return Next::Fail;
+        }
+        if (!event) {
+            const auto next = co_await leaveIfDead(chosen, silence);
+            if (next) {
+                co_return *next;
+            }
+            continue;
+        }
+        if (std::holds_alternative<HeadArrived>(*event) || std::holds_alternative<BytesArrived>(*event)) {
+            m_progress.heard(now);
+            silence.heardAt = now;
+            silence.refusedConnections = 0;
+        }
+        bool ended = false;
+        const bool isBytes = std::holds_alternative<BytesArrived>(*event);
+        const auto next = co_await take(std::move(*event), chosen, ended);
+        if (ended) {
+            co_return next;
+        }
+        silence.answering = silence.answering || isBytes;
+    }
+}
+
+template<Dialect D>
+net::Task<std::optional<typename RequestRun<D>::Next>> RequestRun<D>::leaveIfDead(const ChosenTargets &chosen,
+                                                                                  Silence &silence)
+{
+    const bool restarted = m_progress.targetRestarted();
+    if (!restarted && m_progress.targetLives(core::now())) {
+        co_return std::nullopt; // It is slow, not gone: the same work elsewhere would make everything slower.
+    }
+    bool reachable = false; // A later life may take connections; it knows nothing of the request.
+    if (!restarted) {
+        reachable = co_await reaches(*chosen.target);
+    }
+    const auto now = core::now();
+    if (m_inbox->events.size() > 0) {
+        co_return std::nullopt; // It answered in the meantime.
+    }
+    silence.refusedConnections = reachable ? 0 : silence.refusedConnections + 1;
+    if (reachable && now - silence.heardAt < m_progress.longestSilence(chosen, silence.answering)) {
+        m_progress.heard(now);
+        co_return std::nullopt;
+    }
+    if (!mayRepeat() || !m_progress.takeResend(true, core::Reason::TargetSilent, now)) {
+        co_return endOrWait(silence, restarted, now);
+    }
+    m_attempt->abort();
+    m_failure = core::Reason::TargetSilent;
+    // With helpers it is not known which of the engines is at fault, unless the target takes no connections.
+    auto fault = chosen.helpers.empty() ? std::optional(TargetFault::Silent) : std::nullopt;
+    if (!reachable) {
+        fault = TargetFault::Unreachable;
+    }
+    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, fault,
+                          restarted       ? "silence, and the target started again"
+                              : reachable ? "silence"
+                                          : "silence, and it takes no connections",
+                          now);
+    co_return Next::SendAgain;
+}
+
+template<Dialect D>
+std::optional<typename RequestRun<D>::Next> RequestRun<D>::endOrWait(Silence &silence, bool restarted, core::Time now)
+{
+    const bool dead = restarted || silence.refusedConnections >= detail::RefusedWhenDead;
+    if (!dead) {
+        silence.patient = silence.refusedConnections == 0;
+        return std::nullopt;
+    }
+    if (silence.answering && m_reservations.empty()) {
+        silence.patient = true; // What the caller has of the stream is worth more than its end.
+        return std::nullopt;
+    }
+    m_attempt->abort();
+    m_failure = core::Reason::TargetSilent;
+    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, TargetFault::Unreachable,
+                          "silence, it takes no connections, and no other target can be tried", now);
+    return Next::Fail;
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::reaches(const Target &target)
+{
+    if (m_progress.route().kind != config::RouteKind::Stream) {
+        co_return true;
+    }
+    net::ClientConnection connection(m_context.loop);
+    const auto problem = co_await connection.connect(target.entry.address, detail::ConnectTimeout);
+    co_return problem.empty();
+}
+
+} // namespace spurlug::relay
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -12,7 +12,6 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <set>
 
 namespace spurlug::relay
 {
@@ -34,9 +33,6 @@
 constexpr std::int64_t ShortPrompt = 16'000; // Tokens.
 constexpr std::int64_t LongPrompt = 70'000; // Tokens.
 
-/// An engine that turns a request down after this waited for one that helps it in vain; it says so at once when the
-/// helper is only busy or leaving. Engines wait 1.5 s on the users' platform.
-constexpr auto HelperStall = absl::Milliseconds(900);
 /// Work of other daemons is not known to one that decides alone. It is taken to be this old, so that the request
 /// considers a random seventh of the engines and daemons do not choose alike.
 constexpr auto LoadAgeAlone = absl::Milliseconds(500);
@@ -307,72 +303,12 @@
                {"targetLeftOut", health.ejected(now)}});
 }
 
-core::Ref<Target> RequestProgress::helperAt(const core::Address &address) const
-{
-    const auto &helpers = m_current.helpers;
-    const auto found = std::find_if(helpers.begin(), helpers.end(),
-                                    [&address](const auto &helper) { return helper->entry.address == address; });
-    return found == helpers.end() ? nullptr : *found;
-}
-
 bool RequestProgress::targetRestarted() const
 {
     const auto known = m_context.targets.find(m_current.target->entry.id);
     return known && known != m_current.target;
 }
 
-void RequestProgress::memoryRefused(const core::Ref<Target> &helper, core::Time now)
-{
-    helper->helpPause.refused(now);
-    core::log(core::LogLevel::Info, "memory_refused", {{"request", m_facts.id}, {"target", helper->entry.id}});
-}
-
-void RequestProgress::helpRefused(const core::Ref<Target> &helper, core::Time now)
-{
-    m_helperAtFault = true;
-    m_someHelpRefused = true;
-    helper->helpPause.refused(now);
-    const auto &asker = *m_current.target;
-    const auto &to = helper->entry.failureDomain;
-    m_context.links.failed(asker.entry.failureDomain, to, helper->hash, now);
-    const bool silent = now - m_sentAt >= HelperStall;
-    if (silent) {
-        helper->health.failed(TargetFault::Silent, m_context.ejection, now);
-    }
-    if (m_context.scheduling != nullptr) {
-        m_context.scheduling->outcome({helper->hash, silent ? TargetFault::Silent : TargetFault::Busy, asker.hash});
-    }
-    core::log(core::LogLevel::Info, "help_refused",
-              {{"request", m_facts.id},
-               {"target", helper->entry.id},
-               {"domain", to},
-               {"askedBy", asker.entry.id},
-               {"askersDomain", asker.entry.failureDomain},
-               {"silent", silent},
-               {"afterMs", core::toMs(now - m_sentAt)},
-               {"domainsParted", m_context.links.parted(asker.entry.failureDomain, to, now)},
-               {"targetLeftOut", helper->health.ejected(now)}});
-}
-
-void RequestProgress::noteReached()
-{
-    const auto &target = *m_current.target;
-    const auto &home = target.entry.failureDomain;
-    m_context.links.reached(m_context.settings.failureDomain, home);
-    std::set<std::string> told{home};
-    for (const auto &helper : m_current.helpers) {
-        const auto &domain = helper->entry.failureDomain;
-        helper->helpPause.helped();
-        if (!told.insert(domain).second) {
-            continue; // One engine of each domain is enough.
-        }
-        m_context.links.reached(home, domain);
-        if (m_context.scheduling != nullptr) {
-            m_context.scheduling->outcome({helper->hash, std::nullopt, target.hash});
-        }
-    }
-}
-
 RequestProgress::Places RequestProgress::placesOf(const std::string &service, core::Time now) const
 {
     Places places;
