--- a/include/spurlug/relay/domain_links.h
+++ b/include/spurlug/relay/domain_links.h
@@ -20,7 +20,8 @@
 /// Answers the pattern in which a failure domain is cut off: the list of targets names its engines for some seconds
 /// more, each of them would be found out alone, and a prompt with fifteen helpers meets one refusal a try. Two
 /// different targets that cannot be reached between two domains, and none that can, are taken for a link that is down;
-/// it counts in both directions. Five days with a cut of 5 to 6 s lost 3 % of all credit so before. Knows no socket.
+/// it counts in both directions. Three of four days with a cut of 5 to 6 s lost 2 to 3 % of their credit so before.
+/// Knows no socket.
 class DomainLinks
 {
 public:
