Sight: a digest tells equal work apart in the lines of a request

Cause: the record of the incident does not say which requests are the same work; size and organisation had to do. Two of the three hypotheses predict different things of copies under other ids and daemons, so the lines must name the work. Ruled out: a fast hash without a key (a request could be written that bears another one's), the body or a part of it in a log.

--- a/include/spurlug/core/hash.h
+++ b/include/spurlug/core/hash.h
@@ -4,7 +4,10 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -17,6 +20,21 @@
 /// \brief SHA-256 of `bytes` as 64 lower-case hexadecimal digits.
 [[nodiscard]] std::string contentHash(std::string_view bytes);
 
+/// \brief The first 128 bits of a SHA-256: nobody finds two contents with the same one, by chance or on purpose.
+struct Digest
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    [[nodiscard]] auto operator<=>(const Digest &) const noexcept = default;
+};
+
+/// \brief Digest of some texts in order; where one ends and the next begins counts.
+[[nodiscard]] Digest digestOf(std::initializer_list<std::string_view> texts);
+
+/// \brief A digest as 32 lower-case hexadecimal digits.
+[[nodiscard]] std::string hexText(const Digest &digest);
+
 /// \brief HMAC-SHA-256 of `bytes` under `key`, 32 raw bytes.
 [[nodiscard]] std::string keyedHash(std::string_view key, std::string_view bytes);
 
--- a/include/spurlug/relay/request_facts.h
+++ b/include/spurlug/relay/request_facts.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "spurlug/core/address.h"
+#include "spurlug/core/hash.h"
 #include "spurlug/core/reason.h"
 #include "spurlug/core/time.h"
 
@@ -39,6 +40,7 @@
     core::Duration patience = absl::InfiniteDuration(); ///< How long the caller waits.
     std::optional<PromptFacts> prompt;
     std::optional<std::int64_t> resumeAfter; ///< The caller has a stream's events up to this one.
+    core::Digest content; ///< Of method, path with its query, and body.
 };
 
 /// \brief An engine that reads a part of a prompt for another one.
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -74,6 +74,9 @@
     /// @{
 
     [[nodiscard]] const RequestFacts &facts() const noexcept;
+    /// \brief Tells the same work apart from other work, whatever id and daemon it comes with: host, content and
+    /// organisation. Known once the request was authorised.
+    [[nodiscard]] const core::Digest &digest() const noexcept;
     [[nodiscard]] const config::Route &route() const noexcept;
     [[nodiscard]] const std::string &organisation() const noexcept;
     /// \brief The operator's priority of the request; 0 is the most urgent.
@@ -116,6 +119,7 @@
         std::int64_t all = 0;
     };
 
+    void noteDigest();
     /// Notes that the target, and the engines that help it, were reached.
     void noteReached();
     /// Takes a repeated send out of the fleet's bound.
@@ -135,6 +139,7 @@
     const config::Route *m_route = nullptr;
     std::string m_service;
     std::string m_organisation;
+    core::Digest m_digest;
     std::int64_t m_priority = 0;
     core::Time m_deadline = absl::InfiniteFuture();
     bool m_counted = false; ///< Whether the service's ledger knows of the request.
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -21,6 +21,12 @@
 inline constexpr auto RefusedPause = absl::Milliseconds(20); ///< Before a request goes on that a target did not begin.
 inline constexpr double HoldShare = 0.85; ///< Of the time after which unused memory must be free again.
 
+inline RequestFacts withContent(RequestFacts facts, const net::Request &request)
+{
+    facts.content = core::digestOf({request.method, request.target, request.body});
+    return facts;
+}
+
 } // namespace detail
 
 template<Dialect D>
@@ -30,7 +36,7 @@
     , m_dialect(dialect)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
-    , m_progress(context, std::move(facts), arrivedAt)
+    , m_progress(context, detail::withContent(std::move(facts), m_request), arrivedAt)
     , m_inbox(core::makeCounted<RequestInbox>(context.loop))
     , m_lastEvent(m_progress.facts().resumeAfter)
 { }
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -6,7 +6,10 @@
 #include "spurlug/core/hash.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_format.h>
 #include <array>
+#include <cstring>
+#include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -28,6 +31,28 @@
     return absl::BytesToHexString({reinterpret_cast<const char *>(digest.data()), digest.size()});
 }
 
+Digest digestOf(std::initializer_list<std::string_view> texts)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const auto text : texts) {
+        const std::uint64_t size = text.size();
+        EVP_DigestUpdate(context.get(), &size, sizeof size);
+        EVP_DigestUpdate(context.get(), text.data(), text.size());
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
+    EVP_DigestFinal_ex(context.get(), bytes.data(), nullptr);
+    Digest digest;
+    std::memcpy(&digest.high, bytes.data(), sizeof digest.high);
+    std::memcpy(&digest.low, bytes.data() + sizeof digest.high, sizeof digest.low);
+    return digest;
+}
+
+std::string hexText(const Digest &digest)
+{
+    return absl::StrFormat("%016x%016x", digest.high, digest.low);
+}
+
 std::string keyedHash(std::string_view key, std::string_view bytes)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -94,6 +94,7 @@
     m_priority = m_route->priority;
     m_organisation.clear();
     if (m_route->isPublic || !m_table->keysNeeded) {
+        noteDigest();
         return std::nullopt;
     }
     if (!m_context.keysAreFresh(now)) {
@@ -108,9 +109,16 @@
     if (organisation->priority >= 0) {
         m_priority = organisation->priority;
     }
+    noteDigest();
     return std::nullopt;
 }
 
+void RequestProgress::noteDigest()
+{
+    const auto content = core::hexText(m_facts.content);
+    m_digest = core::digestOf({m_organisation, m_facts.host, content});
+}
+
 const std::string &RequestProgress::chooseService()
 {
     const auto &shares = m_route->services;
@@ -207,6 +215,7 @@
     m_context.metrics.count(metrics::Counter::AttemptsStarted);
     core::log(core::LogLevel::Info, "request_sent",
               {{"request", m_facts.id},
+               {"digest", core::hexText(m_digest)},
                {"attempt", m_attempts},
                {"repeatCause", m_repeatCause == Reason::None ? "" : core::nameOf(m_repeatCause)},
                {"route", m_route->name},
@@ -293,6 +302,7 @@
     }
     core::log(core::LogLevel::Info, "attempt_failed",
               {{"request", m_facts.id},
+               {"digest", core::hexText(m_digest)},
                {"attempt", m_attempts},
                {"target", m_current.target->entry.id},
                {"outcome", core::nameOf(outcome)},
@@ -332,6 +342,7 @@
     const bool hasPauseAim = m_route != nullptr && m_route->gapAim != absl::InfiniteDuration();
     core::log(core::LogLevel::Info, "request_ended",
               {{"request", m_facts.id},
+               {"digest", core::hexText(m_digest)},
                {"route", m_route != nullptr ? m_route->name : ""},
                {"service", m_service},
                {"organisation", m_organisation},
@@ -354,6 +365,11 @@
     return m_facts;
 }
 
+const core::Digest &RequestProgress::digest() const noexcept
+{
+    return m_digest;
+}
+
 const config::Route &RequestProgress::route() const noexcept
 {
     return *m_route;
