Tests of the incident that fail: copies of a request that ends its targets, at all daemons in turn

Cause: see the head of tests/platform/crashing_requests_test.cpp: a request is judged by its id and for its own life only. Ruled out by them: that it takes load, a burst or a cut; four idle daemons and six targets show it.

--- /dev/null
+++ b/tests/platform/crashing_requests_test.cpp
@@ -0,0 +1,158 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: requests that crash the targets that run them
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+//
+// Seen: a fleet of eight daemons and 18 engines lost 42 and 43 engines to two requests in one day, and with each engine
+// ten to fourteen other requests. How: one request ended every engine that began to run it, within a quarter of a
+// second. Its caller sent it again and again, each time under a new id, to any daemon, and each daemon sent it on to
+// two engines. Cause: a request was judged by its id and for its own life only; no daemon knew that the same work had
+// ended engines before, there or at another daemon. Proof: the sends after the third engine were first sends of new
+// ids, at all daemons alike; the tests below did the same to four daemons.
+//
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_fleet.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+constexpr std::size_t Daemons = 4;
+/// A request that ended this many targets is not sent any more.
+constexpr std::size_t EndedAtMost = 3;
+/// Between two copies: far more than daemons need to tell each other, far less than callers wait.
+constexpr auto CopyPause = absl::Milliseconds(100);
+
+/// Targets of one service that crash on one body, each followed by another one under a new id.
+class CrashingService
+{
+public:
+    CrashingService(RelayFleet &fleet, std::string service, int targets, std::string body)
+        : m_fleet(fleet)
+        , m_service(std::move(service))
+        , m_body(std::move(body))
+    {
+        for (int i = 0; i < targets; ++i) {
+            add();
+        }
+    }
+
+    [[nodiscard]] std::size_t crashed() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_targets.begin(), m_targets.end(), [](const auto *target) { return target->crashed(); }));
+    }
+
+    [[nodiscard]] const std::vector<FakeTarget *> &targets() const noexcept
+    {
+        return m_targets;
+    }
+
+    /// Removes the entries of the targets that crashed, and starts as many new ones.
+    void replaceCrashed()
+    {
+        const auto known = m_targets;
+        for (auto *target : known) {
+            if (target->crashed() && m_replaced.insert(target).second) {
+                m_fleet.store.remove("servers", target->id());
+                add();
+            }
+        }
+    }
+
+    void add()
+    {
+        auto &target = m_fleet.addTarget(m_service);
+        target.crashesOn = m_body;
+        target.behaviour.events = m_service == "model" ? 3 : 0;
+        m_targets.push_back(&target);
+    }
+
+private:
+    RelayFleet &m_fleet;
+    const std::string m_service;
+    const std::string m_body;
+    std::vector<FakeTarget *> m_targets;
+    std::set<FakeTarget *> m_replaced;
+};
+
+Ask chat(std::string body)
+{
+    Ask ask;
+    ask.path = "/chat/1";
+    ask.promptTokens = 1000;
+    ask.body = std::move(body);
+    return ask;
+}
+
+Ask safe(std::string body)
+{
+    Ask ask;
+    ask.path = "/safe/1";
+    ask.body = std::move(body);
+    return ask;
+}
+
+/// Sends copies of a request to all daemons in turn, each when the one before has its answer.
+net::Task<std::vector<Got>> sendCopies(RelayFleet &fleet, CrashingService &service, const Ask &ask, int copies)
+{
+    std::vector<Got> answers;
+    for (int i = 0; i < copies; ++i) {
+        auto got = co_await fleet.ask(ask, static_cast<std::size_t>(i) % Daemons);
+        answers.push_back(std::move(got));
+        service.replaceCrashed();
+        co_await net::sleepFor(CopyPause);
+    }
+    co_return answers;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crashing_requests)
+
+BOOST_AUTO_TEST_CASE(a_prompt_that_ends_engines_reaches_none_after_the_third_whatever_daemon_it_comes_to)
+{
+    RelayFleet fleet(Daemons, Peers::Joined);
+    CrashingService engines(fleet, "model", 6, "the end");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        co_await fleet.joined();
+        const auto answers = co_await sendCopies(fleet, engines, chat("the end"), 12);
+        BOOST_TEST(engines.crashed() == EndedAtMost);
+        const auto &last = answers.back();
+        BOOST_TEST(last.status == 503); // It has not run, and never will.
+        BOOST_TEST(std::stod("0" + std::string(last.head.headers.value("Retry-After"))) >= 10);
+        for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
+            const auto other = co_await fleet.ask(chat("another question"), daemon);
+            BOOST_TEST(other.status == 200);
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_plain_request_that_ends_targets_reaches_none_after_the_third_whatever_daemon_it_comes_to)
+{
+    RelayFleet fleet(Daemons, Peers::Joined);
+    CrashingService service(fleet, "app", 5, "the end");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        co_await fleet.joined();
+        const auto answers = co_await sendCopies(fleet, service, safe("the end"), 12);
+        BOOST_TEST(service.crashed() == EndedAtMost);
+        BOOST_TEST(answers.back().status == 503);
+        const auto other = co_await fleet.ask(safe("another question"));
+        BOOST_TEST(other.status == 200);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace spurlug::test
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -73,19 +73,33 @@
     m_listener.stop();
 }
 
+void FakeTarget::crash()
+{
+    m_crashed = true;
+    m_listener.stop();
+    for (const auto &connection : m_connections) {
+        connection->reset();
+    }
+}
+
+bool FakeTarget::crashed() const noexcept
+{
+    return m_crashed;
+}
+
 net::Task<> FakeTarget::serve(net::asio::ip::tcp::socket socket)
 {
     const auto connection = core::makeCounted<net::ServerConnection>(m_loop, std::move(socket));
-    for (;;) {
+    m_connections.insert(connection);
+    bool goesOn = true;
+    while (goesOn) {
         auto result = co_await connection->read({});
-        if (!result.request) {
-            co_return;
-        }
-        const bool goesOn = co_await answer(connection, std::move(*result.request));
-        if (!goesOn) {
-            co_return;
+        goesOn = result.request.has_value();
+        if (goesOn) {
+            goesOn = co_await answer(connection, std::move(*result.request));
         }
     }
+    m_connections.erase(connection);
 }
 
 net::Response FakeTarget::order(const net::Request &request)
@@ -176,6 +190,11 @@
         co_return written;
     }
     m_ran.push_back(request);
+    if (!crashesOn.empty() && request.body == crashesOn) {
+        co_await net::sleepFor(crashAfter);
+        crash();
+        co_return false;
+    }
     bool gone = false;
     connection->watch([&gone] { gone = true; });
     const auto until = core::now() + (how.fault == Fault::Hang ? core::Duration(absl::Seconds(30)) : how.work);
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,8 @@
     Behaviour behaviour;
     std::vector<Behaviour> script; ///< For the next requests, before `behaviour`.
     bool draining = false;
+    std::string crashesOn; ///< Body of a request that ends the process once it runs; empty: none does.
+    core::Duration crashAfter = absl::Milliseconds(10); ///< From the begin of such a run.
 
     [[nodiscard]] const std::string &id() const noexcept;
     [[nodiscard]] const core::Address &address() const noexcept;
@@ -68,6 +71,9 @@
     [[nodiscard]] const std::map<std::string, std::int64_t> &held() const noexcept;
     /// \brief Stops listening: connections are refused.
     void stop();
+    /// \brief Ends the process: nothing listens any more, and all connections are reset.
+    void crash();
+    [[nodiscard]] bool crashed() const noexcept;
 
 private:
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
@@ -82,6 +88,8 @@
     net::Listener m_listener;
     std::vector<net::Request> m_ran;
     int m_abandoned = 0;
+    bool m_crashed = false;
+    std::set<core::Ref<net::ServerConnection>> m_connections; ///< Those that are open.
     std::map<std::string, std::int64_t> m_held;
 };
 
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include "relay_fleet.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
@@ -57,13 +58,14 @@
 
 } // namespace
 
-RelayFleet::RelayFleet(int daemons)
+RelayFleet::RelayFleet(int daemons, Peers peers)
     : store(loop)
     , configuration(initialConfiguration())
+    , m_peers(peers)
 {
     configure();
     for (int number = 1; number <= daemons; ++number) {
-        addDaemon(number);
+        addDaemon();
     }
 }
 
@@ -72,22 +74,38 @@
     loop.stop();
 }
 
-void RelayFleet::addDaemon(int number)
+void RelayFleet::addDaemon()
 {
-    Place place;
-    auto &settings = place.settings;
-    const auto tcp = [this] { return core::Address{"127.0.0.1", freePort<net::asio::ip::tcp>(loop)}; };
+    const auto number = m_daemons.size() + 1;
+    const bool joined = m_peers == Peers::Joined;
+    const std::string host = joined ? core::cat("127.0.0.", number) : "127.0.0.1";
+    const auto tcp = [&] { return core::Address{host, freePort<net::asio::ip::tcp>(loop)}; };
+    settings::RelaySettings settings;
     settings.vm = core::cat("vm-", number);
     settings.failureDomain = "hall-a";
     settings.callerAddress = tcp();
     settings.readinessAddress = tcp();
     settings.controlAddress = tcp();
     settings.metricsAddress = tcp();
-    settings.peerAddress = {"127.0.0.1", freePort<net::asio::ip::udp>(loop)};
+    settings.peerAddress = {host, freePort<net::asio::ip::udp>(loop)};
+    if (joined && !m_daemons.empty()) {
+        settings.peerAddress.port = m_daemons.front().settings.peerAddress.port; // All daemons have the same.
+    }
+    for (std::size_t i = 0; joined && i < std::min<std::size_t>(m_daemons.size(), 3); ++i) {
+        settings.seeds.push_back(m_daemons[i].settings.controlAddress);
+    }
     settings.store = store.address();
     settings.bounds.grace = absl::Seconds(5);
-    place.directory = std::make_unique<platform::StoreDirectory>(loop, settings.store, absl::Milliseconds(500));
-    place.daemon = std::make_unique<Daemon>(loop, settings, "/dev/null", platform::RequestCodec(), *place.directory);
+    start(std::move(settings));
+}
+
+void RelayFleet::start(settings::RelaySettings settings)
+{
+    Place place;
+    place.settings = std::move(settings);
+    place.directory = std::make_unique<platform::StoreDirectory>(loop, place.settings.store, absl::Milliseconds(500));
+    place.daemon
+        = std::make_unique<Daemon>(loop, place.settings, "/dev/null", platform::RequestCodec(), *place.directory);
     m_daemons.push_back(std::move(place));
     m_daemons.back().daemon->start();
 }
@@ -230,6 +248,27 @@
     co_return answer ? answer->head.status : 0;
 }
 
+net::Task<double> RelayFleet::figure(std::string name, std::size_t daemon)
+{
+    const auto answer = co_await read(m_daemons.at(daemon).settings.metricsAddress, "/metrics");
+    const auto line = core::cat("\nspurlug_", name, " ");
+    const auto found = answer ? answer->body.find(line) : std::string::npos;
+    co_return found == std::string::npos ? 0 : std::stod(answer->body.substr(found + line.size()));
+}
+
+net::Task<> RelayFleet::joined()
+{
+    constexpr double Rounds = 5; // Each heard all others some times by then.
+    const auto enough = Rounds * static_cast<double>(m_daemons.size());
+    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
+        double heard = 0;
+        while (heard < enough) {
+            heard = co_await figure("heartbeats_received_total", daemon);
+            co_await net::sleepFor(absl::Milliseconds(20));
+        }
+    }
+}
+
 net::Task<> RelayFleet::ready()
 {
     for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -43,13 +43,20 @@
     core::Duration took;
 };
 
+/// \brief Whether the daemons of a fleet know each other.
+enum class Peers
+{
+    Apart,
+    Joined, ///< Each has an address of its own, and the first three as seeds.
+};
+
 /// \brief Runs everything on one event loop; a test is a coroutine on it.
 class RelayFleet
 {
 public:
     using Daemon = relay::RelayDaemon<platform::RequestCodec, platform::StoreDirectory>;
 
-    explicit RelayFleet(int daemons = 1);
+    explicit RelayFleet(int daemons = 1, Peers peers = Peers::Apart);
     ~RelayFleet();
 
     /// \brief Runs a test to its end, for 20 s at most; what it throws is thrown here.
@@ -73,6 +80,12 @@
     [[nodiscard]] net::Request write(const Ask &ask);
     /// \brief Waits until every daemon says that it is ready.
     [[nodiscard]] net::Task<> ready();
+    /// \brief Waits until every daemon has heard all others.
+    [[nodiscard]] net::Task<> joined();
+    /// \brief A figure of a daemon's metrics, by its name without prefix; 0 when it is not told.
+    [[nodiscard]] net::Task<double> figure(std::string name, std::size_t daemon = 0);
+    /// \brief Adds a daemon that knows the first ones.
+    void addDaemon();
     /// \brief Begins a daemon's planned stop.
     void stop(std::size_t daemon = 0);
     /// \brief Status of a daemon's readiness; 0: no answer.
@@ -86,7 +99,7 @@
     std::vector<std::unique_ptr<FakeTarget>> targets;
 
 private:
-    void addDaemon(int number);
+    void start(settings::RelaySettings settings);
     [[nodiscard]] net::Task<std::optional<net::Response>> read(core::Address address, std::string path);
 
     struct Place
@@ -96,6 +109,7 @@
         std::unique_ptr<Daemon> daemon;
     };
 
+    const Peers m_peers;
     std::vector<Place> m_daemons;
     std::int64_t m_version = 0;
     int m_requests = 0;
