Work that ends the targets that run it is quarantined in the whole fleet after the third

Ruled out: a count for each daemon (the sum decides: eight daemons would each allow three); broken connections as evidence (lost answers, resets and failing targets break them too); two ends (64 of 264 requests beside the crashing ones lost two engines). Change: CrashLedger, a set of facts (which life of a target ended under which work) that merges; CrashExchange tells keepers at once, keepers everybody, and gossip makes up for lost words, starts and cuts; a target that broke a connection is asked for one before its end counts; such work is refused at once with when it is tried again; work that ran well refutes its ends. core_test asks for names of all reasons up to the newest one, which has changed.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -114,8 +114,29 @@
     core::Duration regainedAge = absl::InfiniteDuration(); ///< Since the directory was regained.
 };
 
-using Message
-    = std::variant<WorkReport, ReportTaken, PlacementAsk, PlacementAnswer, PlacementCancel, ProofQuestion, ProofAnswer>;
+/// \brief A life of a target that ended while a piece of work ran there.
+struct EndNews
+{
+    std::uint32_t target = 0; ///< relay::lifeHash of that life.
+    core::Duration age = absl::ZeroDuration(); ///< Since it ended.
+    bool refuted = false; ///< The work ran well elsewhere afterwards.
+};
+
+/// \brief A piece of work and the ends of targets under it.
+struct SuspectNews
+{
+    core::Digest work;
+    std::vector<EndNews> ends;
+};
+
+/// \brief What a daemon knows of work that ends its targets.
+struct CrashNews
+{
+    std::vector<SuspectNews> suspects;
+};
+
+using Message = std::variant<WorkReport, ReportTaken, PlacementAsk, PlacementAnswer, PlacementCancel, ProofQuestion,
+                             ProofAnswer, CrashNews>;
 
 /// \brief Writes a message as one datagram.
 [[nodiscard]] std::string writeMessage(const Message &message);
--- a/include/spurlug/control/roster.h
+++ b/include/spurlug/control/roster.h
@@ -75,6 +75,11 @@
     {
         return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), holds));
     }
+    /// \brief All members, this daemon included.
+    [[nodiscard]] const std::vector<Member> &members() const noexcept
+    {
+        return m_members;
+    }
     /// \brief A member; null when there is none of that name.
     [[nodiscard]] const Member *find(const std::string &vm) const;
 
--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -48,6 +48,7 @@
     StaleConfiguration, ///< It cannot be known whether keys and routes still hold.
     TargetSilent, ///< The target did not answer in the time that this takes several times over.
     NoCapacity, ///< All targets are full.
+    CrashesTargets, ///< Several targets ended while the same work ran there.
 };
 
 template<>
@@ -90,12 +91,13 @@
         EnumName<Reason>{Reason::StaleConfiguration, "stale_configuration"},
         EnumName<Reason>{Reason::TargetSilent, "target_silent"},
         EnumName<Reason>{Reason::NoCapacity, "no_capacity"},
+        EnumName<Reason>{Reason::CrashesTargets, "crashes_targets"},
     };
 };
 
 /// \brief What a caller may conclude about an attempt or a whole request.
 // Counters by reason are arrays of the table's size.
-static_assert(static_cast<std::size_t>(Reason::NoCapacity) + 1 == EnumNames<Reason>::table.size(),
+static_assert(static_cast<std::size_t>(Reason::CrashesTargets) + 1 == EnumNames<Reason>::table.size(),
               "every reason has a name, in the order of their declaration");
 
 enum class Outcome
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -57,6 +57,11 @@
     RepeatsBySlack, ///< Charged to this daemon's part of the fleet's slack.
     RepeatsRefused, ///< Not sent: this daemon's part of both was spent.
     TargetsRestarted, ///< Later lives under ids that were known.
+    TargetsEndedUnderWork, ///< Requests of this daemon under which a target ended, by target.
+    WorkQuarantined, ///< Pieces of work that came to be sent no more, as this daemon learnt.
+    QuarantinesLifted, ///< Of these, the ones that ran well after all.
+    QuarantineTrials, ///< Quarantined requests that were sent to see whether they still end their target.
+    CrashNewsSent, ///< Datagrams to other daemons on work that ends targets.
     TargetEntriesUnusable, ///< Entries of targets that came to be unreadable or of a wrong form.
 };
 
@@ -116,6 +121,11 @@
         EnumName<Counter>{Counter::RepeatsBySlack, "repeats_by_slack"},
         EnumName<Counter>{Counter::RepeatsRefused, "repeats_refused"},
         EnumName<Counter>{Counter::TargetsRestarted, "targets_restarted"},
+        EnumName<Counter>{Counter::TargetsEndedUnderWork, "targets_ended_under_work"},
+        EnumName<Counter>{Counter::WorkQuarantined, "work_quarantined"},
+        EnumName<Counter>{Counter::QuarantinesLifted, "quarantines_lifted"},
+        EnumName<Counter>{Counter::QuarantineTrials, "quarantine_trials"},
+        EnumName<Counter>{Counter::CrashNewsSent, "crash_news_sent"},
         EnumName<Counter>{Counter::TargetEntriesUnusable, "target_entries_unusable"},
     };
 };
--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -61,6 +61,9 @@
     /// whole, no byte followed and neither side wants to close.
     [[nodiscard]] bool reusable() const;
 
+    /// \brief Whether the last `connect` was refused: the host lives, and nothing listens there.
+    [[nodiscard]] bool refused() const noexcept;
+
     /// \brief What went wrong last, for logs.
     [[nodiscard]] const std::string &problem() const noexcept;
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -8,6 +8,7 @@
 #include "spurlug/control/roster.h"
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/net/io.h"
+#include "spurlug/relay/crash_ledger.h"
 #include "spurlug/relay/domain_links.h"
 #include "spurlug/relay/freshness.h"
 #include "spurlug/relay/placement.h"
@@ -23,6 +24,7 @@
 
 namespace spurlug::control
 {
+class CrashExchange;
 class SchedulerClient;
 } // namespace spurlug::control
 
@@ -51,10 +53,12 @@
     TargetSet targets;
     DomainLinks links;
     RetryLedger retries;
+    CrashLedger crashes;
     EjectionRule ejection;
     std::mt19937_64 random;
     control::Roster roster; ///< Daemons that live.
     control::SchedulerClient *scheduling = nullptr; ///< Null: this daemon decides alone.
+    control::CrashExchange *crashExchange = nullptr; ///< Null: nobody is told of `crashes`.
     bool isolated = false; ///< No daemon answers this one's questions.
     std::size_t daemons = 1; ///< Daemons that live, this one included.
     /// Most daemons of this one's failure domain that it, or any of them that it heard, ever knew of at once.
--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/control/crash_exchange.h"
 #include "spurlug/control/scheduler.h"
 #include "spurlug/control/scheduler_client.h"
 #include "spurlug/control/source_choice.h"
@@ -78,6 +79,7 @@
     PeerLink m_peers;
     control::Scheduler m_scheduler;
     control::SchedulerClient m_scheduling;
+    control::CrashExchange m_crashes;
     control::SourceChoice m_sources;
     Follower<Source> m_follower;
     net::Mailbox<Wake> m_asksWait;
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -19,12 +19,18 @@
                    [this](const core::Address &to, const control::Message &message) {
                        m_peers.sendTo(to, control::writeMessage(message));
                    })
+    , m_crashes(context,
+                [this](const core::Address &to, const control::Message &message) {
+                    m_peers.sendTo(to, control::writeMessage(message));
+                })
     , m_sources(context.roster, context.settings.failureDomain, context.settings.readersPerDomain, context.random(),
                 context.startedAt)
     , m_follower(context, source, m_sources)
     , m_asksWait(context.loop)
 {
     context.scheduling = &m_scheduling;
+    context.crashExchange = &m_crashes;
+    m_peers.onNewPeer([this](const core::Address &peer) { m_crashes.greet(peer, core::now()); });
     m_scheduler.onWaiting([this] { wake(); });
     m_peers.onMessage(
         [this](control::Message message, const core::Address &from) { take(std::move(message), from, core::now()); });
@@ -77,6 +83,8 @@
         reply(proofAnswer(m_context, question->number, m_follower.targetsLink().regainedAt(), now));
     } else if (const auto *proof = std::get_if<control::ProofAnswer>(&message)) {
         takeProof(*proof, now);
+    } else if (const auto *crashes = std::get_if<control::CrashNews>(&message)) {
+        m_crashes.take(*crashes, now);
     }
 }
 
@@ -146,6 +154,7 @@
     for (;;) {
         co_await net::sleepFor(SourceLook);
         const auto now = core::now();
+        m_crashes.gossip(now);
         const auto question = m_sources.next(m_context.directoryHeardAt(), now);
         noteIsolation(m_sources.isolated());
         if (question) {
--- /dev/null
+++ b/include/spurlug/relay/crash_ledger.h
@@ -0,0 +1,125 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: which requests end the targets that run them
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/hash.h"
+#include "spurlug/core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace spurlug::relay
+{
+
+/// \brief A life of a target that ended while a request ran there.
+struct TargetEnd
+{
+    std::uint32_t target = 0; ///< lifeHash of that life.
+    core::Time at;
+    bool refuted = false; ///< The same work ran well elsewhere afterwards: this end does not count.
+};
+
+/// \brief A piece of work and the targets that ended under it.
+struct CrashSuspect
+{
+    core::Digest work; ///< As RequestProgress::digest.
+    std::vector<TargetEnd> ends;
+
+    /// \brief Ends that are not refuted.
+    [[nodiscard]] std::size_t counted() const noexcept;
+    [[nodiscard]] core::Time lastEndAt() const noexcept;
+};
+
+/// \brief Counts the targets that ended under each piece of work, and quarantines work that ended several.
+///
+/// A request that crashes its target takes everything with it that runs there, and its caller sends it again under
+/// another id, to any daemon. So work is told apart by its content, and what daemons know is a set of facts, which life
+/// ended under which work: words between them may come twice, late or in any order, and the sum is the same.
+///
+/// A target ends with all requests that run there. What keeps innocent work out: only ends count, no broken connections
+/// (the caller makes sure of that); three of them are needed, and a request with its caller's second try sees four
+/// targets at most; and work that runs well refutes the ends known of it, and those of copies sent before.
+class CrashLedger
+{
+public:
+    /// Ends until work is quarantined. A rack that is lost ends one target under most of its requests, two under some;
+    /// 64 of 264 requests beside the crashing ones of an incident lost two engines, none of them three.
+    static constexpr std::size_t EndsToQuarantine = 3;
+    /// From the last end until quarantined work is tried again, by one daemon; doubles with each further end. Engines
+    /// are mended by releases, which take minutes.
+    static constexpr auto FirstTrialAfter = absl::Seconds(60);
+    /// Work is forgotten this long after the last end under it.
+    static constexpr auto Memory = absl::Hours(1);
+    static constexpr std::size_t MostSuspects = 256; ///< Some 50 KB.
+    static constexpr std::size_t MostEnds = 16; ///< Kept of one piece of work.
+
+    CrashLedger();
+
+    /// \name Commands
+    /// @{
+
+    /// \brief Notes that a target ended while work ran there.
+    /// \param sentAt When the work was sent there.
+    /// \returns Whether that is news.
+    bool targetEnded(const core::Digest &work, std::uint32_t target, core::Time sentAt, core::Time now);
+    /// \brief Notes that work ran to an end and its target lives.
+    /// \returns Whether that refuted ends.
+    bool survived(const core::Digest &work, core::Time now);
+    /// \brief Takes what another daemon knows of one piece of work.
+    /// \returns Whether some of it is news.
+    bool merge(const CrashSuspect &told, core::Time now);
+    /// \brief Takes the next trial of quarantined work, if it is due.
+    [[nodiscard]] bool takeTrial(const core::Digest &work, core::Time now);
+    /// \brief Work of which something changed since the last call.
+    [[nodiscard]] std::vector<CrashSuspect> takeChanges();
+
+    /// @}
+    /// \name Queries
+    /// @{
+
+    /// \brief Whether the work must not be sent to a target.
+    [[nodiscard]] bool quarantined(const core::Digest &work) const;
+    /// \brief Ends that count against the work.
+    [[nodiscard]] std::size_t ends(const core::Digest &work) const;
+    /// \brief Quarantined work, and other work whose last end is younger than `span`; in a random order.
+    /// \param pick A random number.
+    [[nodiscard]] std::vector<CrashSuspect> recent(core::Duration span, std::size_t most, std::uint64_t pick,
+                                                   core::Time now) const;
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_suspects.size();
+    }
+
+    /// @}
+
+private:
+    struct Known
+    {
+        CrashSuspect suspect;
+        core::Time triedAt = absl::InfinitePast();
+    };
+
+    /// When some work ran well last. Work that shares a slot with newer work is forgotten: that only costs the
+    /// protection of copies that were under way.
+    struct Survival
+    {
+        core::Digest work;
+        core::Time at = absl::InfinitePast();
+    };
+
+    [[nodiscard]] CrashSuspect &suspect(const core::Digest &work, core::Time now);
+    [[nodiscard]] Survival &survival(const core::Digest &work);
+    void forgetOld(core::Time now);
+    void makeRoom();
+
+    std::map<core::Digest, Known> m_suspects;
+    std::set<core::Digest> m_changed;
+    std::vector<Survival> m_survivals; ///< By digest, modulo its size.
+};
+
+} // namespace spurlug::relay
--- a/include/spurlug/relay/peer_link.h
+++ b/include/spurlug/relay/peer_link.h
@@ -37,6 +37,9 @@
     /// \brief Sets who takes messages of the control plane.
     void onMessage(TakeMessage take);
 
+    /// \brief Sets who is told of peers that were not heard before, or that started again.
+    void onNewPeer(std::function<void(const core::Address &)> tell);
+
     /// \brief Sends heartbeats.
     [[nodiscard]] net::Task<> sendHeartbeats();
     /// \brief Takes datagrams in.
@@ -62,6 +65,7 @@
     RelayContext &m_context;
     net::asio::ip::udp::socket m_socket;
     TakeMessage m_takeMessage;
+    std::function<void(const core::Address &)> m_tellNewPeer = [](const core::Address &) {};
     membership::PeerTable m_peers;
     std::set<std::string> m_alive; ///< Peers that were heard of late.
     std::map<std::string, core::Time> m_candidates; ///< Addresses that others told of, and when.
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -61,6 +61,9 @@
     /// \brief Notes that an engine did not set memory aside.
     void memoryRefused(const core::Ref<Target> &helper, core::Time now);
 
+    /// \brief Notes that a target of the attempt in progress ended: its connection broke, and nothing listens there.
+    void targetEnded(const core::Ref<Target> &target, core::Time now);
+
     /// \brief Whether to send the request again; takes the repeated send out of the fleet's bound.
     /// \param cause Why the last attempt failed.
     [[nodiscard]] bool takeResend(bool mayRepeat, core::Reason cause, core::Time now);
@@ -102,6 +105,8 @@
     [[nodiscard]] bool targetLives(core::Time now) const noexcept;
     /// \brief Whether the target started again since the request went to it: what it had of the request is gone.
     [[nodiscard]] bool targetRestarted() const;
+    /// \brief The target of the attempt in progress.
+    [[nodiscard]] const core::Ref<Target> &target() const noexcept;
     /// \brief The engine at an address that was asked to help with the request; null when none was.
     [[nodiscard]] core::Ref<Target> helperAt(const core::Address &address) const;
     /// \brief When a caller that is refused now should come back.
@@ -122,6 +127,10 @@
     void noteDigest();
     /// Notes that the target, and the engines that help it, were reached.
     void noteReached();
+    /// Refuses work that is known to end its targets; takes the trial of it where one is due here.
+    [[nodiscard]] std::optional<Refusal> refuseQuarantined(core::Time now);
+    /// Notes that the work ran to an end and its target lives.
+    void noteSurvived(core::Time now);
     /// Takes a repeated send out of the fleet's bound.
     [[nodiscard]] bool takeRepeat(core::Reason cause, core::Time now);
     /// Tells the scheduler soon that this daemon's work changed.
@@ -158,6 +167,7 @@
     int m_attempts = 0;
     core::Reason m_repeatCause = core::Reason::None; ///< Why the request is sent beyond the first time; None: it isn't.
     bool m_ranSomewhere = false;
+    bool m_isTrial = false; ///< Sent though it is quarantined, to see whether it still ends its target.
     bool m_finished = false;
 };
 
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -79,6 +79,9 @@
     [[nodiscard]] std::optional<Next> endOrWait(Silence &silence, bool restarted, core::Time now);
     /// Whether a target still takes connections.
     [[nodiscard]] net::Task<bool> reaches(const Target &target);
+    /// Finds out whether a target of the attempt in progress ended: a connection that broke says nothing of that, one
+    /// that is refused does. Costs a way there and back before the request goes on.
+    [[nodiscard]] net::Task<> checkForEnd(core::Ref<Target> target);
     [[nodiscard]] net::Task<Next> take(RequestEvent event, const ChosenTargets &chosen, bool &ended);
     [[nodiscard]] net::Task<Next> takeHead(net::ResponseHead head, bool &ended);
     [[nodiscard]] net::Task<Next> takeBytes(const std::string &bytes, bool &ended);
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -134,6 +134,7 @@
                                end.detail);
     }
     if (end.stage == AttemptStage::Sent) {
+        co_await checkForEnd(m_progress.target());
         const auto reason = m_headPassed ? core::Reason::StreamCut : core::Reason::TargetFailed;
         co_return afterFailure(core::Outcome::MayHaveRun, reason, TargetFault::Broken, end.detail);
     }
@@ -141,6 +142,7 @@
         co_return co_await passWhole();
     }
     if (m_events.inTheMiddle()) {
+        co_await checkForEnd(m_progress.target());
         co_return afterFailure(core::Outcome::MayHaveRun, core::Reason::StreamCut, TargetFault::Broken,
                                "the stream ended inside an event");
     }
--- a/include/spurlug/relay/request_run_follow_impl.h
+++ b/include/spurlug/relay/request_run_follow_impl.h
@@ -14,6 +14,9 @@
 
 /// One connection that fails may be a lost packet; checks are 0.6 s and more apart.
 inline constexpr int RefusedWhenDead = 2;
+/// A host whose process ended refuses a connection in the time of a way there and back, 1 to 3 ms; the request waits
+/// for it. Behind a cut nothing refuses, and the end would not count.
+inline constexpr auto EndCheckTimeout = absl::Milliseconds(50);
 
 } // namespace detail
 
@@ -123,7 +126,20 @@
     }
     net::ClientConnection connection(m_context.loop);
     const auto problem = co_await connection.connect(target.entry.address, detail::ConnectTimeout);
+    if (connection.refused()) {
+        m_progress.targetEnded(m_progress.target(), core::now());
+    }
     co_return problem.empty();
 }
 
+template<Dialect D>
+net::Task<> RequestRun<D>::checkForEnd(core::Ref<Target> target)
+{
+    net::ClientConnection connection(m_context.loop);
+    const auto problem = co_await connection.connect(target->entry.address, detail::EndCheckTimeout);
+    if (!problem.empty() && connection.refused()) {
+        m_progress.targetEnded(target, core::now());
+    }
+}
+
 } // namespace spurlug::relay
--- /dev/null
+++ b/src/control/crash_exchange.cpp
@@ -0,0 +1,140 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what daemons tell each other of requests that end their targets
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/control/crash_exchange.h"
+
+#include "spurlug/core/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::control
+{
+
+namespace
+{
+
+constexpr std::size_t Keepers = 3; // The fact is told while one of them lives.
+constexpr std::size_t EndsToTellAll = 2; // Innocent work seldom sees two, and the third decides.
+constexpr std::size_t MostInDatagram = 16;
+constexpr auto GossipPause = absl::Milliseconds(250);
+/// Ends below the quarantine are passed on for as long: what they belong to comes within moments or not at all.
+constexpr auto GossipSpan = absl::Seconds(10);
+
+bool concernsAll(const relay::CrashSuspect &suspect)
+{
+    return suspect.ends.size() >= EndsToTellAll; // Refuted ends too: a quarantine may have to be lifted.
+}
+
+SuspectNews newsOf(const relay::CrashSuspect &suspect, core::Time now)
+{
+    SuspectNews news;
+    news.work = suspect.work;
+    for (const auto &end : suspect.ends) {
+        news.ends.push_back({end.target, now - end.at, end.refuted});
+    }
+    return news;
+}
+
+relay::CrashSuspect suspectOf(const SuspectNews &news, core::Time now)
+{
+    relay::CrashSuspect suspect;
+    suspect.work = news.work;
+    for (const auto &end : news.ends) {
+        suspect.ends.push_back({end.target, now - end.age, end.refuted});
+    }
+    return suspect;
+}
+
+} // namespace
+
+CrashExchange::CrashExchange(relay::RelayContext &context, Send send)
+    : m_context(context)
+    , m_send(std::move(send))
+{ }
+
+std::vector<Member> CrashExchange::keepers() const
+{
+    return m_context.roster.holders(Role::Scheduler, Keepers);
+}
+
+bool CrashExchange::isKeeper() const
+{
+    const auto all = keepers();
+    return std::any_of(all.begin(), all.end(),
+                       [this](const Member &member) { return member.vm == m_context.settings.vm; });
+}
+
+void CrashExchange::sendTo(const std::vector<Member> &members, const std::vector<relay::CrashSuspect> &suspects,
+                           core::Time now)
+{
+    for (std::size_t from = 0; from < suspects.size(); from += MostInDatagram) {
+        CrashNews news;
+        for (auto i = from; i < std::min(from + MostInDatagram, suspects.size()); ++i) {
+            news.suspects.push_back(newsOf(suspects[i], now));
+        }
+        for (const auto &member : members) {
+            if (member.vm != m_context.settings.vm) {
+                m_context.metrics.count(metrics::Counter::CrashNewsSent);
+                m_send(member.datagrams, news);
+            }
+        }
+    }
+}
+
+void CrashExchange::tellChanges(core::Time now)
+{
+    const auto changes = m_context.crashes.takeChanges();
+    sendTo(keepers(), changes, now);
+    if (!isKeeper()) {
+        return;
+    }
+    std::vector<relay::CrashSuspect> forAll;
+    std::copy_if(changes.begin(), changes.end(), std::back_inserter(forAll), concernsAll);
+    sendTo(m_context.roster.members(), forAll, now);
+}
+
+void CrashExchange::take(const CrashNews &news, core::Time now)
+{
+    auto &crashes = m_context.crashes;
+    for (const auto &told : news.suspects) {
+        const bool before = crashes.quarantined(told.work);
+        crashes.merge(suspectOf(told, now), now);
+        const bool after = crashes.quarantined(told.work);
+        if (before != after) {
+            core::log(core::LogLevel::Warning, after ? "work_quarantined" : "quarantine_lifted",
+                      {{"digest", core::hexText(told.work)}, {"ends", crashes.ends(told.work)}, {"from", "peer"}});
+            m_context.metrics.count(after ? metrics::Counter::WorkQuarantined : metrics::Counter::QuarantinesLifted);
+        }
+    }
+    if (isKeeper()) {
+        tellChanges(now);
+    } else {
+        static_cast<void>(crashes.takeChanges()); // Whoever told it tells the others.
+    }
+}
+
+void CrashExchange::greet(const core::Address &datagrams, core::Time now)
+{
+    if (isKeeper()) {
+        Member newcomer;
+        newcomer.datagrams = datagrams;
+        sendTo({newcomer}, m_context.crashes.recent(GossipSpan, MostInDatagram, m_context.random(), now), now);
+    }
+}
+
+void CrashExchange::gossip(core::Time now)
+{
+    const auto &members = m_context.roster.members();
+    if (now - m_gossipedAt < GossipPause || members.size() < 2) {
+        return;
+    }
+    m_gossipedAt = now;
+    const auto suspects = m_context.crashes.recent(GossipSpan, MostInDatagram, m_context.random(), now);
+    const auto drawn = std::uniform_int_distribution<std::size_t>(0, members.size() - 1)(m_context.random);
+    sendTo({members[drawn]}, suspects, now);
+}
+
+} // namespace spurlug::control
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -202,6 +202,36 @@
     return answer;
 }
 
+void write(const CrashNews &news, wire::ControlDatagram &datagram)
+{
+    auto &out = *datagram.mutable_crashes();
+    for (const auto &suspect : news.suspects) {
+        auto &suspectOut = *out.add_suspects();
+        suspectOut.set_work_high(suspect.work.high);
+        suspectOut.set_work_low(suspect.work.low);
+        for (const auto &end : suspect.ends) {
+            auto &endOut = *suspectOut.add_ends();
+            endOut.set_target(end.target);
+            endOut.set_age_ms(ms32(end.age));
+            endOut.set_refuted(end.refuted);
+        }
+    }
+}
+
+CrashNews read(const wire::CrashNews &in)
+{
+    CrashNews news;
+    for (const auto &suspectIn : in.suspects()) {
+        SuspectNews suspect;
+        suspect.work = {suspectIn.work_high(), suspectIn.work_low()};
+        for (const auto &endIn : suspectIn.ends()) {
+            suspect.ends.push_back({endIn.target(), spanOf(endIn.age_ms()), endIn.refuted()});
+        }
+        news.suspects.push_back(std::move(suspect));
+    }
+    return news;
+}
+
 } // namespace
 
 std::string writeMessage(const Message &message)
@@ -233,6 +263,8 @@
         return ProofQuestion{in.question().number()};
     case Kind::kProof:
         return read(in.proof());
+    case Kind::kCrashes:
+        return read(in.crashes());
     case Kind::MESSAGE_NOT_SET:
         break;
     }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -86,6 +86,7 @@
     http::request<http::string_body> request;
     std::unique_ptr<Parser> parser;
     std::string problem;
+    bool refused = false;
     bool sent = false;
     bool serverKeeps = false; ///< Whether the server keeps the connection after this response.
 };
@@ -112,6 +113,7 @@
         auto [failure] = co_await impl->socket.async_connect(tcp::endpoint(host, address.port), Awaited);
         co_return failure;
     });
+    impl->refused = error == asio::error::connection_refused;
     if (error) {
         impl->problem = core::cat("connect: ", error.message());
         impl->close();
@@ -206,6 +208,11 @@
         && impl.buffer.size() == 0;
 }
 
+bool ClientConnection::refused() const noexcept
+{
+    return m_impl->refused;
+}
+
 const std::string &ClientConnection::problem() const noexcept
 {
     return m_impl->problem;
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -69,6 +69,11 @@
     m_takeMessage = std::move(take);
 }
 
+void PeerLink::onNewPeer(std::function<void(const core::Address &)> tell)
+{
+    m_tellNewPeer = std::move(tell);
+}
+
 core::Duration PeerLink::interval(core::Time now) const
 {
     if (now - m_context.startedAt < YouthSpan) {
@@ -245,6 +250,9 @@
     if (heard == membership::HeardResult::New) {
         sendTo(address, introduction(now)); // It may not know this daemon either.
     }
+    if (isNew) {
+        m_tellNewPeer(address);
+    }
 }
 
 void PeerLink::noteSilence(core::Time now)
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -106,6 +106,8 @@
         return RetryAfterUnknown;
     case Reason::NoTarget:
         return RetryAfterNoTarget;
+    case Reason::CrashesTargets:
+        return CrashLedger::FirstTrialAfter;
     case Reason::UnknownPath:
     case Reason::MissingKey:
     case Reason::UnknownKey:
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -95,7 +95,7 @@
     m_organisation.clear();
     if (m_route->isPublic || !m_table->keysNeeded) {
         noteDigest();
-        return std::nullopt;
+        return refuseQuarantined(now);
     }
     if (!m_context.keysAreFresh(now)) {
         return refuse(Reason::StaleConfiguration);
@@ -110,7 +110,7 @@
         m_priority = organisation->priority;
     }
     noteDigest();
-    return std::nullopt;
+    return refuseQuarantined(now);
 }
 
 void RequestProgress::noteDigest()
@@ -297,6 +297,9 @@
     } else if (outcome == Outcome::Completed) {
         health.succeeded(now);
     }
+    if (outcome == Outcome::Completed) {
+        noteSurvived(now);
+    }
     if (outcome == Outcome::Completed && !fault) {
         return;
     }
@@ -313,6 +316,11 @@
                {"targetLeftOut", health.ejected(now)}});
 }
 
+const core::Ref<Target> &RequestProgress::target() const noexcept
+{
+    return m_current.target;
+}
+
 bool RequestProgress::targetRestarted() const
 {
     const auto known = m_context.targets.find(m_current.target->entry.id);
--- /dev/null
+++ b/src/relay/request_quarantine.cpp
@@ -0,0 +1,85 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: whether a relayed request is kept from targets because it ends them
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/control/crash_exchange.h"
+#include "spurlug/core/http_status.h"
+#include "spurlug/core/log.h"
+#include "spurlug/relay/request_progress.h"
+
+#include <nlohmann/json.hpp>
+
+namespace spurlug::relay
+{
+
+namespace
+{
+
+/// Trials are few for the whole fleet, so one daemon takes them: the first holder of the scheduler's role. Two daemons
+/// that disagree about that for a moment cost one more target.
+bool takesTrials(const RelayContext &context)
+{
+    const auto holders = context.roster.holders(control::Role::Scheduler, 1);
+    return !holders.empty() && holders.front().vm == context.settings.vm;
+}
+
+} // namespace
+
+std::optional<Refusal> RequestProgress::refuseQuarantined(core::Time now)
+{
+    auto &crashes = m_context.crashes;
+    if (m_isTrial || !crashes.quarantined(m_digest)) {
+        return std::nullopt;
+    }
+    m_isTrial = m_attempts == 0 && takesTrials(m_context) && crashes.takeTrial(m_digest, now);
+    if (!m_isTrial) {
+        return refuse(core::Reason::CrashesTargets);
+    }
+    m_context.metrics.count(metrics::Counter::QuarantineTrials);
+    core::log(core::LogLevel::Warning, "quarantine_trial",
+              {{"request", m_facts.id}, {"digest", core::hexText(m_digest)}, {"ends", crashes.ends(m_digest)}});
+    return std::nullopt;
+}
+
+void RequestProgress::targetEnded(const core::Ref<Target> &target, core::Time now)
+{
+    auto &crashes = m_context.crashes;
+    const bool before = crashes.quarantined(m_digest);
+    const bool counts = crashes.targetEnded(m_digest, target->hash, m_sentAt, now);
+    m_context.metrics.count(metrics::Counter::TargetsEndedUnderWork);
+    core::log(core::LogLevel::Info, "target_ended_under_work",
+              {{"request", m_facts.id},
+               {"digest", core::hexText(m_digest)},
+               {"target", target->entry.id},
+               {"afterMs", core::toMs(now - m_sentAt)},
+               {"counts", counts},
+               {"ends", crashes.ends(m_digest)}});
+    if (!before && crashes.quarantined(m_digest)) {
+        m_context.metrics.count(metrics::Counter::WorkQuarantined);
+        core::log(core::LogLevel::Warning, "work_quarantined",
+                  {{"digest", core::hexText(m_digest)}, {"ends", crashes.ends(m_digest)}, {"from", "own request"}});
+    }
+    if (m_context.crashExchange != nullptr) {
+        m_context.crashExchange->tellChanges(now);
+    }
+}
+
+void RequestProgress::noteSurvived(core::Time now)
+{
+    auto &crashes = m_context.crashes;
+    const bool before = crashes.quarantined(m_digest);
+    if (!crashes.survived(m_digest, now)) {
+        return;
+    }
+    if (before) {
+        m_context.metrics.count(metrics::Counter::QuarantinesLifted);
+        core::log(core::LogLevel::Warning, "quarantine_lifted",
+                  {{"digest", core::hexText(m_digest)}, {"ends", crashes.ends(m_digest)}, {"from", "own request"}});
+    }
+    if (m_context.crashExchange != nullptr) {
+        m_context.crashExchange->tellChanges(now);
+    }
+}
+
+} // namespace spurlug::relay
--- a/src/relay/request_repeats.cpp
+++ b/src/relay/request_repeats.cpp
@@ -33,6 +33,9 @@
 
 bool RequestProgress::takeResend(bool mayRepeat, Reason cause, core::Time now)
 {
+    if (m_context.crashes.quarantined(m_digest)) {
+        return false; // The next target would end as well.
+    }
     ResendState state;
     state.repeatable = mayRepeat;
     state.ranSomewhere = m_ranSomewhere;
