--- a/include/spurlug/net/mailbox.h
+++ b/include/spurlug/net/mailbox.h
@@ -54,7 +54,7 @@
     }
 
 private:
-    asio::steady_timer m_timer;
+    Timer m_timer;
     std::deque<Message> m_messages;
 };
 
--- a/include/spurlug/relay/crash_ledger.h
+++ b/include/spurlug/relay/crash_ledger.h
@@ -43,7 +43,8 @@
 ///
 /// A target ends with all requests that run there. What keeps innocent work out: only ends count, no broken connections
 /// (the caller makes sure of that); three of them are needed, and a request with its caller's second try sees four
-/// targets at most; and work that runs well refutes the ends known of it, and those of copies sent before.
+/// targets at most; and work that ran well refutes the ends known of it and those of some seconds after, wherever it
+/// did: what many callers ask is at all targets of a rack that is lost, and runs well a moment before.
 class CrashLedger
 {
 public:
@@ -55,6 +56,9 @@
     static constexpr auto FirstTrialAfter = absl::Seconds(60);
     /// Work is forgotten this long after the last end under it.
     static constexpr auto Memory = absl::Hours(1);
+    /// Work that ran well within this time before a target ended did not end it. Copies of popular work come more
+    /// often, and a new version of an engine that some work ends is out for longer.
+    static constexpr auto SurvivalSpan = absl::Seconds(10);
     static constexpr std::size_t MostSuspects = 256; ///< Some 50 KB.
     static constexpr std::size_t MostEnds = 16; ///< Kept of one piece of work.
 
@@ -64,15 +68,20 @@
     /// @{
 
     /// \brief Notes that a target ended while work ran there.
-    /// \param sentAt When the work was sent there.
-    /// \returns Whether that is news.
-    bool targetEnded(const core::Digest &work, std::uint32_t target, core::Time sentAt, core::Time now);
+    /// \returns Whether that is news that counts.
+    bool targetEnded(const core::Digest &work, std::uint32_t target, core::Time now);
     /// \brief Notes that work ran to an end and its target lives.
     /// \returns Whether that refuted ends.
     bool survived(const core::Digest &work, core::Time now);
+    /// \brief What came of another daemon's word.
+    struct Merged
+    {
+        bool news = false; ///< Some of it was not known.
+        bool refuted = false; ///< This daemon knows better: the work ran well here. The others should be told.
+    };
+
     /// \brief Takes what another daemon knows of one piece of work.
-    /// \returns Whether some of it is news.
-    bool merge(const CrashSuspect &told, core::Time now);
+    Merged merge(const CrashSuspect &told, core::Time now);
     /// \brief Takes the next trial of quarantined work, if it is due.
     [[nodiscard]] bool takeTrial(const core::Digest &work, core::Time now);
     /// \brief Work of which something changed since the last call.
@@ -104,8 +113,7 @@
         core::Time triedAt = absl::InfinitePast();
     };
 
-    /// When some work ran well last. Work that shares a slot with newer work is forgotten: that only costs the
-    /// protection of copies that were under way.
+    /// When some work ran well last. Work that shares a slot with newer work is forgotten: popular work is back soon.
     struct Survival
     {
         core::Digest work;
@@ -114,6 +122,8 @@
 
     [[nodiscard]] CrashSuspect &suspect(const core::Digest &work, core::Time now);
     [[nodiscard]] Survival &survival(const core::Digest &work);
+    /// Whether work is known to have run well not long before a moment, or since.
+    [[nodiscard]] bool ranWellBefore(const core::Digest &work, core::Time moment);
     void forgetOld(core::Time now);
     void makeRoom();
 
--- a/src/control/crash_exchange.cpp
+++ b/src/control/crash_exchange.cpp
@@ -99,9 +99,10 @@
 void CrashExchange::take(const CrashNews &news, core::Time now)
 {
     auto &crashes = m_context.crashes;
+    bool refuted = false;
     for (const auto &told : news.suspects) {
         const bool before = crashes.quarantined(told.work);
-        crashes.merge(suspectOf(told, now), now);
+        refuted = crashes.merge(suspectOf(told, now), now).refuted || refuted;
         const bool after = crashes.quarantined(told.work);
         if (before != after) {
             core::log(core::LogLevel::Warning, after ? "work_quarantined" : "quarantine_lifted",
@@ -109,7 +110,7 @@
             m_context.metrics.count(after ? metrics::Counter::WorkQuarantined : metrics::Counter::QuarantinesLifted);
         }
     }
-    if (isKeeper()) {
+    if (refuted || isKeeper()) {
         tellChanges(now);
     } else {
         static_cast<void>(crashes.takeChanges()); // Whoever told it tells the others.
--- a/src/net/beast_convert.h
+++ b/src/net/beast_convert.h
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "spurlug/net/http_message.h"
+#include "spurlug/net/io.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <cstdint>
 #include <functional>
@@ -93,7 +93,7 @@
         bool expired = false;
     };
 
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     std::shared_ptr<State> m_state; ///< Outlives this object in the timer's handler.
     std::function<void()> m_onExpiry;
 };
--- a/src/relay/crash_ledger.cpp
+++ b/src/relay/crash_ledger.cpp
@@ -22,8 +22,28 @@
     return std::find_if(ends.begin(), ends.end(), [target](const TargetEnd &end) { return end.target == target; });
 }
 
+/// A refuted end older than this may make room. Only newer ends take its place, so words about the same ends come to
+/// rest however many there are.
+constexpr auto RefutedMemory = absl::Minutes(1);
+
+/// \returns Whether there is room for one more end.
+bool makeRoomFor(CrashSuspect &suspect, const TargetEnd &end, core::Time now)
+{
+    if (suspect.ends.size() < CrashLedger::MostEnds) {
+        return true;
+    }
+    const auto isOld = [now](const TargetEnd &known) { return now - known.at > core::Duration(RefutedMemory); };
+    const auto old = std::find_if(suspect.ends.begin(), suspect.ends.end(),
+                                  [&](const TargetEnd &known) { return known.refuted && isOld(known); });
+    if (isOld(end) || old == suspect.ends.end()) {
+        return false;
+    }
+    suspect.ends.erase(old);
+    return true;
+}
+
 /// \returns Whether the end is news.
-bool add(CrashSuspect &suspect, const TargetEnd &end)
+bool add(CrashSuspect &suspect, const TargetEnd &end, core::Time now)
 {
     const auto known = findEnd(suspect.ends, end.target);
     if (known != suspect.ends.end()) {
@@ -31,14 +51,8 @@
         known->refuted = known->refuted || end.refuted;
         return refutes;
     }
-    if (suspect.ends.size() >= CrashLedger::MostEnds) {
-        // A refuted end that is forgotten may be told again: it stays refuted where it is told.
-        const auto refuted = std::find_if(suspect.ends.begin(), suspect.ends.end(),
-                                          [](const TargetEnd &candidate) { return candidate.refuted; });
-        if (refuted == suspect.ends.end()) {
-            return false;
-        }
-        suspect.ends.erase(refuted);
+    if (!makeRoomFor(suspect, end, now)) {
+        return false;
     }
     suspect.ends.push_back(end);
     return true;
@@ -99,13 +113,18 @@
     return m_suspects[work].suspect;
 }
 
-bool CrashLedger::targetEnded(const core::Digest &work, std::uint32_t target, core::Time sentAt, core::Time now)
+bool CrashLedger::ranWellBefore(const core::Digest &work, core::Time moment)
 {
     const auto &ran = survival(work);
-    if (ran.work == work && ran.at >= sentAt) {
-        return false; // A copy of it ran well after this one was sent.
+    return ran.work == work && moment - ran.at <= core::Duration(SurvivalSpan);
+}
+
+bool CrashLedger::targetEnded(const core::Digest &work, std::uint32_t target, core::Time now)
+{
+    if (ranWellBefore(work, now)) {
+        return false;
     }
-    const bool news = add(suspect(work, now), {target, now, false});
+    const bool news = add(suspect(work, now), {target, now, false}, now);
     if (news) {
         m_changed.insert(work);
     }
@@ -130,23 +149,23 @@
     return refuted;
 }
 
-bool CrashLedger::merge(const CrashSuspect &told, core::Time now)
+CrashLedger::Merged CrashLedger::merge(const CrashSuspect &told, core::Time now)
 {
-    bool news = false;
-    for (const auto &end : told.ends) {
+    Merged merged;
+    for (auto end : told.ends) {
         if (now - end.at > core::Duration(Memory)) {
             continue;
         }
-        const bool added = add(suspect(told.work, now), end);
-        news = news || added;
-        if (added && end.refuted) {
-            survival(told.work) = {told.work, now};
-        }
+        const bool refutes = !end.refuted && ranWellBefore(told.work, end.at);
+        end.refuted = end.refuted || refutes;
+        const bool added = add(suspect(told.work, now), end, now);
+        merged.news = merged.news || added;
+        merged.refuted = merged.refuted || (added && refutes);
     }
-    if (news) {
+    if (merged.news) {
         m_changed.insert(told.work);
     }
-    return news;
+    return merged;
 }
 
 bool CrashLedger::takeTrial(const core::Digest &work, core::Time now)
--- a/src/relay/request_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -46,7 +46,7 @@
 {
     auto &crashes = m_context.crashes;
     const bool before = crashes.quarantined(m_digest);
-    const bool counts = crashes.targetEnded(m_digest, target->hash, m_sentAt, now);
+    const bool counts = crashes.targetEnded(m_digest, target->hash, now);
     m_context.metrics.count(metrics::Counter::TargetsEndedUnderWork);
     core::log(core::LogLevel::Info, "target_ended_under_work",
               {{"request", m_facts.id},
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -157,7 +157,7 @@
         done = true;
         loop.stop();
     });
-    net::asio::steady_timer limit(loop, net::timerSpan(LongestTest));
+    net::Timer limit(loop, net::timerSpan(LongestTest));
     limit.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             loop.stop();
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -10,10 +10,12 @@
 #include "spurlug/core/reason.h"
 #include "spurlug/core/rendezvous.h"
 #include "spurlug/core/worker_pool.h"
+#include "spurlug/net/io.h"
 
 #include <absl/synchronization/notification.h>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <ctime>
 #include <set>
 
 using namespace spurlug;
@@ -125,4 +127,16 @@
     BOOST_TEST(!pool.tryRun([] {}));
 }
 
+// A VM may be suspended: its steady clock stands still, its boot clock goes on, and waits must go by that.
+BOOST_AUTO_TEST_CASE(timers_go_by_the_clock_that_counts_suspensions)
+{
+    const auto before = core::now();
+    const auto shown = absl::UnixEpoch() + absl::FromChrono(net::Timer::clock_type::now().time_since_epoch());
+    const auto after = core::now();
+    BOOST_TEST((before <= shown && shown <= after));
+    timespec boot{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    BOOST_TEST((absl::TimeFromTimespec(boot) >= after));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
