--- a/include/spurlug/core/hash.h
+++ b/include/spurlug/core/hash.h
@@ -4,7 +4,6 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <initializer_list>
@@ -26,7 +25,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    [[nodiscard]] auto operator<=>(const Digest &) const noexcept = default;
+    [[nodiscard]] bool operator==(const Digest &) const noexcept = default;
+    [[nodiscard]] bool operator<(const Digest &other) const noexcept
+    {
+        return high != other.high ? high < other.high : low < other.low;
+    }
 };
 
 /// \brief Digest of some texts in order; where one ends and the next begins counts.
