A good run refutes ends by its time, not one by one

Cause: refutations were kept with each end, and a list of ends has room for 16: a daemon that kept other ends than the witness of the good run stayed with its quarantine. Ruled out: more room (any bound has the fault); ends older than a minute making room (rest, but not the same sum). Change: what daemons share of work is the time at which it ran well last, beside the ends after it; a moment counts as later from 1 s on, so that words that come back with the delay of their way are no news.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -119,7 +119,6 @@
 {
     std::uint32_t target = 0; ///< relay::lifeHash of that life.
     core::Duration age = absl::ZeroDuration(); ///< Since it ended.
-    bool refuted = false; ///< The work ran well elsewhere afterwards.
 };
 
 /// \brief A piece of work and the ends of targets under it.
@@ -127,6 +126,7 @@
 {
     core::Digest work;
     std::vector<EndNews> ends;
+    core::Duration ranWellAge = absl::InfiniteDuration(); ///< Since it ran to an end and its target lived.
 };
 
 /// \brief What a daemon knows of work that ends its targets.
--- a/include/spurlug/relay/crash_ledger.h
+++ b/include/spurlug/relay/crash_ledger.h
@@ -21,17 +21,16 @@
 {
     std::uint32_t target = 0; ///< lifeHash of that life.
     core::Time at;
-    bool refuted = false; ///< The same work ran well elsewhere afterwards: this end does not count.
 };
 
 /// \brief A piece of work and the targets that ended under it.
 struct CrashSuspect
 {
     core::Digest work; ///< As RequestProgress::digest.
-    std::vector<TargetEnd> ends;
+    std::vector<TargetEnd> ends{}; ///< Those that count: not refuted by `ranWellAt`.
+    core::Time ranWellAt = absl::InfinitePast(); ///< When it ran to an end last and its target lived.
+    std::size_t mostEnds = 0; ///< Most ends that this daemon ever knew of at once.
 
-    /// \brief Ends that are not refuted.
-    [[nodiscard]] std::size_t counted() const noexcept;
     [[nodiscard]] core::Time lastEndAt() const noexcept;
 };
 
@@ -39,7 +38,8 @@
 ///
 /// A request that crashes its target takes everything with it that runs there, and its caller sends it again under
 /// another id, to any daemon. So work is told apart by its content, and what daemons know is a set of facts, which life
-/// ended under which work: words between them may come twice, late or in any order, and the sum is the same.
+/// ended under which work, and when the work last ran well: words between them may come twice, late or in any order,
+/// and the sum is the same.
 ///
 /// A target ends with all requests that run there. What keeps innocent work out: only ends count, no broken connections
 /// (the caller makes sure of that); three of them are needed, and a request with its caller's second try sees four
@@ -60,7 +60,7 @@
     /// often, and a new version of an engine that some work ends is out for longer.
     static constexpr auto SurvivalSpan = absl::Seconds(10);
     static constexpr std::size_t MostSuspects = 256; ///< Some 50 KB.
-    static constexpr std::size_t MostEnds = 16; ///< Kept of one piece of work.
+    static constexpr std::size_t MostEnds = 16; ///< Kept of one piece of work; further ones change nothing.
 
     CrashLedger();
 
@@ -77,7 +77,7 @@
     struct Merged
     {
         bool news = false; ///< Some of it was not known.
-        bool refuted = false; ///< This daemon knows better: the work ran well here. The others should be told.
+        bool refuted = false; ///< This daemon knows better: the work ran well here. The others must be told.
     };
 
     /// \brief Takes what another daemon knows of one piece of work.
@@ -121,9 +121,8 @@
     };
 
     [[nodiscard]] CrashSuspect &suspect(const core::Digest &work, core::Time now);
-    [[nodiscard]] Survival &survival(const core::Digest &work);
-    /// Whether work is known to have run well not long before a moment, or since.
-    [[nodiscard]] bool ranWellBefore(const core::Digest &work, core::Time moment);
+    /// When work ran well here last.
+    [[nodiscard]] core::Time ranWellHere(const core::Digest &work) const;
     void forgetOld(core::Time now);
     void makeRoom();
 
--- a/src/control/crash_exchange.cpp
+++ b/src/control/crash_exchange.cpp
@@ -25,15 +25,16 @@
 
 bool concernsAll(const relay::CrashSuspect &suspect)
 {
-    return suspect.ends.size() >= EndsToTellAll; // Refuted ends too: a quarantine may have to be lifted.
+    return suspect.mostEnds >= EndsToTellAll; // Also once it ran well: a quarantine may have to be lifted.
 }
 
 SuspectNews newsOf(const relay::CrashSuspect &suspect, core::Time now)
 {
     SuspectNews news;
     news.work = suspect.work;
+    news.ranWellAge = now - suspect.ranWellAt;
     for (const auto &end : suspect.ends) {
-        news.ends.push_back({end.target, now - end.at, end.refuted});
+        news.ends.push_back({end.target, now - end.at});
     }
     return news;
 }
@@ -42,8 +43,9 @@
 {
     relay::CrashSuspect suspect;
     suspect.work = news.work;
+    suspect.ranWellAt = now - news.ranWellAge;
     for (const auto &end : news.ends) {
-        suspect.ends.push_back({end.target, now - end.age, end.refuted});
+        suspect.ends.push_back({end.target, now - end.age});
     }
     return suspect;
 }
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -213,8 +213,8 @@
             auto &endOut = *suspectOut.add_ends();
             endOut.set_target(end.target);
             endOut.set_age_ms(ms32(end.age));
-            endOut.set_refuted(end.refuted);
         }
+        suspectOut.set_ran_well_ms(ms32(suspect.ranWellAge));
     }
 }
 
@@ -225,8 +225,9 @@
         SuspectNews suspect;
         suspect.work = {suspectIn.work_high(), suspectIn.work_low()};
         for (const auto &endIn : suspectIn.ends()) {
-            suspect.ends.push_back({endIn.target(), spanOf(endIn.age_ms()), endIn.refuted()});
+            suspect.ends.push_back({endIn.target(), spanOf(endIn.age_ms())});
         }
+        suspect.ranWellAge = spanOf(suspectIn.ran_well_ms());
         news.suspects.push_back(std::move(suspect));
     }
     return news;
--- a/src/relay/crash_ledger.cpp
+++ b/src/relay/crash_ledger.cpp
@@ -17,55 +17,38 @@
 constexpr std::size_t SurvivalSlots = 4096;
 constexpr std::size_t MostDoublings = 6; // Of the pause before a trial: up to the hour after which work is forgotten.
 
-std::vector<TargetEnd>::iterator findEnd(std::vector<TargetEnd> &ends, std::uint32_t target)
-{
-    return std::find_if(ends.begin(), ends.end(), [target](const TargetEnd &end) { return end.target == target; });
-}
-
-/// A refuted end older than this may make room. Only newer ends take its place, so words about the same ends come to
-/// rest however many there are.
-constexpr auto RefutedMemory = absl::Minutes(1);
+/// A word takes some ms, and each daemon that passes it on makes its moment later by as much. So only what is later by
+/// more than this is news: else two daemons would tell each other of ever later moments.
+constexpr auto WordDelay = absl::Seconds(1);
 
-/// \returns Whether there is room for one more end.
-bool makeRoomFor(CrashSuspect &suspect, const TargetEnd &end, core::Time now)
+bool counts(const TargetEnd &end, core::Time ranWellAt)
 {
-    if (suspect.ends.size() < CrashLedger::MostEnds) {
-        return true;
-    }
-    const auto isOld = [now](const TargetEnd &known) { return now - known.at > core::Duration(RefutedMemory); };
-    const auto old = std::find_if(suspect.ends.begin(), suspect.ends.end(),
-                                  [&](const TargetEnd &known) { return known.refuted && isOld(known); });
-    if (isOld(end) || old == suspect.ends.end()) {
-        return false;
-    }
-    suspect.ends.erase(old);
-    return true;
+    return end.at > ranWellAt + core::Duration(CrashLedger::SurvivalSpan);
 }
 
 /// \returns Whether the end is news.
-bool add(CrashSuspect &suspect, const TargetEnd &end, core::Time now)
+bool add(CrashSuspect &suspect, const TargetEnd &end)
 {
-    const auto known = findEnd(suspect.ends, end.target);
-    if (known != suspect.ends.end()) {
-        const bool refutes = end.refuted && !known->refuted;
-        known->refuted = known->refuted || end.refuted;
-        return refutes;
-    }
-    if (!makeRoomFor(suspect, end, now)) {
+    const bool known = std::any_of(suspect.ends.begin(), suspect.ends.end(),
+                                   [&end](const TargetEnd &other) { return other.target == end.target; });
+    if (known || !counts(end, suspect.ranWellAt) || suspect.ends.size() >= CrashLedger::MostEnds) {
         return false;
     }
     suspect.ends.push_back(end);
+    suspect.mostEnds = std::max(suspect.mostEnds, suspect.ends.size());
     return true;
 }
 
-} // namespace
-
-std::size_t CrashSuspect::counted() const noexcept
+/// Takes the ends out that do not count any more.
+/// \returns Whether there were any.
+bool refute(CrashSuspect &suspect, core::Time ranWellAt)
 {
-    return static_cast<std::size_t>(
-        std::count_if(ends.begin(), ends.end(), [](const TargetEnd &end) { return !end.refuted; }));
+    suspect.ranWellAt = std::max(suspect.ranWellAt, ranWellAt);
+    return std::erase_if(suspect.ends, [&](const TargetEnd &end) { return !counts(end, suspect.ranWellAt); }) > 0;
 }
 
+} // namespace
+
 core::Time CrashSuspect::lastEndAt() const noexcept
 {
     core::Time last = absl::InfinitePast();
@@ -79,21 +62,24 @@
     : m_survivals(SurvivalSlots)
 { }
 
-CrashLedger::Survival &CrashLedger::survival(const core::Digest &work)
+core::Time CrashLedger::ranWellHere(const core::Digest &work) const
 {
-    return m_survivals[work.low % m_survivals.size()];
+    const auto &ran = m_survivals[work.low % m_survivals.size()];
+    return ran.work == work ? ran.at : absl::InfinitePast();
 }
 
 void CrashLedger::forgetOld(core::Time now)
 {
-    std::erase_if(m_suspects,
-                  [now](const auto &item) { return now - item.second.suspect.lastEndAt() > core::Duration(Memory); });
+    std::erase_if(m_suspects, [now](const auto &item) {
+        const auto &suspect = item.second.suspect;
+        return now - std::max(suspect.lastEndAt(), suspect.ranWellAt) > core::Duration(Memory);
+    });
 }
 
 void CrashLedger::makeRoom()
 {
     const auto weight
-        = [](const auto &item) { return std::pair(item.second.suspect.counted(), item.second.suspect.lastEndAt()); };
+        = [](const auto &item) { return std::pair(item.second.suspect.ends.size(), item.second.suspect.lastEndAt()); };
     const auto least = std::min_element(m_suspects.begin(), m_suspects.end(), [&](const auto &left, const auto &right) {
         return weight(left) < weight(right);
     });
@@ -113,18 +99,13 @@
     return m_suspects[work].suspect;
 }
 
-bool CrashLedger::ranWellBefore(const core::Digest &work, core::Time moment)
-{
-    const auto &ran = survival(work);
-    return ran.work == work && moment - ran.at <= core::Duration(SurvivalSpan);
-}
-
 bool CrashLedger::targetEnded(const core::Digest &work, std::uint32_t target, core::Time now)
 {
-    if (ranWellBefore(work, now)) {
+    const TargetEnd end{target, now};
+    if (!counts(end, ranWellHere(work))) {
         return false;
     }
-    const bool news = add(suspect(work, now), {target, now, false}, now);
+    const bool news = add(suspect(work, now), end);
     if (news) {
         m_changed.insert(work);
     }
@@ -133,16 +114,9 @@
 
 bool CrashLedger::survived(const core::Digest &work, core::Time now)
 {
-    survival(work) = {work, now};
+    m_survivals[work.low % m_survivals.size()] = {work, now};
     const auto known = m_suspects.find(work);
-    if (known == m_suspects.end()) {
-        return false;
-    }
-    bool refuted = false;
-    for (auto &end : known->second.suspect.ends) {
-        refuted = refuted || !end.refuted;
-        end.refuted = true;
-    }
+    const bool refuted = known != m_suspects.end() && refute(known->second.suspect, now);
     if (refuted) {
         m_changed.insert(work);
     }
@@ -152,19 +126,27 @@
 CrashLedger::Merged CrashLedger::merge(const CrashSuspect &told, core::Time now)
 {
     Merged merged;
-    for (auto end : told.ends) {
+    auto &known = suspect(told.work, now);
+    if (told.ranWellAt > known.ranWellAt + core::Duration(WordDelay)) {
+        refute(known, told.ranWellAt);
+        merged.news = true;
+    }
+    const auto ranHere = ranWellHere(told.work);
+    for (const auto &end : told.ends) {
         if (now - end.at > core::Duration(Memory)) {
             continue;
         }
-        const bool refutes = !end.refuted && ranWellBefore(told.work, end.at);
-        end.refuted = end.refuted || refutes;
-        const bool added = add(suspect(told.work, now), end, now);
+        if (counts(end, known.ranWellAt) && !counts(end, ranHere)) {
+            merged.refuted = true;
+            refute(known, ranHere);
+        }
+        const bool added = add(known, end);
         merged.news = merged.news || added;
-        merged.refuted = merged.refuted || (added && refutes);
     }
-    if (merged.news) {
+    if (merged.news || merged.refuted) {
         m_changed.insert(told.work);
     }
+    known.mostEnds = std::max(known.mostEnds, told.ends.size());
     return merged;
 }
 
@@ -175,7 +157,7 @@
         return false;
     }
     auto &[suspect, triedAt] = known->second;
-    const auto further = std::max(suspect.counted(), EndsToQuarantine) - EndsToQuarantine;
+    const auto further = std::max(suspect.ends.size(), EndsToQuarantine) - EndsToQuarantine;
     const auto pause = core::Duration(FirstTrialAfter) * (1 << std::min(further, MostDoublings));
     if (now < std::max(suspect.lastEndAt(), triedAt) + pause) {
         return false;
@@ -205,7 +187,7 @@
 std::size_t CrashLedger::ends(const core::Digest &work) const
 {
     const auto known = m_suspects.find(work);
-    return known == m_suspects.end() ? 0 : known->second.suspect.counted();
+    return known == m_suspects.end() ? 0 : known->second.suspect.ends.size();
 }
 
 std::vector<CrashSuspect> CrashLedger::recent(core::Duration span, std::size_t most, std::uint64_t pick,
@@ -213,9 +195,10 @@
 {
     std::vector<CrashSuspect> found;
     for (const auto &[work, known] : m_suspects) {
-        const bool isRecent = now - known.suspect.lastEndAt() <= span;
-        if (isRecent || known.suspect.counted() >= EndsToQuarantine) {
-            found.push_back(known.suspect);
+        const auto &suspect = known.suspect;
+        const bool isRecent = now - std::max(suspect.lastEndAt(), suspect.ranWellAt) <= span;
+        if (isRecent || suspect.ends.size() >= EndsToQuarantine) {
+            found.push_back(suspect);
         }
     }
     if (found.size() > most) {
