Sight: an answer that says that its target leaves, or asks for rest, is told by a line and a counter

Cause: no log told that a target had said so, so the hypotheses of the incident could not be told apart by a record. Ruled out: lines on every answer (most say nothing). Change: the adapter reads the header of leaving, and Retry-After as seconds or as a date (counted from the answer's own date: clocks of two machines are never compared); lines target_says_leaving, target_asks_for_rest, rest_unreadable with counters. Nothing acts on them yet. Only an answer to this request by the target that it was sent to counts.

--- a/include/spurlug/relay/request_facts.h
+++ b/include/spurlug/relay/request_facts.h
@@ -73,7 +73,9 @@
     bool isEventStream = false;
     bool encoded = false; ///< The body is not in the form the caller asked for.
     std::optional<core::Address> faultAt; ///< The helper that was at fault.
-    core::Duration retryAfter = absl::ZeroDuration();
+    bool leaving = false; ///< The target ends soon.
+    std::optional<core::Duration> retryAfter; ///< Time in which it wants nothing from this daemon; nothing: not told.
+    bool retryAfterUnreadable = false; ///< It told a time that is none.
 };
 
 /// \brief Why a request is answered by the relay itself.
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -40,6 +40,9 @@
     const auto answer = m_dialect.readAnswer(head);
     const auto verdict = judgeAnswer(answer, m_progress.facts().id);
     const auto now = core::now();
+    if (isOwnAnswer(answer, m_progress.facts().id)) {
+        takeTargetWord(m_context, *m_progress.target(), answer, m_progress.facts().id);
+    }
     if (answer.faultAt) {
         if (const auto helper = m_progress.helperAt(*answer.faultAt)) {
             m_progress.helpRefused(helper, now);
--- /dev/null
+++ b/include/spurlug/relay/target_word.h
@@ -0,0 +1,25 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what targets say of themselves beside their answers
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/core/time.h"
+#include "spurlug/relay/context.h"
+#include "spurlug/relay/request_facts.h"
+#include "spurlug/relay/target_set.h"
+
+#include <string_view>
+
+namespace spurlug::relay
+{
+
+/// \brief Whether an answer turns work away for a time that the target tells.
+[[nodiscard]] bool asksForRest(const AnswerFacts &answer) noexcept;
+
+/// \brief Takes what the head of an answer says of its target. The caller has checked that the answer is the target's
+/// own: not one to another request, and not one of whoever has the address now.
+/// \param request Id of the request or the reservation that it answers, for the log.
+void takeTargetWord(RelayContext &context, const Target &target, const AnswerFacts &answer, std::string_view request);
+
+} // namespace spurlug::relay
--- a/include/spurlug/relay/verdict.h
+++ b/include/spurlug/relay/verdict.h
@@ -25,6 +25,10 @@
     std::optional<TargetFault> fault; ///< What the target did wrong.
 };
 
+/// \brief Whether an answer is to this request and of the target that it was sent to: only then does it say something
+/// of that target.
+[[nodiscard]] bool isOwnAnswer(const AnswerFacts &answer, const std::string &requestId) noexcept;
+
 /// \brief Judges the head of an answer.
 [[nodiscard]] Verdict judgeAnswer(const AnswerFacts &answer, const std::string &requestId);
 
--- a/src/relay/verdict.cpp
+++ b/src/relay/verdict.cpp
@@ -28,6 +28,11 @@
 
 } // namespace
 
+bool isOwnAnswer(const AnswerFacts &answer, const std::string &requestId) noexcept
+{
+    return answer.requestId == requestId && !answer.wrongTarget;
+}
+
 Verdict judgeAnswer(const AnswerFacts &answer, const std::string &requestId)
 {
     if (answer.requestId != requestId) {
