--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -58,6 +58,11 @@
     return m_ran;
 }
 
+const std::vector<Arrival> &FakeTarget::arrivals() const noexcept
+{
+    return m_arrivals;
+}
+
 int FakeTarget::abandoned() const noexcept
 {
     return m_abandoned;
@@ -114,6 +119,13 @@
     return plain(200, R"({"free":100000})");
 }
 
+void FakeTarget::sayLeaving(net::ResponseHead &head) const
+{
+    if (leaving) {
+        head.headers.add("Server-Leaving", "1");
+    }
+}
+
 net::ResponseHead FakeTarget::head(const net::Request &request, const Behaviour &how) const
 {
     net::ResponseHead head;
@@ -129,6 +141,7 @@
     if (how.events > 0) {
         head.headers.add("Content-Type", "text/event-stream");
     }
+    sayLeaving(head);
     return head;
 }
 
@@ -167,8 +180,11 @@
 
 net::Task<bool> FakeTarget::answer(core::Ref<net::ServerConnection> connection, net::Request request)
 {
+    m_arrivals.push_back({core::now(), std::string(request.headers.value("Sent-To")), request.target});
     if (request.target == "/v1/order") {
-        const bool written = co_await connection->write(order(request), true, soon());
+        auto ordered = order(request);
+        sayLeaving(ordered.head);
+        const bool written = co_await connection->write(std::move(ordered), true, soon());
         co_return written;
     }
     if (request.headers.value("Target-Instance") != m_id) {
@@ -186,6 +202,10 @@
         auto shed = plain(503, "");
         shed.head.headers.add("Attempt-Id", request.headers.value("Attempt-Id"));
         shed.head.headers.add("Not-Executed", "1");
+        if (!how.retryAfter.empty()) {
+            shed.head.headers.add("Retry-After", how.retryAfter);
+        }
+        sayLeaving(shed.head);
         const bool written = co_await connection->write(std::move(shed), true, soon());
         co_return written;
     }
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -47,6 +47,15 @@
     int breakAfter = -1; ///< Resets the connection inside the event after this many of them.
     int skipAt = -1; ///< Leaves this event out.
     bool unframed = false; ///< The body ends with the connection.
+    std::string retryAfter; ///< Of a 503, as it stands in the answer; empty: not told.
+};
+
+/// \brief A request that reached a target, run or not.
+struct Arrival
+{
+    core::Time at;
+    std::string daemon; ///< As the caller named it in `Sent-To`.
+    std::string path;
 };
 
 /// \brief One process of a service: records what it ran and follows a script.
@@ -57,7 +66,7 @@
 
     Behaviour behaviour;
     std::vector<Behaviour> script; ///< For the next requests, before `behaviour`.
-    bool draining = false;
+    bool leaving = false; ///< It says in all its answers that it ends soon.
     std::string crashesOn; ///< Body of a request that ends the process once it runs; empty: none does.
     core::Duration crashAfter = absl::Milliseconds(10); ///< From the begin of such a run.
 
@@ -65,6 +74,8 @@
     [[nodiscard]] const core::Address &address() const noexcept;
     /// \brief Requests that were begun.
     [[nodiscard]] const std::vector<net::Request> &ran() const noexcept;
+    /// \brief All that reached it, orders included; health checks there are none.
+    [[nodiscard]] const std::vector<Arrival> &arrivals() const noexcept;
     /// \brief Requests whose connection ended before their answer did.
     [[nodiscard]] int abandoned() const noexcept;
     /// \brief Reservations that are held, tokens by id.
@@ -81,12 +92,14 @@
     [[nodiscard]] net::Task<bool> stream(core::Ref<net::ServerConnection> connection, const net::Request &request,
                                          const Behaviour &how);
     [[nodiscard]] net::Response order(const net::Request &request);
+    void sayLeaving(net::ResponseHead &head) const;
     [[nodiscard]] net::ResponseHead head(const net::Request &request, const Behaviour &how) const;
 
     net::Loop &m_loop;
     const std::string m_id;
     net::Listener m_listener;
     std::vector<net::Request> m_ran;
+    std::vector<Arrival> m_arrivals;
     int m_abandoned = 0;
     bool m_crashed = false;
     std::set<core::Ref<net::ServerConnection>> m_connections; ///< Those that are open.
