A target that says in an answer that it leaves gets nothing more, from the daemon that heard it or from others

Seen by callers: requests went to a target up to 5.8 s after its answers had said that it leaves, while the store was away; what is still there when it ends is cut. Cause: a target's leaving was read from the store's list alone. The class: a belief is filled from one source, and what the target itself says on the path of requests is dropped. Ruled out: that it was heard and lost again, or heard by one daemon only (no line, no counter, no daemon that behaved differently). Change: one state of one life of a target, set by its entry, by its own answers (any status; answers to orders too, not 421 and not one to another request), by heartbeats and reports of peers. Nothing takes it back in that life: lists that say ready may be old, an entry that lapsed may be written again, so a leaving life is remembered ten minutes instead of 30 s after its entry went. It binds at the write: the target is looked at again once there is a connection. Peers are told only while the entry does not say it, in heartbeats that go anyway. Why it holds: every choice, of a daemon or a scheduler, goes by listed(), and listed() by that state.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -37,6 +37,7 @@
     std::uint64_t newestGrant = 0; ///< Grants up to this one are part of `work`, or were not used.
     std::vector<targets::TargetWork> work;
     std::vector<std::uint32_t> unreachable; ///< Targets that do not answer the sender.
+    std::vector<std::uint32_t> leaving; ///< Targets that leave though their entries do not say so.
     std::vector<TargetOutcome> outcomes; ///< Since the last report.
     bool wantsWord = false; ///< Whether the scheduler should say that it lives.
 };
--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -27,6 +27,7 @@
     std::vector<DomainSummary> summaries;
     std::vector<targets::TargetWork> work; ///< Of the sender itself.
     std::vector<std::uint32_t> unreachable; ///< targets::targetHash of targets that do not answer the sender.
+    std::vector<std::uint32_t> leaving; ///< Targets that leave though their entries do not say so, by relay::lifeHash.
     std::vector<core::Address> knownPeers; ///< Of some daemons that the sender hears.
     std::size_t largestDomain = 0; ///< Most daemons of its own failure domain that the sender ever knew of at once.
 };
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -9,6 +9,7 @@
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
 
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -33,6 +34,7 @@
 enum class AttemptStage
 {
     NotSent, ///< No connection: the target has seen nothing of the request.
+    Withheld, ///< Nothing was written: while it connected it came out that the target must get nothing more.
     Sent, ///< The connection failed after that.
     Answered, ///< The whole answer arrived.
 };
@@ -76,15 +78,20 @@
     /// \param number Counted from 1 within a request; events carry it.
     Attempt(net::Loop &loop, core::Ref<RequestInbox> inbox, int number);
 
+    /// \brief Whether the request may still be written.
+    using MayWrite = std::function<bool()>;
+
     /// \brief Begins. The attempt keeps itself alive until it ends.
-    void start(const core::Address &target, net::Request message, core::Duration connectTimeout, core::Time deadline);
+    /// \param mayWrite Asked once there is a connection.
+    void start(const core::Address &target, net::Request message, core::Duration connectTimeout, core::Time deadline,
+               MayWrite mayWrite);
 
     /// \brief Gives the attempt up: its connection ends, so that the target stops working on it.
     void abort();
 
 private:
     [[nodiscard]] net::Task<> run(core::Address target, net::Request message, core::Duration connectTimeout,
-                                  core::Time deadline);
+                                  core::Time deadline, MayWrite mayWrite);
     void end(AttemptStage stage, std::string detail);
 
     net::Loop &m_loop;
--- a/include/spurlug/relay/peer_link.h
+++ b/include/spurlug/relay/peer_link.h
@@ -59,6 +59,7 @@
     void refreshRoster(core::Time now);
     [[nodiscard]] membership::DaemonState state(core::Time now) const;
     [[nodiscard]] membership::Heartbeat compose(core::Time now);
+    [[nodiscard]] std::size_t mostLeavingTold() const;
     [[nodiscard]] std::string introduction(core::Time now);
     [[nodiscard]] core::Duration interval(core::Time now) const;
 
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -54,6 +54,9 @@
     /// \brief Notes that an attempt ended.
     void endAttempt(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
                     const std::string &detail, core::Time now);
+    /// \brief Notes that the attempt ended before anything was written.
+    /// \param reason Why the target must get nothing.
+    void withhold(core::Reason reason, core::Time now);
     /// \brief Notes that an engine did not help the target. One that leaves, is full or cannot be reached is named at
     /// once: it is not asked for help for a while, and may answer requests of its own well. One that was waited for in
     /// vain is left out.
@@ -101,6 +104,8 @@
     /// \brief Whether a request that no target takes should be refused now rather than wait on. Only time without a
     /// target counts: what was lost to one that did not take the connection says nothing of the others.
     [[nodiscard]] bool waitedEnough(core::Time now) const noexcept;
+    /// \brief Why nothing may be written to a target now; nothing: it may.
+    [[nodiscard]] static std::optional<core::Reason> unwantedAt(const Target &target, core::Time now) noexcept;
     /// \brief Whether the target said something to any request not long ago: it is slow then, not gone.
     [[nodiscard]] bool targetLives(core::Time now) const noexcept;
     /// \brief Whether the target started again since the request went to it: what it had of the request is gone.
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -136,6 +136,12 @@
         co_return afterFailure(core::Outcome::NotRun, core::Reason::ConnectFailed, TargetFault::Unreachable,
                                end.detail);
     }
+    if (end.stage == AttemptStage::Withheld) {
+        const auto now = core::now();
+        m_failure = m_progress.unwantedAt(*m_progress.target(), now).value_or(core::Reason::TargetLeaving);
+        m_progress.withhold(m_failure, now);
+        co_return Next::SendAgain; // It was sent nowhere, so this is no repeat.
+    }
     if (end.stage == AttemptStage::Sent) {
         co_await checkForEnd(m_progress.target());
         const auto reason = m_headPassed ? core::Reason::StreamCut : core::Reason::TargetFailed;
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -125,6 +125,11 @@
         m_failure = refusal->reason;
         co_return Next::Fail;
     }
+    // So may what its target wants: memory at other engines takes time to be set aside.
+    if (const auto unwanted = m_progress.unwantedAt(*chosen.target, core::now())) {
+        m_failure = *unwanted;
+        co_return Next::SendAgain;
+    }
     send(chosen);
     co_return co_await follow(chosen);
 }
@@ -181,9 +186,12 @@
     for (std::size_t i = 0; i < chosen.holdingTokens.size(); ++i) {
         const auto id
             = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-", ++m_context.reservations);
+        auto hear
+            = [&context = m_context, &dialect = m_dialect, helper = chosen.helpers[i],
+               id](const net::ResponseHead &head) { takeTargetWord(context, *helper, dialect.readAnswer(head), id); };
         auto reservation = core::makeCounted<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
                                                           m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold),
-                                                          m_dialect.releaseOrder(id), hold);
+                                                          m_dialect.releaseOrder(id), hold, std::move(hear));
         const bool granted = co_await reservation->acquire(m_progress.deadline());
         if (!granted) {
             m_failure = core::Reason::ReservationRefused;
@@ -229,8 +237,10 @@
         facts.priority = m_progress.enginePriority();
     }
     m_attempt = core::makeCounted<Attempt>(m_context.loop, m_inbox, m_progress.attempts());
+    // What a target says binds from the moment of the write, not from the choice.
+    auto mayWrite = [target = chosen.target] { return !RequestProgress::unwantedAt(*target, core::now()); };
     m_attempt->start(chosen.target->entry.address, m_dialect.attemptRequest(m_request, facts), detail::ConnectTimeout,
-                     m_progress.deadline());
+                     m_progress.deadline(), std::move(mayWrite));
 }
 
 template<Dialect D>
--- a/include/spurlug/relay/reservation.h
+++ b/include/spurlug/relay/reservation.h
@@ -10,6 +10,8 @@
 #include "spurlug/net/http_message.h"
 #include "spurlug/net/io.h"
 
+#include <functional>
+#include <optional>
 #include <string>
 
 namespace spurlug::relay
@@ -19,9 +21,13 @@
 class Reservation : public core::Counted<Reservation>
 {
 public:
+    /// \brief Takes the head of an answer to an order.
+    using Hear = std::function<void(const net::ResponseHead &)>;
+
     /// \param hold How long the engine keeps the memory after each reserve order.
+    /// \param hear Outlives the request: the last answer comes after its end.
     Reservation(net::Loop &loop, core::Address engine, std::string id, net::Request reserve, net::Request release,
-                core::Duration hold);
+                core::Duration hold, Hear hear);
 
     /// \brief Asks the engine for the memory and, when it is granted, keeps it.
     /// \returns Whether it was granted. When not, or when the answer is lost, it is released.
@@ -33,6 +39,8 @@
     [[nodiscard]] const std::string &id() const noexcept;
 
 private:
+    [[nodiscard]] net::Task<std::optional<net::Response>> order(net::Request order, core::Time until,
+                                                                std::string &problem);
     [[nodiscard]] net::Task<> keep();
     [[nodiscard]] net::Task<> giveBack();
 
@@ -42,6 +50,7 @@
     const net::Request m_reserve;
     const net::Request m_release;
     const core::Duration m_hold;
+    const Hear m_hear;
     bool m_released = false;
 };
 
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -30,7 +30,7 @@
     core::Address address;
     std::string failureDomain;
     int slots = 1; ///< Requests that run at once.
-    bool draining = false; ///< It will end soon and must get nothing new.
+    bool draining = false; ///< Whether the entry says that it leaves: it ends soon and must get nothing new.
     std::int64_t startMs = 0; ///< Of this life, as TargetLife::startMs.
 
     [[nodiscard]] TargetLife life() const
@@ -143,6 +143,13 @@
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
 
+    /// \brief Whether it leaves: its entry, an answer of its own or a peer said so. Holds for the rest of this life,
+    /// whatever entries say later: one that lapsed may be written again, and lists may be old.
+    [[nodiscard]] bool leaving() const noexcept
+    {
+        return m_leaving;
+    }
+
     /// \brief Work of this daemon here.
     [[nodiscard]] Outstanding own(core::Time now) const noexcept;
 
@@ -158,17 +165,19 @@
     /// \brief Whether it may get new work, as far as the directory goes.
     [[nodiscard]] bool listed(core::Time now) const noexcept
     {
-        return !entry.draining && fault.empty() && now < dropAt;
+        return !m_leaving && fault.empty() && now < dropAt;
     }
 
 private:
     friend class Share;
     friend class PeerShare;
+    friend class TargetSet;
     using Shares = boost::intrusive::list<Share, boost::intrusive::constant_time_size<false>>;
     using PeerShares = boost::intrusive::list<PeerShare, boost::intrusive::constant_time_size<false>>;
 
     Shares m_shares;
     PeerShares m_peerShares;
+    bool m_leaving = false;
 };
 
 /// \brief What an entry was to the set of targets.
@@ -189,8 +198,14 @@
     /// \name Commands
     /// @{
 
-    /// \brief Adds a target or takes what is new of it. One that was draining stays so for the rest of its life.
+    /// \brief Adds a target or takes what is new of it.
     EntryNews put(const TargetEntry &entry);
+    /// \brief Notes that a target said that it leaves.
+    /// \returns Whether that was not known.
+    bool noteLeaving(Target &target);
+    /// \brief Notes that peers were told so of these lives.
+    /// \returns Targets of which it was not known, for the log.
+    Targets noteLeaving(const std::vector<std::uint32_t> &hashes);
     /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
     void drop(const std::string &id, core::Time dropAt);
     /// \brief Notes that a target's newest entry cannot be used: it gets nothing before it has a good one again.
@@ -221,6 +236,8 @@
     [[nodiscard]] core::Ref<Target> at(const core::Address &address, core::Time now) const;
     /// \brief Work of this daemon at each target where it has some.
     [[nodiscard]] std::vector<TargetWork> ownWork(core::Time now) const;
+    /// \brief Hashes of targets that leave and whose entries do not say so yet: those that peers may not know of.
+    [[nodiscard]] std::vector<std::uint32_t> leavingUnlisted() const;
     /// \brief Hashes of targets that do not answer this daemon.
     [[nodiscard]] std::vector<std::uint32_t> unreachable(core::Time now) const;
     [[nodiscard]] const std::unordered_map<std::string, core::Ref<Target>> &all() const noexcept;
@@ -228,8 +245,11 @@
     /// @}
 
 private:
+    void noteLeavingEntry(Target &target);
+
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
+    Targets m_leaving; ///< Targets that leave, until they are forgotten or start again.
     /// What each peer said last. Holds the targets themselves: one that is forgotten and comes back begins at nothing.
     std::unordered_map<std::string, std::vector<std::unique_ptr<PeerShare>>> m_peerWorks;
 };
--- a/include/spurlug/relay/target_word.h
+++ b/include/spurlug/relay/target_word.h
@@ -9,7 +9,10 @@
 #include "spurlug/relay/request_facts.h"
 #include "spurlug/relay/target_set.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace spurlug::relay
 {
@@ -20,6 +23,14 @@
 /// \brief Takes what the head of an answer says of its target. The caller has checked that the answer is the target's
 /// own: not one to another request, and not one of whoever has the address now.
 /// \param request Id of the request or the reservation that it answers, for the log.
-void takeTargetWord(RelayContext &context, const Target &target, const AnswerFacts &answer, std::string_view request);
+void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request);
+
+/// \brief Takes a peer's word of targets that leave.
+/// \param leaving Hashes of their lives.
+void takeLeavingNews(RelayContext &context, const std::vector<std::uint32_t> &leaving, std::string_view peer);
+
+/// \brief Targets of which peers should be told that they leave: their entries do not say so yet.
+/// \returns `most` of them at most, drawn anew each time.
+[[nodiscard]] std::vector<std::uint32_t> leavingNews(RelayContext &context, std::size_t most);
 
 } // namespace spurlug::relay
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -55,6 +55,7 @@
         membership::writeWork(work, *out.add_work());
     }
     writeAll(report.unreachable, *out.mutable_unreachable());
+    writeAll(report.leaving, *out.mutable_leaving());
     for (const auto &outcome : report.outcomes) {
         auto &outcomeOut = *out.add_outcomes();
         outcomeOut.set_target(outcome.target);
@@ -75,6 +76,7 @@
         report.work.push_back(membership::readWork(work));
     }
     report.unreachable.assign(in.unreachable().begin(), in.unreachable().end());
+    report.leaving.assign(in.leaving().begin(), in.leaving().end());
     const auto last = static_cast<std::uint32_t>(relay::TargetFault::Busy);
     for (const auto &outcomeIn : in.outcomes()) {
         TargetOutcome outcome;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
+#include "spurlug/relay/target_word.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -72,6 +73,7 @@
         core::log(core::LogLevel::Info, "target_reported",
                   {{"target", target->entry.id}, {"by", report.vm}, {"reported", report.unreachable.size()}});
     }
+    relay::takeLeavingNews(m_context, report.leaving, report.vm);
     for (const auto &outcome : report.outcomes) {
         takeOutcome(outcome, report.vm, now);
     }
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/control/scheduler_client.h"
 
 #include "spurlug/core/log.h"
+#include "spurlug/relay/target_word.h"
 
 #include <absl/time/clock.h>
 #include <algorithm>
@@ -38,6 +39,8 @@
 constexpr auto ShortestChangePause = absl::Milliseconds(2);
 constexpr std::size_t MostOutcomes = 64; ///< In one report.
 constexpr std::size_t MostExcluded = 32; ///< Targets that an ask names.
+/// Targets that a report names as leaving; a release takes a few at a time, and their entries follow within a second.
+constexpr std::size_t MostLeavingTold = 32;
 
 std::vector<std::uint32_t> firstOf(std::vector<std::uint32_t> hashes)
 {
@@ -181,6 +184,7 @@
     report.newestGrant = m_newestGrant;
     report.work = m_context.targets.ownWork(now);
     report.unreachable = m_context.targets.unreachable(now);
+    report.leaving = relay::leavingNews(m_context, MostLeavingTold);
     report.outcomes = std::exchange(m_outcomes, {});
     m_context.metrics.count(metrics::Counter::WorkReportsSent);
     return report;
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -119,6 +119,9 @@
     for (const auto target : heartbeat.unreachable) {
         out.add_unreachable(target);
     }
+    for (const auto target : heartbeat.leaving) {
+        out.add_leaving(target);
+    }
     for (const auto &peer : heartbeat.knownPeers) {
         out.add_known_peers(peer.text());
     }
@@ -188,6 +191,7 @@
             heartbeat.work.push_back(readWork(work));
         }
         heartbeat.unreachable.assign(inner.unreachable().begin(), inner.unreachable().end());
+        heartbeat.leaving.assign(inner.leaving().begin(), inner.leaving().end());
         for (const auto &peer : inner.known_peers()) {
             heartbeat.knownPeers.push_back(core::parseAddress(peer));
         }
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -25,14 +25,14 @@
 { }
 
 void Attempt::start(const core::Address &target, net::Request message, core::Duration connectTimeout,
-                    core::Time deadline)
+                    core::Time deadline, MayWrite mayWrite)
 {
     net::asio::co_spawn(
         m_loop,
-        [](core::Ref<Attempt> self, core::Address to, net::Request sent, core::Duration timeout,
-           core::Time until) -> net::Task<> {
-            co_await self->run(std::move(to), std::move(sent), timeout, until);
-        }(core::Ref<Attempt>(this), target, std::move(message), connectTimeout, deadline),
+        [](core::Ref<Attempt> self, core::Address to, net::Request sent, core::Duration timeout, core::Time until,
+           MayWrite may) -> net::Task<> {
+            co_await self->run(std::move(to), std::move(sent), timeout, until, std::move(may));
+        }(core::Ref<Attempt>(this), target, std::move(message), connectTimeout, deadline, std::move(mayWrite)),
         net::asio::detached);
 }
 
@@ -49,7 +49,8 @@
     }
 }
 
-net::Task<> Attempt::run(core::Address target, net::Request message, core::Duration connectTimeout, core::Time deadline)
+net::Task<> Attempt::run(core::Address target, net::Request message, core::Duration connectTimeout, core::Time deadline,
+                         MayWrite mayWrite)
 {
     if (m_aborted) {
         co_return;
@@ -62,6 +63,11 @@
         end(AttemptStage::NotSent, problem);
         co_return;
     }
+    if (!mayWrite()) {
+        m_connection.abort();
+        end(AttemptStage::Withheld, {});
+        co_return;
+    }
     m_connection.startSend(message);
     auto head = co_await m_connection.readHead(deadline);
     if (!head) {
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -139,7 +139,7 @@
     if (life.startMs > 0 && life.startMs < known->entry.startMs) {
         return; // An earlier life ended.
     }
-    const bool mayComeBack = now - m_link.regainedAt() < LapseTime && !known->entry.draining;
+    const bool mayComeBack = now - m_link.regainedAt() < LapseTime && !known->leaving();
     const auto kept = std::min(core::Duration(LapseTime), m_context.settings.bounds.drain) * KeepShare;
     const auto dropAt = mayComeBack ? now + kept : now;
     m_context.targets.drop(life.id, dropAt);
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
+#include "spurlug/relay/target_word.h"
 
 #include <absl/time/clock.h>
 #include <algorithm>
@@ -37,6 +38,12 @@
 constexpr std::size_t HoldersNamed = 4; // In an introduction, of the role that all daemons need.
 constexpr std::size_t PeersNamed = 12; // In an introduction, in all.
 constexpr std::uint64_t IntroductionEvery = 5; // Heartbeats; the others carry no addresses.
+/// Targets that a heartbeat names as leaving: as many as fit into this part of what a peer is sent, so 48 in a fleet of
+/// 20 and four in one of 300 and more, where they add 3 KB/s while there are any; other daemons name other ones.
+constexpr double LeavingShare = 0.4;
+constexpr double LeavingBytes = 5;
+constexpr std::size_t LeastLeavingTold = 4;
+constexpr std::size_t MostLeavingTold = 48;
 constexpr std::size_t LargestDatagram = 64 << 10;
 constexpr auto PauseNoticed = absl::Milliseconds(3000); // A gap between rounds that only a stopped process explains.
 
@@ -112,6 +119,13 @@
     return young || !m_context.table ? membership::DaemonState::Starting : membership::DaemonState::Serving;
 }
 
+std::size_t PeerLink::mostLeavingTold() const
+{
+    const auto peers = std::max<std::size_t>(m_peers.peers().size(), 1);
+    const auto bytes = BytesPerSecond * absl::ToDoubleSeconds(LongestInterval) / static_cast<double>(peers);
+    return std::clamp(static_cast<std::size_t>(bytes * LeavingShare / LeavingBytes), LeastLeavingTold, MostLeavingTold);
+}
+
 membership::Heartbeat PeerLink::compose(core::Time now)
 {
     membership::Heartbeat heartbeat;
@@ -121,6 +135,7 @@
     heartbeat.news.state = state(now);
     heartbeat.news.generation = m_context.table ? m_context.table->version : 0;
     heartbeat.largestDomain = m_context.largestDomain;
+    heartbeat.leaving = leavingNews(m_context, mostLeavingTold());
     return heartbeat;
 }
 
@@ -240,6 +255,7 @@
     if (m_context.settings.countsTogether(m_peers.find(news.vm)->news.failureDomain)) {
         m_context.largestDomain = std::max(m_context.largestDomain, heartbeat.largestDomain);
     }
+    takeLeavingNews(m_context, heartbeat.leaving, news.vm);
     for (const auto &candidate : heartbeat.knownPeers) {
         m_candidates.emplace(candidate.text(), now);
     }
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -134,7 +134,9 @@
     for (const auto &[id, target] : context.targets.all()) {
         // A target that is only kept for a while is gone: told on, it would come back elsewhere.
         if (target->dropAt == absl::InfiniteFuture()) {
-            state.targets.push_back({target->entry, false, target->fault});
+            auto entry = target->entry;
+            entry.draining = target->leaving(); // Whoever said it: the asker may have heard of it from nobody.
+            state.targets.push_back({std::move(entry), false, target->fault});
         }
     }
     return state;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -316,6 +316,24 @@
                {"targetLeftOut", health.ejected(now)}});
 }
 
+void RequestProgress::withhold(Reason reason, core::Time now)
+{
+    m_shares.clear();
+    noteWork();
+    m_atTargets += now - m_sentAt;
+    core::log(core::LogLevel::Info, "attempt_withheld",
+              {{"request", m_facts.id},
+               {"attempt", m_attempts},
+               {"target", m_current.target->entry.id},
+               {"reason", core::nameOf(reason)},
+               {"afterMs", core::toMs(now - m_sentAt)}});
+}
+
+std::optional<Reason> RequestProgress::unwantedAt(const Target &target, core::Time now) noexcept
+{
+    return target.listed(now) ? std::nullopt : std::optional(Reason::TargetLeaving);
+}
+
 const core::Ref<Target> &RequestProgress::target() const noexcept
 {
     return m_current.target;
--- a/src/relay/reservation.cpp
+++ b/src/relay/reservation.cpp
@@ -25,20 +25,30 @@
 } // namespace
 
 Reservation::Reservation(net::Loop &loop, core::Address engine, std::string id, net::Request reserve,
-                         net::Request release, core::Duration hold)
+                         net::Request release, core::Duration hold, Hear hear)
     : m_loop(loop)
     , m_engine(std::move(engine))
     , m_id(std::move(id))
     , m_reserve(std::move(reserve))
     , m_release(std::move(release))
     , m_hold(hold)
+    , m_hear(std::move(hear))
 { }
 
+net::Task<std::optional<net::Response>> Reservation::order(net::Request order, core::Time until, std::string &problem)
+{
+    auto answer = co_await net::exchange(m_loop, m_engine, std::move(order), until, problem);
+    if (answer) {
+        m_hear(answer->head);
+    }
+    co_return answer;
+}
+
 net::Task<bool> Reservation::acquire(core::Time deadline)
 {
     std::string problem;
     const auto until = std::min(deadline, core::now() + OrderTimeout);
-    const auto answer = co_await net::exchange(m_loop, m_engine, m_reserve, until, problem);
+    const auto answer = co_await order(m_reserve, until, problem);
     const auto status = answer ? answer->head.status : 0;
     if (status != Granted) {
         core::log(core::LogLevel::Info, "reservation_refused",
@@ -75,7 +85,7 @@
             co_return;
         }
         std::string problem;
-        const auto answer = co_await net::exchange(m_loop, m_engine, m_reserve, core::now() + OrderTimeout, problem);
+        const auto answer = co_await order(m_reserve, core::now() + OrderTimeout, problem);
         if (!answer || answer->head.status != Granted) {
             core::log(core::LogLevel::Warning, "reservation_not_renewed",
                       {{"reservation", m_id},
@@ -90,7 +100,7 @@
 {
     for (int i = 0; i < ReleaseTries; ++i) {
         std::string problem;
-        const auto answer = co_await net::exchange(m_loop, m_engine, m_release, core::now() + OrderTimeout, problem);
+        const auto answer = co_await order(m_release, core::now() + OrderTimeout, problem);
         if (answer) {
             co_return;
         }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/relay/target_set.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace spurlug::relay
 {
@@ -172,16 +173,44 @@
         // Attempts in progress keep the earlier life; it is found by nobody else any more.
         target = core::makeCounted<Target>(entry);
         m_byHash[target->hash] = target;
+        noteLeavingEntry(*target);
         return restarted ? EntryNews::Restarted : EntryNews::Added;
     }
-    const bool draining = target->entry.draining || entry.draining;
     target->entry = entry;
-    target->entry.draining = draining;
+    noteLeavingEntry(*target);
     target->dropAt = absl::InfiniteFuture();
     target->fault.clear();
     return EntryNews::Updated;
 }
 
+void TargetSet::noteLeavingEntry(Target &target)
+{
+    if (target.entry.draining) {
+        noteLeaving(target);
+    }
+}
+
+bool TargetSet::noteLeaving(Target &target)
+{
+    if (std::exchange(target.m_leaving, true)) {
+        return false;
+    }
+    m_leaving.emplace_back(&target);
+    return true;
+}
+
+TargetSet::Targets TargetSet::noteLeaving(const std::vector<std::uint32_t> &hashes)
+{
+    Targets fresh;
+    for (const auto hash : hashes) {
+        const auto target = withHash(hash);
+        if (target && noteLeaving(*target)) {
+            fresh.push_back(target);
+        }
+    }
+    return fresh;
+}
+
 void TargetSet::drop(const std::string &id, core::Time dropAt)
 {
     const auto found = m_targets.find(id);
@@ -201,15 +230,19 @@
 void TargetSet::forgetGone(core::Time now)
 {
     constexpr auto KeptAfterwards = absl::Seconds(30); // Answers in progress may still name them.
+    /// An entry that lapsed may be written again: a life that said that it leaves must not come back as a new one.
+    constexpr auto LeavingKeptAfterwards = absl::Minutes(10);
     std::erase_if(m_targets, [&](const auto &item) {
         const auto &target = item.second;
-        const bool old = now - KeptAfterwards > target->dropAt;
+        const auto kept = target->leaving() ? core::Duration(LeavingKeptAfterwards) : core::Duration(KeptAfterwards);
+        const bool old = now - kept > target->dropAt;
         if (old && target->own(now) == Outstanding{}) {
             m_byHash.erase(target->hash);
             return true;
         }
         return false;
     });
+    std::erase_if(m_leaving, [this](const auto &target) { return find(target->entry.id) != target; });
 }
 
 void TargetSet::peerWork(const std::string &peer, const std::vector<TargetWork> &works, core::Time now)
@@ -249,6 +282,18 @@
     return fresh;
 }
 
+std::vector<std::uint32_t> TargetSet::leavingUnlisted() const
+{
+    std::vector<std::uint32_t> hashes;
+    for (const auto &target : m_leaving) {
+        const bool listedReady = !target->entry.draining && target->dropAt == absl::InfiniteFuture();
+        if (listedReady && find(target->entry.id) == target) {
+            hashes.push_back(target->hash);
+        }
+    }
+    return hashes;
+}
+
 std::vector<std::uint32_t> TargetSet::unreachable(core::Time now) const
 {
     std::vector<std::uint32_t> hashes;
--- a/src/relay/target_word.cpp
+++ b/src/relay/target_word.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace spurlug::relay
@@ -20,15 +21,14 @@
     return turnedAway && answer.retryAfter && *answer.retryAfter > absl::ZeroDuration();
 }
 
-void takeTargetWord(RelayContext &context, const Target &target, const AnswerFacts &answer, std::string_view request)
+void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request)
 {
     if (answer.leaving) {
         context.metrics.count(metrics::Counter::LeavingTold);
-        core::log(core::LogLevel::Info, "target_says_leaving",
-                  {{"target", target.entry.id},
-                   {"request", request},
-                   {"status", answer.status},
-                   {"listedAsLeaving", target.entry.draining}});
+        if (context.targets.noteLeaving(target)) {
+            core::log(core::LogLevel::Info, "target_leaves",
+                      {{"target", target.entry.id}, {"from", "answer"}, {"request", request}});
+        }
     }
     if (asksForRest(answer)) {
         context.metrics.count(metrics::Counter::RestsAsked);
@@ -44,4 +44,22 @@
     }
 }
 
+void takeLeavingNews(RelayContext &context, const std::vector<std::uint32_t> &leaving, std::string_view peer)
+{
+    for (const auto &target : context.targets.noteLeaving(leaving)) {
+        core::log(core::LogLevel::Info, "target_leaves",
+                  {{"target", target->entry.id}, {"from", "peer"}, {"peer", peer}});
+    }
+}
+
+std::vector<std::uint32_t> leavingNews(RelayContext &context, std::size_t most)
+{
+    auto news = context.targets.leavingUnlisted();
+    if (news.size() > most) {
+        std::shuffle(news.begin(), news.end(), context.random);
+        news.resize(most);
+    }
+    return news;
+}
+
 } // namespace spurlug::relay
