Targets that are alike are chosen alike

Seen by callers: the busiest of three idle plain targets got two thirds of the requests, so it filled, shed and slowed before the others. Cause: the draw of a candidate was a product, so the draws of two candidates differed by a constant (0.84 of the range) whatever the request. Ruled out: the generator of the picks (the same with any). Change: two rounds of mixing between the sum and the draw, so that draws of candidates are independent.

--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -17,9 +17,14 @@
 double choiceJitter(std::uint64_t pick, std::size_t candidate) noexcept
 {
     constexpr std::uint64_t Spread = 0x9E3779B97F4A7C15ULL; // Odd constants with bits all over the word.
-    constexpr std::uint64_t Mix = 0xBF58476D1CE4E5B9ULL;
+    constexpr std::uint64_t FirstMix = 0xBF58476D1CE4E5B9ULL;
+    constexpr std::uint64_t SecondMix = 0x94D049BB133111EBULL;
     constexpr unsigned Bits = 24;
-    const auto mixed = (pick + candidate * Spread) * Mix;
+    // Products alone keep the difference of two candidates constant: of two alike one would get 84 requests of a
+    // hundred.
+    auto mixed = pick + candidate * Spread;
+    mixed = (mixed ^ (mixed >> 30U)) * FirstMix;
+    mixed = (mixed ^ (mixed >> 27U)) * SecondMix;
     return static_cast<double>(mixed >> (64U - Bits)) / static_cast<double>(1U << Bits);
 }
 
