A target that asks a daemon for rest gets nothing from it in that time

Seen by callers: requests went to engines that had turned the daemon away and asked for 3 s of rest, again and again, each up to four times; they were refused while 286 of 288 slots elsewhere were free, and the fleet's part for repeated sends was spent on it. Cause: the time was decoded and used by nobody; a refusal kept a target out for 200 ms, whatever it asked for. An engine that turns everything away has no work, so it looked best to the scheduler, which heard of no rest at all. The same class as for leaving. Ruled out: repeated sends alone (60 of 102 refused sends were first ones). Change: the time lies with the target's life at the daemon that was asked, in boot time; a shorter answer does not end a longer time. The write is checked. Where all rest, a request that can't wait so long is refused at once with the time at which the first is back, spread over a second by priority; one that can wait wakes then. Five minutes at most, since one spoilt answer must not cost a target for good. Why it holds: both ways of choosing go by the same list of unwanted targets, and it is looked at last when the connection is there.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -62,6 +62,7 @@
     int priority = 0; ///< The operator's; 0 is the most urgent.
     std::vector<std::uint32_t> notAt; ///< Targets that must not answer it.
     std::vector<std::uint32_t> onlyAt; ///< If there are any, only these may answer it.
+    std::vector<std::uint32_t> unwanted; ///< Targets that must get nothing from the asker, not even a part to read.
     bool atHome = false; ///< Only targets of the scheduler's failure domain, if there are any.
     bool nearHelpers = false; ///< Helpers in the failure domain of the engine that answers only.
 };
--- a/include/spurlug/control/scheduler_client.h
+++ b/include/spurlug/control/scheduler_client.h
@@ -133,6 +133,8 @@
     }
 
 private:
+    /// Gives the ask up; the next one is a new one.
+    void withdraw();
     void sendTo(const ChosenScheduler &scheduler, const relay::TargetQuery &query, int priority, core::Time now);
 
     relay::RelayContext &m_context;
@@ -142,6 +144,7 @@
     core::Time m_askedAt = absl::InfinitePast(); ///< When it was asked first.
     core::Time m_dueAt = absl::InfinitePast();
     int m_silent = 0; ///< Schedulers that did not answer this request.
+    int m_withdrawn = 0; ///< Asks that were given up after their grant.
     bool m_queued = false; ///< Whether it said that the ask waits there.
     bool m_unusable = false; ///< A grant named targets that this daemon must not use.
     bool m_granted = false;
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -101,11 +101,16 @@
     [[nodiscard]] core::Duration callerPatience() const noexcept;
     /// \brief Whether no target of the request's service is listed: waiting for one has no ground.
     [[nodiscard]] bool hasNoTarget(core::Time now) const;
+    /// \brief When the first of the targets that the request may go to wants requests of this daemon again; nothing:
+    /// one does now, or there is none.
+    [[nodiscard]] std::optional<core::Time> backAt(const TargetQuery &query, core::Time now) const;
+    /// \brief Whether waiting until `backAt` is in vain: the request would be refused, or be late for good, before.
+    [[nodiscard]] bool backTooLate(core::Time backAt, core::Time now) const noexcept;
+    /// \brief When a request that waits for `backAt` goes on: not all at once, the operator's priority first.
+    [[nodiscard]] core::Time wakeAt(core::Time backAt) const;
     /// \brief Whether a request that no target takes should be refused now rather than wait on. Only time without a
     /// target counts: what was lost to one that did not take the connection says nothing of the others.
     [[nodiscard]] bool waitedEnough(core::Time now) const noexcept;
-    /// \brief Why nothing may be written to a target now; nothing: it may.
-    [[nodiscard]] static std::optional<core::Reason> unwantedAt(const Target &target, core::Time now) noexcept;
     /// \brief Whether the target said something to any request not long ago: it is slow then, not gone.
     [[nodiscard]] bool targetLives(core::Time now) const noexcept;
     /// \brief Whether the target started again since the request went to it: what it had of the request is gone.
@@ -115,9 +120,9 @@
     /// \brief The engine at an address that was asked to help with the request; null when none was.
     [[nodiscard]] core::Ref<Target> helperAt(const core::Address &address) const;
     /// \brief When a caller that is refused now should come back.
-    [[nodiscard]] core::Duration retryAfter(core::Reason reason) const noexcept;
+    [[nodiscard]] core::Duration retryAfter(core::Reason reason, core::Time now) const;
     /// \brief The relay's own last word.
-    [[nodiscard]] Refusal lastWord(core::Reason reason) const noexcept;
+    [[nodiscard]] Refusal lastWord(core::Reason reason, core::Time now) const;
 
     /// @}
 
@@ -144,7 +149,11 @@
     [[nodiscard]] PromptRequest promptRequest(core::Time now) const;
     [[nodiscard]] const std::string &chooseService();
     [[nodiscard]] bool isTight() const noexcept;
-    [[nodiscard]] Refusal refuse(core::Reason reason) const;
+    [[nodiscard]] Refusal refuse(core::Reason reason, core::Time now) const;
+    /// Time without a target after which a request that ran nowhere is refused.
+    [[nodiscard]] core::Duration longestWait() const noexcept;
+    /// A place in the order of return, from 0 to 1: the operator's priorities one after the other, drawn within each.
+    [[nodiscard]] double placeInOrder() const;
 
     RelayContext &m_context;
     const RequestFacts m_facts;
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -41,7 +41,7 @@
     const auto verdict = judgeAnswer(answer, m_progress.facts().id);
     const auto now = core::now();
     if (isOwnAnswer(answer, m_progress.facts().id)) {
-        takeTargetWord(m_context, *m_progress.target(), answer, m_progress.facts().id);
+        takeTargetWord(m_context, *m_progress.target(), answer, m_progress.facts().id, now);
     }
     if (answer.faultAt) {
         if (const auto helper = m_progress.helperAt(*answer.faultAt)) {
@@ -138,7 +138,7 @@
     }
     if (end.stage == AttemptStage::Withheld) {
         const auto now = core::now();
-        m_failure = m_progress.unwantedAt(*m_progress.target(), now).value_or(core::Reason::TargetLeaving);
+        m_failure = unwantedNow(*m_progress.target(), now).value_or(core::Reason::TargetLeaving);
         m_progress.withhold(m_failure, now);
         co_return Next::SendAgain; // It was sent nowhere, so this is no repeat.
     }
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -104,7 +104,7 @@
         m_caller->reset(); // The caller must not take the events it has for the whole stream.
         co_return false;
     }
-    const auto word = m_progress.lastWord(m_failure);
+    const auto word = m_progress.lastWord(m_failure, core::now());
     m_progress.finish(outcome, m_failure, word.status, core::now());
     co_return co_await refuse(word);
 }
@@ -126,7 +126,7 @@
         co_return Next::Fail;
     }
     // So may what its target wants: memory at other engines takes time to be set aside.
-    if (const auto unwanted = m_progress.unwantedAt(*chosen.target, core::now())) {
+    if (const auto unwanted = unwantedNow(*chosen.target, core::now())) {
         m_failure = *unwanted;
         co_return Next::SendAgain;
     }
@@ -150,6 +150,19 @@
             m_failure = core::Reason::NoTarget;
             co_return std::nullopt;
         }
+        const auto backAt = m_progress.backAt(query, now);
+        if (backAt && m_progress.backTooLate(*backAt, now)) {
+            m_failure = core::Reason::TargetsRest;
+            co_return std::nullopt;
+        }
+        if (backAt) {
+            const auto event = co_await m_inbox->events.take(m_progress.wakeAt(*backAt));
+            if (event && std::holds_alternative<CallerGone>(*event)) {
+                m_callerGone = true;
+                co_return std::nullopt;
+            }
+            continue;
+        }
         // A grant could not be used before the list of targets was read, and the request would be placed alone for it.
         const bool listRead = m_context.targetsRevision > 0;
         const bool asked = listRead && session.pursue(query, m_progress.priority(), now);
@@ -186,9 +199,10 @@
     for (std::size_t i = 0; i < chosen.holdingTokens.size(); ++i) {
         const auto id
             = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-", ++m_context.reservations);
-        auto hear
-            = [&context = m_context, &dialect = m_dialect, helper = chosen.helpers[i],
-               id](const net::ResponseHead &head) { takeTargetWord(context, *helper, dialect.readAnswer(head), id); };
+        auto hear = [&context = m_context, &dialect = m_dialect, helper = chosen.helpers[i],
+                     id](const net::ResponseHead &head) {
+            takeTargetWord(context, *helper, dialect.readAnswer(head), id, core::now());
+        };
         auto reservation = core::makeCounted<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
                                                           m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold),
                                                           m_dialect.releaseOrder(id), hold, std::move(hear));
@@ -238,7 +252,7 @@
     }
     m_attempt = core::makeCounted<Attempt>(m_context.loop, m_inbox, m_progress.attempts());
     // What a target says binds from the moment of the write, not from the choice.
-    auto mayWrite = [target = chosen.target] { return !RequestProgress::unwantedAt(*target, core::now()); };
+    auto mayWrite = [target = chosen.target] { return !unwantedNow(*target, core::now()); };
     m_attempt->start(chosen.target->entry.address, m_dialect.attemptRequest(m_request, facts), detail::ConnectTimeout,
                      m_progress.deadline(), std::move(mayWrite));
 }
--- a/include/spurlug/relay/target_choice.h
+++ b/include/spurlug/relay/target_choice.h
@@ -33,6 +33,8 @@
     std::optional<PromptRequest> prompt; ///< Of a request to a model engine.
     std::vector<std::uint32_t> notAt; ///< Hashes of targets that must not answer it.
     std::optional<std::vector<std::uint32_t>> onlyAt; ///< If set, only these may.
+    /// Hashes of targets that must get nothing from the daemon that sends the request, no help for it either.
+    std::vector<std::uint32_t> unwanted;
     bool atHome = false; ///< Only targets of this failure domain, if there are any.
     std::string from; ///< Failure domain of the daemon that sends the request; empty: this one's.
     /// Helpers in the failure domain of the engine that answers only: another one was refused for this request.
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/core/address.h"
 #include "spurlug/core/counted.h"
+#include "spurlug/core/reason.h"
 #include "spurlug/core/time.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/relay/target_life.h"
@@ -14,6 +15,7 @@
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -22,6 +24,9 @@
 namespace spurlug::relay
 {
 
+/// \brief Whether a hash is among these.
+[[nodiscard]] bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash) noexcept;
+
 /// \brief What the directory says of a target.
 struct TargetEntry
 {
@@ -68,6 +73,10 @@
     core::Time m_until = absl::InfinitePast();
 };
 
+/// A target that asks for more rest than this gets a request all the same: the time must be a mistake, and one spoilt
+/// answer must not cost a target for good.
+inline constexpr auto LongestRest = absl::Minutes(5);
+
 class Target;
 
 /// \brief One piece of this daemon's work at a target, for as long as the object lives.
@@ -150,6 +159,16 @@
         return m_leaving;
     }
 
+    /// \brief Until when it wants nothing from this daemon. Other daemons may send: it asked this one.
+    [[nodiscard]] core::Time restUntil() const noexcept
+    {
+        return m_restUntil;
+    }
+    [[nodiscard]] bool rests(core::Time now) const noexcept
+    {
+        return now < m_restUntil;
+    }
+
     /// \brief Work of this daemon here.
     [[nodiscard]] Outstanding own(core::Time now) const noexcept;
 
@@ -178,8 +197,12 @@
     Shares m_shares;
     PeerShares m_peerShares;
     bool m_leaving = false;
+    core::Time m_restUntil = absl::InfinitePast();
 };
 
+/// \brief Why a target must get nothing from this daemon now; nothing: it may.
+[[nodiscard]] std::optional<core::Reason> unwantedNow(const Target &target, core::Time now) noexcept;
+
 /// \brief What an entry was to the set of targets.
 enum class EntryNews
 {
@@ -206,6 +229,9 @@
     /// \brief Notes that peers were told so of these lives.
     /// \returns Targets of which it was not known, for the log.
     Targets noteLeaving(const std::vector<std::uint32_t> &hashes);
+    /// \brief Notes that a target wants nothing from this daemon for a while. A shorter time does not end one that was
+    /// asked for before: each counts from its own answer.
+    void noteRest(Target &target, core::Duration span, core::Time now);
     /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
     void drop(const std::string &id, core::Time dropAt);
     /// \brief Notes that a target's newest entry cannot be used: it gets nothing before it has a good one again.
@@ -236,6 +262,9 @@
     [[nodiscard]] core::Ref<Target> at(const core::Address &address, core::Time now) const;
     /// \brief Work of this daemon at each target where it has some.
     [[nodiscard]] std::vector<TargetWork> ownWork(core::Time now) const;
+    /// \brief Hashes of targets that must get nothing from this daemon, though a scheduler may not know it: those that
+    /// want rest from it, and those that leave though their entries do not say so.
+    [[nodiscard]] std::vector<std::uint32_t> unwantedHere(core::Time now) const;
     /// \brief Hashes of targets that leave and whose entries do not say so yet: those that peers may not know of.
     [[nodiscard]] std::vector<std::uint32_t> leavingUnlisted() const;
     /// \brief Hashes of targets that do not answer this daemon.
@@ -245,11 +274,13 @@
     /// @}
 
 private:
-    void noteLeavingEntry(Target &target);
+    /// Adds a target to those that leave though their entries do not say so, or takes it from them.
+    void sortByLeaving(Target &target);
 
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
-    Targets m_leaving; ///< Targets that leave, until they are forgotten or start again.
+    Targets m_resting; ///< Targets that asked this daemon for rest; those whose time is over go with the next one.
+    Targets m_leavingUnlisted; ///< Targets that leave though their entries do not say so.
     /// What each peer said last. Holds the targets themselves: one that is forgotten and comes back begins at nothing.
     std::unordered_map<std::string, std::vector<std::unique_ptr<PeerShare>>> m_peerWorks;
 };
--- a/include/spurlug/relay/target_word.h
+++ b/include/spurlug/relay/target_word.h
@@ -23,7 +23,8 @@
 /// \brief Takes what the head of an answer says of its target. The caller has checked that the answer is the target's
 /// own: not one to another request, and not one of whoever has the address now.
 /// \param request Id of the request or the reservation that it answers, for the log.
-void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request);
+void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
+                    core::Time now);
 
 /// \brief Takes a peer's word of targets that leave.
 /// \param leaving Hashes of their lives.
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -111,6 +111,7 @@
     out.set_priority(clamp32(ask.priority));
     writeAll(ask.notAt, *out.mutable_not_at());
     writeAll(ask.onlyAt, *out.mutable_only_at());
+    writeAll(ask.unwanted, *out.mutable_unwanted());
     out.set_at_home(ask.atHome);
     out.set_near_helpers(ask.nearHelpers);
 }
@@ -129,6 +130,7 @@
     ask.priority = static_cast<int>(std::min<std::uint32_t>(in.priority(), std::numeric_limits<int>::max()));
     ask.notAt.assign(in.not_at().begin(), in.not_at().end());
     ask.onlyAt.assign(in.only_at().begin(), in.only_at().end());
+    ask.unwanted.assign(in.unwanted().begin(), in.unwanted().end());
     ask.atHome = in.at_home();
     ask.nearHelpers = in.near_helpers();
     return ask;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -159,6 +159,7 @@
     answer.kind = AnswerKind::Queued;
     if (known != m_waiting.end()) {
         known->heardAt = now;
+        known->ask = ask; // Other targets may be unwanted there by now.
         return answer;
     }
     if (auto granted = place(ask, now - ask.waited, now)) {
@@ -224,6 +225,7 @@
     if (!ask.onlyAt.empty()) {
         query.onlyAt = ask.onlyAt;
     }
+    query.unwanted = ask.unwanted;
     query.atHome = ask.atHome;
     query.nearHelpers = ask.nearHelpers;
     query.from = domainOf(ask.vm);
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -39,12 +39,15 @@
 constexpr auto ShortestChangePause = absl::Milliseconds(2);
 constexpr std::size_t MostOutcomes = 64; ///< In one report.
 constexpr std::size_t MostExcluded = 32; ///< Targets that an ask names.
+/// Targets that an ask names as unwanted: 1 KB, which a datagram carries whole. A grant of another one is turned down.
+constexpr std::size_t MostUnwanted = 256;
+constexpr int MostWithdrawn = 3; ///< Asks of one request after a grant that its daemon must not use; then it decides.
 /// Targets that a report names as leaving; a release takes a few at a time, and their entries follow within a second.
 constexpr std::size_t MostLeavingTold = 32;
 
-std::vector<std::uint32_t> firstOf(std::vector<std::uint32_t> hashes)
+std::vector<std::uint32_t> firstOf(std::vector<std::uint32_t> hashes, std::size_t most)
 {
-    hashes.resize(std::min(hashes.size(), MostExcluded));
+    hashes.resize(std::min(hashes.size(), most));
     return hashes;
 }
 
@@ -304,14 +307,26 @@
     ask.waited = query.prompt->waited;
     ask.patience = query.prompt->patience;
     ask.priority = priority;
-    ask.notAt = firstOf(query.notAt);
-    ask.onlyAt = firstOf(query.onlyAt.value_or(std::vector<std::uint32_t>()));
+    ask.notAt = firstOf(query.notAt, MostExcluded);
+    ask.onlyAt = firstOf(query.onlyAt.value_or(std::vector<std::uint32_t>()), MostExcluded);
+    ask.unwanted = firstOf(query.unwanted, MostUnwanted);
     ask.atHome = scheduler.deputy;
     ask.nearHelpers = query.nearHelpers;
     m_dueAt = now + AskAgainAfter;
     m_client->send(ask, scheduler, now);
 }
 
+void PlacementSession::withdraw()
+{
+    ++m_withdrawn;
+    m_client->close(m_ask, false);
+    m_ask = 0;
+    m_queued = false;
+    m_askedAt = absl::InfinitePast();
+    m_scheduler.clear();
+    m_dueAt = absl::InfinitePast();
+}
+
 std::optional<relay::ChosenTargets> PlacementSession::take(const PlacementAnswer &answer, core::Time now)
 {
     if (answer.ask != m_ask || answer.kind == AnswerKind::NotHere) {
@@ -324,8 +339,13 @@
     }
     const auto usable = [&](std::uint32_t hash) -> core::Ref<relay::Target> {
         auto target = m_context.targets.withHash(hash);
-        return target && target->listed(now) ? target : nullptr;
+        return target && !relay::unwantedNow(*target, now) ? target : nullptr;
     };
+    const auto unwanted = m_context.targets.unwantedHere(now);
+    if (m_withdrawn < MostWithdrawn && relay::contains(unwanted, answer.target)) {
+        withdraw(); // It came to be so since the ask was sent: the next one names it.
+        return std::nullopt;
+    }
     relay::ChosenTargets chosen;
     chosen.target = usable(answer.target);
     bool whole = chosen.target != nullptr;
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -21,6 +21,13 @@
 constexpr auto RetryAfterNoTarget = absl::Seconds(1);
 constexpr auto RetryAfterUnknown = absl::Milliseconds(300); // A daemon reads its configuration in less.
 
+/// All that came while all targets rested comes back in this time after the first one is back, not in one moment. A
+/// target that turns the first ones away again has been met by few.
+constexpr auto ReturnSpread = absl::Seconds(1);
+/// The same for requests that wait here, which have a part of their aim left.
+constexpr auto WakeSpread = absl::Milliseconds(40);
+constexpr std::int64_t Ranks = 4; // Priorities that are told apart.
+
 /// Silence after which a target is checked, in terms of what was expected; a live one has answered by then mostly.
 constexpr double CheckFactor = 2;
 constexpr auto LeastCheckAfter = absl::Milliseconds(600); // Longer than the passes that streams bear.
@@ -65,8 +72,52 @@
     if (m_ranSomewhere) {
         return false;
     }
-    const auto longest = isTight() || !m_facts.prompt ? m_route->aim : callerPatience() * LooseWaitShare;
-    return now - m_arrivedAt - m_atTargets >= longest;
+    return now - m_arrivedAt - m_atTargets >= longestWait();
+}
+
+core::Duration RequestProgress::longestWait() const noexcept
+{
+    return isTight() || !m_facts.prompt ? m_route->aim : callerPatience() * LooseWaitShare;
+}
+
+std::optional<core::Time> RequestProgress::backAt(const TargetQuery &query, core::Time now) const
+{
+    if (m_context.targets.unwantedHere(now).empty()) {
+        return std::nullopt;
+    }
+    auto first = absl::InfiniteFuture();
+    for (const auto &target : m_context.targets.listed(query.service, now)) {
+        const bool wanted = !query.onlyAt || contains(*query.onlyAt, target->hash);
+        if (!wanted || contains(query.notAt, target->hash)) {
+            continue;
+        }
+        if (!target->rests(now)) {
+            return std::nullopt;
+        }
+        first = std::min(first, target->restUntil());
+    }
+    return first == absl::InfiniteFuture() ? std::nullopt : std::optional(first);
+}
+
+bool RequestProgress::backTooLate(core::Time backAt, core::Time now) const noexcept
+{
+    if (m_ranSomewhere) {
+        return backAt >= m_deadline;
+    }
+    const auto waited = now - m_arrivedAt - m_atTargets;
+    return backAt >= std::min(m_deadline, now + longestWait() - waited);
+}
+
+double RequestProgress::placeInOrder() const
+{
+    const auto rank = std::clamp<std::int64_t>(m_priority, 0, Ranks - 1);
+    std::uniform_real_distribution<double> draw(0, 1);
+    return (static_cast<double>(rank) + draw(m_context.random)) / Ranks;
+}
+
+core::Time RequestProgress::wakeAt(core::Time backAt) const
+{
+    return std::min(backAt + WakeSpread * placeInOrder(), m_deadline);
 }
 
 bool RequestProgress::targetLives(core::Time now) const noexcept
@@ -96,7 +147,7 @@
         : std::max(m_route->gapAim * GapPatienceFactor, core::Duration(LeastGapPatience));
 }
 
-core::Duration RequestProgress::retryAfter(Reason reason) const noexcept
+core::Duration RequestProgress::retryAfter(Reason reason, core::Time now) const
 {
     switch (reason) {
     case Reason::Stopping:
@@ -106,6 +157,12 @@
         return RetryAfterUnknown;
     case Reason::NoTarget:
         return RetryAfterNoTarget;
+    case Reason::TargetsRest: {
+        TargetQuery anyTarget; // The next try may go to those that this one must not go to any more.
+        anyTarget.service = m_service;
+        const auto back = backAt(anyTarget, now).value_or(now);
+        return std::max(back - now + ReturnSpread * placeInOrder(), core::Duration(RetryAfterFull));
+    }
     case Reason::CrashesTargets:
         return CrashLedger::FirstTrialAfter;
     case Reason::UnknownPath:
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -37,11 +37,6 @@
 /// considers a random seventh of the engines and daemons do not choose alike.
 constexpr auto LoadAgeAlone = absl::Milliseconds(500);
 
-bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash)
-{
-    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
-}
-
 nlohmann::json idsOf(const std::vector<core::Ref<Target>> &targets)
 {
     auto ids = nlohmann::json::array();
@@ -66,19 +61,19 @@
     --m_context.inProgress;
 }
 
-Refusal RequestProgress::refuse(Reason reason) const
+Refusal RequestProgress::refuse(Reason reason, core::Time now) const
 {
-    return {core::http_status::statusOf(reason), reason, retryAfter(reason)};
+    return {core::http_status::statusOf(reason), reason, retryAfter(reason, now)};
 }
 
 std::optional<Refusal> RequestProgress::authorise(core::Time now)
 {
     if (!m_context.table) {
-        return refuse(Reason::NotReady);
+        return refuse(Reason::NotReady, now);
     }
     // One that was sent goes on: its stream may be resumed at another target until this process ends.
     if (m_attempts == 0 && now - m_context.drainingSince > RefusedWhileDrainingAfter) {
-        return refuse(Reason::Stopping);
+        return refuse(Reason::Stopping, now);
     }
     m_table = m_context.table;
     const auto &proof = m_context.configurationProof;
@@ -86,7 +81,7 @@
     const bool certain = isNewest && proof.age(m_table->version, now) <= CertainAge;
     m_route = m_table->find(m_facts.host, m_facts.path);
     if (m_route == nullptr) {
-        return refuse(certain ? Reason::UnknownPath : Reason::StaleConfiguration);
+        return refuse(certain ? Reason::UnknownPath : Reason::StaleConfiguration, now);
     }
     if (m_deadline == absl::InfiniteFuture()) {
         m_deadline = m_arrivedAt + std::min(m_facts.patience, m_route->timeout);
@@ -98,12 +93,12 @@
         return refuseQuarantined(now);
     }
     if (!m_context.keysAreFresh(now)) {
-        return refuse(Reason::StaleConfiguration);
+        return refuse(Reason::StaleConfiguration, now);
     }
     const auto *organisation = m_facts.key ? m_table->organisation(*m_facts.key) : nullptr;
     if (organisation == nullptr) {
         const auto unknown = m_facts.key ? Reason::UnknownKey : Reason::MissingKey;
-        return refuse(certain ? unknown : Reason::StaleConfiguration);
+        return refuse(certain ? unknown : Reason::StaleConfiguration, now);
     }
     m_organisation = organisation->name;
     if (organisation->priority >= 0) {
@@ -178,6 +173,7 @@
     if (spec != nullptr && spec->engine && m_facts.prompt) {
         query.prompt = promptRequest(now);
     }
+    query.unwanted = m_context.targets.unwantedHere(now);
     query.nearHelpers = m_someHelpRefused;
     query.notAt = m_unreachable;
     const bool mayReturn = m_sentTo.size() >= static_cast<std::size_t>(m_route->mostTargets);
@@ -329,11 +325,6 @@
                {"afterMs", core::toMs(now - m_sentAt)}});
 }
 
-std::optional<Reason> RequestProgress::unwantedAt(const Target &target, core::Time now) noexcept
-{
-    return target.listed(now) ? std::nullopt : std::optional(Reason::TargetLeaving);
-}
-
 const core::Ref<Target> &RequestProgress::target() const noexcept
 {
     return m_current.target;
@@ -434,13 +425,13 @@
     return static_cast<int>(std::clamp<std::int64_t>(m_priority * LengthRanks + length, MostUrgent, LeastUrgent));
 }
 
-Refusal RequestProgress::lastWord(Reason reason) const noexcept
+Refusal RequestProgress::lastWord(Reason reason, core::Time now) const
 {
     Refusal refusal;
     refusal.status = finalStatus(m_ranSomewhere, reason);
     refusal.reason = reason;
     if (!m_ranSomewhere) {
-        refusal.retryAfter = retryAfter(reason);
+        refusal.retryAfter = retryAfter(reason, now);
     }
     return refusal;
 }
--- a/src/relay/request_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -34,7 +34,7 @@
     }
     m_isTrial = m_attempts == 0 && takesTrials(m_context) && crashes.takeTrial(m_digest, now);
     if (!m_isTrial) {
-        return refuse(core::Reason::CrashesTargets);
+        return refuse(core::Reason::CrashesTargets, now);
     }
     m_context.metrics.count(metrics::Counter::QuarantineTrials);
     core::log(core::LogLevel::Warning, "quarantine_trial",
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -18,11 +18,6 @@
 /// Share of a service's targets up to which peers' reports are believed: beyond it the network is at fault.
 constexpr double MostAvoidedShare = 0.34;
 
-bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash)
-{
-    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
-}
-
 /// Makes the candidates of one request.
 class CandidateList
 {
@@ -126,6 +121,7 @@
 TargetSet::Targets targetsFor(const RelayContext &context, const TargetQuery &query, core::Time now)
 {
     auto targets = context.targets.listed(query.service, now);
+    std::erase_if(targets, [&query](const auto &target) { return contains(query.unwanted, target->hash); });
     if (!query.atHome) {
         return targets;
     }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -123,6 +123,7 @@
 Target::Target(TargetEntry entry)
     : entry(std::move(entry))
     , hash(lifeHash(this->entry.life()))
+    , m_leaving(this->entry.draining)
 { }
 
 Outstanding Target::own(core::Time now) const noexcept
@@ -159,6 +160,19 @@
     return sum;
 }
 
+bool contains(const std::vector<std::uint32_t> &hashes, std::uint32_t hash) noexcept
+{
+    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
+}
+
+std::optional<core::Reason> unwantedNow(const Target &target, core::Time now) noexcept
+{
+    if (!target.listed(now)) {
+        return core::Reason::TargetLeaving;
+    }
+    return target.rests(now) ? std::optional(core::Reason::TargetsRest) : std::nullopt;
+}
+
 EntryNews TargetSet::put(const TargetEntry &entry)
 {
     auto &target = m_targets[entry.id];
@@ -169,34 +183,34 @@
     if (!target || restarted) {
         if (restarted) {
             m_byHash.erase(target->hash);
+            std::erase(m_leavingUnlisted, target);
         }
         // Attempts in progress keep the earlier life; it is found by nobody else any more.
         target = core::makeCounted<Target>(entry);
         m_byHash[target->hash] = target;
-        noteLeavingEntry(*target);
         return restarted ? EntryNews::Restarted : EntryNews::Added;
     }
     target->entry = entry;
-    noteLeavingEntry(*target);
+    target->m_leaving = target->m_leaving || entry.draining;
     target->dropAt = absl::InfiniteFuture();
     target->fault.clear();
+    sortByLeaving(*target);
     return EntryNews::Updated;
 }
 
-void TargetSet::noteLeavingEntry(Target &target)
+void TargetSet::sortByLeaving(Target &target)
 {
-    if (target.entry.draining) {
-        noteLeaving(target);
+    std::erase_if(m_leavingUnlisted, [&target](const auto &known) { return known == &target; });
+    if (target.m_leaving && !target.entry.draining && target.dropAt == absl::InfiniteFuture()) {
+        m_leavingUnlisted.emplace_back(&target);
     }
 }
 
 bool TargetSet::noteLeaving(Target &target)
 {
-    if (std::exchange(target.m_leaving, true)) {
-        return false;
-    }
-    m_leaving.emplace_back(&target);
-    return true;
+    const bool isNews = !std::exchange(target.m_leaving, true);
+    sortByLeaving(target);
+    return isNews;
 }
 
 TargetSet::Targets TargetSet::noteLeaving(const std::vector<std::uint32_t> &hashes)
@@ -211,11 +225,19 @@
     return fresh;
 }
 
+void TargetSet::noteRest(Target &target, core::Duration span, core::Time now)
+{
+    std::erase_if(m_resting, [&](const auto &known) { return !known->rests(now) || known == &target; });
+    target.m_restUntil = std::max(target.m_restUntil, now + std::min(span, core::Duration(LongestRest)));
+    m_resting.emplace_back(&target);
+}
+
 void TargetSet::drop(const std::string &id, core::Time dropAt)
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end()) {
         found->second->dropAt = std::min(found->second->dropAt, dropAt);
+        sortByLeaving(*found->second);
     }
 }
 
@@ -242,7 +264,6 @@
         }
         return false;
     });
-    std::erase_if(m_leaving, [this](const auto &target) { return find(target->entry.id) != target; });
 }
 
 void TargetSet::peerWork(const std::string &peer, const std::vector<TargetWork> &works, core::Time now)
@@ -282,18 +303,26 @@
     return fresh;
 }
 
-std::vector<std::uint32_t> TargetSet::leavingUnlisted() const
+std::vector<std::uint32_t> TargetSet::unwantedHere(core::Time now) const
 {
-    std::vector<std::uint32_t> hashes;
-    for (const auto &target : m_leaving) {
-        const bool listedReady = !target->entry.draining && target->dropAt == absl::InfiniteFuture();
-        if (listedReady && find(target->entry.id) == target) {
+    auto hashes = leavingUnlisted();
+    for (const auto &target : m_resting) {
+        if (target->rests(now)) {
             hashes.push_back(target->hash);
         }
     }
     return hashes;
 }
 
+std::vector<std::uint32_t> TargetSet::leavingUnlisted() const
+{
+    std::vector<std::uint32_t> hashes;
+    for (const auto &target : m_leavingUnlisted) {
+        hashes.push_back(target->hash);
+    }
+    return hashes;
+}
+
 std::vector<std::uint32_t> TargetSet::unreachable(core::Time now) const
 {
     std::vector<std::uint32_t> hashes;
--- a/src/relay/target_word.cpp
+++ b/src/relay/target_word.cpp
@@ -21,7 +21,8 @@
     return turnedAway && answer.retryAfter && *answer.retryAfter > absl::ZeroDuration();
 }
 
-void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request)
+void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
+                    core::Time now)
 {
     if (answer.leaving) {
         context.metrics.count(metrics::Counter::LeavingTold);
@@ -32,11 +33,13 @@
     }
     if (asksForRest(answer)) {
         context.metrics.count(metrics::Counter::RestsAsked);
+        context.targets.noteRest(target, *answer.retryAfter, now);
         core::log(core::LogLevel::Info, "target_asks_for_rest",
                   {{"target", target.entry.id},
                    {"request", request},
                    {"status", answer.status},
-                   {"restMs", core::toMs(*answer.retryAfter)}});
+                   {"askedMs", core::toMs(*answer.retryAfter)},
+                   {"restMs", core::toMs(target.restUntil() - now)}});
     }
     if (answer.retryAfterUnreadable) {
         context.metrics.count(metrics::Counter::RestsUnreadable);
--- a/tests/platform/leaving_and_rest_test.cpp
+++ b/tests/platform/leaving_and_rest_test.cpp
@@ -34,6 +34,8 @@
 constexpr auto Spread = absl::Milliseconds(250); // A change of the list is known at a daemon by then.
 /// A daemon tells the others by its next heartbeat, 0.3 s apart at the most in a small fleet; one may be lost.
 constexpr auto TellTime = absl::Milliseconds(700);
+/// A daemon that has just started repeats no sends: it does not know its part of the fleet's bound on them.
+constexpr auto RepeatsFrom = absl::Seconds(3);
 
 Ask safe()
 {
@@ -246,6 +248,7 @@
     fleet.run([&]() -> net::Task<> {
         co_await fleet.ready();
         co_await fleet.joined();
+        co_await net::sleepFor(RepeatsFrom);
         const auto statuses = co_await askInTurn(fleet, chat(), 60, Daemons);
         BOOST_TEST(statuses.at(200) == 60);
         for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -254,7 +254,8 @@
     BOOST_TEST(!request.hasNoTarget(at(0))); // The list was not read yet.
     state.intake.whole({}, 1, "test", at(1));
     BOOST_TEST(request.hasNoTarget(at(1)));
-    BOOST_TEST((request.retryAfter(core::Reason::NoTarget) > request.retryAfter(core::Reason::NoCapacity)));
+    BOOST_TEST(
+        (request.retryAfter(core::Reason::NoTarget, Start) > request.retryAfter(core::Reason::NoCapacity, Start)));
     state.intake.changes({{entry("a")}}, 2, "test", at(2));
     BOOST_TEST(!request.hasNoTarget(at(2)));
     state.intake.changes({{entry("a", true)}}, 3, "test", at(3));
