The older interface leaves a target alone that asked it for rest

Cause: as in the relay, the time was decoded and no choice looked at it. Ruled out: two copies of the rule; the time lies in targets::RestPeriod, which both use. Measured: a_target_that_asked_for_rest_is_left_out_until_it_ends_even_if_there_is_no_other.

--- a/include/spurlug/dispatch/attempt.h
+++ b/include/spurlug/dispatch/attempt.h
@@ -37,7 +37,7 @@
     int status = 0; ///< HTTP status of the target; 0: none was received.
     std::string detail = ""; ///< One sentence for logs and callers.
     bool targetFailed = false; ///< Whether the target was at fault.
-    int retryAfterSeconds = 0;
+    int retryAfterSeconds = 0; ///< Time in which the target wants nothing from this daemon; 0: not told.
 };
 
 } // namespace spurlug::dispatch
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -11,6 +11,7 @@
 #include "spurlug/relay/target_health.h"
 #include "spurlug/relay/target_life.h"
 #include "spurlug/targets/outstanding.h"
+#include "spurlug/targets/rest_period.h"
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
@@ -73,10 +74,6 @@
     core::Time m_until = absl::InfinitePast();
 };
 
-/// A target that asks for more rest than this gets a request all the same: the time must be a mistake, and one spoilt
-/// answer must not cost a target for good.
-inline constexpr auto LongestRest = absl::Minutes(5);
-
 class Target;
 
 /// \brief One piece of this daemon's work at a target, for as long as the object lives.
@@ -159,14 +156,10 @@
         return m_leaving;
     }
 
-    /// \brief Until when it wants nothing from this daemon. Other daemons may send: it asked this one.
-    [[nodiscard]] core::Time restUntil() const noexcept
-    {
-        return m_restUntil;
-    }
-    [[nodiscard]] bool rests(core::Time now) const noexcept
+    /// \brief The time in which it wants nothing from this daemon.
+    [[nodiscard]] const targets::RestPeriod &rest() const noexcept
     {
-        return now < m_restUntil;
+        return m_rest;
     }
 
     /// \brief Work of this daemon here.
@@ -197,7 +190,7 @@
     Shares m_shares;
     PeerShares m_peerShares;
     bool m_leaving = false;
-    core::Time m_restUntil = absl::InfinitePast();
+    targets::RestPeriod m_rest;
 };
 
 /// \brief Why a target must get nothing from this daemon now; nothing: it may.
@@ -229,8 +222,7 @@
     /// \brief Notes that peers were told so of these lives.
     /// \returns Targets of which it was not known, for the log.
     Targets noteLeaving(const std::vector<std::uint32_t> &hashes);
-    /// \brief Notes that a target wants nothing from this daemon for a while. A shorter time does not end one that was
-    /// asked for before: each counts from its own answer.
+    /// \brief Notes that a target wants nothing from this daemon for a while.
     void noteRest(Target &target, core::Duration span, core::Time now);
     /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
     void drop(const std::string &id, core::Time dropAt);
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -91,10 +91,10 @@
         if (!wanted || contains(query.notAt, target->hash)) {
             continue;
         }
-        if (!target->rests(now)) {
+        if (!target->rest().lasts(now)) {
             return std::nullopt;
         }
-        first = std::min(first, target->restUntil());
+        first = std::min(first, target->rest().until());
     }
     return first == absl::InfiniteFuture() ? std::nullopt : std::optional(first);
 }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -170,7 +170,7 @@
     if (!target.listed(now)) {
         return core::Reason::TargetLeaving;
     }
-    return target.rests(now) ? std::optional(core::Reason::TargetsRest) : std::nullopt;
+    return target.rest().lasts(now) ? std::optional(core::Reason::TargetsRest) : std::nullopt;
 }
 
 EntryNews TargetSet::put(const TargetEntry &entry)
@@ -227,8 +227,8 @@
 
 void TargetSet::noteRest(Target &target, core::Duration span, core::Time now)
 {
-    std::erase_if(m_resting, [&](const auto &known) { return !known->rests(now) || known == &target; });
-    target.m_restUntil = std::max(target.m_restUntil, now + std::min(span, core::Duration(LongestRest)));
+    std::erase_if(m_resting, [&](const auto &known) { return !known->rest().lasts(now) || known == &target; });
+    target.m_rest.ask(span, now);
     m_resting.emplace_back(&target);
 }
 
@@ -307,7 +307,7 @@
 {
     auto hashes = leavingUnlisted();
     for (const auto &target : m_resting) {
-        if (target->rests(now)) {
+        if (target->rest().lasts(now)) {
             hashes.push_back(target->hash);
         }
     }
--- a/src/relay/target_word.cpp
+++ b/src/relay/target_word.cpp
@@ -39,7 +39,7 @@
                    {"request", request},
                    {"status", answer.status},
                    {"askedMs", core::toMs(*answer.retryAfter)},
-                   {"restMs", core::toMs(target.restUntil() - now)}});
+                   {"restMs", core::toMs(target.rest().until() - now)}});
     }
     if (answer.retryAfterUnreadable) {
         context.metrics.count(metrics::Counter::RestsUnreadable);
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -24,6 +24,9 @@
     if (target.report.condition == TargetCondition::Leaving) {
         return "leaving";
     }
+    if (target.restLeft > absl::ZeroDuration()) {
+        return "resting"; // It asked this daemon for it.
+    }
     if (target.report.condition == TargetCondition::Unreachable && target.reportAge < rule.staleAfter) {
         return "unreachable";
     }
@@ -41,7 +44,9 @@
         return;
     }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        candidates[i].usable = targets[i].report.condition != TargetCondition::Leaving;
+        const bool wantsNone
+            = targets[i].report.condition == TargetCondition::Leaving || targets[i].restLeft > absl::ZeroDuration();
+        candidates[i].usable = !wantsNone;
     }
 }
 
--- a/tests/property/target_word_property.cpp
+++ b/tests/property/target_word_property.cpp
@@ -167,7 +167,7 @@
         auto &told = m_told[daemon];
         told.leaves[target->hash] = told.leaves[target->hash] || answer.leaving;
         if (asksForRest(answer)) {
-            const auto until = m_now + std::min(*answer.retryAfter, core::Duration(LongestRest));
+            const auto until = m_now + std::min(*answer.retryAfter, core::Duration(targets::LongestRest));
             auto &known = told.restUntil.try_emplace(target->hash, until).first->second;
             known = std::max(known, until);
         }
--- a/tests/unit/request_test.cpp
+++ b/tests/unit/request_test.cpp
@@ -173,6 +173,31 @@
     BOOST_TEST(routing::chooseTarget({1, true, 0}, {ejected, leaving}, {}, {}, 0).chosen.value() == 0);
 }
 
+// Seen (read in the code): what a target asked for by Retry-After was passed to the caller, and the next request sent
+// to the same target. Cause: the time was decoded and no choice looked at it.
+BOOST_AUTO_TEST_CASE(a_target_that_asked_for_rest_is_left_out_until_it_ends_even_if_there_is_no_other)
+{
+    config::Configuration configuration;
+    config::Pool pool;
+    pool.name = "chat";
+    pool.targets.push_back({"a", {"127.0.0.1", 1}, "home"});
+    configuration.pools.push_back(pool);
+    targets::TargetTable table;
+    table.configure(configuration);
+    const auto chosen = [&](core::Time now) {
+        return routing::chooseTarget({1, true, 0}, table.views(pool.targets, now), {}, {}, 0).chosen.has_value();
+    };
+    const auto start = absl::FromUnixSeconds(1000);
+    BOOST_TEST(chosen(start));
+    table.askedForRest("a", absl::Seconds(3), start);
+    table.askedForRest("a", absl::Seconds(1), start); // A shorter time does not end the longer one.
+    BOOST_TEST(!chosen(start + absl::Milliseconds(2999)));
+    BOOST_TEST(chosen(start + absl::Seconds(3)));
+    table.askedForRest("a", absl::Hours(24), start + absl::Seconds(3));
+    BOOST_TEST(!chosen(start + absl::Minutes(4)));
+    BOOST_TEST(chosen(start + absl::Minutes(6)));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_stays_at_home_unless_home_is_busy_or_gone)
 {
     const auto at = [](targets::TargetView target, const std::string &domain, core::Duration age) {
