--- a/tests/platform/leaving_and_rest_test.cpp
+++ b/tests/platform/leaving_and_rest_test.cpp
@@ -317,6 +317,49 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_time_of_rest_is_read_as_seconds_or_as_a_date)
+{
+    const platform::RequestCodec codec;
+    const auto read = [&](const std::string &text, const std::string &date) {
+        net::ResponseHead head;
+        head.status = 503;
+        head.headers.add("Retry-After", text);
+        if (!date.empty()) {
+            head.headers.add("Date", date);
+        }
+        return codec.readAnswer(head);
+    };
+    const std::string date = "Thu, 03 Dec 2026 05:00:00 GMT";
+    BOOST_TEST((read("2.5", "").retryAfter == absl::Milliseconds(2500)));
+    BOOST_TEST((read("Thu, 03 Dec 2026 05:00:07 GMT", date).retryAfter == absl::Seconds(7)));
+    BOOST_TEST((read("Thu, 03 Dec 2026 04:00:00 GMT", date).retryAfter == absl::ZeroDuration()));
+    for (const auto *unreadable : {"soon", "-1", "nan", "inf", "Thu, 03 Dec 2026 05:00:07 GMT"}) {
+        const auto answer = read(unreadable, ""); // A date counts from the answer's own only.
+        BOOST_TEST(!answer.retryAfter.has_value(), unreadable);
+        BOOST_TEST(answer.retryAfterUnreadable, unreadable);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(what_a_target_says_while_a_request_connects_keeps_the_request_from_being_written)
+{
+    RelayFleet fleet;
+    FakeTarget target(fleet.loop, "i-1");
+    fleet.run([&]() -> net::Task<> {
+        const auto inbox = core::makeCounted<relay::RequestInbox>(fleet.loop);
+        auto attempt = core::makeCounted<relay::Attempt>(fleet.loop, inbox, 1);
+        Ask ask;
+        attempt->start(target.address(), fleet.write(ask), absl::Seconds(1), core::now() + absl::Seconds(3),
+                       [] { return false; });
+        const auto event = co_await inbox->events.take(core::now() + absl::Seconds(3));
+        BOOST_REQUIRE(event.has_value());
+        const auto *end = std::get_if<relay::AttemptEnded>(&*event);
+        BOOST_REQUIRE(end != nullptr);
+        BOOST_TEST((end->stage == relay::AttemptStage::Withheld));
+        co_await net::sleepFor(absl::Milliseconds(50));
+        BOOST_TEST(target.arrivals().empty());
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
