A target that accepts nothing is asked ever more seldom until it does

Seen by callers: targets that turned all work away without asking for rest, and so had none, looked idle and were chosen six times a second each by a fleet, while most slots elsewhere were free; the part of the bound on repeated sends went into it, and then callers were refused. Cause: a refusal kept a target out for 200 ms however many there were in a row; a refusal says full, but a full target accepts now and then. Ruled out: counting refusals as failures of the target (in an overload all are full, and all would be left out). Change: the pause doubles with each refusal in a row, to 1.6 s, and begins anew once the target accepts one; the class is the one that help has had. At the daemon and at the scheduler.

--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -48,17 +48,20 @@
 using targets::Outstanding;
 using targets::TargetWork;
 
-/// An engine that turned a request down gets none for this long: its queue is longer than what it gets through in less.
-inline constexpr auto FullSpan = absl::Milliseconds(200);
-
-/// \brief When an engine that did not help others is asked again: the pause doubles with each refusal in a row.
-class HelpPause
+/// \brief How long a target that turned something down is not asked again: the pause doubles with each refusal in a
+/// row, so that one that turns everything away, and has no work for it, costs few requests.
+class RefusalPause
 {
 public:
-    /// \brief Notes that it turned help down, or could not be reached by the engine that asked it.
+    RefusalPause(core::Duration first, core::Duration longest) noexcept
+        : m_first(first)
+        , m_longest(longest)
+    { }
+
+    /// \brief Notes that it turned something down, or could not be reached by the engine that asked it.
     void refused(core::Time now) noexcept;
-    /// \brief Notes that it helped.
-    void helped() noexcept
+    /// \brief Notes that it did what it was asked for.
+    void accepted() noexcept
     {
         m_inARow = 0;
     }
@@ -70,6 +73,8 @@
     }
 
 private:
+    core::Duration m_first;
+    core::Duration m_longest;
     int m_inARow = 0;
     core::Time m_until = absl::InfinitePast();
 };
@@ -143,8 +148,8 @@
     const std::uint32_t hash; ///< lifeHash of its life.
     TargetHealth health;
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
-    HelpPause helpPause; ///< After it turned help or a reservation down.
-    core::Time fullUntil = absl::InfinitePast(); ///< It turned a request down; it gets none before this.
+    RefusalPause helpPause; ///< After it turned help or a reservation down.
+    RefusalPause fullPause; ///< After it turned a request down without asking for rest.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -105,7 +105,7 @@
 void Scheduler::noteHelp(relay::Target &target, const TargetOutcome &outcome, core::Time now)
 {
     if (!outcome.fault) {
-        target.helpPause.helped();
+        target.helpPause.accepted();
         return;
     }
     target.helpPause.refused(now);
@@ -127,8 +127,9 @@
     }
     if (!outcome.fault) {
         target->health.succeeded(now);
+        target->fullPause.accepted();
     } else if (*outcome.fault == relay::TargetFault::Busy) {
-        target->fullUntil = now + relay::FullSpan;
+        target->fullPause.refused(now);
     } else {
         target->health.failed(*outcome.fault, m_context.ejection, now);
     }
--- a/src/relay/request_help.cpp
+++ b/src/relay/request_help.cpp
@@ -72,7 +72,7 @@
     std::set<std::string> told{home};
     for (const auto &helper : m_current.helpers) {
         const auto &domain = helper->entry.failureDomain;
-        helper->helpPause.helped();
+        helper->helpPause.accepted();
         if (!told.insert(domain).second) {
             continue; // One engine of each domain is enough.
         }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -252,6 +252,7 @@
     }
     m_answeredAt = now;
     m_lastEventAt = now;
+    m_current.target->fullPause.accepted();
     noteReached();
     noteWork();
     if (m_facts.prompt) {
@@ -277,7 +278,7 @@
         std::erase(m_refusedBy, hash);
     }
     if (reason == Reason::TargetRefused && !m_helperAtFault) {
-        m_current.target->fullUntil = now + FullSpan;
+        m_current.target->fullPause.refused(now);
     }
     m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
     const bool isBusy = fault == TargetFault::Busy && m_helperAtFault;
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -92,7 +92,7 @@
     {
         const auto &target = *m_targets[index];
         const bool wanted = !m_query.onlyAt || contains(*m_query.onlyAt, target.hash);
-        if (!wanted || contains(m_query.notAt, target.hash) || m_now < target.fullUntil) {
+        if (!wanted || contains(m_query.notAt, target.hash) || target.fullPause.lasts(m_now)) {
             return false;
         }
         if (evenEjected) {
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -35,20 +35,23 @@
 constexpr auto FirstHelpPause = absl::Milliseconds(300); ///< A full engine gets through its reading in less.
 /// One that crashed is back after some seconds; it is asked by one prompt in each pause.
 constexpr auto LongestHelpPause = absl::Milliseconds(1200);
+constexpr auto FirstFullPause = absl::Milliseconds(200); ///< A queue is longer than what is got through in less.
+/// One that accepts nothing in between is not full but failing; failures of other kinds leave a target out for 1.5 s.
+constexpr auto LongestFullPause = absl::Milliseconds(1600);
 /// A pause that ended this long ago says nothing any more.
 constexpr auto PauseRemembered = absl::Seconds(4);
 
 } // namespace
 
-void HelpPause::refused(core::Time now) noexcept
+void RefusalPause::refused(core::Time now) noexcept
 {
     if (lasts(now)) {
         return; // It was asked before the first refusal was known.
     }
     m_inARow = now - m_until > PauseRemembered ? 0 : m_inARow;
-    const auto pause = FirstHelpPause * (1 << m_inARow);
-    m_until = now + std::min(core::Duration(pause), core::Duration(LongestHelpPause));
-    m_inARow = pause < LongestHelpPause ? m_inARow + 1 : m_inARow;
+    const auto pause = m_first * (1 << m_inARow);
+    m_until = now + std::min(pause, m_longest);
+    m_inARow = pause < m_longest ? m_inARow + 1 : m_inARow;
 }
 
 Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time sentAt, core::Time expected,
@@ -123,6 +126,8 @@
 Target::Target(TargetEntry entry)
     : entry(std::move(entry))
     , hash(lifeHash(this->entry.life()))
+    , helpPause(FirstHelpPause, LongestHelpPause)
+    , fullPause(FirstFullPause, LongestFullPause)
     , m_leaving(this->entry.draining)
 { }
 
--- a/tests/unit/domain_links_test.cpp
+++ b/tests/unit/domain_links_test.cpp
@@ -179,7 +179,7 @@
                        {state.engine("hall-c", 1)->hash, TargetFault::Busy, asker}};
     scheduler.report(report, at(0));
     BOOST_TEST(state.context.links.parted("hall-a", "hall-c", at(1)));
-    BOOST_TEST((state.engine("hall-c", 0)->fullUntil < at(1))); // It may answer requests of its own well.
+    BOOST_TEST(!state.engine("hall-c", 0)->fullPause.lasts(at(1))); // It may answer requests of its own well.
     control::PlacementAsk ask;
     ask.vm = "other";
     ask.ask = 1;
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -262,6 +262,25 @@
     BOOST_TEST(request.hasNoTarget(at(3))); // It leaves.
 }
 
+// Seen: engines that turned everything away looked idle and were chosen for every fourth request, six times a second
+// each, while 286 of 288 slots were free elsewhere. Cause: the pause after a refusal was the same however many there
+// were in a row.
+BOOST_AUTO_TEST_CASE(a_target_that_accepts_nothing_is_asked_ever_more_seldom_until_it_does)
+{
+    Target target(entry("a"));
+    std::int64_t refusedMs = 0;
+    for (const std::int64_t pauseMs : {200, 400, 800, 1600, 1600}) {
+        target.fullPause.refused(at(refusedMs));
+        target.fullPause.refused(at(refusedMs + 10)); // Sent before the first refusal was known.
+        BOOST_TEST(target.fullPause.lasts(at(refusedMs + pauseMs - 1)));
+        refusedMs += pauseMs;
+        BOOST_TEST(!target.fullPause.lasts(at(refusedMs)));
+    }
+    target.fullPause.accepted();
+    target.fullPause.refused(at(refusedMs));
+    BOOST_TEST(!target.fullPause.lasts(at(refusedMs + 200)));
+}
+
 BOOST_AUTO_TEST_CASE(an_older_list_brings_nobody_back)
 {
     RelayState state;
--- a/tests/unit/target_life_test.cpp
+++ b/tests/unit/target_life_test.cpp
@@ -55,14 +55,14 @@
     const Share share(first, Share::Kind::Request, {.readMicros = 1000, .requests = 1}, at(0), at(100), true);
     targets.peerWork("peer", someWork(first->entry.life()), at(0));
     first->health.failed(TargetFault::Unreachable, {}, at(0));
-    first->fullUntil = at(5000);
+    first->fullPause.refused(at(0));
     first->helpPause.refused(at(0));
     first->reportedUntil = at(5000);
     BOOST_TEST((targets.put(lifeOf("a", SecondStart)) == EntryNews::Restarted));
     const auto second = targets.find("a");
     BOOST_TEST((second->load(at(1)) == Outstanding{}));
     BOOST_TEST(!second->health.onProbation());
-    BOOST_TEST((second->fullUntil < at(1) && second->reportedUntil < at(1)));
+    BOOST_TEST((!second->fullPause.lasts(at(1)) && second->reportedUntil < at(1)));
     BOOST_TEST(!second->helpPause.lasts(at(1)));
     BOOST_TEST(targets.ownWork(at(1)).empty()); // What the earlier life had is gone: nobody is told of it.
     BOOST_TEST(!targets.withHash(first->hash));
