Names: a target's notices, and a cooldown that it asks for

Cause: the code spoke of words and rest, the first our own metaphor, the second the users' term; a reader of the field knows notices and cooldowns. Change: names, log events and counters; no logic. Measured: unit, property and platform tests pass.

--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -50,7 +50,7 @@
     NoCapacity, ///< All targets are full.
     CrashesTargets, ///< Several targets ended while the same work ran there.
     TargetLeaving, ///< The target that was chosen must get nothing more: it leaves, or its entry is gone.
-    TargetsRest, ///< All targets that the request may go to asked this daemon for rest.
+    TargetsCoolingDown, ///< All targets that the request may go to asked this daemon for a cooldown.
 };
 
 template<>
@@ -95,13 +95,13 @@
         EnumName<Reason>{Reason::NoCapacity, "no_capacity"},
         EnumName<Reason>{Reason::CrashesTargets, "crashes_targets"},
         EnumName<Reason>{Reason::TargetLeaving, "target_leaving"},
-        EnumName<Reason>{Reason::TargetsRest, "targets_rest"},
+        EnumName<Reason>{Reason::TargetsCoolingDown, "targets_cooling_down"},
     };
 };
 
 /// \brief What a caller may conclude about an attempt or a whole request.
 // Counters by reason are arrays of the table's size.
-static_assert(static_cast<std::size_t>(Reason::TargetsRest) + 1 == EnumNames<Reason>::table.size(),
+static_assert(static_cast<std::size_t>(Reason::TargetsCoolingDown) + 1 == EnumNames<Reason>::table.size(),
               "every reason has a name, in the order of their declaration");
 
 enum class Outcome
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -64,8 +64,8 @@
     CrashNewsSent, ///< Datagrams to other daemons on work that ends targets.
     TargetEntriesUnusable, ///< Entries of targets that came to be unreadable or of a wrong form.
     LeavingTold, ///< Answers in which a target said that it ends soon.
-    RestsAsked, ///< Answers in which a target asked for time without requests of this daemon.
-    RestsUnreadable, ///< Answers in which it asked for a time that is none.
+    CooldownsAsked, ///< Answers in which a target asked for time without requests of this daemon.
+    RetryAfterUnreadable, ///< Answers in which it asked for a time that is none.
 };
 
 /// \brief What the daemon times; seconds.
@@ -131,8 +131,8 @@
         EnumName<Counter>{Counter::CrashNewsSent, "crash_news_sent"},
         EnumName<Counter>{Counter::TargetEntriesUnusable, "target_entries_unusable"},
         EnumName<Counter>{Counter::LeavingTold, "leaving_told"},
-        EnumName<Counter>{Counter::RestsAsked, "rests_asked"},
-        EnumName<Counter>{Counter::RestsUnreadable, "rests_unreadable"},
+        EnumName<Counter>{Counter::CooldownsAsked, "cooldowns_asked"},
+        EnumName<Counter>{Counter::RetryAfterUnreadable, "retry_after_unreadable"},
     };
 };
 
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -14,7 +14,7 @@
 #include "spurlug/relay/event_splitter.h"
 #include "spurlug/relay/request_progress.h"
 #include "spurlug/relay/reservation.h"
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <string>
 #include <utility>
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -41,7 +41,7 @@
     const auto verdict = judgeAnswer(answer, m_progress.facts().id);
     const auto now = core::now();
     if (isOwnAnswer(answer, m_progress.facts().id)) {
-        takeTargetWord(m_context, *m_progress.target(), answer, m_progress.facts().id, now);
+        takeTargetNotice(m_context, *m_progress.target(), answer, m_progress.facts().id, now);
     }
     if (answer.faultAt) {
         if (const auto helper = m_progress.helperAt(*answer.faultAt)) {
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -153,7 +153,7 @@
         }
         const auto backAt = m_progress.backAt(query, now);
         if (backAt && m_progress.backTooLate(*backAt, now)) {
-            m_failure = core::Reason::TargetsRest;
+            m_failure = core::Reason::TargetsCoolingDown;
             co_return std::nullopt;
         }
         if (backAt) {
@@ -202,7 +202,7 @@
             = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-", ++m_context.reservations);
         auto hear = [&context = m_context, &dialect = m_dialect, helper = chosen.helpers[i],
                      id](const net::ResponseHead &head) {
-            takeTargetWord(context, *helper, dialect.readAnswer(head), id, core::now());
+            takeTargetNotice(context, *helper, dialect.readAnswer(head), id, core::now());
         };
         auto reservation = core::makeCounted<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
                                                           m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold),
--- a/include/spurlug/relay/target_word.h
+++ b/include/spurlug/relay/target_notice.h
@@ -18,15 +18,15 @@
 {
 
 /// \brief Whether an answer turns work away for a time that the target tells.
-[[nodiscard]] bool asksForRest(const AnswerFacts &answer) noexcept;
+[[nodiscard]] bool asksForCooldown(const AnswerFacts &answer) noexcept;
 
 /// \brief Takes what the head of an answer says of its target. The caller has checked that the answer is the target's
 /// own: not one to another request, and not one of whoever has the address now.
 /// \param request Id of the request or the reservation that it answers, for the log.
-void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
-                    core::Time now);
+void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
+                      core::Time now);
 
-/// \brief Takes a peer's word of targets that leave.
+/// \brief Takes what a peer tells of targets that leave.
 /// \param leaving Hashes of their lives.
 void takeLeavingNews(RelayContext &context, const std::vector<std::uint32_t> &leaving, std::string_view peer);
 
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -10,8 +10,8 @@
 #include "spurlug/core/time.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/relay/target_life.h"
+#include "spurlug/targets/cooldown.h"
 #include "spurlug/targets/outstanding.h"
-#include "spurlug/targets/rest_period.h"
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
@@ -149,7 +149,7 @@
     TargetHealth health;
     core::Time heardAt = absl::InfinitePast(); ///< When bytes of any answer came from it last.
     RefusalPause helpPause; ///< After it turned help or a reservation down.
-    RefusalPause fullPause; ///< After it turned a request down without asking for rest.
+    RefusalPause fullPause; ///< After it turned a request down without asking for a cooldown.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
@@ -162,9 +162,9 @@
     }
 
     /// \brief The time in which it wants nothing from this daemon.
-    [[nodiscard]] const targets::RestPeriod &rest() const noexcept
+    [[nodiscard]] const targets::Cooldown &cooldown() const noexcept
     {
-        return m_rest;
+        return m_cooldown;
     }
 
     /// \brief Work of this daemon here.
@@ -195,7 +195,7 @@
     Shares m_shares;
     PeerShares m_peerShares;
     bool m_leaving = false;
-    targets::RestPeriod m_rest;
+    targets::Cooldown m_cooldown;
 };
 
 /// \brief Why a target must get nothing from this daemon now; nothing: it may.
@@ -228,7 +228,7 @@
     /// \returns Targets of which it was not known, for the log.
     Targets noteLeaving(const std::vector<std::uint32_t> &hashes);
     /// \brief Notes that a target wants nothing from this daemon for a while.
-    void noteRest(Target &target, core::Duration span, core::Time now);
+    void noteCooldown(Target &target, core::Duration span, core::Time now);
     /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
     void drop(const std::string &id, core::Time dropAt);
     /// \brief Notes that a target's newest entry cannot be used: it gets nothing before it has a good one again.
@@ -260,7 +260,7 @@
     /// \brief Work of this daemon at each target where it has some.
     [[nodiscard]] std::vector<TargetWork> ownWork(core::Time now) const;
     /// \brief Hashes of targets that must get nothing from this daemon, though a scheduler may not know it: those that
-    /// want rest from it, and those that leave though their entries do not say so.
+    /// asked it for a cooldown, and those that leave though their entries do not say so.
     [[nodiscard]] std::vector<std::uint32_t> unwantedHere(core::Time now) const;
     /// \brief Hashes of targets that leave and whose entries do not say so yet: those that peers may not know of.
     [[nodiscard]] std::vector<std::uint32_t> leavingUnlisted() const;
@@ -276,7 +276,8 @@
 
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
-    Targets m_resting; ///< Targets that asked this daemon for rest; those whose time is over go with the next one.
+    Targets m_coolingDown; ///< Targets that asked this daemon for a cooldown; those whose time is over go with the next
+                           ///< one.
     Targets m_leavingUnlisted; ///< Targets that leave though their entries do not say so.
     /// What each peer said last. Holds the targets themselves: one that is forgotten and comes back begins at nothing.
     std::unordered_map<std::string, std::vector<std::unique_ptr<PeerShare>>> m_peerWorks;
--- a/include/spurlug/targets/target_table.h
+++ b/include/spurlug/targets/target_table.h
@@ -6,8 +6,8 @@
 
 #include "spurlug/config/configuration.h"
 #include "spurlug/core/time.h"
+#include "spurlug/targets/cooldown.h"
 #include "spurlug/targets/load_report.h"
-#include "spurlug/targets/rest_period.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -39,7 +39,7 @@
     std::int64_t ownTokens = 0; ///< Prefill tokens this daemon sent since the report that await their first token.
     std::int64_t ownStreams = 0; ///< Requests of this daemon in progress there.
     bool ejected = false; ///< Left out because it fails.
-    core::Duration restLeft = absl::ZeroDuration(); ///< Time in which it wants nothing from this daemon.
+    core::Duration cooldownLeft = absl::ZeroDuration(); ///< Time in which it wants nothing from this daemon.
 };
 
 /// \brief Loads, dispatches since the last report, and failures of each target. Safe to use from several threads.
@@ -74,7 +74,7 @@
         ABSL_LOCKS_EXCLUDED(m_mutex);
 
     /// \brief Notes that a target turned a request away and wants nothing from this daemon for a while.
-    void askedForRest(const std::string &id, core::Duration span, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void askedForCooldown(const std::string &id, core::Duration span, core::Time now) ABSL_LOCKS_EXCLUDED(m_mutex);
 
     /// @}
     /// \name Queries
@@ -102,7 +102,7 @@
         int failures = 0;
         int ejections = 0;
         core::Time ejectedUntil = absl::InfinitePast();
-        RestPeriod rest;
+        Cooldown cooldown;
     };
 
     [[nodiscard]] TargetView view(const Entry &entry, core::Time now) const;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -7,7 +7,7 @@
 
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -6,7 +6,7 @@
 #include "spurlug/control/scheduler_client.h"
 
 #include "spurlug/core/log.h"
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <absl/time/clock.h>
 #include <algorithm>
--- a/src/dispatch/request_run.cpp
+++ b/src/dispatch/request_run.cpp
@@ -349,7 +349,7 @@
         m_context.targets.ended(id, m_request.id, end.targetFailed && id == m_current.front(), now);
     }
     if (!m_current.empty() && end.retryAfterSeconds > 0) {
-        m_context.targets.askedForRest(m_current.front(), absl::Seconds(end.retryAfterSeconds), now);
+        m_context.targets.askedForCooldown(m_current.front(), absl::Seconds(end.retryAfterSeconds), now);
     }
     if (!m_current.empty() && end.outcome != Outcome::Completed) {
         m_tried.push_back(m_current.front());
--- a/src/dispatch/target_client.cpp
+++ b/src/dispatch/target_client.cpp
@@ -86,7 +86,7 @@
                 Reason::TargetRefused,
                 progress.status,
                 detail,
-                progress.status >= FirstServerError && progress.retryAfterSeconds == 0, // One that wants rest is well.
+                progress.status >= FirstServerError && progress.retryAfterSeconds == 0, // A cooldown is no failure.
                 progress.retryAfterSeconds};
     }
     return {Outcome::MayHaveRun, Reason::TargetFailed, progress.status, detail, progress.status >= FirstServerError};
--- a/src/relay/peer_link.cpp
+++ b/src/relay/peer_link.cpp
@@ -8,7 +8,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <absl/time/clock.h>
 #include <algorithm>
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -91,10 +91,10 @@
         if (!wanted || contains(query.notAt, target->hash)) {
             continue;
         }
-        if (!target->rest().lasts(now)) {
+        if (!target->cooldown().lasts(now)) {
             return std::nullopt;
         }
-        first = std::min(first, target->rest().until());
+        first = std::min(first, target->cooldown().until());
     }
     return first == absl::InfiniteFuture() ? std::nullopt : std::optional(first);
 }
@@ -157,7 +157,7 @@
         return RetryAfterUnknown;
     case Reason::NoTarget:
         return RetryAfterNoTarget;
-    case Reason::TargetsRest: {
+    case Reason::TargetsCoolingDown: {
         TargetQuery anyTarget; // The next try may go to those that this one must not go to any more.
         anyTarget.service = m_service;
         const auto back = backAt(anyTarget, now).value_or(now);
--- a/src/relay/target_word.cpp
+++ b/src/relay/target_notice.cpp
@@ -3,7 +3,7 @@
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
@@ -14,15 +14,15 @@
 namespace spurlug::relay
 {
 
-bool asksForRest(const AnswerFacts &answer) noexcept
+bool asksForCooldown(const AnswerFacts &answer) noexcept
 {
     using namespace core::http_status;
     const bool turnedAway = answer.status == Unavailable || answer.status == TooManyRequests;
     return turnedAway && answer.retryAfter && *answer.retryAfter > absl::ZeroDuration();
 }
 
-void takeTargetWord(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
-                    core::Time now)
+void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
+                      core::Time now)
 {
     if (answer.leaving) {
         context.metrics.count(metrics::Counter::LeavingTold);
@@ -31,19 +31,20 @@
                       {{"target", target.entry.id}, {"from", "answer"}, {"request", request}});
         }
     }
-    if (asksForRest(answer)) {
-        context.metrics.count(metrics::Counter::RestsAsked);
-        context.targets.noteRest(target, *answer.retryAfter, now);
-        core::log(core::LogLevel::Info, "target_asks_for_rest",
+    if (asksForCooldown(answer)) {
+        context.metrics.count(metrics::Counter::CooldownsAsked);
+        context.targets.noteCooldown(target, *answer.retryAfter, now);
+        core::log(core::LogLevel::Info, "target_cooldown",
                   {{"target", target.entry.id},
                    {"request", request},
                    {"status", answer.status},
                    {"askedMs", core::toMs(*answer.retryAfter)},
-                   {"restMs", core::toMs(target.rest().until() - now)}});
+                   {"cooldownMs", core::toMs(target.cooldown().until() - now)}});
     }
     if (answer.retryAfterUnreadable) {
-        context.metrics.count(metrics::Counter::RestsUnreadable);
-        core::log(core::LogLevel::Warning, "rest_unreadable", {{"target", target.entry.id}, {"request", request}});
+        context.metrics.count(metrics::Counter::RetryAfterUnreadable);
+        core::log(core::LogLevel::Warning, "retry_after_unreadable",
+                  {{"target", target.entry.id}, {"request", request}});
     }
 }
 
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -175,7 +175,7 @@
     if (!target.listed(now)) {
         return core::Reason::TargetLeaving;
     }
-    return target.rest().lasts(now) ? std::optional(core::Reason::TargetsRest) : std::nullopt;
+    return target.cooldown().lasts(now) ? std::optional(core::Reason::TargetsCoolingDown) : std::nullopt;
 }
 
 EntryNews TargetSet::put(const TargetEntry &entry)
@@ -230,11 +230,11 @@
     return fresh;
 }
 
-void TargetSet::noteRest(Target &target, core::Duration span, core::Time now)
+void TargetSet::noteCooldown(Target &target, core::Duration span, core::Time now)
 {
-    std::erase_if(m_resting, [&](const auto &known) { return !known->rest().lasts(now) || known == &target; });
-    target.m_rest.ask(span, now);
-    m_resting.emplace_back(&target);
+    std::erase_if(m_coolingDown, [&](const auto &known) { return !known->cooldown().lasts(now) || known == &target; });
+    target.m_cooldown.ask(span, now);
+    m_coolingDown.emplace_back(&target);
 }
 
 void TargetSet::drop(const std::string &id, core::Time dropAt)
@@ -311,8 +311,8 @@
 std::vector<std::uint32_t> TargetSet::unwantedHere(core::Time now) const
 {
     auto hashes = leavingUnlisted();
-    for (const auto &target : m_resting) {
-        if (target->rest().lasts(now)) {
+    for (const auto &target : m_coolingDown) {
+        if (target->cooldown().lasts(now)) {
             hashes.push_back(target->hash);
         }
     }
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -24,8 +24,8 @@
     if (target.report.condition == TargetCondition::Leaving) {
         return "leaving";
     }
-    if (target.restLeft > absl::ZeroDuration()) {
-        return "resting"; // It asked this daemon for it.
+    if (target.cooldownLeft > absl::ZeroDuration()) {
+        return "cooling down"; // It asked this daemon for it.
     }
     if (target.report.condition == TargetCondition::Unreachable && target.reportAge < rule.staleAfter) {
         return "unreachable";
@@ -45,7 +45,7 @@
     }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool wantsNone
-            = targets[i].report.condition == TargetCondition::Leaving || targets[i].restLeft > absl::ZeroDuration();
+            = targets[i].report.condition == TargetCondition::Leaving || targets[i].cooldownLeft > absl::ZeroDuration();
         candidates[i].usable = !wantsNone;
     }
 }
--- a/src/targets/target_table.cpp
+++ b/src/targets/target_table.cpp
@@ -110,12 +110,12 @@
     entry.failures = m_rule.failures - 1;
 }
 
-void TargetTable::askedForRest(const std::string &id, core::Duration span, core::Time now)
+void TargetTable::askedForCooldown(const std::string &id, core::Duration span, core::Time now)
 {
     absl::MutexLock lock(&m_mutex);
     const auto entry = m_entries.find(id);
     if (entry != m_entries.end()) {
-        entry->second.rest.ask(span, now);
+        entry->second.cooldown.ask(span, now);
     }
 }
 
@@ -142,7 +142,7 @@
     view.report = entry.report;
     view.reportAge = now - entry.observedAt;
     view.ejected = now < entry.ejectedUntil;
-    view.restLeft = entry.rest.lasts(now) ? entry.rest.until() - now : absl::ZeroDuration();
+    view.cooldownLeft = entry.cooldown.lasts(now) ? entry.cooldown.until() - now : absl::ZeroDuration();
     view.ownStreams = static_cast<std::int64_t>(entry.dispatches.size());
     for (const auto &[id, dispatch] : entry.dispatches) {
         if (dispatch.prefilling && dispatch.at > entry.observedAt) {
--- a/tests/property/target_word_property.cpp
+++ b/tests/property/target_notice_property.cpp
@@ -7,7 +7,7 @@
 #include "relay_state.h"
 
 #include "spurlug/relay/target_choice.h"
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <algorithm>
 #include <array>
@@ -163,11 +163,11 @@
         if (*rc::gen::arbitrary<bool>()) {
             answer.retryAfter = absl::Milliseconds(*rc::gen::inRange(0, 400'000));
         }
-        takeTargetWord(context, *target, answer, "request", m_now);
+        takeTargetNotice(context, *target, answer, "request", m_now);
         auto &told = m_told[daemon];
         told.leaves[target->hash] = told.leaves[target->hash] || answer.leaving;
-        if (asksForRest(answer)) {
-            const auto until = m_now + std::min(*answer.retryAfter, core::Duration(targets::LongestRest));
+        if (asksForCooldown(answer)) {
+            const auto until = m_now + std::min(*answer.retryAfter, core::Duration(targets::LongestCooldown));
             auto &known = told.restUntil.try_emplace(target->hash, until).first->second;
             known = std::max(known, until);
         }
@@ -278,7 +278,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(target_word)
+BOOST_AUTO_TEST_SUITE(target_notice)
 
 BOOST_AUTO_TEST_CASE(whatever_is_heard_in_whatever_order_what_a_target_said_of_itself_binds_the_daemon_it_told)
 {
--- a/tests/unit/request_test.cpp
+++ b/tests/unit/request_test.cpp
@@ -189,11 +189,11 @@
     };
     const auto start = absl::FromUnixSeconds(1000);
     BOOST_TEST(chosen(start));
-    table.askedForRest("a", absl::Seconds(3), start);
-    table.askedForRest("a", absl::Seconds(1), start); // A shorter time does not end the longer one.
+    table.askedForCooldown("a", absl::Seconds(3), start);
+    table.askedForCooldown("a", absl::Seconds(1), start); // A shorter time does not end the longer one.
     BOOST_TEST(!chosen(start + absl::Milliseconds(2999)));
     BOOST_TEST(chosen(start + absl::Seconds(3)));
-    table.askedForRest("a", absl::Hours(24), start + absl::Seconds(3));
+    table.askedForCooldown("a", absl::Hours(24), start + absl::Seconds(3));
     BOOST_TEST(!chosen(start + absl::Minutes(4)));
     BOOST_TEST(chosen(start + absl::Minutes(6)));
 }
--- a/tests/unit/target_word_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -10,7 +10,7 @@
 #include "spurlug/control/scheduler_client.h"
 #include "spurlug/membership/heartbeat.h"
 #include "spurlug/relay/request_progress.h"
-#include "spurlug/relay/target_word.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -52,7 +52,7 @@
         answer.status = 503;
         answer.notRun = true;
         answer.retryAfter = span;
-        takeTargetWord(context, *find(id), answer, "r", now);
+        takeTargetNotice(context, *find(id), answer, "r", now);
     }
 
     config::RouteTableRef chats;
@@ -67,7 +67,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(target_word)
+BOOST_AUTO_TEST_SUITE(target_notice)
 
 BOOST_AUTO_TEST_CASE(a_request_that_cannot_wait_for_the_first_target_back_is_refused_at_once)
 {
@@ -81,7 +81,7 @@
     BOOST_REQUIRE(back.has_value());
     BOOST_TEST((*back == at(3000)));
     BOOST_TEST(request.backTooLate(*back, at(10)));
-    const auto told = request.retryAfter(core::Reason::TargetsRest, at(10));
+    const auto told = request.retryAfter(core::Reason::TargetsCoolingDown, at(10));
     BOOST_TEST((told >= absl::Milliseconds(2990)));
     BOOST_TEST((told <= absl::Milliseconds(3990)));
 }
@@ -122,7 +122,7 @@
     const auto back = request.backAt(request.query(at(3)), at(3));
     BOOST_REQUIRE(back.has_value()); // It has been to as many targets as it may.
     BOOST_TEST(request.backTooLate(*back, at(3)));
-    BOOST_TEST((request.retryAfter(core::Reason::TargetsRest, at(3)) < absl::Seconds(2)));
+    BOOST_TEST((request.retryAfter(core::Reason::TargetsCoolingDown, at(3)) < absl::Seconds(2)));
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_rests_or_leaves_is_asked_for_no_help)
@@ -133,7 +133,7 @@
     AnswerFacts leaving;
     leaving.status = 200;
     leaving.leaving = true;
-    takeTargetWord(state.context, *state.find("b"), leaving, "r", at(0));
+    takeTargetNotice(state.context, *state.find("b"), leaving, "r", at(0));
     RequestProgress request(state.context, longPrompt(), at(0));
     BOOST_REQUIRE(!request.authorise(at(0)));
     for (int i = 0; i < 20; ++i) {
