A cooldown is held against a target by nobody but the daemon that was asked

Seen (read in the diff): a refusal with a time of its own was told to the scheduler as a full target, so all daemons left the target alone for a moment, ever longer with the doubling pause, though it had asked one of them. And a request that may go to no other target was told to come back within a second though others were free. Cause: one verdict for two kinds of refusal; the spread of returns also where nothing is waited for. Ruled out: telling the others as a hint: a target that limits one daemon is free for the rest. Change: a refusal with a cooldown carries no fault; Retry-After is 100 ms where some target is free. Measured: a_target_that_asks_for_a_cooldown_does_nothing_wrong; the bound of the other case is the exact value now.

--- a/include/spurlug/relay/target_notice.h
+++ b/include/spurlug/relay/target_notice.h
@@ -17,9 +17,6 @@
 namespace spurlug::relay
 {
 
-/// \brief Whether an answer turns work away for a time that the target tells.
-[[nodiscard]] bool asksForCooldown(const AnswerFacts &answer) noexcept;
-
 /// \brief Takes what the head of an answer says of its target. The caller has checked that the answer is the target's
 /// own: not one to another request, and not one of whoever has the address now.
 /// \param request Id of the request or the reservation that it answers, for the log.
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -276,8 +276,7 @@
 
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
-    Targets m_coolingDown; ///< Targets that asked this daemon for a cooldown; those whose time is over go with the next
-                           ///< one.
+    Targets m_coolingDown; ///< Those in a cooldown; the ones whose time is over go with the next.
     Targets m_leavingUnlisted; ///< Targets that leave though their entries do not say so.
     /// What each peer said last. Holds the targets themselves: one that is forgotten and comes back begins at nothing.
     std::unordered_map<std::string, std::vector<std::unique_ptr<PeerShare>>> m_peerWorks;
--- a/include/spurlug/relay/verdict.h
+++ b/include/spurlug/relay/verdict.h
@@ -29,7 +29,11 @@
 /// of that target.
 [[nodiscard]] bool isOwnAnswer(const AnswerFacts &answer, const std::string &requestId) noexcept;
 
-/// \brief Judges the head of an answer.
+/// \brief Whether an answer turns work away for a time that the target tells.
+[[nodiscard]] bool asksForCooldown(const AnswerFacts &answer) noexcept;
+
+/// \brief Judges the head of an answer. A target that asks this daemon for a cooldown does nothing wrong: nothing is
+/// held against it at the scheduler, which places for daemons that it did not ask.
 [[nodiscard]] Verdict judgeAnswer(const AnswerFacts &answer, const std::string &requestId);
 
 /// \brief What is known of a request when an attempt has ended without an answer to pass on.
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -21,8 +21,8 @@
 constexpr auto RetryAfterNoTarget = absl::Seconds(1);
 constexpr auto RetryAfterUnknown = absl::Milliseconds(300); // A daemon reads its configuration in less.
 
-/// All that came while all targets rested comes back in this time after the first one is back, not in one moment. A
-/// target that turns the first ones away again has been met by few.
+/// All that came while all targets cooled down comes back in this time after the first one is back, not in one moment.
+/// A target that turns the first ones away again has been met by few.
 constexpr auto ReturnSpread = absl::Seconds(1);
 /// The same for requests that wait here, which have a part of their aim left.
 constexpr auto WakeSpread = absl::Milliseconds(40);
@@ -160,8 +160,8 @@
     case Reason::TargetsCoolingDown: {
         TargetQuery anyTarget; // The next try may go to those that this one must not go to any more.
         anyTarget.service = m_service;
-        const auto back = backAt(anyTarget, now).value_or(now);
-        return std::max(back - now + ReturnSpread * placeInOrder(), core::Duration(RetryAfterFull));
+        const auto back = backAt(anyTarget, now);
+        return back ? *back - now + ReturnSpread * placeInOrder() : core::Duration(RetryAfterFull);
     }
     case Reason::CrashesTargets:
         return CrashLedger::FirstTrialAfter;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -277,7 +277,7 @@
     } else {
         std::erase(m_refusedBy, hash);
     }
-    if (reason == Reason::TargetRefused && !m_helperAtFault) {
+    if (fault == TargetFault::Busy && !m_helperAtFault) {
         m_current.target->fullPause.refused(now);
     }
     m_ranSomewhere = m_ranSomewhere || outcome != Outcome::NotRun;
--- a/src/relay/target_notice.cpp
+++ b/src/relay/target_notice.cpp
@@ -5,8 +5,8 @@
 
 #include "spurlug/relay/target_notice.h"
 
-#include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
+#include "spurlug/relay/verdict.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -14,13 +14,6 @@
 namespace spurlug::relay
 {
 
-bool asksForCooldown(const AnswerFacts &answer) noexcept
-{
-    using namespace core::http_status;
-    const bool turnedAway = answer.status == Unavailable || answer.status == TooManyRequests;
-    return turnedAway && answer.retryAfter && *answer.retryAfter > absl::ZeroDuration();
-}
-
 void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
                       core::Time now)
 {
--- a/src/relay/verdict.cpp
+++ b/src/relay/verdict.cpp
@@ -33,13 +33,20 @@
     return answer.requestId == requestId && !answer.wrongTarget;
 }
 
+bool asksForCooldown(const AnswerFacts &answer) noexcept
+{
+    const bool turnedAway = answer.status == Unavailable || answer.status == TooManyRequests;
+    return turnedAway && answer.retryAfter && *answer.retryAfter > absl::ZeroDuration();
+}
+
 Verdict judgeAnswer(const AnswerFacts &answer, const std::string &requestId)
 {
     if (answer.requestId != requestId) {
         return {Outcome::MayHaveRun, Reason::TargetFailed, TargetFault::Garbled};
     }
     if (answer.notRun) {
-        return {Outcome::NotRun, Reason::TargetRefused, TargetFault::Busy};
+        const auto fault = asksForCooldown(answer) ? std::nullopt : std::optional(TargetFault::Busy);
+        return {Outcome::NotRun, Reason::TargetRefused, fault};
     }
     const bool success = answer.status >= Ok && answer.status < FirstRedirect;
     if (answer.encoded || (success && !answer.hasSignature)) {
--- a/tests/property/target_notice_property.cpp
+++ b/tests/property/target_notice_property.cpp
@@ -8,6 +8,7 @@
 
 #include "spurlug/relay/target_choice.h"
 #include "spurlug/relay/target_notice.h"
+#include "spurlug/relay/verdict.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/unit/target_notice_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -11,6 +11,7 @@
 #include "spurlug/membership/heartbeat.h"
 #include "spurlug/relay/request_progress.h"
 #include "spurlug/relay/target_notice.h"
+#include "spurlug/relay/verdict.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -122,7 +123,22 @@
     const auto back = request.backAt(request.query(at(3)), at(3));
     BOOST_REQUIRE(back.has_value()); // It has been to as many targets as it may.
     BOOST_TEST(request.backTooLate(*back, at(3)));
-    BOOST_TEST((request.retryAfter(core::Reason::TargetsCoolingDown, at(3)) < absl::Seconds(2)));
+    BOOST_TEST((request.retryAfter(core::Reason::TargetsCoolingDown, at(3)) == absl::Milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_asks_for_a_cooldown_does_nothing_wrong)
+{
+    AnswerFacts answer;
+    answer.requestId = "r";
+    answer.status = 503;
+    answer.notRun = true;
+    BOOST_TEST((judgeAnswer(answer, "r").fault == TargetFault::Busy));
+    answer.retryAfter = absl::Seconds(3);
+    const auto verdict = judgeAnswer(answer, "r");
+    BOOST_TEST((verdict.outcome == core::Outcome::NotRun));
+    BOOST_TEST(!verdict.fault.has_value());
+    answer.retryAfter = absl::ZeroDuration(); // It may be asked again at once: it is full.
+    BOOST_TEST((judgeAnswer(answer, "r").fault == TargetFault::Busy));
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_rests_or_leaves_is_asked_for_no_help)
