Tests: one request of 4,000 tokens for all that need it

Cause: the fixture stood in two files. Ruled out: nothing. Change: it stands beside the long prompt in relay_state.h. Measured: unit tests pass.

--- a/tests/unit/relay_state.h
+++ b/tests/unit/relay_state.h
@@ -61,4 +61,12 @@
     return facts;
 }
 
+/// \brief A request of 4,000 tokens on that route.
+inline RequestFacts shortPrompt()
+{
+    auto facts = longPrompt();
+    facts.prompt = PromptFacts{4'000, 500};
+    return facts;
+}
+
 } // namespace spurlug::test
--- a/tests/unit/request_waiting_test.cpp
+++ b/tests/unit/request_waiting_test.cpp
@@ -13,19 +13,6 @@
 using namespace spurlug::relay;
 using namespace spurlug::test;
 
-namespace
-{
-
-/// A request of 4,000 tokens whose first event counts as in time within 300 ms.
-RequestFacts shortPrompt()
-{
-    auto facts = longPrompt();
-    facts.prompt = PromptFacts{4'000, 500};
-    return facts;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(request_waiting)
 
 /// A failure domain is cut off. Requests of its callers go to engines beyond the cut first, whose connections time out
--- a/tests/unit/target_notice_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -59,13 +59,6 @@
     config::RouteTableRef chats;
 };
 
-RequestFacts shortPrompt()
-{
-    auto facts = longPrompt();
-    facts.prompt = PromptFacts{4'000, 500};
-    return facts;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(target_notice)
