Tests: what the relay knows, and how new it is, in a file of its own

Ruled out: nothing. Change: the cases on proofs, configuration, entries and peers' knowledge move as they are; no check is touched.

--- /dev/null
+++ b/tests/unit/relay_knowledge_test.cpp
@@ -0,0 +1,219 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what the relay knows of configuration and targets, how new it is, and what daemons tell each other of it
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_state.h"
+
+#include "spurlug/core/error.h"
+#include "spurlug/core/text.h"
+#include "spurlug/relay/follower.h"
+#include "spurlug/relay/freshness.h"
+#include "spurlug/relay/peer_state.h"
+#include "spurlug/relay/request_progress.h"
+#include "spurlug/relay/target_set.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+
+using namespace spurlug;
+using namespace spurlug::relay;
+using namespace spurlug::test;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(relay_knowledge)
+
+BOOST_AUTO_TEST_CASE(a_proof_counts_from_the_moment_of_the_question_and_for_its_version)
+{
+    Freshness proof;
+    BOOST_TEST((proof.age(1, Start) == absl::InfiniteDuration()));
+    proof.confirm(5, at(0));
+    proof.confirm(5, at(-500));
+    BOOST_TEST((proof.age(5, at(100)) == core::fromMs(100)));
+    proof.confirm(6, at(50));
+    BOOST_TEST(proof.version() == 6);
+    BOOST_TEST((proof.age(5, at(100)) == core::fromMs(100))); // Still the newest at that moment, never later.
+    BOOST_TEST((proof.age(6, at(100)) == core::fromMs(50)));
+    BOOST_TEST((proof.age(7, at(100)) == absl::InfiniteDuration()));
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_not_fresh_without_a_recent_proof)
+{
+    RelayState state;
+    auto table = core::makeCounted<config::RouteTable>();
+    table->version = 3;
+    state.context.configurationProof.confirm(3, at(0));
+    BOOST_TEST(!state.context.keysAreFresh(at(0)));
+    state.context.adopt(table, "{}", "test", at(0));
+    BOOST_TEST(state.context.keysAreFresh(at(1000)));
+    BOOST_TEST(!state.context.keysAreFresh(at(4000)));
+    state.context.configurationProof.confirm(4, at(3900)); // A newer one is known of, but not here yet.
+    BOOST_TEST(!state.context.keysAreFresh(at(3900)));
+}
+
+BOOST_AUTO_TEST_CASE(keys_work_while_a_newer_configuration_is_on_its_way_but_no_longer_than_the_proof_allows)
+{
+    RelayState state;
+    auto table = core::makeCounted<config::RouteTable>();
+    table->version = 3;
+    state.context.adopt(table, "{}", "test", at(0));
+    state.context.configurationProof.confirm(3, at(1000));
+    state.context.configurationProof.confirm(4, at(1300));
+    BOOST_TEST(state.context.keysAreFresh(at(1400)));
+    BOOST_TEST(state.context.keysAreFresh(at(4700)));
+    BOOST_TEST(!state.context.keysAreFresh(at(4800))); // Well before 5 s after the newer one came into force.
+}
+
+BOOST_AUTO_TEST_CASE(the_directory_counts_as_heard_while_both_waits_end_in_time)
+{
+    RelayState state;
+    state.context.configurationHeardAt = at(1200);
+    BOOST_TEST((state.context.directoryHeardAt() == at(1200))); // Without a configuration nobody waits for targets.
+    auto table = core::makeCounted<config::RouteTable>();
+    table->version = 3;
+    state.context.adopt(table, "{}", "test", at(0));
+    state.context.targetsHeardAt = at(-1000);
+    BOOST_TEST((state.context.directoryHeardAt() == at(1200))); // Waits for targets take four seconds.
+    state.context.targetsHeardAt = at(-6000);
+    BOOST_TEST((state.context.directoryHeardAt() < at(0))); // The targets are not heard of any more.
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_never_goes_back)
+{
+    RelayState state;
+    for (const auto version : {3, 5, 4}) {
+        auto table = core::makeCounted<config::RouteTable>();
+        table->version = version;
+        state.context.adopt(table, "{}", "test", Start);
+    }
+    BOOST_TEST(state.context.table->version == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_entry_is_gone_at_once_in_ordinary_times)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, 10, "test", at(0));
+    state.intake.changes({{entry("b"), true}}, 11, "test", at(10));
+    BOOST_TEST(state.context.targets.listed("model", at(10)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_while_the_directory_was_away_is_kept_for_a_moment_unless_it_was_leaving)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}, {entry("leaving", true), false}}, 10, "test", at(0));
+    const auto lost = state.link.ended(DirectoryStatus::Unreachable, "", at(100));
+    const auto regained = state.link.ended(DirectoryStatus::Ok, "", at(5000));
+    BOOST_TEST((lost > regained));
+    state.intake.whole({}, 12, "test", at(5000));
+    BOOST_TEST(state.context.targets.listed("model", at(5100)).size() == 1U);
+    BOOST_TEST(state.context.targets.listed("model", at(7000)).empty());
+}
+
+// Seen: a daemon that stood still for 3.5 s turned away all 87 requests that had come meanwhile. Cause: its proof was
+// too old when it ran again, and it did not ask for a new one first. Where the last attempts failed, waiting has no
+// ground.
+BOOST_AUTO_TEST_CASE(after_a_pause_of_the_process_a_new_proof_is_worth_waiting_for_after_failures_it_is_not)
+{
+    RelayState state;
+    auto &context = state.context;
+    BOOST_TEST(!context.proofMayComeSoon(at(0))); // It knows no configuration yet.
+    context.adopt(chatTable(), "{}", "test", at(0));
+    context.proofTriedAt = at(0);
+    BOOST_TEST(!context.proofMayComeSoon(at(1000)));
+    BOOST_TEST(context.proofMayComeSoon(at(3500)));
+    context.isolated = true;
+    BOOST_TEST(!context.proofMayComeSoon(at(3500)));
+    context.isolated = false;
+    context.proofTriedAt = at(3600); // It ended, whatever came of it.
+    BOOST_TEST(!context.proofMayComeSoon(at(3700)));
+}
+
+BOOST_AUTO_TEST_CASE(a_first_configuration_is_worth_waiting_for_while_the_daemon_is_young)
+{
+    RelayState state;
+    const auto started = state.context.startedAt;
+    BOOST_TEST(state.context.knowledgeMayComeSoon(core::Reason::NotReady, started + absl::Milliseconds(100)));
+    BOOST_TEST(!state.context.knowledgeMayComeSoon(core::Reason::NotReady, started + absl::Milliseconds(200)));
+    BOOST_TEST(!state.context.knowledgeMayComeSoon(core::Reason::UnknownKey, started)); // Nothing will come of it.
+}
+
+BOOST_AUTO_TEST_CASE(a_service_without_listed_targets_is_known_as_soon_as_the_list_is)
+{
+    RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
+    RequestProgress request(state.context, longPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    static_cast<void>(request.query(at(0)));
+    BOOST_TEST(!request.hasNoTarget(at(0))); // The list was not read yet.
+    state.intake.whole({}, 1, "test", at(1));
+    BOOST_TEST(request.hasNoTarget(at(1)));
+    BOOST_TEST(
+        (request.retryAfter(core::Reason::NoTarget, Start) > request.retryAfter(core::Reason::NoCapacity, Start)));
+    state.intake.changes({{entry("a")}}, 2, "test", at(2));
+    BOOST_TEST(!request.hasNoTarget(at(2)));
+    state.intake.changes({{entry("a", true)}}, 3, "test", at(3));
+    BOOST_TEST(request.hasNoTarget(at(3))); // It leaves.
+}
+
+BOOST_AUTO_TEST_CASE(an_older_list_brings_nobody_back)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}}, 10, "test", at(0));
+    state.intake.changes({{entry("a"), true}}, 11, "test", at(10));
+    state.intake.whole({{entry("a"), false}}, 10, "a slow peer", at(20));
+    BOOST_TEST(state.context.targets.listed("model", at(30)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(peers_are_told_only_of_targets_that_are_listed)
+{
+    RelayState state;
+    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, 10, "test", at(0));
+    state.context.targets.drop("b", at(2000)); // Kept for a moment here.
+    const auto told = readPeerState(writePeerState(peerState(state.context, 0, 0, at(10))));
+    BOOST_REQUIRE(told.targets.size() == 1U);
+    BOOST_TEST(told.targets.front().entry.id == "a");
+}
+
+// The load: 300 daemons before 3,003 targets start at once, and each wants the whole list from the one of its failure
+// domain that read it; a small VM's link carries 2.5 MB/s. An entry is its id, its address and numbers.
+BOOST_AUTO_TEST_CASE(a_list_of_thousands_of_targets_is_told_in_some_fifty_bytes_each_and_comes_back_unchanged)
+{
+    constexpr std::size_t Targets = 3003;
+    constexpr std::size_t MostBytesEach = 56;
+    PeerState state;
+    state.targetsRevision = 9;
+    for (std::size_t i = 0; i < Targets; ++i) {
+        TargetChange change;
+        change.entry = entry(core::cat("i-", 1'000'000'000 + i), i % 7 == 0);
+        change.entry.address = {core::cat("10.1.", i / 250, ".", i % 250), 8427};
+        change.entry.failureDomain = i % 2 == 0 ? "hall-a" : "hall-b";
+        change.entry.startMs = 1'700'000'000'000 + static_cast<std::int64_t>(i);
+        state.targets.push_back(change);
+    }
+    state.targets.push_back({entry("gone"), true, {}});
+    state.targets.push_back({entry("bad"), false, "/slots: expected an integer"});
+    const auto text = writePeerState(state);
+    BOOST_TEST(text.size() <= Targets * MostBytesEach);
+    const auto told = readPeerState(text);
+    BOOST_REQUIRE(told.targets.size() == state.targets.size());
+    for (std::size_t i = 0; i < Targets; ++i) {
+        const auto &sent = state.targets[i].entry;
+        const auto &got = told.targets[i].entry;
+        BOOST_TEST((got.life() == sent.life() && got.service == sent.service && got.address == sent.address));
+        BOOST_TEST((got.failureDomain == sent.failureDomain && got.slots == sent.slots));
+        BOOST_TEST(got.draining == sent.draining);
+    }
+    BOOST_TEST(told.targets[Targets].gone);
+    BOOST_TEST(told.targets[Targets + 1].fault == "/slots: expected an integer");
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_s_state_that_cannot_be_read_is_refused)
+{
+    BOOST_CHECK_THROW(static_cast<void>(readPeerState("{")), core::InvalidDocument);
+    BOOST_CHECK_THROW(static_cast<void>(readPeerState(R"({"version":"x"})")), core::InvalidDocument);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
