--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -136,8 +136,8 @@
     BOOST_TEST(state.context.targets.unreachable(at(1501)).front() == targets::targetHash(helper->entry.id));
 }
 
-// Seen: with a pause that doubled up to 1.6 s, engines of an overloaded fleet idled: 0.83 of the requests of a day were
-// served instead of 0.88. Cause: where all are full, each turns several down in a row and is free soon after.
+// The load: an overloaded fleet. Where all engines are full, each turns several requests down in a row and is free soon
+// after; a pause that grew would keep it idle.
 BOOST_AUTO_TEST_CASE(a_target_that_was_full_is_asked_again_after_the_same_pause_however_often_it_was)
 {
     Target target(entry("a"));
