--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -35,8 +35,8 @@
 constexpr auto FirstHelpPause = absl::Milliseconds(300); ///< A full engine gets through its reading in less.
 /// One that crashed is back after some seconds; it is asked by one prompt in each pause.
 constexpr auto LongestHelpPause = absl::Milliseconds(1200);
-/// A queue is longer than what is got through in less. The pause does not grow: one that doubled to 1.6 s gained 0.013 of
-/// the worth where some targets turn all away, and an overloaded fleet never did better with it.
+/// A queue is longer than what is got through in less. The pause does not grow: one that doubled to 1.6 s gained 0.013
+/// of the worth where some targets turn all away, and an overloaded fleet never did better with it.
 constexpr auto FullPause = absl::Milliseconds(200);
 /// A pause that ended this long ago says nothing any more.
 constexpr auto PauseRemembered = absl::Seconds(4);
