Tests that fail: what is held for a life of a target that is over

A request waited ten seconds for a life whose successor was already listed at the same address, and renewed memory at three other engines. Read in the code: the check of silence connects to the address, which the next life takes; orders name no life, so a renewal sets memory aside at whoever listens there now.

--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -78,6 +78,18 @@
     m_listener.stop();
 }
 
+void FakeTarget::beginAnew(std::string id)
+{
+    m_id = std::move(id);
+    ++m_life;
+    m_held.clear();
+}
+
+int FakeTarget::misdirectedOrders() const noexcept
+{
+    return m_misdirectedOrders;
+}
+
 void FakeTarget::crash()
 {
     m_crashed = true;
@@ -182,7 +194,10 @@
 {
     m_arrivals.push_back({core::now(), std::string(request.headers.value("Sent-To")), request.target});
     if (request.target == "/v1/order") {
-        auto ordered = order(request);
+        const auto *named = request.headers.find("Target-Instance");
+        const bool misdirected = named != nullptr && *named != m_id;
+        m_misdirectedOrders += misdirected ? 1 : 0;
+        auto ordered = misdirected ? plain(421, "") : order(request);
         sayLeaving(ordered.head);
         const bool written = co_await connection->write(std::move(ordered), true, soon());
         co_return written;
@@ -217,8 +232,9 @@
     }
     bool gone = false;
     connection->watch([&gone] { gone = true; });
+    const auto life = m_life;
     const auto until = core::now() + (how.fault == Fault::Hang ? core::Duration(absl::Seconds(30)) : how.work);
-    while (core::now() < until && !gone) {
+    while ((core::now() < until || life != m_life) && !gone) {
         co_await net::sleepFor(absl::Milliseconds(2));
     }
     connection->stopWatching();
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -76,6 +76,8 @@
     [[nodiscard]] const std::vector<net::Request> &ran() const noexcept;
     /// \brief All that reached it, orders included; health checks there are none.
     [[nodiscard]] const std::vector<Arrival> &arrivals() const noexcept;
+    /// \brief Orders that named another life than the one that got them.
+    [[nodiscard]] int misdirectedOrders() const noexcept;
     /// \brief Requests whose connection ended before their answer did.
     [[nodiscard]] int abandoned() const noexcept;
     /// \brief Reservations that are held, tokens by id.
@@ -84,6 +86,9 @@
     void stop();
     /// \brief Ends the process: nothing listens any more, and all connections are reset.
     void crash();
+    /// \brief Ends its life without a word: what it works on is never answered and its connections stay open. A new
+    /// life listens at the same address, without anything of the earlier one.
+    void beginAnew(std::string id);
     [[nodiscard]] bool crashed() const noexcept;
 
 private:
@@ -96,11 +101,13 @@
     [[nodiscard]] net::ResponseHead head(const net::Request &request, const Behaviour &how) const;
 
     net::Loop &m_loop;
-    const std::string m_id;
+    std::string m_id;
+    int m_life = 1; ///< Counted from 1.
     net::Listener m_listener;
     std::vector<net::Request> m_ran;
     std::vector<Arrival> m_arrivals;
     int m_abandoned = 0;
+    int m_misdirectedOrders = 0;
     bool m_crashed = false;
     std::set<core::Ref<net::ServerConnection>> m_connections; ///< Those that are open.
     std::map<std::string, std::int64_t> m_held;
--- a/tests/platform/target_life_test.cpp
+++ b/tests/platform/target_life_test.cpp
@@ -7,7 +7,9 @@
 
 #include "spurlug/core/text.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 namespace spurlug::test
 {
@@ -24,6 +26,49 @@
     return core::cat(R"({"metadata":{"name":")", name, R"(","revision":1},"spec":)", spec, "}");
 }
 
+constexpr std::int64_t OverOneEngine = 210'000; ///< Tokens; an engine of these tests has memory for 200,000.
+constexpr std::size_t Engines = 8;
+
+/// Engines that take requests and never answer.
+void addHangingEngines(RelayFleet &fleet)
+{
+    for (std::size_t i = 0; i < Engines; ++i) {
+        fleet.addTarget("model").behaviour.fault = Behaviour::Fault::Hang;
+    }
+    for (auto &route : fleet.configuration["routes"]) {
+        route["max_attempts"] = 1;
+        route["timeout_ms"] = 10'000;
+    }
+    fleet.configure();
+}
+
+/// The engine that was given a request to answer; null when none was.
+FakeTarget *answeringEngine(const RelayFleet &fleet)
+{
+    const auto found = std::find_if(fleet.targets.begin(), fleet.targets.end(),
+                                    [](const auto &target) { return !target->ran().empty(); });
+    return found == fleet.targets.end() ? nullptr : found->get();
+}
+
+/// How many reservations engines hold.
+std::size_t heldIn(const RelayFleet &fleet)
+{
+    std::size_t held = 0;
+    for (const auto &target : fleet.targets) {
+        held += target->held().size();
+    }
+    return held;
+}
+
+Ask longAsk()
+{
+    Ask ask;
+    ask.path = "/chat/1";
+    ask.deadlineMs = 10'000;
+    ask.promptTokens = OverOneEngine;
+    return ask;
+}
+
 net::Task<int> askOnce(RelayFleet &fleet, std::size_t daemon = 0)
 {
     Ask ask; // GCC 12 destroys temporaries twice around co_await.
@@ -173,6 +218,89 @@
     });
 }
 
+// Seen (LEAK): an engine went dark with a prompt of 520,000 tokens; the list named a new life at its address 3 s later,
+// and the daemon waited on for the old one and renewed memory at three other engines for ten more seconds. How: four of
+// seven plays of a day with domains without power. Cause: nothing told an attempt that the life it waits for is over.
+// Proof: where no watcher is told of a life's end, the request waits for its deadline.
+BOOST_AUTO_TEST_CASE(a_request_lets_go_when_the_list_names_a_later_life_at_its_target_s_address)
+{
+    RelayFleet fleet;
+    addHangingEngines(fleet);
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        co_await net::sleepFor(Spread);
+        std::optional<Got> got;
+        net::asio::co_spawn(
+            fleet.loop, [&]() -> net::Task<> { got = co_await fleet.ask(longAsk()); }, net::asio::detached);
+        co_await net::sleepFor(Spread);
+        auto *engine = answeringEngine(fleet);
+        BOOST_REQUIRE(engine != nullptr);
+        BOOST_TEST(heldIn(fleet) > 0U);
+        engine->beginAnew("i-later");
+        fleet.announce(*engine, "model"); // Of the earlier life the list still has its entry.
+        co_await net::sleepFor(Spread);
+        BOOST_REQUIRE(got.has_value());
+        BOOST_TEST(got->status == 502); // It may have run.
+        BOOST_TEST(heldIn(fleet) == 0U);
+    });
+}
+
+// Seen (LEAK): as above, and before the list told: each check of the silent engine found that its address takes
+// connections, those of the next life. Cause: the check asked for an address. Proof: this test fails where the check
+// does not name the life it asks for.
+BOOST_AUTO_TEST_CASE(a_check_of_a_silent_target_asks_for_its_life)
+{
+    RelayFleet fleet;
+    addHangingEngines(fleet);
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        co_await net::sleepFor(Spread);
+        std::optional<Got> got;
+        net::asio::co_spawn(
+            fleet.loop, [&]() -> net::Task<> { got = co_await fleet.ask(longAsk()); }, net::asio::detached);
+        co_await net::sleepFor(Spread);
+        auto *engine = answeringEngine(fleet);
+        BOOST_REQUIRE(engine != nullptr);
+        engine->beginAnew("i-later"); // And no list says so.
+        for (int i = 0; i < 40 && !got; ++i) {
+            co_await net::sleepFor(absl::Milliseconds(50));
+        }
+        BOOST_REQUIRE(got.has_value()); // Checks begin after 0.8 s here, the deadline is at 10 s.
+        BOOST_TEST(got->status == 502);
+        co_await net::sleepFor(absl::Milliseconds(50));
+        BOOST_TEST(heldIn(fleet) == 0U);
+    });
+}
+
+// Read in the code: a renewal went to an address, so it set memory aside at a later life there, which no request uses
+// and which nobody gives back before it lapses. Proof: this test fails where orders do not name the life they are for.
+BOOST_AUTO_TEST_CASE(memory_is_not_renewed_at_a_later_life_and_the_request_that_needs_it_lets_go)
+{
+    RelayFleet fleet;
+    addHangingEngines(fleet);
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        co_await net::sleepFor(Spread);
+        std::optional<Got> got;
+        net::asio::co_spawn(
+            fleet.loop, [&]() -> net::Task<> { got = co_await fleet.ask(longAsk()); }, net::asio::detached);
+        co_await net::sleepFor(Spread);
+        const auto holder = std::find_if(fleet.targets.begin(), fleet.targets.end(),
+                                         [](const auto &target) { return !target->held().empty(); });
+        BOOST_REQUIRE((holder != fleet.targets.end()));
+        (*holder)->beginAnew("i-later");
+        for (int i = 0; i < 40 && !got; ++i) { // Memory is renewed after 1 s.
+            co_await net::sleepFor(absl::Milliseconds(50));
+        }
+        BOOST_TEST((*holder)->misdirectedOrders() > 0);
+        BOOST_TEST((*holder)->held().empty());
+        BOOST_REQUIRE(got.has_value());
+        BOOST_TEST(got->status == 502);
+        co_await net::sleepFor(absl::Milliseconds(50));
+        BOOST_TEST(heldIn(fleet) == 0U);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
