Whoever waits for a life of a target learns at once that it is over

Ruled out: the entry that goes as proof (entries lapse while targets serve on; test), two entries in one list without starts (no order among them; test), entries of services that the configuration does not know (other programs write them; test). Change: Target::over with watches; proofs are a later life under the id, a later life listed at the address, and an answer of another life (421, orders too, which now name the life they are for). An attempt that needs an ended life ends at once with the reason life_over (sent again where it may be), its memory goes back; a silent engine is asked whether it is the one that is meant.

--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -51,6 +51,7 @@
     CrashesTargets, ///< Several targets ended while the same work ran there.
     TargetLeaving, ///< The target that was chosen must get nothing more: it leaves, or its entry is gone.
     TargetsCoolingDown, ///< All targets that the request may go to asked this daemon for a cooldown.
+    LifeOver, ///< The target, or an engine that its answer needs, was replaced by a later life.
 };
 
 template<>
@@ -96,12 +97,13 @@
         EnumName<Reason>{Reason::CrashesTargets, "crashes_targets"},
         EnumName<Reason>{Reason::TargetLeaving, "target_leaving"},
         EnumName<Reason>{Reason::TargetsCoolingDown, "targets_cooling_down"},
+        EnumName<Reason>{Reason::LifeOver, "life_over"},
     };
 };
 
 /// \brief What a caller may conclude about an attempt or a whole request.
 // Counters by reason are arrays of the table's size.
-static_assert(static_cast<std::size_t>(Reason::TargetsCoolingDown) + 1 == EnumNames<Reason>::table.size(),
+static_assert(static_cast<std::size_t>(Reason::LifeOver) + 1 == EnumNames<Reason>::table.size(),
               "every reason has a name, in the order of their declaration");
 
 enum class Outcome
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/counted.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
+#include "spurlug/relay/target_set.h"
 
 #include <functional>
 #include <string>
@@ -58,7 +59,14 @@
 };
 
 /// \brief What happens to a request.
-using RequestEvent = std::variant<HeadArrived, BytesArrived, AttemptEnded, CallerGone, PlacementArrived>;
+/// \brief The life of a target, or of an engine that helps it, is over.
+struct LifeOver
+{
+    int attempt = 0;
+    core::Ref<Target> target;
+};
+
+using RequestEvent = std::variant<HeadArrived, BytesArrived, AttemptEnded, CallerGone, PlacementArrived, LifeOver>;
 
 /// \brief The events of one request; outlives it while an attempt still runs.
 struct RequestInbox : core::Counted<RequestInbox>
--- a/include/spurlug/relay/dialect.h
+++ b/include/spurlug/relay/dialect.h
@@ -17,7 +17,7 @@
 template<typename D>
 concept Dialect = requires(const D &dialect, const net::Request &request, const AttemptFacts &attempt,
                            const net::ResponseHead &head, const Refusal &refusal, const RequestFacts &facts,
-                           const std::string &id, std::int64_t tokens, core::Duration hold)
+                           const std::string &id, std::int64_t tokens, core::Duration hold, const std::string &targetId)
 {
     // Throws core::Refused when the request cannot be understood.
     {
@@ -38,13 +38,17 @@
     {
         dialect.refusal(refusal, facts)
         } -> std::same_as<net::Response>;
-    // Sets KV memory aside at an engine, or keeps it: status 200 when it is.
+    // Sets KV memory aside at an engine, or keeps it: status 200 when it is. Orders name the life they are for.
     {
-        dialect.reserveOrder(id, tokens, hold)
+        dialect.reserveOrder(targetId, id, tokens, hold)
         } -> std::same_as<net::Request>;
     // Gives it back.
     {
-        dialect.releaseOrder(id)
+        dialect.releaseOrder(targetId, id)
+        } -> std::same_as<net::Request>;
+    // Changes nothing at an engine; whoever else has its address says so.
+    {
+        dialect.lifeCheck(targetId)
         } -> std::same_as<net::Request>;
 };
 
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -79,11 +79,18 @@
     [[nodiscard]] bool isNews(std::int64_t revision);
     void take(const TargetChange &change, std::string_view from, core::Time now);
     void put(const TargetEntry &entry, std::string_view from);
+    /// Ends the earlier one of two lives that are listed with one address, where it can be told.
+    void judgeLivesAt(const core::Ref<Target> &added, EntryNews news);
     void withdraw(const std::string &id, const std::string &fault, std::string_view from);
     void drop(const TargetLife &life, std::string_view from, core::Time now);
 
     RelayContext &m_context;
     const DirectoryLink &m_link;
+    /// While a whole list is read, the ids that were not known before it: such a list has no order, so of two of them
+    /// at one address it does not tell which is later.
+    std::set<std::string> m_newInList;
+    bool m_inOneList = false;
+    std::map<std::string, core::Ref<Target>> m_lifeAt; ///< The newest life at each address, of services that there are.
     std::map<std::string, std::string> m_faults; ///< Of entries that cannot be used, by id: each is logged once.
 };
 
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -113,8 +113,11 @@
     [[nodiscard]] bool waitedEnough(core::Time now) const noexcept;
     /// \brief Whether the target said something to any request not long ago: it is slow then, not gone.
     [[nodiscard]] bool targetLives(core::Time now) const noexcept;
-    /// \brief Whether the target started again since the request went to it: what it had of the request is gone.
-    [[nodiscard]] bool targetRestarted() const;
+    /// \brief Whether the attempt in progress needs a target: it answers, or has a part of the prompt to read or to
+    /// keep.
+    [[nodiscard]] bool needs(const Target &target) const noexcept;
+    /// \brief Whether the request is served by a model engine.
+    [[nodiscard]] bool atEngine() const;
     /// \brief The target of the attempt in progress.
     [[nodiscard]] const core::Ref<Target> &target() const noexcept;
     /// \brief The engine at an address that was asked to help with the request; null when none was.
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -16,6 +16,8 @@
 #include "spurlug/relay/reservation.h"
 #include "spurlug/relay/target_notice.h"
 
+#include <algorithm>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,6 +64,10 @@
     [[nodiscard]] net::Task<std::optional<ChosenTargets>> chooseOrWait();
     [[nodiscard]] net::Task<bool> reserve(const ChosenTargets &chosen);
     void releaseAll();
+    /// Whether the life of an engine that holds memory for the prompt is over.
+    [[nodiscard]] bool holderEnded(const ChosenTargets &chosen) const;
+    /// Has the request told when the life of an engine of the attempt is over.
+    void watchLives(const ChosenTargets &chosen);
     void send(const ChosenTargets &chosen);
     [[nodiscard]] net::Task<Next> follow(const ChosenTargets &chosen);
     /// A silent attempt.
@@ -77,9 +83,12 @@
     [[nodiscard]] net::Task<std::optional<Next>> leaveIfDead(const ChosenTargets &chosen, Silence &silence);
     /// Ends a silent attempt that may not be sent again: at once where the target is dead, so that memory at other
     /// engines is not held for it, else it is waited for.
-    [[nodiscard]] std::optional<Next> endOrWait(Silence &silence, bool restarted, core::Time now);
-    /// Whether a target still takes connections.
-    [[nodiscard]] net::Task<bool> reaches(const Target &target);
+    [[nodiscard]] std::optional<Next> endOrWait(Silence &silence, core::Time now);
+    /// Gives the attempt up where it cannot end well without a life that is over.
+    [[nodiscard]] Next leaveLife(const Target &ended, bool &given);
+    /// Whether a target still takes connections. An engine is asked whether it is the one that is meant; where another
+    /// life has its address, the target's is over.
+    [[nodiscard]] net::Task<bool> reaches(core::Ref<Target> target);
     /// Finds out whether a target of the attempt in progress ended: a connection that broke says nothing of that, one
     /// that is refused does. Costs a way there and back before the request goes on.
     [[nodiscard]] net::Task<> checkForEnd(core::Ref<Target> target);
@@ -104,6 +113,7 @@
     core::Ref<RequestInbox> m_inbox;
     core::Ref<Attempt> m_attempt;
     std::vector<core::Ref<Reservation>> m_reservations;
+    std::vector<std::unique_ptr<LifeWatch>> m_watches; ///< Of the engines of the attempt in progress.
     std::optional<control::PlacementAnswer> m_grant; ///< What the targets were chosen by; nothing: this daemon alone.
     core::Duration m_reservePause = absl::Milliseconds(10); ///< Doubles while memory is refused.
     core::Reason m_failure = core::Reason::None; ///< Why the last attempt failed.
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -31,6 +31,9 @@
         ended = true;
         co_return co_await takeEnd(*end);
     }
+    if (const auto *over = std::get_if<LifeOver>(&event); over != nullptr && over->attempt == current) {
+        co_return leaveLife(*over->target, ended);
+    }
     co_return Next::Done; // Of an attempt that was given up.
 }
 
@@ -40,7 +43,9 @@
     const auto answer = m_dialect.readAnswer(head);
     const auto verdict = judgeAnswer(answer, m_progress.facts().id);
     const auto now = core::now();
-    if (isOwnAnswer(answer, m_progress.facts().id)) {
+    const bool blamesHelper = answer.faultAt && *answer.faultAt != m_progress.target()->entry.address;
+    const bool misdirected = answer.requestId == m_progress.facts().id && answer.wrongTarget && !blamesHelper;
+    if (misdirected || isOwnAnswer(answer, m_progress.facts().id)) {
         takeTargetNotice(m_context, *m_progress.target(), answer, m_progress.facts().id, now);
     }
     if (answer.faultAt) {
--- a/include/spurlug/relay/request_run_follow_impl.h
+++ b/include/spurlug/relay/request_run_follow_impl.h
@@ -64,17 +64,13 @@
 net::Task<std::optional<typename RequestRun<D>::Next>> RequestRun<D>::leaveIfDead(const ChosenTargets &chosen,
                                                                                   Silence &silence)
 {
-    const bool restarted = m_progress.targetRestarted();
-    if (!restarted && m_progress.targetLives(core::now())) {
+    if (m_progress.targetLives(core::now())) {
         co_return std::nullopt; // It is slow, not gone: the same work elsewhere would make everything slower.
     }
-    bool reachable = false; // A later life may take connections; it knows nothing of the request.
-    if (!restarted) {
-        reachable = co_await reaches(*chosen.target);
-    }
+    const bool reachable = co_await reaches(chosen.target);
     const auto now = core::now();
     if (m_inbox->events.size() > 0) {
-        co_return std::nullopt; // It answered in the meantime.
+        co_return std::nullopt; // It answered in the meantime, or its life is over.
     }
     silence.refusedConnections = reachable ? 0 : silence.refusedConnections + 1;
     if (reachable && now - silence.heardAt < m_progress.longestSilence(chosen, silence.answering)) {
@@ -82,7 +78,7 @@
         co_return std::nullopt;
     }
     if (!mayRepeat() || !m_progress.takeResend(true, core::Reason::TargetSilent, now)) {
-        co_return endOrWait(silence, restarted, now);
+        co_return endOrWait(silence, now);
     }
     m_attempt->abort();
     m_failure = core::Reason::TargetSilent;
@@ -91,18 +87,16 @@
     if (!reachable) {
         fault = TargetFault::Unreachable;
     }
+    m_watches.clear();
     m_progress.endAttempt(core::Outcome::MayHaveRun, m_failure, fault,
-                          restarted       ? "silence, and the target started again"
-                              : reachable ? "silence"
-                                          : "silence, and it takes no connections",
-                          now);
+                          reachable ? "silence" : "silence, and it takes no connections", now);
     co_return Next::SendAgain;
 }
 
 template<Dialect D>
-std::optional<typename RequestRun<D>::Next> RequestRun<D>::endOrWait(Silence &silence, bool restarted, core::Time now)
+std::optional<typename RequestRun<D>::Next> RequestRun<D>::endOrWait(Silence &silence, core::Time now)
 {
-    const bool dead = restarted || silence.refusedConnections >= detail::RefusedWhenDead;
+    const bool dead = silence.refusedConnections >= detail::RefusedWhenDead;
     if (!dead) {
         silence.patient = silence.refusedConnections == 0;
         return std::nullopt;
@@ -119,15 +113,34 @@
 }
 
 template<Dialect D>
-net::Task<bool> RequestRun<D>::reaches(const Target &target)
+typename RequestRun<D>::Next RequestRun<D>::leaveLife(const Target &ended, bool &given)
+{
+    given = m_progress.needs(ended);
+    if (!given) {
+        return Next::Done;
+    }
+    m_attempt->abort();
+    return afterFailure(core::Outcome::MayHaveRun, core::Reason::LifeOver, std::nullopt,
+                        core::cat("the life of ", ended.entry.id, " is over"));
+}
+
+template<Dialect D>
+net::Task<bool> RequestRun<D>::reaches(core::Ref<Target> target)
 {
     if (m_progress.route().kind != config::RouteKind::Stream) {
         co_return true;
     }
     net::ClientConnection connection(m_context.loop);
-    const auto problem = co_await connection.connect(target.entry.address, detail::ConnectTimeout);
+    const auto problem = co_await connection.connect(target->entry.address, detail::ConnectTimeout);
     if (connection.refused()) {
-        m_progress.targetEnded(m_progress.target(), core::now());
+        m_progress.targetEnded(target, core::now());
+    }
+    if (problem.empty() && m_progress.atEngine()) {
+        connection.startSend(m_dialect.lifeCheck(target->entry.id));
+        const auto head = co_await connection.readHead(core::now() + detail::ConnectTimeout);
+        if (head) {
+            takeTargetNotice(m_context, *target, m_dialect.readAnswer(*head), m_progress.facts().id, core::now());
+        }
     }
     co_return problem.empty();
 }
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -126,7 +126,11 @@
         m_failure = refusal->reason;
         co_return Next::Fail;
     }
-    // So may what its target wants: memory at other engines takes time to be set aside.
+    // So may what its target wants: memory at other engines takes time to be set aside, and one of them may end.
+    if (holderEnded(chosen)) {
+        m_failure = core::Reason::LifeOver;
+        co_return Next::SendAgain;
+    }
     if (const auto unwanted = unwantedNow(*chosen.target, core::now())) {
         m_failure = *unwanted;
         co_return Next::SendAgain;
@@ -200,13 +204,15 @@
     for (std::size_t i = 0; i < chosen.holdingTokens.size(); ++i) {
         const auto id
             = core::cat(m_context.settings.vm, "-", absl::ToUnixMillis(core::now()), "-", ++m_context.reservations);
+        const auto &target = chosen.helpers[i]->entry.id;
         auto hear = [&context = m_context, &dialect = m_dialect, helper = chosen.helpers[i],
                      id](const net::ResponseHead &head) {
             takeTargetNotice(context, *helper, dialect.readAnswer(head), id, core::now());
         };
-        auto reservation = core::makeCounted<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
-                                                          m_dialect.reserveOrder(id, chosen.holdingTokens[i], hold),
-                                                          m_dialect.releaseOrder(id), hold, std::move(hear));
+        auto reservation
+            = core::makeCounted<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
+                                             m_dialect.reserveOrder(target, id, chosen.holdingTokens[i], hold),
+                                             m_dialect.releaseOrder(target, id), hold, std::move(hear));
         const bool granted = co_await reservation->acquire(m_progress.deadline());
         if (!granted) {
             m_failure = core::Reason::ReservationRefused;
@@ -227,6 +233,26 @@
     m_reservations.clear();
 }
 
+template<Dialect D>
+bool RequestRun<D>::holderEnded(const ChosenTargets &chosen) const
+{
+    const auto holders = chosen.helpers.begin() + static_cast<std::ptrdiff_t>(chosen.holdingTokens.size());
+    return std::any_of(chosen.helpers.begin(), holders, [](const auto &helper) { return helper->over(); });
+}
+
+template<Dialect D>
+void RequestRun<D>::watchLives(const ChosenTargets &chosen)
+{
+    auto tell = [inbox = m_inbox, attempt = m_progress.attempts()](const core::Ref<Target> &target) {
+        inbox->events.post(LifeOver{attempt, target});
+    };
+    m_watches.clear();
+    m_watches.push_back(std::make_unique<LifeWatch>(chosen.target, tell));
+    for (const auto &helper : chosen.helpers) {
+        m_watches.push_back(std::make_unique<LifeWatch>(helper, tell));
+    }
+}
+
 template<Dialect D>
 void RequestRun<D>::send(const ChosenTargets &chosen)
 {
@@ -235,6 +261,7 @@
     if (m_grant) {
         m_context.scheduling->begun(*m_grant);
     }
+    watchLives(chosen);
     m_isStream = false;
     m_body.clear();
     m_events = {};
@@ -264,6 +291,7 @@
 {
     const auto now = core::now();
     m_failure = reason;
+    m_watches.clear();
     m_progress.endAttempt(outcome, reason, fault, detail, now);
     if (!m_progress.takeResend(mayRepeat(), reason, now)) {
         return Next::Fail;
--- a/include/spurlug/relay/target_notice.h
+++ b/include/spurlug/relay/target_notice.h
@@ -18,11 +18,15 @@
 {
 
 /// \brief Takes what the head of an answer says of its target. The caller has checked that the answer is the target's
-/// own: not one to another request, and not one of whoever has the address now.
+/// own: not one to another request. An answer of whoever has the address now says that the target's life is over.
 /// \param request Id of the request or the reservation that it answers, for the log.
 void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
                       core::Time now);
 
+/// \brief Notes that a life of a target is over; whoever waits for it lets go.
+/// \param proof What showed it, for the log.
+void endLife(RelayContext &context, Target &target, std::string_view proof);
+
 /// \brief Takes what a peer tells of targets that leave.
 /// \param leaving Hashes of their lives.
 void takeLeavingNews(RelayContext &context, const std::vector<std::uint32_t> &leaving, std::string_view peer);
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -15,6 +15,7 @@
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -81,6 +82,22 @@
 
 class Target;
 
+/// \brief Has its owner told at once when a life of a target is over, for as long as the object lives.
+class LifeWatch : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    using Tell = std::function<void(const core::Ref<Target> &)>;
+
+    /// \param tell Called once at most; at once when the life is over already.
+    LifeWatch(const core::Ref<Target> &target, Tell tell);
+    LifeWatch(const LifeWatch &) = delete;
+    LifeWatch &operator=(const LifeWatch &) = delete;
+
+private:
+    friend class TargetSet;
+    Tell m_tell;
+};
+
 /// \brief One piece of this daemon's work at a target, for as long as the object lives.
 class Share : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
@@ -161,6 +178,13 @@
         return m_leaving;
     }
 
+    /// \brief Whether this life is over: a later one was heard of, under its id or at its address. What it had of any
+    /// request is gone. Entries that go prove nothing: they lapse, and some targets serve on without one.
+    [[nodiscard]] bool over() const noexcept
+    {
+        return m_over;
+    }
+
     /// \brief The time in which it wants nothing from this daemon.
     [[nodiscard]] const targets::Cooldown &cooldown() const noexcept
     {
@@ -186,15 +210,19 @@
     }
 
 private:
+    friend class LifeWatch;
     friend class Share;
     friend class PeerShare;
     friend class TargetSet;
+    using Watches = boost::intrusive::list<LifeWatch, boost::intrusive::constant_time_size<false>>;
     using Shares = boost::intrusive::list<Share, boost::intrusive::constant_time_size<false>>;
     using PeerShares = boost::intrusive::list<PeerShare, boost::intrusive::constant_time_size<false>>;
 
     Shares m_shares;
     PeerShares m_peerShares;
+    Watches m_watches;
     bool m_leaving = false;
+    bool m_over = false;
     targets::Cooldown m_cooldown;
 };
 
@@ -221,6 +249,9 @@
 
     /// \brief Adds a target or takes what is new of it.
     EntryNews put(const TargetEntry &entry);
+    /// \brief Notes that a life is over, and has those who wait for it told. It gets nothing more, as one that leaves.
+    /// \returns Whether that was not known.
+    bool end(Target &target);
     /// \brief Notes that a target said that it leaves.
     /// \returns Whether that was not known.
     bool noteLeaving(Target &target);
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/relay/follower.h"
 
 #include "spurlug/core/log.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -102,6 +103,10 @@
         return;
     }
     m_faults.erase(entry.id);
+    if (m_inOneList && news != EntryNews::Updated) {
+        m_newInList.insert(entry.id);
+    }
+    judgeLivesAt(m_context.targets.find(entry.id), news);
     if (news == EntryNews::Restarted) {
         m_context.metrics.count(metrics::Counter::TargetsRestarted);
     }
@@ -117,6 +122,27 @@
     }
 }
 
+void TargetIntake::judgeLivesAt(const core::Ref<Target> &added, EntryNews news)
+{
+    if (!m_context.table || m_context.table->service(added->entry.service) == nullptr) {
+        return; // Other programs may write any address.
+    }
+    auto &newest = m_lifeAt[added->entry.address.text()];
+    if (!newest) {
+        newest = added;
+    }
+    if (newest == added || news == EntryNews::Updated) {
+        return;
+    }
+    const bool startsAreTold = newest->entry.startMs > 0 && added->entry.startMs > 0;
+    if (!startsAreTold && m_newInList.contains(newest->entry.id)) {
+        return; // Which of the two is later is not known.
+    }
+    auto later = startsAreTold && newest->entry.startMs > added->entry.startMs ? newest : added;
+    endLife(m_context, later == added ? *newest : *added, "another life is listed at its address");
+    newest = std::move(later);
+}
+
 void TargetIntake::withdraw(const std::string &id, const std::string &fault, std::string_view from)
 {
     m_context.targets.withdraw(id, fault);
@@ -163,10 +189,14 @@
         return;
     }
     std::set<std::string> present;
+    m_newInList.clear();
+    m_inOneList = true;
     for (const auto &change : list) {
         present.insert(change.entry.id);
         take(change, from, now);
     }
+    m_inOneList = false;
+    m_newInList.clear();
     std::vector<std::string> missing;
     for (const auto &[id, target] : m_context.targets.all()) {
         if (!present.contains(id)) {
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -330,10 +330,25 @@
     return m_current.target;
 }
 
-bool RequestProgress::targetRestarted() const
+bool RequestProgress::needs(const Target &target) const noexcept
 {
-    const auto known = m_context.targets.find(m_current.target->entry.id);
-    return known && known != m_current.target;
+    if (m_current.target == &target) {
+        return true;
+    }
+    const auto &helpers = m_current.helpers;
+    const auto holders = helpers.begin() + static_cast<std::ptrdiff_t>(m_current.holdingTokens.size());
+    if (std::find(helpers.begin(), holders, &target) != holders) {
+        return true;
+    }
+    return std::any_of(m_shares.begin(), m_shares.end(), [&target](const auto &share) {
+        return share->target() == &target && share->readingDueAt() != absl::InfinitePast();
+    });
+}
+
+bool RequestProgress::atEngine() const
+{
+    const auto *spec = m_table ? m_table->service(m_service) : nullptr;
+    return spec != nullptr && spec->engine && m_facts.prompt;
 }
 
 RequestProgress::Places RequestProgress::placesOf(const std::string &service, core::Time now) const
--- a/src/relay/target_notice.cpp
+++ b/src/relay/target_notice.cpp
@@ -17,6 +17,10 @@
 void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
                       core::Time now)
 {
+    if (answer.wrongTarget) {
+        endLife(context, target, "another life answers");
+        return;
+    }
     if (answer.leaving) {
         context.metrics.count(metrics::Counter::LeavingTold);
         if (context.targets.noteLeaving(target)) {
@@ -41,6 +45,19 @@
     }
 }
 
+void endLife(RelayContext &context, Target &target, std::string_view proof)
+{
+    if (!context.targets.end(target)) {
+        return;
+    }
+    context.metrics.count(metrics::Counter::LivesOver);
+    core::log(core::LogLevel::Info, "target_life_over",
+              {{"target", target.entry.id},
+               {"startMs", target.entry.startMs},
+               {"address", target.entry.address.text()},
+               {"proof", proof}});
+}
+
 void takeLeavingNews(RelayContext &context, const std::vector<std::uint32_t> &leaving, std::string_view peer)
 {
     for (const auto &target : context.targets.noteLeaving(leaving)) {
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -54,6 +54,16 @@
     m_inARow = pause < m_longest ? m_inARow + 1 : m_inARow;
 }
 
+LifeWatch::LifeWatch(const core::Ref<Target> &target, Tell tell)
+    : m_tell(std::move(tell))
+{
+    if (target->over()) {
+        m_tell(target);
+        return;
+    }
+    target->m_watches.push_back(*this);
+}
+
 Share::Share(core::Ref<Target> target, Kind kind, const Outstanding &work, core::Time sentAt, core::Time expected,
              bool tight, std::size_t engines)
     : m_target(std::move(target))
@@ -187,6 +197,7 @@
     const bool restarted = target && entry.startMs > target->entry.startMs;
     if (!target || restarted) {
         if (restarted) {
+            end(*target);
             m_byHash.erase(target->hash);
             std::erase(m_leavingUnlisted, target);
         }
@@ -211,6 +222,21 @@
     }
 }
 
+bool TargetSet::end(Target &target)
+{
+    if (std::exchange(target.m_over, true)) {
+        return false;
+    }
+    noteLeaving(target);
+    const core::Ref<Target> ended(&target);
+    while (!target.m_watches.empty()) {
+        auto &watch = target.m_watches.front();
+        target.m_watches.pop_front();
+        watch.m_tell(ended);
+    }
+    return true;
+}
+
 bool TargetSet::noteLeaving(Target &target)
 {
     const bool isNews = !std::exchange(target.m_leaving, true);
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -29,7 +29,7 @@
         names.insert(row.name);
         BOOST_TEST((core::valueNamed<core::Reason>(row.name) == row.value));
     }
-    BOOST_TEST(names.size() == static_cast<std::size_t>(core::Reason::TargetsCoolingDown) + 1);
+    BOOST_TEST(names.size() == static_cast<std::size_t>(core::Reason::LifeOver) + 1);
 }
 
 BOOST_AUTO_TEST_CASE(addresses_are_read_and_written)
--- a/tests/unit/relay_fixtures.h
+++ b/tests/unit/relay_fixtures.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "spurlug/core/hash.h"
 #include "spurlug/relay/placement.h"
 #include "spurlug/relay/target_set.h"
 
@@ -28,7 +29,8 @@
 /// \brief What the directory says of a target of the service "model".
 inline TargetEntry entry(const std::string &id, bool draining = false)
 {
-    return {id, "model", {"127.0.0.1", 8000}, "hall-a", 16, draining};
+    const auto port = static_cast<std::uint16_t>(1024 + core::fastHash(id) % 60'000); // No two targets share one.
+    return {id, "model", {"127.0.0.1", port}, "hall-a", 16, draining};
 }
 
 /// \brief An engine with 16 slots and memory for 200,000 tokens.
--- a/tests/unit/target_life_test.cpp
+++ b/tests/unit/target_life_test.cpp
@@ -97,9 +97,9 @@
     const auto chosen = request.choose(at(0));
     BOOST_REQUIRE(chosen.has_value());
     request.begin(*chosen, "", at(0));
-    BOOST_TEST(!request.targetRestarted());
+    BOOST_TEST(!chosen->target->over());
     state.context.targets.put(lifeOf("a", SecondStart));
-    BOOST_TEST(request.targetRestarted());
+    BOOST_TEST(chosen->target->over());
     request.endAttempt(core::Outcome::MayHaveRun, core::Reason::TargetFailed, TargetFault::Unreachable, "", at(10));
     BOOST_TEST(request.ranSomewhere()); // What the earlier life did of it is not known.
     BOOST_TEST(!state.context.targets.find("a")->health.onProbation());
@@ -166,4 +166,53 @@
     BOOST_TEST(lifeHash({"a", FirstStart}) != lifeHash({"b", FirstStart}));
 }
 
+// Read in the code: whoever waited for a life learnt of its end by its own silence only. What proves an end, and what
+// does not.
+BOOST_AUTO_TEST_CASE(a_later_life_at_an_address_ends_the_earlier_one_and_a_gone_entry_does_not)
+{
+    RelayState state;
+    state.context.adopt(chatTable(), "{}", "test", at(0));
+    auto &targets = state.context.targets;
+    auto later = entry("b");
+    later.address = entry("a").address;
+    state.intake.whole({{entry("a")}}, 1, "test", at(0));
+    const auto earlier = targets.find("a");
+    int told = 0;
+    const LifeWatch watch(earlier, [&told](const core::Ref<Target> &) { ++told; });
+    state.intake.changes({{entry("a"), true}}, 2, "test", at(10));
+    BOOST_TEST(!earlier->over()); // Entries lapse, and some targets serve on without one.
+    auto foreign = later;
+    foreign.id = "written-by-hand";
+    foreign.service = "unknown";
+    state.intake.changes({{foreign}}, 3, "test", at(20));
+    BOOST_TEST(!earlier->over());
+    state.intake.changes({{later}}, 4, "test", at(30));
+    BOOST_TEST(earlier->over());
+    BOOST_TEST(told == 1);
+    BOOST_TEST(!targets.find("b")->over());
+    int toldAtOnce = 0;
+    const LifeWatch late(earlier, [&toldAtOnce](const core::Ref<Target> &) { ++toldAtOnce; });
+    BOOST_TEST(toldAtOnce == 1);
+    state.intake.changes({{entry("a")}}, 5, "a slow peer", at(40)); // It was listed again by somebody who lags.
+    BOOST_TEST(earlier->over());
+    BOOST_TEST(!earlier->listed(at(41)));
+    BOOST_TEST(targets.find("b")->listed(at(41)));
+}
+
+BOOST_AUTO_TEST_CASE(of_two_lives_at_one_address_in_one_list_only_their_starts_tell_which_is_over)
+{
+    for (const bool startsAreTold : {false, true}) {
+        RelayState state;
+        state.context.adopt(chatTable(), "{}", "test", at(0));
+        auto first = lifeOf("z-first", startsAreTold ? FirstStart : 0);
+        auto second = lifeOf("a-second", startsAreTold ? SecondStart : 0);
+        second.address = first.address;
+        state.intake.whole({{second}, {first}}, 1, "test", at(0));
+        BOOST_TEST(state.context.targets.find("a-second")->listed(at(1)));
+        BOOST_TEST(state.context.targets.find("z-first")->over() == startsAreTold); // Though it came last.
+        state.intake.changes({{second}}, 2, "test", at(10));
+        BOOST_TEST(state.context.targets.find("a-second")->listed(at(11)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
