Tests that fail: evacuated failure domains

Seen: EVAC on two deployments (1,170 and 1,456 sends too late). Cause: nobody reads the operator's evacuations.

--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -131,6 +131,24 @@
     store.put("servers", target.id(), entry);
 }
 
+void RelayFleet::announceIn(const std::string &failureDomain, const FakeTarget &target, int coldMs)
+{
+    auto entry = entryOf(target, "app");
+    entry["zone"] = failureDomain;
+    entry["cold_remaining_ms"] = coldMs;
+    store.put("servers", target.id(), entry);
+}
+
+void RelayFleet::evacuate(const std::string &failureDomain)
+{
+    store.put("evacuations", failureDomain, nlohmann::json::object());
+}
+
+void RelayFleet::takeBack(const std::string &failureDomain)
+{
+    store.remove("evacuations", failureDomain);
+}
+
 nlohmann::json RelayFleet::entryOf(const FakeTarget &target, const std::string &service, const std::string &state,
                                    std::int64_t startMs)
 {
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -71,6 +71,12 @@
     /// \param startMs Of its life; 0: the entry does not tell.
     [[nodiscard]] static nlohmann::json entryOf(const FakeTarget &target, const std::string &service,
                                                 const std::string &state = "ready", std::int64_t startMs = 0);
+    /// \brief Writes the entry of a target of the service "app" in a failure domain.
+    /// \param coldMs How much longer it is cold.
+    void announceIn(const std::string &failureDomain, const FakeTarget &target, int coldMs = 0);
+    /// \brief The operator asks that a failure domain gets nothing more, or takes that back.
+    void evacuate(const std::string &failureDomain);
+    void takeBack(const std::string &failureDomain);
     /// \brief Writes the next version of the configuration.
     void configure();
 
