Evacuated failure domains get nothing new

Cause: nobody read the operator's evacuations. Ruled out: part of the list of targets (an evacuation of a domain without targets would be lost, and its revision is its own); a fetch by followers (one name of some bytes fits into the answer that they get every 0.3 s anyway). Change: daemons that read the directory list and wait on evacuations (a third wait of 4 s; only where the settings name a bound); followers hear them in the answers to their questions; newest revision wins; the last word holds while none can be had; nothing is sent before they are known. A target knows whether its domain is evacuated: no choice, no help, no grant, and the last look before the write. Where all that can serve is evacuated: 503 at once (domains_evacuated), Retry-After 1 s.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
+#include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/request_facts.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/targets/outstanding.h"
@@ -114,6 +115,7 @@
     std::int64_t targetsRevision = 0; ///< Of the newest change of the targets that is known there.
     core::Duration targetsAge = absl::InfiniteDuration(); ///< Of the list of targets.
     core::Duration regainedAge = absl::InfiniteDuration(); ///< Since the directory was regained.
+    relay::Evacuations evacuations; ///< As they are known there.
 };
 
 /// \brief A life of a target that ended while a piece of work ran there.
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -11,6 +11,7 @@
 #include "spurlug/net/io.h"
 #include "spurlug/relay/crash_ledger.h"
 #include "spurlug/relay/domain_links.h"
+#include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/freshness.h"
 #include "spurlug/relay/placement.h"
 #include "spurlug/relay/retry_ledger.h"
@@ -52,6 +53,8 @@
     std::int64_t targetsRevision = 0; ///< The directory's revision that the list of targets is from.
     TargetLog targetLog; ///< How the list came to be what it is.
     TargetSet targets;
+    Evacuations evacuations;
+    core::Time evacuationsHeardAt = absl::InfinitePast(); ///< When the directory last answered for them.
     DomainLinks links;
     RetryLedger retries;
     CrashLedger crashes;
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -47,6 +47,9 @@
 {
     spawn(m_follower.followConfiguration());
     spawn(m_follower.followTargets());
+    if (m_context.settings.bounds.evacuate > absl::ZeroDuration()) {
+        spawn(m_follower.followEvacuations());
+    }
     spawn(m_peers.sendHeartbeats());
     spawn(m_peers.receive());
     spawn(m_scheduling.reportWork());
@@ -186,6 +189,7 @@
     if (proof.version > 0 && proof.proofAge != absl::InfiniteDuration()) {
         m_context.configurationProof.confirm(proof.version, *askedAt - proof.proofAge);
     }
+    takeEvacuations(m_context, proof.evacuations, "peer", now);
     m_follower.targetsLink().noteRegained(*askedAt - proof.regainedAge);
     const bool lacksConfiguration = proof.version > (m_context.table ? m_context.table->version : 0);
     const bool lacksTargets = proof.targetsRevision > m_context.targetsRevision;
--- a/include/spurlug/relay/directory.h
+++ b/include/spurlug/relay/directory.h
@@ -56,6 +56,22 @@
     std::vector<TargetChange> changes;
 };
 
+/// \brief One change of the evacuated failure domains.
+struct EvacuationChange
+{
+    std::string failureDomain;
+    bool gone = false; ///< Whether it was taken back.
+};
+
+/// \brief All evacuated failure domains, or what changed.
+struct EvacuationsAnswer
+{
+    DirectoryStatus status = DirectoryStatus::Unreachable;
+    std::string detail; ///< What went wrong, for logs.
+    std::int64_t revision = 0; ///< Where to go on waiting.
+    std::vector<EvacuationChange> changes;
+};
+
 /// \brief A directory that can be read whole and waited on. Answers are the newest there is at some moment between
 /// question and answer.
 template<typename D>
@@ -77,6 +93,12 @@
     {
         directory.awaitTargets(revision, wait)
         } -> std::same_as<net::Task<TargetsAnswer>>;
+    {
+        directory.listEvacuations()
+        } -> std::same_as<net::Task<EvacuationsAnswer>>;
+    {
+        directory.awaitEvacuations(revision, wait)
+        } -> std::same_as<net::Task<EvacuationsAnswer>>;
 };
 
 } // namespace spurlug::relay
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -105,6 +105,7 @@
         , m_sources(sources)
         , m_configurationLink(context, "configuration")
         , m_targetsLink(context, "targets")
+        , m_evacuationsLink(context, "evacuations")
         , m_intake(context, m_targetsLink)
     { }
 
@@ -112,6 +113,8 @@
     [[nodiscard]] net::Task<> followConfiguration();
     /// \brief Keeps the list of targets.
     [[nodiscard]] net::Task<> followTargets();
+    /// \brief Keeps the evacuated failure domains.
+    [[nodiscard]] net::Task<> followEvacuations();
 
     [[nodiscard]] TargetIntake &intake() noexcept
     {
@@ -142,12 +145,15 @@
 
     [[nodiscard]] core::Duration configurationWait() const;
     void noteCallers();
+    /// Whether this daemon should read the directory now, which answers for the configuration.
+    [[nodiscard]] bool readsNow(core::Time now) const;
 
     RelayContext &m_context;
     D &m_directory;
     const control::SourceChoice &m_sources;
     DirectoryLink m_configurationLink;
     DirectoryLink m_targetsLink;
+    DirectoryLink m_evacuationsLink;
     TargetIntake m_intake;
 };
 
@@ -214,6 +220,52 @@
     }
 }
 
+template<Directory D>
+bool Follower<D>::readsNow(core::Time now) const
+{
+    return m_sources.readsItself(now) && now - m_context.configurationHeardAt <= HeardOfLate;
+}
+
+template<Directory D>
+net::Task<> Follower<D>::followEvacuations()
+{
+    Evacuations told;
+    for (;;) {
+        if (!m_context.table || !readsNow(core::now())) {
+            told = {};
+            co_await net::sleepFor(m_context.table ? RolePause : StartPause);
+            continue;
+        }
+        EvacuationsAnswer answer;
+        if (told.revision == 0) {
+            answer = co_await m_directory.listEvacuations();
+        } else {
+            const auto span = m_evacuationsLink.lost() ? core::Duration(ShortestWait) : core::Duration(TargetsWait);
+            answer = co_await m_directory.awaitEvacuations(told.revision, span);
+        }
+        m_context.metrics.count(metrics::Counter::PlatformReads);
+        const auto now = core::now();
+        const auto wait = m_evacuationsLink.ended(answer.status, answer.detail, now);
+        if (answer.status == DirectoryStatus::Ok) {
+            m_context.evacuationsHeardAt = now;
+            told.revision = answer.revision;
+            for (const auto &change : answer.changes) {
+                if (change.gone) {
+                    told.domains.erase(change.failureDomain);
+                } else {
+                    told.domains.insert(change.failureDomain);
+                }
+            }
+            takeEvacuations(m_context, told, "directory", now);
+        } else if (answer.status == DirectoryStatus::HistoryGone) {
+            told = {}; // The list tells what the history hides.
+        }
+        if (wait > absl::ZeroDuration()) {
+            co_await net::sleepFor(wait);
+        }
+    }
+}
+
 template<Directory D>
 net::Task<> Follower<D>::followTargets()
 {
@@ -225,7 +277,7 @@
     core::Time changedAt = absl::InfinitePast();
     for (;;) {
         const auto askedAt = core::now();
-        if (!m_sources.readsItself(askedAt) || askedAt - m_context.configurationHeardAt > HeardOfLate) {
+        if (!readsNow(askedAt)) {
             revision = 0;
             co_await net::sleepFor(RolePause);
             continue;
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -101,6 +101,8 @@
     [[nodiscard]] core::Duration callerPatience() const noexcept;
     /// \brief Whether no target of the request's service is listed: waiting for one has no ground.
     [[nodiscard]] bool hasNoTarget(core::Time now) const;
+    /// \brief Why there is none: the service has no targets, or all of them are in evacuated failure domains.
+    [[nodiscard]] core::Reason whyNoTarget(core::Time now) const;
     /// \brief When the first of the targets that the request may go to wants requests of this daemon again; nothing:
     /// one does now, or there is none.
     [[nodiscard]] std::optional<core::Time> backAt(const TargetQuery &query, core::Time now) const;
--- a/include/spurlug/relay/request_run.h
+++ b/include/spurlug/relay/request_run.h
@@ -11,6 +11,7 @@
 #include "spurlug/net/server_connection.h"
 #include "spurlug/relay/attempt.h"
 #include "spurlug/relay/dialect.h"
+#include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/event_splitter.h"
 #include "spurlug/relay/request_progress.h"
 #include "spurlug/relay/reservation.h"
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -152,7 +152,7 @@
         }
         const auto query = m_progress.query(now);
         if (m_progress.hasNoTarget(now)) {
-            m_failure = core::Reason::NoTarget;
+            m_failure = m_progress.whyNoTarget(now);
             co_return std::nullopt;
         }
         const auto backAt = m_progress.backAt(query, now);
@@ -169,7 +169,7 @@
             continue;
         }
         // A grant could not be used before the list of targets was read, and the request would be placed alone for it.
-        const bool listRead = m_context.targetsRevision > 0;
+        const bool listRead = m_context.targetsRevision > 0 && evacuationsKnown(m_context);
         const bool asked = listRead && session.pursue(query, m_progress.priority(), now);
         if (!asked) {
             if (auto chosen = m_progress.choose(now)) {
@@ -280,7 +280,10 @@
     }
     m_attempt = core::makeCounted<Attempt>(m_context.loop, m_inbox, m_progress.attempts());
     // What a target says binds from the moment of the write, not from the choice.
-    auto mayWrite = [target = chosen.target] { return !unwantedNow(*target, core::now()); };
+    auto mayWrite = [target = chosen.target, helpers = chosen.helpers] {
+        return !unwantedNow(*target, core::now())
+            && std::none_of(helpers.begin(), helpers.end(), [](const auto &helper) { return helper->evacuated(); });
+    };
     m_attempt->start(chosen.target->entry.address, m_dialect.attemptRequest(m_request, facts), detail::ConnectTimeout,
                      m_progress.deadline(), std::move(mayWrite));
 }
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -171,6 +172,12 @@
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
 
+    /// \brief Whether the operator asks that its failure domain gets nothing new.
+    [[nodiscard]] bool evacuated() const noexcept
+    {
+        return m_evacuated;
+    }
+
     /// \brief Whether it leaves: its entry, an answer of its own or a peer said so. Holds for the rest of this life,
     /// whatever entries say later: one that lapsed may be written again, and lists may be old.
     [[nodiscard]] bool leaving() const noexcept
@@ -203,10 +210,16 @@
     /// \brief Work of all daemons here, as far as it is known.
     [[nodiscard]] Outstanding load(core::Time now) const noexcept;
 
+    /// \brief Whether it serves, as far as the directory goes.
+    [[nodiscard]] bool serves(core::Time now) const noexcept
+    {
+        return !m_leaving && fault.empty() && now < dropAt;
+    }
+
     /// \brief Whether it may get new work, as far as the directory goes.
     [[nodiscard]] bool listed(core::Time now) const noexcept
     {
-        return !m_leaving && fault.empty() && now < dropAt;
+        return !m_evacuated && serves(now);
     }
 
 private:
@@ -223,6 +236,7 @@
     Watches m_watches;
     bool m_leaving = false;
     bool m_over = false;
+    bool m_evacuated = false;
     targets::Cooldown m_cooldown;
 };
 
@@ -258,6 +272,8 @@
     /// \brief Notes that peers were told so of these lives.
     /// \returns Targets of which it was not known, for the log.
     Targets noteLeaving(const std::vector<std::uint32_t> &hashes);
+    /// \brief Notes which failure domains must get nothing new.
+    void evacuate(const std::set<std::string> &failureDomains);
     /// \brief Notes that a target wants nothing from this daemon for a while.
     void noteCooldown(Target &target, core::Duration span, core::Time now);
     /// \brief Notes that a target's entry is gone; it gets nothing new from `dropAt` on.
@@ -282,6 +298,8 @@
 
     /// \brief Targets of a service that may get new work.
     [[nodiscard]] Targets listed(const std::string &service, core::Time now) const;
+    /// \brief Whether a service has targets that serve, all of them in evacuated failure domains.
+    [[nodiscard]] bool allEvacuated(const std::string &service, core::Time now) const;
     /// \brief The target with an id; null when there is none.
     [[nodiscard]] core::Ref<Target> find(const std::string &id) const;
     /// \brief The target whose life has this hash; null when there is none, or when it is over.
@@ -306,6 +324,7 @@
     void sortByLeaving(Target &target);
 
     std::unordered_map<std::string, core::Ref<Target>> m_targets;
+    std::set<std::string> m_evacuated; ///< Failure domains.
     std::unordered_map<std::uint32_t, core::Ref<Target>> m_byHash;
     Targets m_coolingDown; ///< Those in a cooldown; the ones whose time is over go with the next.
     Targets m_leavingUnlisted; ///< Targets that leave though their entries do not say so.
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -190,6 +190,10 @@
     out.set_targets_revision(static_cast<std::uint64_t>(answer.targetsRevision));
     out.set_targets_ms(ms32(answer.targetsAge));
     out.set_regained_ms(ms32(answer.regainedAge));
+    out.set_evacuations_revision(static_cast<std::uint64_t>(answer.evacuations.revision));
+    for (const auto &domain : answer.evacuations.domains) {
+        out.add_evacuated(domain);
+    }
 }
 
 ProofAnswer read(const wire::ProofAnswer &in)
@@ -203,6 +207,8 @@
     answer.targetsRevision = static_cast<std::int64_t>(in.targets_revision());
     answer.targetsAge = spanOf(in.targets_ms());
     answer.regainedAge = spanOf(in.regained_ms());
+    answer.evacuations.revision = static_cast<std::int64_t>(in.evacuations_revision());
+    answer.evacuations.domains.insert(in.evacuated().begin(), in.evacuated().end());
     return answer;
 }
 
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -342,7 +342,9 @@
         return target && !relay::unwantedNow(*target, now) ? target : nullptr;
     };
     const auto unwanted = m_context.targets.unwantedHere(now);
-    if (m_withdrawn < MostWithdrawn && relay::contains(unwanted, answer.target)) {
+    const auto granted = m_context.targets.withHash(answer.target);
+    const bool crossed = relay::contains(unwanted, answer.target) || (granted && granted->evacuated());
+    if (m_withdrawn < MostWithdrawn && crossed) {
         withdraw(); // It came to be so since the ask was sent: the next one names it.
         return std::nullopt;
     }
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -89,7 +89,9 @@
     if (!table) {
         return configurationHeardAt; // Targets are not asked for before there is a configuration.
     }
-    return std::min(configurationHeardAt, targetsHeardAt + TargetsSlack);
+    const bool evacuates = settings.bounds.evacuate > absl::ZeroDuration();
+    const auto waitsHeardAt = evacuates ? std::min(targetsHeardAt, evacuationsHeardAt) : targetsHeardAt;
+    return std::min(configurationHeardAt, waitsHeardAt + TargetsSlack);
 }
 
 void RelayContext::adopt(config::RouteTableRef newer, std::string source, std::string_view from, core::Time now)
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -112,6 +112,7 @@
     answer.targetsRevision = context.targetLog.newest();
     answer.targetsAge = now - context.targetsKnownAt;
     answer.regainedAge = now - regainedAt;
+    answer.evacuations = context.evacuations;
     return answer;
 }
 
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -66,6 +66,11 @@
     return listRead && !m_ranSomewhere && m_context.targets.listed(m_service, now).empty();
 }
 
+Reason RequestProgress::whyNoTarget(core::Time now) const
+{
+    return m_context.targets.allEvacuated(m_service, now) ? Reason::DomainsEvacuated : Reason::NoTarget;
+}
+
 bool RequestProgress::waitedEnough(core::Time now) const noexcept
 {
     // A stream that the caller has begun to read, or work that may have run, is worth waiting for.
@@ -156,6 +161,7 @@
     case Reason::NotReady:
         return RetryAfterUnknown;
     case Reason::NoTarget:
+    case Reason::DomainsEvacuated:
         return RetryAfterNoTarget;
     case Reason::TargetsCoolingDown: {
         TargetQuery anyTarget; // The next try may go to those that this one must not go to any more.
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -187,6 +187,9 @@
 
 std::optional<ChosenTargets> RequestProgress::choose(core::Time now)
 {
+    if (!evacuationsKnown(m_context)) {
+        return std::nullopt; // The target may be one that must get nothing.
+    }
     return chooseTargets(m_context, query(now), now);
 }
 
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -182,9 +182,12 @@
 
 std::optional<core::Reason> unwantedNow(const Target &target, core::Time now) noexcept
 {
-    if (!target.listed(now)) {
+    if (!target.serves(now)) {
         return core::Reason::TargetLeaving;
     }
+    if (target.evacuated()) {
+        return core::Reason::DomainsEvacuated;
+    }
     return target.cooldown().lasts(now) ? std::optional(core::Reason::TargetsCoolingDown) : std::nullopt;
 }
 
@@ -203,10 +206,12 @@
         }
         // Attempts in progress keep the earlier life; it is found by nobody else any more.
         target = core::makeCounted<Target>(entry);
+        target->m_evacuated = m_evacuated.contains(entry.failureDomain);
         m_byHash[target->hash] = target;
         return restarted ? EntryNews::Restarted : EntryNews::Added;
     }
     target->entry = entry;
+    target->m_evacuated = m_evacuated.contains(entry.failureDomain);
     target->m_leaving = target->m_leaving || entry.draining;
     target->dropAt = absl::InfiniteFuture();
     target->fault.clear();
@@ -256,6 +261,14 @@
     return fresh;
 }
 
+void TargetSet::evacuate(const std::set<std::string> &failureDomains)
+{
+    m_evacuated = failureDomains;
+    for (const auto &[id, target] : m_targets) {
+        target->m_evacuated = m_evacuated.contains(target->entry.failureDomain);
+    }
+}
+
 void TargetSet::noteCooldown(Target &target, core::Duration span, core::Time now)
 {
     std::erase_if(m_coolingDown, [&](const auto &known) { return !known->cooldown().lasts(now) || known == &target; });
@@ -378,6 +391,20 @@
     return found;
 }
 
+bool TargetSet::allEvacuated(const std::string &service, core::Time now) const
+{
+    bool some = false;
+    for (const auto &[id, target] : m_targets) {
+        if (target->entry.service == service && target->serves(now)) {
+            some = true;
+            if (!target->evacuated()) {
+                return false;
+            }
+        }
+    }
+    return some;
+}
+
 core::Ref<Target> TargetSet::find(const std::string &id) const
 {
     const auto found = m_targets.find(id);
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -27,6 +27,7 @@
     bounds.retryWindow = readMs(reader, "retryWindowMs", bounds.retryWindow);
     bounds.retrySlack = reader.number("retrySlack", 0, MostEntries, bounds.retrySlack);
     bounds.longestHold = readMs(reader, "longestHoldMs", bounds.longestHold);
+    bounds.evacuate = readMs(reader, "evacuateMs", bounds.evacuate);
     bounds.freeAfter = readMs(reader, "freeAfterMs", bounds.freeAfter);
 }
 
--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -93,7 +93,7 @@
         co_await two.fleet.joined();
         two.fleet.evacuate("hall-a");
         co_await net::sleepFor(SpreadToFollowers);
-        two.fleet.store.mood = StoreMood::Busy;
+        two.fleet.store.mood = StoreMood::Silent; // Calls in progress hear nothing either.
         for (std::size_t daemon = 0; daemon < 4; ++daemon) {
             co_await two.askSome(daemon);
         }
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -96,6 +96,7 @@
     }
     settings.store = store.address();
     settings.bounds.grace = absl::Seconds(5);
+    settings.bounds.evacuate = absl::Seconds(5);
     start(std::move(settings));
 }
 
