A cold target gets what it bears, from the whole fleet

Cause: being cold was read by nobody; a new target without work is the first choice. Ruled out: a least part of one for each daemon (985 daemons: 985 a second; the property fails so), a bucket that saves up (all daemons press at once after a calm), asking one daemon for leave on plain services (a way there and back for each). Change: ColdStart is part of a target's life, told by its entry (in whole lists and changes among daemons too), by any answer that says so, and by the end of an evacuation. A cold one is passed over for a warm one, reads no parts for others, and is preferred to refusing.

--- a/include/spurlug/config/route_table.h
+++ b/include/spurlug/config/route_table.h
@@ -85,6 +85,8 @@
 {
     std::string name;
     std::string healthPath;
+    core::Duration coldStart = absl::ZeroDuration(); ///< A target is slow for this long after its start.
+    double coldPerSecond = 0; ///< Requests a second that a cold target bears; 0: as many as a warm one.
     std::int64_t mostConnections = 0; ///< To one target, from all daemons together.
     std::optional<EngineCosts> engine; ///< Set where the targets are model engines.
 };
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -66,6 +66,7 @@
     LeavingTold, ///< Answers in which a target said that it ends soon.
     CooldownsAsked, ///< Answers in which a target asked for time without requests of this daemon.
     RetryAfterUnreadable, ///< Answers in which it asked for a time that is none.
+    ColdStarts, ///< Times that a target came to be slow, as this daemon learnt.
     EvacuationsHeard, ///< Failure domains that were evacuated or taken back, as this daemon learnt.
     LivesOver, ///< Lives of targets that were known to be over before their entries said so.
 };
@@ -135,6 +136,7 @@
         EnumName<Counter>{Counter::LeavingTold, "leaving_told"},
         EnumName<Counter>{Counter::CooldownsAsked, "cooldowns_asked"},
         EnumName<Counter>{Counter::RetryAfterUnreadable, "retry_after_unreadable"},
+        EnumName<Counter>{Counter::ColdStarts, "cold_starts"},
         EnumName<Counter>{Counter::EvacuationsHeard, "evacuations_heard"},
         EnumName<Counter>{Counter::LivesOver, "lives_over"},
     };
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -78,7 +78,7 @@
 private:
     [[nodiscard]] bool isNews(std::int64_t revision);
     void take(const TargetChange &change, std::string_view from, core::Time now);
-    void put(const TargetEntry &entry, std::string_view from);
+    void put(const TargetEntry &entry, std::string_view from, core::Time now);
     /// Ends the earlier one of two lives that are listed with one address, where it can be told.
     void judgeLivesAt(const core::Ref<Target> &added, EntryNews news);
     void withdraw(const std::string &id, const std::string &fault, std::string_view from);
--- a/include/spurlug/relay/request_facts.h
+++ b/include/spurlug/relay/request_facts.h
@@ -74,6 +74,7 @@
     bool encoded = false; ///< The body is not in the form the caller asked for.
     std::optional<core::Address> faultAt; ///< The helper that was at fault.
     bool leaving = false; ///< The target ends soon.
+    std::optional<core::Duration> cold; ///< How much longer the target is slow; nothing: not told.
     std::optional<core::Duration> retryAfter; ///< Time in which it wants nothing from this daemon; nothing: not told.
     bool retryAfterUnreadable = false; ///< It told a time that is none.
 };
--- a/include/spurlug/relay/target_choice.h
+++ b/include/spurlug/relay/target_choice.h
@@ -36,6 +36,7 @@
     /// Hashes of targets that must get nothing from the daemon that sends the request, no help for it either.
     std::vector<std::uint32_t> unwanted;
     bool atHome = false; ///< Only targets of this failure domain, if there are any.
+    bool forFleet = false; ///< Whether the choice is a scheduler's, which places the prompts of all daemons.
     std::string from; ///< Failure domain of the daemon that sends the request; empty: this one's.
     /// Helpers in the failure domain of the engine that answers only: another one was refused for this request.
     bool nearHelpers = false;
--- a/include/spurlug/relay/target_notice.h
+++ b/include/spurlug/relay/target_notice.h
@@ -23,6 +23,10 @@
 void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
                       core::Time now);
 
+/// \brief Notes that a target is slow for a while: its entry, an answer or its return from an evacuation says so.
+/// \param from Who said it, for the log.
+void noteCold(RelayContext &context, Target &target, core::Duration span, std::string_view from, core::Time now);
+
 /// \brief Notes that a life of a target is over; whoever waits for it lets go.
 /// \param proof What showed it, for the log.
 void endLife(RelayContext &context, Target &target, std::string_view proof);
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/counted.h"
 #include "spurlug/core/reason.h"
 #include "spurlug/core/time.h"
+#include "spurlug/relay/cold_start.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/relay/target_life.h"
 #include "spurlug/targets/cooldown.h"
@@ -39,6 +40,7 @@
     std::string failureDomain;
     int slots = 1; ///< Requests that run at once.
     bool draining = false; ///< Whether the entry says that it leaves: it ends soon and must get nothing new.
+    core::Duration cold = absl::ZeroDuration(); ///< How much longer it is slow, when the entry was written.
     std::int64_t startMs = 0; ///< Of this life, as TargetLife::startMs.
 
     [[nodiscard]] TargetLife life() const
@@ -170,6 +172,7 @@
     RefusalPause fullPause; ///< After it turned a request down without asking for a cooldown.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
+    ColdStart coldStart;
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
 
     /// \brief Whether the operator asks that its failure domain gets nothing new.
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -227,6 +227,7 @@
     }
     query.unwanted = ask.unwanted;
     query.atHome = ask.atHome;
+    query.forFleet = true;
     query.nearHelpers = ask.nearHelpers;
     query.from = domainOf(ask.vm);
     const auto chosen = relay::chooseTargets(m_context, query, now);
--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/log.h"
 #include "spurlug/relay/context.h"
+#include "spurlug/relay/target_notice.h"
 
 #include <nlohmann/json.hpp>
 
@@ -24,9 +25,21 @@
               {{"domain", domain}, {"revision", told.revision}, {"from", from}});
 }
 
+/// The targets of a failure domain that is taken back may have turned cold shortly before, and their entries may say so
+/// later.
+void takeForCold(RelayContext &context, const std::string &domain, core::Time now)
+{
+    for (const auto &[id, target] : context.targets.all()) {
+        const auto *service = context.table ? context.table->service(target->entry.service) : nullptr;
+        if (target->entry.failureDomain == domain && service != nullptr) {
+            noteCold(context, *target, service->coldStart, "taken back", now);
+        }
+    }
+}
+
 } // namespace
 
-void takeEvacuations(RelayContext &context, const Evacuations &told, std::string_view from, core::Time)
+void takeEvacuations(RelayContext &context, const Evacuations &told, std::string_view from, core::Time now)
 {
     auto &known = context.evacuations;
     if (told.revision <= known.revision) {
@@ -40,6 +53,7 @@
     for (const auto &domain : known.domains) {
         if (!told.domains.contains(domain)) {
             note(context, domain, false, told, from);
+            takeForCold(context, domain, now);
         }
     }
     if (known.domains != told.domains) {
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -85,11 +85,11 @@
     } else if (!change.fault.empty()) {
         withdraw(change.entry.id, change.fault, from);
     } else {
-        put(change.entry, from);
+        put(change.entry, from, now);
     }
 }
 
-void TargetIntake::put(const TargetEntry &entry, std::string_view from)
+void TargetIntake::put(const TargetEntry &entry, std::string_view from, core::Time now)
 {
     const auto known = m_context.targets.find(entry.id);
     if (known && known->entry.startMs > 0 && entry.startMs == 0) {
@@ -106,7 +106,9 @@
     if (m_inOneList && news != EntryNews::Updated) {
         m_newInList.insert(entry.id);
     }
-    judgeLivesAt(m_context.targets.find(entry.id), news);
+    const auto target = m_context.targets.find(entry.id);
+    noteCold(m_context, *target, entry.cold, from, now);
+    judgeLivesAt(target, news);
     if (news == EntryNews::Restarted) {
         m_context.metrics.count(metrics::Counter::TargetsRestarted);
     }
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -67,6 +67,7 @@
     out.set_failure_domain(names.numberOf(entry.failureDomain));
     out.set_slots(static_cast<std::uint32_t>(entry.slots));
     out.set_draining(entry.draining);
+    out.set_cold_ms(static_cast<std::uint32_t>(core::toMs(entry.cold)));
 }
 
 const std::string &nameAt(const wire::PeerState &in, std::uint32_t number)
@@ -93,6 +94,7 @@
     entry.address = core::parseAddress(news.address());
     entry.slots = static_cast<int>(std::max<std::uint32_t>(news.slots(), 1));
     entry.draining = news.draining();
+    entry.cold = core::fromMs(news.cold_ms());
     return change;
 }
 
@@ -136,6 +138,7 @@
         // A target that is only kept for a while is gone: told on, it would come back elsewhere.
         if (target->dropAt == absl::InfiniteFuture()) {
             auto entry = target->entry;
+            entry.cold = std::max(target->coldStart.until() - now, absl::ZeroDuration());
             entry.draining = target->leaving(); // Whoever said it: the asker may have heard of it from nobody.
             state.targets.push_back({std::move(entry), false, target->fault});
         }
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -18,15 +18,32 @@
 /// Share of a service's targets up to which peers' reports are believed: beyond it the network is at fault.
 constexpr double MostAvoidedShare = 0.34;
 
+/// Whether cold targets come into question.
+enum class ColdTargets
+{
+    PassedOver,
+    AsTheyBear, ///< Those that bear one more request now.
+};
+
+ColdGiver giverOf(const RelayContext &context, const TargetQuery &query)
+{
+    if (query.forFleet) {
+        return ColdGiver::Scheduler;
+    }
+    const auto *service = context.table ? context.table->service(query.service) : nullptr;
+    return service != nullptr && service->engine ? ColdGiver::Alone : ColdGiver::Everybody;
+}
+
 /// Makes the candidates of one request.
 class CandidateList
 {
 public:
     CandidateList(const RelayContext &context, const TargetQuery &query, const TargetSet::Targets &targets,
-                  core::Time now)
+                  ColdTargets coldTargets, core::Time now)
         : m_context(context)
         , m_query(query)
         , m_targets(targets)
+        , m_coldTargets(coldTargets)
         , m_from(query.from.empty() ? context.settings.failureDomain : query.from)
         , m_now(now)
     {
@@ -66,6 +83,32 @@
         return m_heedsReports && m_now < target.reportedUntil;
     }
 
+    /// Whether it is slow, and its service says that this makes a difference.
+    [[nodiscard]] bool cold(const Target &target) const
+    {
+        return target.coldStart.lasts(m_now) && coldPerSecond() > 0;
+    }
+
+    [[nodiscard]] double coldPerSecond() const
+    {
+        const auto *service = m_context.table ? m_context.table->service(m_query.service) : nullptr;
+        return service != nullptr ? service->coldPerSecond : 0;
+    }
+
+    [[nodiscard]] bool takesOneMore(const Target &target) const
+    {
+        if (!cold(target)) {
+            return true;
+        }
+        if (m_coldTargets == ColdTargets::PassedOver) {
+            return false;
+        }
+        const auto allowance
+            = coldAllowance(giverOf(m_context, m_query), coldPerSecond(), m_context.fleetKnowledge(m_now),
+                            m_context.settings.vm, target.hash, m_now);
+        return target.coldStart.takesOne(allowance, m_now);
+    }
+
     [[nodiscard]] bool cutOff(const Target &target) const
     {
         return m_context.links.parted(m_from, target.entry.failureDomain, m_now);
@@ -74,7 +117,7 @@
     [[nodiscard]] bool mayHelp(const Target &target) const
     {
         const auto &health = target.health;
-        return !avoided(target) && !cutOff(target) && !health.ejected(m_now) && !health.onProbation()
+        return !avoided(target) && !cold(target) && !cutOff(target) && !health.ejected(m_now) && !health.onProbation()
             && !target.helpPause.lasts(m_now);
     }
 
@@ -95,6 +138,9 @@
         if (!wanted || contains(m_query.notAt, target.hash) || target.fullPause.lasts(m_now)) {
             return false;
         }
+        if (!takesOneMore(target)) {
+            return false;
+        }
         if (evenEjected) {
             return true;
         }
@@ -112,6 +158,7 @@
     const RelayContext &m_context;
     const TargetQuery &m_query;
     const TargetSet::Targets &m_targets;
+    const ColdTargets m_coldTargets;
     const std::string m_from; ///< Failure domain of the daemon that sends the request.
     const core::Time m_now;
     bool m_heedsReports = true; ///< Whether reports of unreachable targets are few enough to be believed.
@@ -148,7 +195,19 @@
 
     [[nodiscard]] std::optional<Placement> choose() const
     {
-        auto candidates = CandidateList(m_context, m_query, m_targets, m_now).make();
+        auto placement = chooseAmong(ColdTargets::PassedOver);
+        const bool someCold = std::any_of(m_targets.begin(), m_targets.end(),
+                                          [this](const auto &target) { return target->coldStart.lasts(m_now); });
+        if (!placement && someCold) {
+            placement = chooseAmong(ColdTargets::AsTheyBear);
+        }
+        return placement;
+    }
+
+private:
+    [[nodiscard]] std::optional<Placement> chooseAmong(ColdTargets coldTargets) const
+    {
+        auto candidates = CandidateList(m_context, m_query, m_targets, coldTargets, m_now).make();
         auto placement = place(candidates);
         if (!placement || allMayHelp(*placement)) {
             return placement;
@@ -161,7 +220,6 @@
         return place(candidates);
     }
 
-private:
     [[nodiscard]] std::optional<Placement> place(const std::vector<Candidate> &candidates) const
     {
         const auto *spec = m_context.table ? m_context.table->service(m_query.service) : nullptr;
@@ -214,6 +272,9 @@
     }
     ChosenTargets chosen;
     chosen.target = targets[placement->target];
+    if (chosen.target->coldStart.lasts(now)) {
+        chosen.target->coldStart.given(now);
+    }
     for (const auto helper : placement->helpers) {
         chosen.helpers.push_back(targets[helper]);
     }
--- a/src/relay/target_notice.cpp
+++ b/src/relay/target_notice.cpp
@@ -21,6 +21,9 @@
         endLife(context, target, "another life answers");
         return;
     }
+    if (answer.cold) {
+        noteCold(context, target, *answer.cold, "answer", now);
+    }
     if (answer.leaving) {
         context.metrics.count(metrics::Counter::LeavingTold);
         if (context.targets.noteLeaving(target)) {
@@ -45,6 +48,20 @@
     }
 }
 
+void noteCold(RelayContext &context, Target &target, core::Duration span, std::string_view from, core::Time now)
+{
+    if (span <= absl::ZeroDuration()) {
+        return;
+    }
+    const bool isNews = !target.coldStart.lasts(now);
+    target.coldStart.note(now + span);
+    if (isNews) {
+        context.metrics.count(metrics::Counter::ColdStarts);
+        core::log(core::LogLevel::Info, "target_cold",
+                  {{"target", target.entry.id}, {"forMs", core::toMs(span)}, {"from", from}});
+    }
+}
+
 void endLife(RelayContext &context, Target &target, std::string_view proof)
 {
     if (!context.targets.end(target)) {
--- /dev/null
+++ b/tests/property/cold_property.cpp
@@ -0,0 +1,163 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what a cold target gets from fleets of up to a thousand daemons
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+//
+// Read in the code: no daemon hears of all requests for a target, so a limit of the whole fleet has to follow from what
+// each knows. Wanted: whatever daemons die, join or are cut from each other, and however many of them press, a cold
+// target gets no more in any second than the operator bears: 1.5 times its rate, and five. Proof: the property fails
+// where a daemon takes at least one request for each cold target.
+//
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "property.h"
+
+#include "spurlug/core/text.h"
+#include "spurlug/relay/cold_start.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <numeric>
+#include <string>
+#include <vector>
+
+using namespace spurlug;
+
+namespace
+{
+
+constexpr int StepMs = 100;
+constexpr int StepsPerSecond = 1000 / StepMs;
+constexpr int Steps = 80;
+constexpr int LearnsAfterMs = 1500; ///< Daemons that are not cut from each other know each other by then.
+constexpr std::uint32_t ColdTarget = 0x1234567;
+
+struct Fleet
+{
+    std::vector<int> daemons; ///< By failure domain.
+    int killedAt = 0; ///< A share of all daemons ends and starts at this step.
+    double killedShare = 0;
+    int schedulers = 0; ///< That place prompts at the same time.
+    double perSecond = 0;
+};
+
+struct Daemon
+{
+    std::string vm;
+    std::size_t domain = 0;
+    int startedAt = -Steps * StepsPerSecond;
+    relay::ColdStart given{};
+};
+
+core::Time at(int step)
+{
+    return absl::FromUnixSeconds(1000) + absl::Milliseconds(step * StepMs);
+}
+
+rc::Gen<Fleet> fleets()
+{
+    return rc::gen::exec([] {
+        Fleet fleet;
+        const auto domains = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < domains; ++i) {
+            fleet.daemons.push_back(*rc::gen::inRange(1, 201));
+        }
+        fleet.killedAt = *rc::gen::inRange(0, Steps);
+        fleet.killedShare = *rc::gen::inRange(0, 101) / 100.0;
+        fleet.schedulers = *rc::gen::inRange(0, 4);
+        fleet.perSecond = *rc::gen::inRange(2, 51);
+        return fleet;
+    });
+}
+
+relay::FleetKnowledge knowledgeOf(const Daemon &daemon, const Fleet &fleet, int step)
+{
+    const auto lifeMs = (step - daemon.startedAt) * StepMs;
+    const auto atHome = lifeMs >= LearnsAfterMs ? static_cast<std::size_t>(fleet.daemons[daemon.domain]) : 1;
+    return {atHome, lifeMs >= LearnsAfterMs, true, absl::Milliseconds(lifeMs), fleet.daemons.size()};
+}
+
+std::vector<Daemon> daemonsOf(const Fleet &fleet)
+{
+    std::vector<Daemon> daemons;
+    for (std::size_t domain = 0; domain < fleet.daemons.size(); ++domain) {
+        for (int i = 0; i < fleet.daemons[domain]; ++i) {
+            daemons.push_back({core::cat("vm-", domain, "-", i), domain});
+        }
+    }
+    return daemons;
+}
+
+/// Takes all that the giver may give now.
+int press(relay::ColdStart &given, std::int64_t allowance, core::Time now)
+{
+    int count = 0;
+    while (given.takesOne(allowance, now)) {
+        given.given(now);
+        ++count;
+    }
+    return count;
+}
+
+/// What the target gets in each step while everybody presses.
+std::vector<int> play(const Fleet &fleet)
+{
+    using relay::ColdGiver;
+    auto daemons = daemonsOf(fleet);
+    std::vector<relay::ColdStart> schedulers(static_cast<std::size_t>(fleet.schedulers));
+    const auto giver = schedulers.empty() ? ColdGiver::Everybody : ColdGiver::Alone;
+    const auto killed = static_cast<std::size_t>(fleet.killedShare * static_cast<double>(daemons.size()));
+    std::vector<int> got;
+    for (int step = 0; step < Steps; ++step) {
+        int sum = 0;
+        for (std::size_t i = 0; step == fleet.killedAt && i < killed; ++i) {
+            daemons[i].startedAt = step;
+            daemons[i].given = {};
+        }
+        for (auto &daemon : daemons) {
+            const auto allowance = relay::coldAllowance(giver, fleet.perSecond, knowledgeOf(daemon, fleet, step),
+                                                        daemon.vm, ColdTarget, at(step));
+            sum += press(daemon.given, allowance, at(step));
+        }
+        for (auto &scheduler : schedulers) {
+            const auto allowance = relay::coldAllowance(ColdGiver::Scheduler, fleet.perSecond, {}, "", 0, at(step));
+            sum += press(scheduler, allowance, at(step));
+        }
+        got.push_back(sum);
+    }
+    return got;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(cold_properties)
+
+BOOST_AUTO_TEST_CASE(a_cold_target_gets_what_the_operator_bears_whoever_presses)
+{
+    CHECK_PROPERTY("cold rate", [] {
+        const auto fleet = *fleets();
+        const auto got = play(fleet);
+        for (int end = StepsPerSecond; end <= Steps; ++end) {
+            int inASecond = 0;
+            for (int step = end - StepsPerSecond; step < end; ++step) {
+                inASecond += got[static_cast<std::size_t>(step)];
+            }
+            RC_ASSERT(inASecond <= fleet.perSecond * 1.5 + 5);
+        }
+    });
+}
+
+/// It is preferred to refusing: where everybody presses for long, it is not left idle.
+BOOST_AUTO_TEST_CASE(a_cold_target_is_not_left_idle)
+{
+    for (const int size : {1, 20, 200}) {
+        Fleet fleet;
+        fleet.daemons = {size, size, size, size, size};
+        fleet.killedAt = Steps;
+        fleet.perSecond = 14;
+        const auto got = play(fleet);
+        BOOST_TEST(std::accumulate(got.begin(), got.end(), 0) > Steps / StepsPerSecond);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
