--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -26,7 +26,8 @@
     core::Duration retryWindow = absl::Seconds(10);
     double retrySlack = 100; ///< Repeated sends of all daemons beyond the ratio, in a window.
     core::Duration longestHold = absl::Seconds(20); ///< Longest reservation of KV memory.
-    /// Targets of an evacuated failure domain get nothing new after this; 0: the operator evacuates none.
+    /// Targets of an evacuated failure domain get nothing new after this; 0, where the file names none: none is
+    /// evacuated.
     core::Duration evacuate = absl::ZeroDuration();
     core::Duration freeAfter = absl::Seconds(4); ///< Reserved memory is free again this long after its last use.
 };
