--- a/include/spurlug/settings/placement_rule.h
+++ b/include/spurlug/settings/placement_rule.h
@@ -11,8 +11,8 @@
 namespace spurlug::settings
 {
 
-/// \brief Weights of the choice; costs are in ms of delay. Found by trying values on the bench (docs/ROUTING.md); the
-/// ranges in which they make no difference stand in docs/BENANGJAYA.md.
+/// \brief Weights of the choice; costs are in ms of delay. docs/ROUTING.md explains them; the ranges in which they make
+/// no difference stand in docs/BENANGJAYA.md.
 struct PlacementRule
 {
     /// Streams whose longest pause is below this are tight: a long prompt read beside them makes them late. It only
@@ -24,8 +24,7 @@
     double emptyAheadMs = 250;
     /// Of a first request that bears longer pauses at an engine. More than one and a half passes beside streams take
     /// (60 to 150 ms), so that these streams gather: an engine without streams reads parts of any length, one with
-    /// streams only such as fit into their pauses. With 30 the mean worth of eight days of long prompts was lower by
-    /// 0.01, of the two with most of them by 0.06; with 1,000 three days of four were as with 300.
+    /// streams only such as fit into their pauses.
     double gatherCostMs = 300;
     double lateSpan = 0.5; ///< Aims that reading may take of a prompt whose first event will be late.
     /// Part of the caller's remaining patience that such a prompt may take: estimates err.
