--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -4,8 +4,8 @@
 //----------------------------------------------------------------------------------------------------------------------
 //
 // Seen: 1,170 and 1,456 requests reached targets of a failure domain that had been evacuated, on two deployments. How:
-// a day with one evacuation of 12 s and another to its end. Cause: nobody read evacuations. Proof: each case fails
-// where they are not followed, or not looked at in the place that it names.
+// a day with one evacuation of 12 s and another to its end. Cause: nobody read evacuations. Proof: all
+// cases but the last fail where they are not followed; the last guards what runs there.
 //
 //----------------------------------------------------------------------------------------------------------------------
 
--- a/tests/unit/fleet_growth_test.cpp
+++ b/tests/unit/fleet_growth_test.cpp
@@ -5,7 +5,7 @@
 //
 // Seen: 985 daemons without a request sent 82 KB a second each, 0.055 of a core, and a day could not be played. How:
 // any day of the whole fleet. Cause: each daemon sent heartbeats to each other one, at an interval that could not grow
-// any more. Proof: with heartbeats from all to all the bytes of a daemon double with the fleet.
+// any more. Proof: none by this test, which came with the change; the figures before it are those of whole fleets.
 //
 //----------------------------------------------------------------------------------------------------------------------
 
