A target's named rate limit is read and logged

Change: the field is decoded, target_limited and target_limit_lifted are logged once a change, answers that name it are counted. Nothing acts on it yet.

--- a/include/spurlug/relay/request_facts.h
+++ b/include/spurlug/relay/request_facts.h
@@ -77,6 +77,8 @@
     std::optional<core::Duration> cold; ///< How much longer the target is slow; nothing: not told.
     std::optional<core::Duration> retryAfter; ///< Time in which it wants nothing from this daemon; nothing: not told.
     bool retryAfterUnreadable = false; ///< It told a time that is none.
+    std::optional<double> rateLimit; ///< Requests a second that the target takes from all daemons; nothing: not told.
+    bool rateLimitUnreadable = false; ///< It told a rate that is none.
 };
 
 /// \brief Why a request is answered by the relay itself.
--- a/include/spurlug/relay/target_notice.h
+++ b/include/spurlug/relay/target_notice.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -27,6 +28,11 @@
 /// \param from Who said it, for the log.
 void noteCold(RelayContext &context, Target &target, core::Duration span, std::string_view from, core::Time now);
 
+/// \brief Notes which request rate a target takes from the whole fleet.
+/// \param perSecond Nothing: it has no limit any more.
+/// \param from Who said it, for the log.
+void noteRateLimit(Target &target, std::optional<double> perSecond, core::Time saidAt, std::string_view from);
+
 /// \brief Notes that a life of a target is over; whoever waits for it lets go.
 /// \param proof What showed it, for the log.
 void endLife(RelayContext &context, Target &target, std::string_view proof);
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -9,6 +9,7 @@
 #include "spurlug/core/reason.h"
 #include "spurlug/core/time.h"
 #include "spurlug/relay/cold_start.h"
+#include "spurlug/relay/rate_limit.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/relay/target_life.h"
 #include "spurlug/targets/cooldown.h"
@@ -173,6 +174,7 @@
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
     ColdStart coldStart;
+    RateLimit rateLimit;
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
 
     /// \brief Whether the operator asks that its failure domain gets nothing new.
--- a/src/relay/target_notice.cpp
+++ b/src/relay/target_notice.cpp
@@ -41,6 +41,15 @@
                    {"askedMs", core::toMs(*answer.retryAfter)},
                    {"cooldownMs", core::toMs(target.cooldown().until() - now)}});
     }
+    if (answer.rateLimit) {
+        context.metrics.count(metrics::Counter::RateLimitsTold);
+        noteRateLimit(target, answer.rateLimit, now, "answer");
+    }
+    if (answer.rateLimitUnreadable) {
+        context.metrics.count(metrics::Counter::RateLimitUnreadable);
+        core::log(core::LogLevel::Warning, "rate_limit_unreadable",
+                  {{"target", target.entry.id}, {"request", request}});
+    }
     if (answer.retryAfterUnreadable) {
         context.metrics.count(metrics::Counter::RetryAfterUnreadable);
         core::log(core::LogLevel::Warning, "retry_after_unreadable",
@@ -48,6 +57,15 @@
     }
 }
 
+void noteRateLimit(Target &target, std::optional<double> perSecond, core::Time saidAt, std::string_view from)
+{
+    if (!target.rateLimit.take(perSecond, saidAt)) {
+        return;
+    }
+    core::log(core::LogLevel::Info, perSecond ? "target_limited" : "target_limit_lifted",
+              {{"target", target.entry.id}, {"perSecond", perSecond.value_or(0)}, {"from", from}});
+}
+
 void noteCold(RelayContext &context, Target &target, core::Duration span, std::string_view from, core::Time now)
 {
     if (span <= absl::ZeroDuration()) {
