Tests that fail: targets that name a rate limit

Seen: 2,106 and 2,250 requests in 4 s at a target that had named 1.5 a second, where 14 are allowed; a plain target and an engine.

--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -131,11 +131,14 @@
     return plain(200, R"({"free":100000})");
 }
 
-void FakeTarget::sayLeaving(net::ResponseHead &head) const
+void FakeTarget::sayNotices(net::ResponseHead &head) const
 {
     if (leaving) {
         head.headers.add("Server-Leaving", "1");
     }
+    if (!limit.empty()) {
+        head.headers.add("Server-Limit", limit);
+    }
 }
 
 net::ResponseHead FakeTarget::head(const net::Request &request, const Behaviour &how) const
@@ -153,7 +156,7 @@
     if (how.events > 0) {
         head.headers.add("Content-Type", "text/event-stream");
     }
-    sayLeaving(head);
+    sayNotices(head);
     return head;
 }
 
@@ -198,7 +201,7 @@
         const bool misdirected = named != nullptr && *named != m_id;
         m_misdirectedOrders += misdirected ? 1 : 0;
         auto ordered = misdirected ? plain(421, "") : order(request);
-        sayLeaving(ordered.head);
+        sayNotices(ordered.head);
         const bool written = co_await connection->write(std::move(ordered), true, soon());
         co_return written;
     }
@@ -220,7 +223,7 @@
         if (!how.retryAfter.empty()) {
             shed.head.headers.add("Retry-After", how.retryAfter);
         }
-        sayLeaving(shed.head);
+        sayNotices(shed.head);
         const bool written = co_await connection->write(std::move(shed), true, soon());
         co_return written;
     }
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -67,6 +67,7 @@
     Behaviour behaviour;
     std::vector<Behaviour> script; ///< For the next requests, before `behaviour`.
     bool leaving = false; ///< It says in all its answers that it ends soon.
+    std::string limit; ///< Rate that it names in all its answers; empty: none.
     std::string crashesOn; ///< Body of a request that ends the process once it runs; empty: none does.
     core::Duration crashAfter = absl::Milliseconds(10); ///< From the begin of such a run.
 
@@ -97,7 +98,7 @@
     [[nodiscard]] net::Task<bool> stream(core::Ref<net::ServerConnection> connection, const net::Request &request,
                                          const Behaviour &how);
     [[nodiscard]] net::Response order(const net::Request &request);
-    void sayLeaving(net::ResponseHead &head) const;
+    void sayNotices(net::ResponseHead &head) const;
     [[nodiscard]] net::ResponseHead head(const net::Request &request, const Behaviour &how) const;
 
     net::Loop &m_loop;
