A target gets the rate that it named, from all daemons together

Cause: nobody acted on what a target says of its limit in its answers; the scheduler, which places prompts for all, hears no answers. The class is that of the leaving targets and the cooldowns: a term of the request path that no belief is filled from. Ruled out: a limit kept by each daemon alone (no line of code read the field). Change: a limit is part of a life's beliefs, the latest word wins, whoever passes it on; asks, reports and heartbeats carry it. What cold targets bear and what limited ones take is one mechanism now, fleet_rate: turns spread over time by the daemon's and the target's names replace draws anew each second, which overran their rate rarely but did. A plain request whose targets all have got their rate is refused at once with the time of the next turn.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -10,6 +10,7 @@
 #include "spurlug/relay/request_facts.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/targets/outstanding.h"
+#include "spurlug/targets/rate_news.h"
 
 #include <cstdint>
 #include <optional>
@@ -40,6 +41,7 @@
     std::vector<targets::TargetWork> work;
     std::vector<std::uint32_t> unreachable; ///< Targets that do not answer the sender.
     std::vector<std::uint32_t> leaving; ///< Targets that leave though their entries do not say so.
+    std::vector<targets::RateNews> rates; ///< Of targets that named a rate, or no longer do.
     std::vector<TargetOutcome> outcomes; ///< Since the last report.
     bool wantsWord = false; ///< Whether the scheduler should say that it lives.
 };
@@ -66,6 +68,7 @@
     std::vector<std::uint32_t> notAt; ///< Targets that must not answer it.
     std::vector<std::uint32_t> onlyAt; ///< If there are any, only these may answer it.
     std::vector<std::uint32_t> unwanted; ///< Targets that must get nothing from the asker, not even a part to read.
+    std::vector<targets::RateNews> rates; ///< As the asker knows them.
     bool atHome = false; ///< Only targets of the scheduler's failure domain, if there are any.
     bool nearHelpers = false; ///< Helpers in the failure domain of the engine that answers only.
 };
--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -51,6 +51,7 @@
     CrashesTargets, ///< Several targets ended while the same work ran there.
     TargetLeaving, ///< The target that was chosen must get nothing more: it leaves, or its entry is gone.
     TargetsCoolingDown, ///< All targets that the request may go to asked this daemon for a cooldown.
+    TargetsLimited, ///< All targets that the request may go to have got what they take from this daemon for now.
     DomainsEvacuated, ///< The operator asks that the target's failure domain, or those of all targets, get nothing.
     LifeOver, ///< The target, or an engine that its answer needs, was replaced by a later life.
 };
@@ -98,6 +99,7 @@
         EnumName<Reason>{Reason::CrashesTargets, "crashes_targets"},
         EnumName<Reason>{Reason::TargetLeaving, "target_leaving"},
         EnumName<Reason>{Reason::TargetsCoolingDown, "targets_cooling_down"},
+        EnumName<Reason>{Reason::TargetsLimited, "targets_limited"},
         EnumName<Reason>{Reason::DomainsEvacuated, "domains_evacuated"},
         EnumName<Reason>{Reason::LifeOver, "life_over"},
     };
--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -9,6 +9,7 @@
 #include "spurlug/membership/peer_table.h"
 #include "spurlug/targets/load_report.h"
 #include "spurlug/targets/outstanding.h"
+#include "spurlug/targets/rate_news.h"
 
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,7 @@
     std::vector<targets::TargetWork> work; ///< Of the sender itself.
     std::vector<std::uint32_t> unreachable; ///< targets::targetHash of targets that do not answer the sender.
     std::vector<std::uint32_t> leaving; ///< Targets that leave though their entries do not say so, by relay::lifeHash.
+    std::vector<targets::RateNews> rates; ///< Of targets that named a rate, or no longer do.
     std::vector<core::Address> knownPeers; ///< Of some daemons that the sender hears.
     bool wantsAnswer = false; ///< Whether the receiver should answer with a heartbeat of its own.
     std::uint32_t rostersDigest = 0; ///< Of the members that the sender was told of.
--- a/include/spurlug/membership/work_codec.h
+++ b/include/spurlug/membership/work_codec.h
@@ -1,11 +1,12 @@
 //----------------------------------------------------------------------------------------------------------------------
-// spurlug: a daemon's work at a target, on the wire
+// spurlug: a daemon's work at a target, and the rate that it takes, on the wire
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
 #include "spurlug/heartbeat.pb.h"
 #include "spurlug/targets/outstanding.h"
+#include "spurlug/targets/rate_news.h"
 
 #include <cstdint>
 
@@ -18,4 +19,7 @@
 void writeWork(const targets::TargetWork &work, wire::TargetWork &out);
 [[nodiscard]] targets::TargetWork readWork(const wire::TargetWork &in);
 
+void writeRate(const targets::RateNews &news, wire::RateNews &out);
+[[nodiscard]] targets::RateNews readRate(const wire::RateNews &in);
+
 } // namespace spurlug::membership
--- a/include/spurlug/relay/rate_limit.h
+++ b/include/spurlug/relay/rate_limit.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "spurlug/core/time.h"
+#include "spurlug/relay/fleet_rate.h"
 
 #include <optional>
 
@@ -26,6 +27,10 @@
         return m_perSecond;
     }
 
+    /// \brief What it takes from the fleet, where there is a limit: one request in four seconds at the least, as only
+    /// an answer tells that a limit has ended.
+    [[nodiscard]] FleetRate rate() const noexcept;
+
     /// \brief When it was said; in the infinite past when nothing ever was.
     [[nodiscard]] core::Time saidAt() const noexcept
     {
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -103,9 +103,11 @@
     [[nodiscard]] bool hasNoTarget(core::Time now) const;
     /// \brief Why there is none: the service has no targets, or all of them are in evacuated failure domains.
     [[nodiscard]] core::Reason whyNoTarget(core::Time now) const;
-    /// \brief When the first of the targets that the request may go to wants requests of this daemon again; nothing:
+    /// \brief When the first of the targets that the request may go to takes requests of this daemon again; nothing:
     /// one does now, or there is none.
     [[nodiscard]] std::optional<core::Time> backAt(const TargetQuery &query, core::Time now) const;
+    /// \brief Why that target takes none until then.
+    [[nodiscard]] core::Reason whyAway(const TargetQuery &query, core::Time now) const;
     /// \brief Whether waiting until `backAt` is in vain: the request would be refused, or be late for good, before.
     [[nodiscard]] bool backTooLate(core::Time backAt, core::Time now) const noexcept;
     /// \brief When a request that waits for `backAt` goes on: not all at once, the operator's priority first.
@@ -122,6 +124,8 @@
     [[nodiscard]] bool atEngine() const;
     /// \brief The target of the attempt in progress.
     [[nodiscard]] const core::Ref<Target> &target() const noexcept;
+    /// \brief When the attempt in progress began, before its connection was made.
+    [[nodiscard]] core::Time sentAt() const noexcept;
     /// \brief The engine at an address that was asked to help with the request; null when none was.
     [[nodiscard]] core::Ref<Target> helperAt(const core::Address &address) const;
     /// \brief When a caller that is refused now should come back.
@@ -139,6 +143,17 @@
         std::int64_t all = 0;
     };
 
+    /// When a target takes requests of this daemon again, and why not now.
+    struct Away
+    {
+        core::Time until;
+        core::Reason why;
+    };
+
+    /// Nothing: it may get one now. Of engines whose prompts a scheduler places, only that one knows it.
+    [[nodiscard]] std::optional<Away> away(const Target &target, core::Time now) const;
+    /// The first target back; nothing: one is there, or there is none.
+    [[nodiscard]] std::optional<Away> firstBack(const TargetQuery &query, core::Time now) const;
     void noteDigest();
     /// Notes that the target, and the engines that help it, were reached.
     void noteReached();
--- a/include/spurlug/relay/request_run_answer_impl.h
+++ b/include/spurlug/relay/request_run_answer_impl.h
@@ -47,6 +47,7 @@
     const bool misdirected = answer.requestId == m_progress.facts().id && answer.wrongTarget && !blamesHelper;
     if (misdirected || isOwnAnswer(answer, m_progress.facts().id)) {
         takeTargetNotice(m_context, *m_progress.target(), answer, m_progress.facts().id, now);
+        noteUnlimited(*m_progress.target(), answer, m_progress.sentAt(), now);
     }
     if (answer.faultAt) {
         if (const auto helper = m_progress.helperAt(*answer.faultAt)) {
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -157,7 +157,7 @@
         }
         const auto backAt = m_progress.backAt(query, now);
         if (backAt && m_progress.backTooLate(*backAt, now)) {
-            m_failure = core::Reason::TargetsCoolingDown;
+            m_failure = m_progress.whyAway(query, now);
             co_return std::nullopt;
         }
         if (backAt) {
--- a/include/spurlug/relay/target_notice.h
+++ b/include/spurlug/relay/target_notice.h
@@ -8,6 +8,7 @@
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/request_facts.h"
 #include "spurlug/relay/target_set.h"
+#include "spurlug/targets/rate_news.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +34,18 @@
 /// \param from Who said it, for the log.
 void noteRateLimit(Target &target, std::optional<double> perSecond, core::Time saidAt, std::string_view from);
 
+/// \brief Notes that a target has no limit any more, where its answer names none. An answer to a request that was sent
+/// before the limit was named says nothing of it.
+void noteUnlimited(Target &target, const AnswerFacts &answer, core::Time requestSentAt, core::Time now);
+
+/// \brief Takes what a peer tells of the rates that targets take.
+void takeRateNews(RelayContext &context, const std::vector<targets::RateNews> &news, std::string_view peer,
+                  core::Time now);
+
+/// \brief Rates that peers should be told of: limits, and those that ended of late.
+/// \returns `most` of them at most, what was said last first.
+[[nodiscard]] std::vector<targets::RateNews> rateNews(const RelayContext &context, std::size_t most, core::Time now);
+
 /// \brief Notes that a life of a target is over; whoever waits for it lets go.
 /// \param proof What showed it, for the log.
 void endLife(RelayContext &context, Target &target, std::string_view proof);
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -175,6 +175,7 @@
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
     ColdStart coldStart;
     RateLimit rateLimit;
+    RecentSends recentSends; ///< Of this daemon, and as a scheduler of all that it placed here.
     std::string fault; ///< Why its newest entry cannot be used; empty: it can.
 
     /// \brief Whether the operator asks that its failure domain gets nothing new.
@@ -318,6 +319,8 @@
     [[nodiscard]] std::vector<std::uint32_t> unwantedHere(core::Time now) const;
     /// \brief Hashes of targets that leave and whose entries do not say so yet: those that peers may not know of.
     [[nodiscard]] std::vector<std::uint32_t> leavingUnlisted() const;
+    /// \brief Whether some target has named a rate that it takes.
+    [[nodiscard]] bool someLimited() const noexcept;
     /// \brief Hashes of targets that do not answer this daemon.
     [[nodiscard]] std::vector<std::uint32_t> unreachable(core::Time now) const;
     [[nodiscard]] const std::unordered_map<std::string, core::Ref<Target>> &all() const noexcept;
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -44,6 +44,24 @@
     }
 }
 
+template<typename Field>
+void writeRates(const std::vector<targets::RateNews> &rates, Field &field)
+{
+    for (const auto &rate : rates) {
+        membership::writeRate(rate, *field.Add());
+    }
+}
+
+template<typename Field>
+std::vector<targets::RateNews> readRates(const Field &field)
+{
+    std::vector<targets::RateNews> rates;
+    for (const auto &rate : field) {
+        rates.push_back(membership::readRate(rate));
+    }
+    return rates;
+}
+
 void write(const WorkReport &report, wire::ControlDatagram &datagram)
 {
     auto &out = *datagram.mutable_report();
@@ -57,6 +75,7 @@
     }
     writeAll(report.unreachable, *out.mutable_unreachable());
     writeAll(report.leaving, *out.mutable_leaving());
+    writeRates(report.rates, *out.mutable_rates());
     for (const auto &outcome : report.outcomes) {
         auto &outcomeOut = *out.add_outcomes();
         outcomeOut.set_target(outcome.target);
@@ -79,6 +98,7 @@
     }
     report.unreachable.assign(in.unreachable().begin(), in.unreachable().end());
     report.leaving.assign(in.leaving().begin(), in.leaving().end());
+    report.rates = readRates(in.rates());
     const auto last = static_cast<std::uint32_t>(relay::TargetFault::Busy);
     for (const auto &outcomeIn : in.outcomes()) {
         TargetOutcome outcome;
@@ -115,6 +135,7 @@
     writeAll(ask.notAt, *out.mutable_not_at());
     writeAll(ask.onlyAt, *out.mutable_only_at());
     writeAll(ask.unwanted, *out.mutable_unwanted());
+    writeRates(ask.rates, *out.mutable_rates());
     out.set_at_home(ask.atHome);
     out.set_near_helpers(ask.nearHelpers);
 }
@@ -135,6 +156,7 @@
     ask.notAt.assign(in.not_at().begin(), in.not_at().end());
     ask.onlyAt.assign(in.only_at().begin(), in.only_at().end());
     ask.unwanted.assign(in.unwanted().begin(), in.unwanted().end());
+    ask.rates = readRates(in.rates());
     ask.atHome = in.at_home();
     ask.nearHelpers = in.near_helpers();
     return ask;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -75,6 +75,7 @@
                   {{"target", target->entry.id}, {"by", report.vm}, {"reported", report.unreachable.size()}});
     }
     relay::takeLeavingNews(m_context, report.leaving, report.vm);
+    relay::takeRateNews(m_context, report.rates, report.vm, now);
     for (const auto &outcome : report.outcomes) {
         takeOutcome(outcome, domain, now);
     }
@@ -148,6 +149,7 @@
     if (!schedules(ask.service)) {
         return answer;
     }
+    relay::takeRateNews(m_context, ask.rates, ask.vm, now);
     for (const auto &[number, grant] : m_grants) {
         if (grant.vm == ask.vm && grant.answer.ask == ask.ask) {
             return grant.answer;
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -44,6 +44,7 @@
 constexpr int MostWithdrawn = 3; ///< Asks of one request after a grant that its daemon must not use; then it decides.
 /// Targets that a report names as leaving; a release takes a few at a time, and their entries follow within a second.
 constexpr std::size_t MostLeavingTold = 32;
+constexpr std::size_t MostRatesTold = 32; ///< Targets of which an ask or a report names the rate: 0.5 KB.
 
 std::vector<std::uint32_t> firstOf(std::vector<std::uint32_t> hashes, std::size_t most)
 {
@@ -189,6 +190,7 @@
     report.work = m_context.targets.ownWork(now);
     report.unreachable = m_context.targets.unreachable(now);
     report.leaving = relay::leavingNews(m_context, MostLeavingTold);
+    report.rates = relay::rateNews(m_context, MostRatesTold, now);
     report.outcomes = std::exchange(m_outcomes, {});
     m_context.metrics.count(metrics::Counter::WorkReportsSent);
     return report;
@@ -312,6 +314,7 @@
     ask.notAt = firstOf(query.notAt, MostExcluded);
     ask.onlyAt = firstOf(query.onlyAt.value_or(std::vector<std::uint32_t>()), MostExcluded);
     ask.unwanted = firstOf(query.unwanted, MostUnwanted);
+    ask.rates = relay::rateNews(m_context, MostRatesTold, now);
     ask.atHome = scheduler.deputy;
     ask.nearHelpers = query.nearHelpers;
     m_dueAt = now + AskAgainAfter;
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -161,6 +161,9 @@
     for (const auto target : heartbeat.leaving) {
         out.add_leaving(target);
     }
+    for (const auto &rate : heartbeat.rates) {
+        writeRate(rate, *out.add_rates());
+    }
     for (const auto &peer : heartbeat.knownPeers) {
         out.add_known_peers(peer.text());
     }
@@ -235,6 +238,9 @@
         }
         heartbeat.unreachable.assign(inner.unreachable().begin(), inner.unreachable().end());
         heartbeat.leaving.assign(inner.leaving().begin(), inner.leaving().end());
+        for (const auto &rate : inner.rates()) {
+            heartbeat.rates.push_back(readRate(rate));
+        }
         for (const auto &peer : inner.known_peers()) {
             heartbeat.knownPeers.push_back(core::parseAddress(peer));
         }
--- a/src/membership/work_codec.cpp
+++ b/src/membership/work_codec.cpp
@@ -1,15 +1,23 @@
 //----------------------------------------------------------------------------------------------------------------------
-// spurlug: a daemon's work at a target, on the wire
+// spurlug: a daemon's work at a target, and the rate that it takes, on the wire
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
 #include "spurlug/membership/work_codec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace spurlug::membership
 {
 
+namespace
+{
+
+constexpr double RateUnit = 0.001; ///< Requests a second.
+
+} // namespace
+
 std::uint32_t clamp32(std::int64_t value) noexcept
 {
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, UINT32_MAX));
@@ -45,4 +53,25 @@
     return work;
 }
 
+void writeRate(const targets::RateNews &news, wire::RateNews &out)
+{
+    constexpr double Most = UINT32_MAX;
+    out.set_target(news.target);
+    out.set_lifted(!news.perSecond);
+    out.set_per_1000_seconds(
+        static_cast<std::uint32_t>(std::clamp(std::floor(news.perSecond.value_or(0) / RateUnit), 0.0, Most)));
+    out.set_age_ms(clamp32(core::toMs(news.age)));
+}
+
+targets::RateNews readRate(const wire::RateNews &in)
+{
+    targets::RateNews news;
+    news.target = in.target();
+    if (!in.lifted()) {
+        news.perSecond = in.per_1000_seconds() * RateUnit;
+    }
+    news.age = core::fromMs(in.age_ms());
+    return news;
+}
+
 } // namespace spurlug::membership
--- a/src/relay/fleet_membership.cpp
+++ b/src/relay/fleet_membership.cpp
@@ -48,6 +48,7 @@
 constexpr auto PauseNoticed = absl::Milliseconds(3000); // A gap between rounds that only a stopped process explains.
 /// Targets that a heartbeat names as leaving: those of a large release are drawn anew each time.
 constexpr std::size_t MostLeavingTold = 48;
+constexpr std::size_t MostRatesTold = 32; ///< Targets of which a heartbeat names the rate.
 
 Member memberOf(const membership::PeerNews &news)
 {
@@ -148,6 +149,7 @@
     news.processorShare = settings.processorShare;
     heartbeat.largestDomain = m_context.largestDomain;
     heartbeat.leaving = leavingNews(m_context, MostLeavingTold);
+    heartbeat.rates = rateNews(m_context, MostRatesTold, now);
     return heartbeat;
 }
 
@@ -339,6 +341,7 @@
         m_context.largestDomain = std::max(m_context.largestDomain, heartbeat.largestDomain);
     }
     takeLeavingNews(m_context, heartbeat.leaving, news.vm);
+    takeRateNews(m_context, heartbeat.rates, news.vm, now);
     if (atHome && !heartbeat.wantsAnswer) {
         m_answeredAt = now;
     }
--- a/src/relay/rate_limit.cpp
+++ b/src/relay/rate_limit.cpp
@@ -5,11 +5,25 @@
 
 #include "spurlug/relay/rate_limit.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace spurlug::relay
 {
 
+namespace
+{
+
+constexpr auto Span = absl::Seconds(4); ///< The operator's: the limit holds for any such span.
+constexpr double LeastPerSecond = 0.25;
+
+} // namespace
+
+FleetRate RateLimit::rate() const noexcept
+{
+    return {std::max(m_perSecond.value_or(0), LeastPerSecond), Span};
+}
+
 bool RateLimit::take(std::optional<double> perSecond, core::Time saidAt) noexcept
 {
     if (saidAt < m_saidAt) {
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -85,23 +85,54 @@
     return isTight() || !m_facts.prompt ? m_route->aim : callerPatience() * LooseWaitShare;
 }
 
-std::optional<core::Time> RequestProgress::backAt(const TargetQuery &query, core::Time now) const
+std::optional<RequestProgress::Away> RequestProgress::away(const Target &target, core::Time now) const
+{
+    if (target.cooldown().lasts(now)) {
+        return Away{target.cooldown().until(), Reason::TargetsCoolingDown};
+    }
+    if (!target.rateLimit.perSecond() || atEngine()) {
+        return std::nullopt;
+    }
+    const auto rate = target.rateLimit.rate();
+    const RateShare share(RateGiver::Everybody, m_context.fleetKnowledge(now), m_context.settings.vm, target.hash);
+    if (share.takesOne(rate, target.recentSends, now)) {
+        return std::nullopt;
+    }
+    return Away{share.nextTurn(rate, now), Reason::TargetsLimited};
+}
+
+std::optional<RequestProgress::Away> RequestProgress::firstBack(const TargetQuery &query, core::Time now) const
 {
-    if (m_context.targets.unwantedHere(now).empty()) {
+    if (m_context.targets.unwantedHere(now).empty() && !m_context.targets.someLimited()) {
         return std::nullopt;
     }
-    auto first = absl::InfiniteFuture();
+    std::optional<Away> first;
     for (const auto &target : m_context.targets.listed(query.service, now)) {
         const bool wanted = !query.onlyAt || contains(*query.onlyAt, target->hash);
         if (!wanted || contains(query.notAt, target->hash)) {
             continue;
         }
-        if (!target->cooldown().lasts(now)) {
+        const auto isAway = away(*target, now);
+        if (!isAway) {
             return std::nullopt;
         }
-        first = std::min(first, target->cooldown().until());
+        if (!first || isAway->until < first->until) {
+            first = isAway;
+        }
     }
-    return first == absl::InfiniteFuture() ? std::nullopt : std::optional(first);
+    return first;
+}
+
+std::optional<core::Time> RequestProgress::backAt(const TargetQuery &query, core::Time now) const
+{
+    const auto first = firstBack(query, now);
+    return first ? std::optional(first->until) : std::nullopt;
+}
+
+Reason RequestProgress::whyAway(const TargetQuery &query, core::Time now) const
+{
+    const auto first = firstBack(query, now);
+    return first ? first->why : Reason::NoCapacity;
 }
 
 bool RequestProgress::backTooLate(core::Time backAt, core::Time now) const noexcept
@@ -163,11 +194,13 @@
     case Reason::NoTarget:
     case Reason::DomainsEvacuated:
         return RetryAfterNoTarget;
-    case Reason::TargetsCoolingDown: {
+    case Reason::TargetsCoolingDown:
+    case Reason::TargetsLimited: {
         TargetQuery anyTarget; // The next try may go to those that this one must not go to any more.
         anyTarget.service = m_service;
         const auto back = backAt(anyTarget, now);
-        return back ? *back - now + ReturnSpread * placeInOrder() : core::Duration(RetryAfterFull);
+        const bool known = back && *back != absl::InfiniteFuture(); // Else other daemons may have their turn now.
+        return known ? *back - now + ReturnSpread * placeInOrder() : core::Duration(RetryAfterFull);
     }
     case Reason::CrashesTargets:
         return CrashLedger::FirstTrialAfter;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -333,6 +333,11 @@
     return m_current.target;
 }
 
+core::Time RequestProgress::sentAt() const noexcept
+{
+    return m_sentAt;
+}
+
 bool RequestProgress::needs(const Target &target) const noexcept
 {
     if (m_current.target == &target) {
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -25,13 +25,13 @@
     AsTheyBear, ///< Those that bear one more request now.
 };
 
-ColdGiver giverOf(const RelayContext &context, const TargetQuery &query)
+RateGiver giverOf(const RelayContext &context, const TargetQuery &query)
 {
     if (query.forFleet) {
-        return ColdGiver::Scheduler;
+        return RateGiver::Scheduler;
     }
     const auto *service = context.table ? context.table->service(query.service) : nullptr;
-    return service != nullptr && service->engine ? ColdGiver::Alone : ColdGiver::Everybody;
+    return service != nullptr && service->engine ? RateGiver::Alone : RateGiver::Everybody;
 }
 
 /// Makes the candidates of one request.
@@ -97,16 +97,18 @@
 
     [[nodiscard]] bool takesOneMore(const Target &target) const
     {
-        if (!cold(target)) {
-            return true;
-        }
-        if (m_coldTargets == ColdTargets::PassedOver) {
+        const bool isCold = cold(target);
+        if (isCold && m_coldTargets == ColdTargets::PassedOver) {
             return false;
         }
-        const auto allowance
-            = coldAllowance(giverOf(m_context, m_query), coldPerSecond(), m_context.fleetKnowledge(m_now),
-                            m_context.settings.vm, target.hash, m_now);
-        return target.coldStart.takesOne(allowance, m_now);
+        const auto &limit = target.rateLimit;
+        if (!isCold && !limit.perSecond()) {
+            return true;
+        }
+        const RateShare share(giverOf(m_context, m_query), m_context.fleetKnowledge(m_now), m_context.settings.vm,
+                              target.hash);
+        const auto keeps = [&](const FleetRate &rate) { return share.takesOne(rate, target.recentSends, m_now); };
+        return (!isCold || keeps(ColdStart::rate(coldPerSecond()))) && (!limit.perSecond() || keeps(limit.rate()));
     }
 
     [[nodiscard]] bool cutOff(const Target &target) const
@@ -117,8 +119,8 @@
     [[nodiscard]] bool mayHelp(const Target &target) const
     {
         const auto &health = target.health;
-        return !avoided(target) && !cold(target) && !cutOff(target) && !health.ejected(m_now) && !health.onProbation()
-            && !target.helpPause.lasts(m_now);
+        return !avoided(target) && !cold(target) && !target.rateLimit.perSecond() && !cutOff(target)
+            && !health.ejected(m_now) && !health.onProbation() && !target.helpPause.lasts(m_now);
     }
 
     [[nodiscard]] bool anyUsable(bool evenEjected) const
@@ -272,9 +274,7 @@
     }
     ChosenTargets chosen;
     chosen.target = targets[placement->target];
-    if (chosen.target->coldStart.lasts(now)) {
-        chosen.target->coldStart.given(now);
-    }
+    chosen.target->recentSends.add(now);
     for (const auto helper : placement->helpers) {
         chosen.helpers.push_back(targets[helper]);
     }
--- a/src/relay/target_notice.cpp
+++ b/src/relay/target_notice.cpp
@@ -14,6 +14,13 @@
 namespace spurlug::relay
 {
 
+namespace
+{
+
+constexpr auto LiftedToldFor = absl::Seconds(10); ///< Some rounds of heartbeats, at their longest interval.
+
+} // namespace
+
 void takeTargetNotice(RelayContext &context, Target &target, const AnswerFacts &answer, std::string_view request,
                       core::Time now)
 {
@@ -66,6 +73,39 @@
               {{"target", target.entry.id}, {"perSecond", perSecond.value_or(0)}, {"from", from}});
 }
 
+void noteUnlimited(Target &target, const AnswerFacts &answer, core::Time requestSentAt, core::Time now)
+{
+    const bool names = answer.rateLimit || answer.rateLimitUnreadable || answer.wrongTarget;
+    if (!names && target.rateLimit.perSecond() && requestSentAt > target.rateLimit.saidAt()) {
+        noteRateLimit(target, std::nullopt, now, "answer");
+    }
+}
+
+void takeRateNews(RelayContext &context, const std::vector<targets::RateNews> &news, std::string_view peer,
+                  core::Time now)
+{
+    for (const auto &rate : news) {
+        if (const auto target = context.targets.withHash(rate.target)) {
+            noteRateLimit(*target, rate.perSecond, now - rate.age, peer);
+        }
+    }
+}
+
+std::vector<targets::RateNews> rateNews(const RelayContext &context, std::size_t most, core::Time now)
+{
+    std::vector<targets::RateNews> news;
+    for (const auto &[id, target] : context.targets.all()) {
+        const auto &limit = target->rateLimit;
+        const auto age = now - limit.saidAt();
+        if (limit.perSecond() || age < core::Duration(LiftedToldFor)) {
+            news.push_back({target->hash, limit.perSecond(), age});
+        }
+    }
+    std::sort(news.begin(), news.end(), [](const auto &left, const auto &right) { return left.age < right.age; });
+    news.resize(std::min(news.size(), most));
+    return news;
+}
+
 void noteCold(RelayContext &context, Target &target, core::Duration span, std::string_view from, core::Time now)
 {
     if (span <= absl::ZeroDuration()) {
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -358,6 +358,12 @@
     return hashes;
 }
 
+bool TargetSet::someLimited() const noexcept
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [](const auto &item) { return item.second->rateLimit.perSecond().has_value(); });
+}
+
 std::vector<std::uint32_t> TargetSet::leavingUnlisted() const
 {
     std::vector<std::uint32_t> hashes;
--- a/tests/platform/rate_limit_test.cpp
+++ b/tests/platform/rate_limit_test.cpp
@@ -96,6 +96,23 @@
     fleet.run([&]() -> net::Task<> { co_await checkLimit(fleet, limited, free, ask); });
 }
 
+BOOST_AUTO_TEST_CASE(a_rate_is_read_as_a_decimal_number)
+{
+    const platform::RequestCodec codec;
+    const auto read = [&](const std::string &text) {
+        net::ResponseHead head;
+        head.headers.add("Server-Limit", text);
+        return codec.readAnswer(head);
+    };
+    BOOST_TEST((read("1.5").rateLimit == 1.5));
+    BOOST_TEST((read("0").rateLimit == 0.0));
+    for (const auto *unreadable : {"few", "-1", "nan", "inf", ""}) {
+        BOOST_TEST(!read(unreadable).rateLimit.has_value(), unreadable);
+        BOOST_TEST(read(unreadable).rateLimitUnreadable, unreadable);
+    }
+    BOOST_TEST(!codec.readAnswer({}).rateLimitUnreadable);
+}
+
 // A limit that its target does not name any more must not go on for the daemons that were told of it.
 BOOST_AUTO_TEST_CASE(a_limit_ends_when_answers_do_not_name_it_any_more)
 {
--- a/tests/property/cold_property.cpp
+++ b/tests/property/fleet_rate_property.cpp
@@ -1,5 +1,5 @@
 //----------------------------------------------------------------------------------------------------------------------
-// spurlug: what a cold target gets from fleets of up to a thousand daemons
+// spurlug: what targets whose rate the fleet shares get from up to a thousand daemons
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 //
@@ -14,6 +14,7 @@
 
 #include "spurlug/core/text.h"
 #include "spurlug/relay/cold_start.h"
+#include "spurlug/relay/rate_limit.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -30,7 +31,7 @@
 constexpr int StepsPerSecond = 1000 / StepMs;
 constexpr int Steps = 80;
 constexpr int LearnsAfterMs = 1500; ///< Daemons that are not cut from each other know each other by then.
-constexpr std::uint32_t ColdTarget = 0x1234567;
+constexpr std::uint32_t TargetHash = 0x1234567;
 
 struct Fleet
 {
@@ -46,7 +47,7 @@
     std::string vm;
     std::size_t domain = 0;
     int startedAt = -Steps * StepsPerSecond;
-    relay::ColdStart given{};
+    relay::RecentSends sends{};
 };
 
 core::Time at(int step)
@@ -89,74 +90,92 @@
 }
 
 /// Takes all that the giver may give now.
-int press(relay::ColdStart &given, std::int64_t allowance, core::Time now)
+int press(relay::RecentSends &sends, const relay::RateShare &share, const relay::FleetRate &rate, core::Time now)
 {
     int count = 0;
-    while (given.takesOne(allowance, now)) {
-        given.given(now);
+    while (share.takesOne(rate, sends, now)) {
+        sends.add(now);
         ++count;
     }
     return count;
 }
 
 /// What the target gets in each step while everybody presses.
-std::vector<int> play(const Fleet &fleet)
+std::vector<int> play(const Fleet &fleet, const relay::FleetRate &rate)
 {
-    using relay::ColdGiver;
+    using relay::RateGiver;
     auto daemons = daemonsOf(fleet);
-    std::vector<relay::ColdStart> schedulers(static_cast<std::size_t>(fleet.schedulers));
-    const auto giver = schedulers.empty() ? ColdGiver::Everybody : ColdGiver::Alone;
+    std::vector<relay::RecentSends> schedulers(static_cast<std::size_t>(fleet.schedulers));
+    const auto giver = schedulers.empty() ? RateGiver::Everybody : RateGiver::Alone;
     const auto killed = static_cast<std::size_t>(fleet.killedShare * static_cast<double>(daemons.size()));
     std::vector<int> got;
     for (int step = 0; step < Steps; ++step) {
         int sum = 0;
         for (std::size_t i = 0; step == fleet.killedAt && i < killed; ++i) {
             daemons[i].startedAt = step;
-            daemons[i].given = {};
+            daemons[i].sends = {};
         }
         for (auto &daemon : daemons) {
-            const auto allowance = relay::coldAllowance(giver, fleet.perSecond, knowledgeOf(daemon, fleet, step),
-                                                        daemon.vm, ColdTarget, at(step));
-            sum += press(daemon.given, allowance, at(step));
+            const relay::RateShare share(giver, knowledgeOf(daemon, fleet, step), daemon.vm, TargetHash);
+            sum += press(daemon.sends, share, rate, at(step));
         }
         for (auto &scheduler : schedulers) {
-            const auto allowance = relay::coldAllowance(ColdGiver::Scheduler, fleet.perSecond, {}, "", 0, at(step));
-            sum += press(scheduler, allowance, at(step));
+            sum += press(scheduler, {RateGiver::Scheduler, {}, "", TargetHash}, rate, at(step));
         }
         got.push_back(sum);
     }
     return got;
 }
 
+/// Whether the target gets within any span what the operator bears: 1.5 times its rate, and five.
+bool isBorne(const std::vector<int> &got, const relay::FleetRate &rate)
+{
+    const auto span = static_cast<std::ptrdiff_t>(rate.span / absl::Milliseconds(StepMs));
+    const auto most = rate.perSecond * absl::ToDoubleSeconds(rate.span) * 1.5 + 5;
+    for (auto first = got.begin(); got.end() - first >= span; ++first) {
+        if (std::accumulate(first, first + span, 0) > most) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(cold_properties)
+BOOST_AUTO_TEST_SUITE(fleet_rate_properties)
 
 BOOST_AUTO_TEST_CASE(a_cold_target_gets_what_the_operator_bears_whoever_presses)
 {
     CHECK_PROPERTY("cold rate", [] {
         const auto fleet = *fleets();
-        const auto got = play(fleet);
-        for (int end = StepsPerSecond; end <= Steps; ++end) {
-            int inASecond = 0;
-            for (int step = end - StepsPerSecond; step < end; ++step) {
-                inASecond += got[static_cast<std::size_t>(step)];
-            }
-            RC_ASSERT(inASecond <= fleet.perSecond * 1.5 + 5);
-        }
+        const auto rate = relay::ColdStart::rate(fleet.perSecond);
+        RC_ASSERT(isBorne(play(fleet, rate), rate));
+    });
+}
+
+// The sum over daemons that each kept to a named limit was more than the limit.
+BOOST_AUTO_TEST_CASE(a_limited_target_gets_what_it_named_whoever_presses)
+{
+    CHECK_PROPERTY("limited rate", [] {
+        const auto fleet = *fleets();
+        relay::RateLimit limit;
+        limit.take(*rc::gen::inRange(1, 400) / 10.0, at(0));
+        RC_ASSERT(isBorne(play(fleet, limit.rate()), limit.rate()));
     });
 }
 
 /// It is preferred to refusing: where everybody presses for long, it is not left idle.
-BOOST_AUTO_TEST_CASE(a_cold_target_is_not_left_idle)
+BOOST_AUTO_TEST_CASE(a_target_whose_rate_is_shared_is_not_left_idle)
 {
     for (const int size : {1, 20, 200}) {
-        Fleet fleet;
-        fleet.daemons = {size, size, size, size, size};
-        fleet.killedAt = Steps;
-        fleet.perSecond = 14;
-        const auto got = play(fleet);
-        BOOST_TEST(std::accumulate(got.begin(), got.end(), 0) > Steps / StepsPerSecond);
+        for (const auto &rate : {relay::ColdStart::rate(14), relay::FleetRate{1.5, absl::Seconds(4)}}) {
+            Fleet fleet;
+            fleet.daemons = {size, size, size, size, size};
+            fleet.killedAt = Steps;
+            const auto got = play(fleet, rate);
+            const auto named = rate.perSecond * Steps / StepsPerSecond;
+            BOOST_TEST(std::accumulate(got.begin(), got.end(), 0) > named / 4);
+        }
     }
 }
 
--- /dev/null
+++ b/tests/unit/rate_limit_test.cpp
@@ -0,0 +1,166 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: what a daemon does with the rate that a target says it takes from the whole fleet
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_state.h"
+
+#include "spurlug/control/messages.h"
+#include "spurlug/control/scheduler.h"
+#include "spurlug/membership/heartbeat.h"
+#include "spurlug/relay/request_progress.h"
+#include "spurlug/relay/target_notice.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace spurlug;
+using namespace spurlug::relay;
+using namespace spurlug::test;
+
+namespace
+{
+
+/// A daemon with two engines, or two plain targets.
+struct TwoTargets : RelayState
+{
+    explicit TwoTargets(bool engines)
+    {
+        auto table = core::makeCounted<config::RouteTable>(*chatTable(absl::Milliseconds(300)));
+        if (!engines) {
+            table->services.at("model").engine.reset();
+        }
+        context.adopt(table, "{}", "test", at(0));
+        intake.whole({{entry("a")}, {entry("b")}}, 1, "test", at(0));
+    }
+
+    core::Ref<Target> find(const std::string &id)
+    {
+        return context.targets.find(id);
+    }
+
+    void answer(const std::string &id, std::optional<double> limit, core::Time sentAt, core::Time now)
+    {
+        AnswerFacts answer;
+        answer.status = 200;
+        answer.rateLimit = limit;
+        takeTargetNotice(context, *find(id), answer, "r", now);
+        noteUnlimited(*find(id), answer, sentAt, now);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(rate_limit)
+
+// An answer to a request from before the limit was named must not lift it.
+BOOST_AUTO_TEST_CASE(a_limit_is_lifted_by_an_answer_to_a_later_request_only)
+{
+    TwoTargets state(true);
+    state.answer("a", 1.5, at(0), at(100));
+    state.answer("a", std::nullopt, at(50), at(200));
+    BOOST_REQUIRE(state.find("a")->rateLimit.perSecond().has_value());
+    state.answer("a", std::nullopt, at(150), at(300));
+    BOOST_TEST(!state.find("a")->rateLimit.perSecond().has_value());
+}
+
+// A peer's older word must not bring a limit back, or take one away.
+BOOST_AUTO_TEST_CASE(the_latest_word_of_a_limit_holds_whoever_passes_it_on)
+{
+    TwoTargets state(true);
+    const auto hash = state.find("a")->hash;
+    state.answer("a", 1.5, at(900), at(1000));
+    takeRateNews(state.context, {{hash, std::nullopt, absl::Milliseconds(500)}}, "vm", at(1200));
+    BOOST_TEST(state.find("a")->rateLimit.perSecond().has_value());
+    takeRateNews(state.context, {{hash, std::nullopt, absl::Milliseconds(500)}}, "vm", at(1600));
+    BOOST_TEST(!state.find("a")->rateLimit.perSecond().has_value());
+    takeRateNews(state.context, {{hash, 1.5, absl::Milliseconds(900)}}, "vm", at(1700));
+    BOOST_TEST(!state.find("a")->rateLimit.perSecond().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(peers_are_told_of_limits_and_for_a_while_of_their_end)
+{
+    TwoTargets state(true);
+    BOOST_TEST(rateNews(state.context, 8, at(0)).empty());
+    state.answer("a", 1.5, at(0), at(100));
+    const auto limited = rateNews(state.context, 8, at(60'000));
+    BOOST_REQUIRE(limited.size() == 1U);
+    BOOST_TEST((limited.front().perSecond == 1.5));
+    state.answer("a", std::nullopt, at(60'000), at(60'100));
+    BOOST_TEST(rateNews(state.context, 8, at(61'000)).size() == 1U);
+    BOOST_TEST(rateNews(state.context, 8, at(75'000)).empty());
+    state.answer("a", 1.5, at(75'000), at(75'100));
+    state.answer("b", 2.5, at(75'000), at(75'200));
+    const auto latest = rateNews(state.context, 1, at(75'300));
+    BOOST_REQUIRE(latest.size() == 1U);
+    BOOST_TEST(latest.front().target == state.find("b")->hash);
+}
+
+// A scheduler hears no answers: it has to know a limit before it places the next prompt of a daemon that does.
+BOOST_AUTO_TEST_CASE(an_ask_tells_the_scheduler_of_limits)
+{
+    TwoTargets state(true);
+    control::Scheduler scheduler(state.context);
+    scheduler.onWaiting([] {});
+    control::PlacementAsk ask;
+    ask.vm = "vm";
+    ask.service = "model";
+    ask.prompt = {4'000, 500};
+    ask.aim = absl::Milliseconds(300);
+    ask.rates
+        = {{state.find("a")->hash, 1.0, absl::ZeroDuration()}, {state.find("b")->hash, 1.0, absl::ZeroDuration()}};
+    int granted = 0;
+    for (std::uint64_t i = 1; i <= 40; ++i) {
+        ask.ask = i;
+        const auto answer = scheduler.ask(ask, at(static_cast<std::int64_t>(i) * 100));
+        granted += answer.kind == control::AnswerKind::Granted ? 1 : 0;
+    }
+    BOOST_TEST(granted > 0);
+    BOOST_TEST(granted <= 2 * 4);
+}
+
+// A request that no target takes before it would be late must be refused at once, with the time to come back.
+BOOST_AUTO_TEST_CASE(a_request_that_cannot_wait_for_the_next_turn_is_refused_at_once)
+{
+    TwoTargets state(false);
+    RequestProgress request(state.context, shortPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    for (const auto *id : {"a", "b"}) {
+        state.answer(id, 0.5, at(0), at(0));
+        state.find(id)->recentSends.add(at(0));
+    }
+    const auto query = request.query(at(10));
+    const auto back = request.backAt(query, at(10));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST((*back > at(10)));
+    BOOST_TEST((request.whyAway(query, at(10)) == core::Reason::TargetsLimited));
+    BOOST_TEST((request.retryAfter(core::Reason::TargetsLimited, at(10)) >= *back - at(10)));
+    state.answer("b", std::nullopt, at(20), at(30));
+    BOOST_TEST(!request.backAt(query, at(40)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(messages_carry_the_rates_of_targets)
+{
+    const std::vector<targets::RateNews> news{{7, 1.25, absl::Milliseconds(30)}, {8, std::nullopt, absl::Seconds(2)}};
+    const auto same = [&news](const std::vector<targets::RateNews> &read) {
+        BOOST_REQUIRE(read.size() == news.size());
+        for (std::size_t i = 0; i < news.size(); ++i) {
+            BOOST_TEST(read[i].target == news[i].target);
+            BOOST_TEST((read[i].perSecond == news[i].perSecond));
+            BOOST_TEST((read[i].age == news[i].age));
+        }
+    };
+    control::WorkReport report;
+    report.rates = news;
+    same(std::get<control::WorkReport>(*control::readMessage(control::writeMessage(report))).rates);
+    control::PlacementAsk ask;
+    ask.rates = news;
+    same(std::get<control::PlacementAsk>(*control::readMessage(control::writeMessage(ask))).rates);
+    membership::Heartbeat heartbeat;
+    heartbeat.rates = news;
+    const auto heard = membership::readHeartbeat(membership::writeHeartbeat(heartbeat, ""), "");
+    BOOST_REQUIRE(heard.has_value());
+    same(heard->rates);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
