--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -66,6 +66,7 @@
     LeavingTold, ///< Answers in which a target said that it ends soon.
     CooldownsAsked, ///< Answers in which a target asked for time without requests of this daemon.
     RetryAfterUnreadable, ///< Answers in which it asked for a time that is none.
+    DirectoryRestored, ///< Times that the directory came back from an older copy of itself, for each thing read there.
     RateLimitsTold, ///< Answers in which a target named the rate that it takes from the whole fleet.
     RateLimitUnreadable, ///< Answers in which it named a rate that is none.
     ColdStarts, ///< Times that a target came to be slow, as this daemon learnt.
@@ -138,6 +139,7 @@
         EnumName<Counter>{Counter::LeavingTold, "leaving_told"},
         EnumName<Counter>{Counter::CooldownsAsked, "cooldowns_asked"},
         EnumName<Counter>{Counter::RetryAfterUnreadable, "retry_after_unreadable"},
+        EnumName<Counter>{Counter::DirectoryRestored, "directory_restored"},
         EnumName<Counter>{Counter::RateLimitsTold, "rate_limits_told"},
         EnumName<Counter>{Counter::RateLimitUnreadable, "rate_limit_unreadable"},
         EnumName<Counter>{Counter::ColdStarts, "cold_starts"},
--- a/include/spurlug/relay/directory.h
+++ b/include/spurlug/relay/directory.h
@@ -35,6 +35,7 @@
     DirectoryStatus status = DirectoryStatus::Unreachable;
     std::string detail; ///< What went wrong, for logs.
     std::int64_t revision = 0; ///< Where to go on waiting.
+    std::int64_t era = 0; ///< Of the directory; rises each time that it came back from an older copy of itself.
     config::RouteTableRef table; ///< Null when nothing changed.
     std::string document; ///< The table's source, as peers pass it on.
 };
@@ -53,6 +54,7 @@
     DirectoryStatus status = DirectoryStatus::Unreachable;
     std::string detail; ///< What went wrong, for logs.
     std::int64_t revision = 0; ///< Where to go on waiting.
+    std::int64_t era = 0; ///< Of the directory; rises each time that it came back from an older copy of itself.
     std::vector<TargetChange> changes;
 };
 
@@ -69,6 +71,7 @@
     DirectoryStatus status = DirectoryStatus::Unreachable;
     std::string detail; ///< What went wrong, for logs.
     std::int64_t revision = 0; ///< Where to go on waiting.
+    std::int64_t era = 0; ///< Of the directory; rises each time that it came back from an older copy of itself.
     std::vector<EvacuationChange> changes;
 };
 
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -28,6 +28,10 @@
     /// \returns Wait before the next call.
     [[nodiscard]] core::Duration ended(DirectoryStatus status, const std::string &detail, core::Time now);
 
+    /// \brief Notes the era that an answer named.
+    /// \returns Whether the directory lost a part of its history since the last answer.
+    bool noteEra(std::int64_t era);
+
     /// \brief Notes that the directory was regained elsewhere, as another daemon tells.
     void noteRegained(core::Time at) noexcept
     {
@@ -51,6 +55,7 @@
     const std::string m_what;
     Backoff m_backoff;
     DirectoryStatus m_status = DirectoryStatus::Ok; ///< How the last call ended.
+    std::int64_t m_era = 0; ///< 0: none was named yet.
     core::Time m_lostAt = absl::InfinitePast();
     core::Time m_regainedAt = absl::InfinitePast();
 };
@@ -76,7 +81,7 @@
                  core::Time now);
 
 private:
-    [[nodiscard]] bool isNews(std::int64_t revision);
+    [[nodiscard]] bool isNews(std::int64_t revision, std::string_view from);
     void take(const TargetChange &change, std::string_view from, core::Time now);
     void put(const TargetEntry &entry, std::string_view from, core::Time now);
     /// Ends the earlier one of two lives that are listed with one address, where it can be told.
@@ -210,6 +215,7 @@
         } else {
             revision = 0;
         }
+        static_cast<void>(m_configurationLink.noteEra(answer.era));
         auto wait = m_configurationLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Missing && revision > 0) {
             wait = absl::ZeroDuration();
@@ -245,6 +251,7 @@
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
+        static_cast<void>(m_evacuationsLink.noteEra(answer.era));
         const auto wait = m_evacuationsLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
             m_context.evacuationsHeardAt = now;
@@ -294,6 +301,7 @@
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
+        static_cast<void>(m_targetsLink.noteEra(answer.era));
         auto wait = m_targetsLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
             if (!whole && !answer.changes.empty()) {
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -73,6 +73,20 @@
     return std::max(wait, spread(m_context.directoryCallers, draw(m_context.random)));
 }
 
+bool DirectoryLink::noteEra(std::int64_t era)
+{
+    if (era <= m_era) {
+        return false;
+    }
+    const auto before = std::exchange(m_era, era);
+    if (before == 0) {
+        return false;
+    }
+    m_context.metrics.count(metrics::Counter::DirectoryRestored);
+    core::log(core::LogLevel::Warning, "directory_restored", {{"what", m_what}, {"era", era}, {"before", before}});
+    return true;
+}
+
 TargetIntake::TargetIntake(RelayContext &context, const DirectoryLink &link)
     : m_context(context)
     , m_link(link)
@@ -175,9 +189,11 @@
               {{"target", life.id}, {"from", from}, {"keptMs", core::toMs(dropAt - now)}});
 }
 
-bool TargetIntake::isNews(std::int64_t revision)
+bool TargetIntake::isNews(std::int64_t revision, std::string_view from)
 {
     if (revision < m_context.targetsRevision) {
+        core::log(core::LogLevel::Info, "targets_outdated",
+                  {{"revision", revision}, {"known", m_context.targetsRevision}, {"from", from}});
         return false;
     }
     m_context.targetsRevision = revision;
@@ -187,7 +203,7 @@
 void TargetIntake::whole(const std::vector<TargetChange> &list, std::int64_t revision, std::string_view from,
                          core::Time now)
 {
-    if (!isNews(revision)) {
+    if (!isNews(revision, from)) {
         return;
     }
     std::set<std::string> present;
@@ -216,7 +232,7 @@
 void TargetIntake::changes(const std::vector<TargetChange> &changes, std::int64_t revision, std::string_view from,
                            core::Time now)
 {
-    if (!isNews(revision)) {
+    if (!isNews(revision, from)) {
         return;
     }
     for (const auto &change : changes) {
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -85,6 +85,19 @@
     m_history.push_back({++m_revision, kind, {{"gone", true}, {"object", objectJson(name, object)}}});
 }
 
+void FakeStore::copy()
+{
+    m_copy = {m_kinds, m_history, m_revision};
+}
+
+void FakeStore::restore()
+{
+    m_kinds = m_copy.kinds;
+    m_history = m_copy.history;
+    m_revision = m_copy.revision;
+    ++m_era;
+}
+
 void FakeStore::forgetHistory()
 {
     m_history.clear();
@@ -116,7 +129,7 @@
 {
     const auto until = core::now() + wait;
     for (;;) {
-        if (from < m_oldest) {
+        if (from < m_oldest || from > m_revision) {
             co_return json(410, {{"error", "history is gone"}});
         }
         auto events = nlohmann::json::array();
@@ -167,6 +180,7 @@
         }
         auto response = co_await answer(std::move(*result.request));
         response.body = withTexts(std::move(response.body));
+        response.head.headers.add("Store-Era", core::cat(m_era));
         while (mood == StoreMood::Silent) {
             co_await net::sleepFor(absl::Milliseconds(10));
         }
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -40,6 +40,10 @@
     /// \brief Stores an object that some other program wrote, as these bytes.
     void putText(const std::string &kind, const std::string &name, const std::string &object);
     void remove(const std::string &kind, const std::string &name);
+    /// \brief Keeps a copy of all objects.
+    void copy();
+    /// \brief Comes back from the copy: what was written since is lost, revisions go on from the copy's.
+    void restore();
     /// \brief Drops the history: waits from before now get 410.
     void forgetHistory();
     StoreMood mood = StoreMood::Well;
@@ -63,6 +67,14 @@
         nlohmann::json event;
     };
 
+    /// All that a copy holds.
+    struct State
+    {
+        std::map<std::string, std::map<std::string, Object>> kinds;
+        std::vector<Change> history;
+        std::int64_t revision = 0;
+    };
+
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
     [[nodiscard]] net::Task<net::Response> answer(net::Request request);
     [[nodiscard]] net::Task<net::Response> watch(std::string kind, std::int64_t from, core::Duration wait);
@@ -76,6 +88,8 @@
     std::map<std::string, std::map<std::string, Object>> m_kinds;
     std::vector<Change> m_history;
     std::int64_t m_revision = 0;
+    State m_copy;
+    std::int64_t m_era = 1;
     std::int64_t m_oldest = 0; ///< Changes up to this one are forgotten.
     std::map<std::string, int> m_calls;
     std::map<std::string, std::string> m_texts; ///< By what stands for them in answers.
