--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -117,7 +117,7 @@
     core::Duration proofAge = absl::InfiniteDuration(); ///< Of the proof that it is the newest.
     /// Since the directory was asked for what it answered last.
     core::Duration contactAge = absl::InfiniteDuration();
-    std::int64_t targetsRevision = 0; ///< Of the newest change of the targets that is known there.
+    relay::DirectoryPosition targetsPosition; ///< Of the newest change of the targets that is known there.
     core::Duration targetsAge = absl::InfiniteDuration(); ///< Of the list of targets.
     core::Duration regainedAge = absl::InfiniteDuration(); ///< Since the directory was regained.
     relay::Evacuations evacuations; ///< As they are known there.
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -51,7 +51,7 @@
     core::Time configurationHeardAt = absl::InfinitePast(); ///< When the directory last answered for the configuration.
     core::Time targetsKnownAt = absl::InfinitePast(); ///< When the list of targets was known to be the newest.
     core::Time targetsHeardAt = absl::InfinitePast(); ///< When the directory last answered for the targets.
-    std::int64_t targetsRevision = 0; ///< The directory's revision that the list of targets is from.
+    DirectoryPosition targetsPosition; ///< What the list of targets is as of.
     TargetLog targetLog; ///< How the list came to be what it is.
     TargetSet targets;
     Evacuations evacuations;
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -192,7 +192,7 @@
     takeEvacuations(m_context, proof.evacuations, "peer", now);
     m_follower.targetsLink().noteRegained(*askedAt - proof.regainedAge);
     const bool lacksConfiguration = proof.version > (m_context.table ? m_context.table->version : 0);
-    const bool lacksTargets = proof.targetsRevision > m_context.targetsRevision;
+    const bool lacksTargets = proof.targetsPosition > m_context.targetsPosition;
     if (!lacksTargets) {
         m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, *askedAt - proof.targetsAge);
     }
@@ -207,7 +207,7 @@
 std::vector<core::Address> ControlPlane<Source>::holders(const control::Member &source)
 {
     std::vector<core::Address> peers{source.control};
-    if (m_context.targetsRevision > 0) {
+    if (m_context.targetsPosition.known()) {
         return peers; // A few changes.
     }
     auto near = m_context.roster.holdersIn(m_context.settings.failureDomain, control::Role::Reader, m_context.daemons);
@@ -237,10 +237,10 @@
 {
     const auto askedAt = core::now();
     const auto knownVersion = m_context.table ? m_context.table->version : 0;
-    const auto knownRevision = m_context.targetsRevision;
+    const auto known = m_context.targetsPosition;
     net::Request request;
     request.method = "GET";
-    request.target = core::cat("/state?version=", knownVersion, "&targets=", knownRevision);
+    request.target = core::cat("/state?version=", knownVersion, "&era=", known.era, "&targets=", known.revision);
     request.headers.add("Host", peer.text());
     std::string problem;
     const auto answer
@@ -260,11 +260,11 @@
         }
         m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt - state.targetsAge);
         if (state.wholeList) {
-            m_follower.intake().whole(state.targets, state.targetsRevision, "peer", now);
+            m_follower.intake().whole(state.targets, state.targetsPosition, "peer", now);
         } else {
-            m_follower.intake().changes(state.targets, state.targetsRevision, "peer", now);
+            m_follower.intake().changes(state.targets, state.targetsPosition, "peer", now);
         }
-        co_return state.version > knownVersion || state.targetsRevision > knownRevision;
+        co_return state.version > knownVersion || state.targetsPosition > known;
     } catch (const core::InvalidDocument &error) {
         core::log(core::LogLevel::Warning, "peer_state_unreadable", {{"peer", peer.text()}, {"error", error.what()}});
     }
--- a/include/spurlug/relay/directory.h
+++ b/include/spurlug/relay/directory.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
 #include "spurlug/net/io.h"
+#include "spurlug/relay/directory_position.h"
 #include "spurlug/relay/target_set.h"
 
 #include <concepts>
@@ -34,8 +35,7 @@
 {
     DirectoryStatus status = DirectoryStatus::Unreachable;
     std::string detail; ///< What went wrong, for logs.
-    std::int64_t revision = 0; ///< Where to go on waiting.
-    std::int64_t era = 0; ///< Of the directory; rises each time that it came back from an older copy of itself.
+    DirectoryPosition position; ///< Where to go on waiting.
     config::RouteTableRef table; ///< Null when nothing changed.
     std::string document; ///< The table's source, as peers pass it on.
 };
@@ -53,8 +53,7 @@
 {
     DirectoryStatus status = DirectoryStatus::Unreachable;
     std::string detail; ///< What went wrong, for logs.
-    std::int64_t revision = 0; ///< Where to go on waiting.
-    std::int64_t era = 0; ///< Of the directory; rises each time that it came back from an older copy of itself.
+    DirectoryPosition position; ///< Where to go on waiting.
     std::vector<TargetChange> changes;
 };
 
@@ -70,13 +69,13 @@
 {
     DirectoryStatus status = DirectoryStatus::Unreachable;
     std::string detail; ///< What went wrong, for logs.
-    std::int64_t revision = 0; ///< Where to go on waiting.
-    std::int64_t era = 0; ///< Of the directory; rises each time that it came back from an older copy of itself.
+    DirectoryPosition position; ///< Where to go on waiting.
     std::vector<EvacuationChange> changes;
 };
 
 /// \brief A directory that can be read whole and waited on. Answers are the newest there is at some moment between
-/// question and answer.
+/// question and answer. A wait that is answered in another era than that of its revision tells nothing of what lies
+/// between: its position says so.
 template<typename D>
 concept Directory = requires(D &directory, std::int64_t revision, core::Duration wait, const std::string &document)
 {
--- /dev/null
+++ b/include/spurlug/relay/directory_position.h
@@ -0,0 +1,29 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: a moment in the history of a directory that may lose a part of it
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace spurlug::relay
+{
+
+/// \brief What a list or a change is as of. Revisions rise within an era; a directory that comes back from an older
+/// copy of itself begins a new era, in which revisions are given out again. A later era is newer, whatever its
+/// revisions.
+struct DirectoryPosition
+{
+    std::int64_t era = 0;
+    std::int64_t revision = 0; ///< 0: nothing was read yet.
+
+    [[nodiscard]] bool known() const noexcept
+    {
+        return revision > 0;
+    }
+
+    friend auto operator<=>(const DirectoryPosition &left, const DirectoryPosition &right) = default;
+};
+
+} // namespace spurlug::relay
--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -29,8 +29,9 @@
     [[nodiscard]] core::Duration ended(DirectoryStatus status, const std::string &detail, core::Time now);
 
     /// \brief Notes the era that an answer named.
-    /// \returns Whether the directory lost a part of its history since the last answer.
-    bool noteEra(std::int64_t era);
+    /// \returns Whether the directory lost a part of its history since the last answer. It is as if it was regained
+    /// then.
+    bool noteEra(std::int64_t era, core::Time now);
 
     /// \brief Notes that the directory was regained elsewhere, as another daemon tells.
     void noteRegained(core::Time at) noexcept
@@ -73,15 +74,16 @@
 public:
     TargetIntake(RelayContext &context, const DirectoryLink &link);
 
-    /// \brief Takes the whole list as of a revision: what is not in it is gone. An older list than the known one is
+    /// \brief Takes the whole list as of a position: what is not in it is gone. An older list than the known one is
     /// dropped: it would bring back targets that have left.
-    void whole(const std::vector<TargetChange> &list, std::int64_t revision, std::string_view from, core::Time now);
-    /// \brief Takes the changes up to a revision, unless more is known.
-    void changes(const std::vector<TargetChange> &changes, std::int64_t revision, std::string_view from,
+    void whole(const std::vector<TargetChange> &list, const DirectoryPosition &position, std::string_view from,
+               core::Time now);
+    /// \brief Takes the changes up to a position, unless more is known, or less than what they begin from.
+    void changes(const std::vector<TargetChange> &changes, const DirectoryPosition &position, std::string_view from,
                  core::Time now);
 
 private:
-    [[nodiscard]] bool isNews(std::int64_t revision, std::string_view from);
+    [[nodiscard]] bool isNews(const DirectoryPosition &position, std::string_view from);
     void take(const TargetChange &change, std::string_view from, core::Time now);
     void put(const TargetEntry &entry, std::string_view from, core::Time now);
     /// Ends the earlier one of two lives that are listed with one address, where it can be told.
@@ -95,6 +97,7 @@
     /// at one address it does not tell which is later.
     std::set<std::string> m_newInList;
     bool m_inOneList = false;
+    bool m_inNewEra = false; ///< While the first list of an era of the directory is read.
     std::map<std::string, core::Ref<Target>> m_lifeAt; ///< The newest life at each address, of services that there are.
     std::map<std::string, std::string> m_faults; ///< Of entries that cannot be used, by id: each is logged once.
 };
@@ -148,7 +151,22 @@
     static constexpr auto HeardOfLate = absl::Milliseconds(2500);
     static constexpr auto StartPause = absl::Milliseconds(20); ///< Between looks for a first configuration.
 
+    /// How long after the directory is back what it lost may still be written again.
+    static constexpr auto LapseTime = absl::Seconds(2);
+
+    /// Whether an answer to a wait is of another era than the position that was waited from. What lies between is lost.
+    template<typename Answer>
+    [[nodiscard]] static bool isOtherEra(const Answer &answer, const DirectoryPosition &known)
+    {
+        return answer.status == DirectoryStatus::Ok && answer.position.era != known.era;
+    }
+
     [[nodiscard]] core::Duration configurationWait() const;
+    /// Reads the targets of a new era at once: a wait that was begun before it may hear of nothing until it ends.
+    [[nodiscard]] net::Task<> listTargetsAnew();
+    /// \param restoredUntil When what the directory lost is written again at the latest; in the infinite future:
+    /// nothing is lost.
+    void takeEvacuationsOf(const Evacuations &told, core::Time restoredUntil, core::Time now);
     void noteCallers();
     /// Whether this daemon should read the directory now, which answers for the configuration.
     [[nodiscard]] bool readsNow(core::Time now) const;
@@ -180,32 +198,40 @@
 template<Directory D>
 net::Task<> Follower<D>::followConfiguration()
 {
-    std::int64_t revision = 0;
+    DirectoryPosition known;
     for (;;) {
         const auto askedAt = core::now();
         if (!m_sources.readsItself(askedAt)) {
-            revision = 0;
+            known = {};
             co_await net::sleepFor(RolePause);
             continue;
         }
         noteCallers();
         ConfigurationAnswer answer; // Not `?:`, whose temporaries the compiler destroys twice around co_await (GCC 12).
-        if (revision == 0) {
+        if (!known.known()) {
             answer = co_await m_directory.readConfiguration();
         } else {
-            answer = co_await m_directory.awaitConfiguration(revision, configurationWait());
+            answer = co_await m_directory.awaitConfiguration(known.revision, configurationWait());
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
         m_context.proofTriedAt = now;
+        const bool restored = m_configurationLink.noteEra(answer.position.era, now);
+        if (restored) {
+            co_await listTargetsAnew();
+        }
+        if (known.known() && isOtherEra(answer, known)) {
+            known = {};
+            continue;
+        }
         const bool answered = answer.status == DirectoryStatus::Ok || answer.status == DirectoryStatus::Missing;
         if (answered) {
             m_context.configurationHeardAt = now;
         }
         if (answer.status == DirectoryStatus::Missing) {
-            revision = answer.revision; // It is waited for from here.
+            known = answer.position; // It is waited for from here.
         } else if (answer.status == DirectoryStatus::Ok) {
-            revision = answer.revision;
+            known = answer.position;
             const auto version
                 = answer.table ? answer.table->version : (m_context.table ? m_context.table->version : 0);
             m_context.configurationProof.confirm(version, askedAt);
@@ -213,11 +239,10 @@
                 m_context.adopt(std::move(answer.table), std::move(answer.document), "directory", now);
             }
         } else {
-            revision = 0;
+            known = {};
         }
-        static_cast<void>(m_configurationLink.noteEra(answer.era));
         auto wait = m_configurationLink.ended(answer.status, answer.detail, now);
-        if (answer.status == DirectoryStatus::Missing && revision > 0) {
+        if (answer.status == DirectoryStatus::Missing && known.known()) {
             wait = absl::ZeroDuration();
         }
         if (wait > absl::ZeroDuration()) {
@@ -226,6 +251,20 @@
     }
 }
 
+template<Directory D>
+net::Task<> Follower<D>::listTargetsAnew()
+{
+    const auto askedAt = core::now();
+    const auto answer = co_await m_directory.listTargets();
+    m_context.metrics.count(metrics::Counter::PlatformReads);
+    if (answer.status == DirectoryStatus::Ok) {
+        const auto now = core::now();
+        static_cast<void>(m_targetsLink.noteEra(answer.position.era, now));
+        m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt);
+        m_intake.whole(answer.changes, answer.position, "directory", now);
+    }
+}
+
 template<Directory D>
 bool Follower<D>::readsNow(core::Time now) const
 {
@@ -236,26 +275,37 @@
 net::Task<> Follower<D>::followEvacuations()
 {
     Evacuations told;
+    auto listAgainAt = absl::InfiniteFuture();
     for (;;) {
         if (!m_context.table || !readsNow(core::now())) {
             told = {};
             co_await net::sleepFor(m_context.table ? RolePause : StartPause);
             continue;
         }
+        const auto untilList = std::max(listAgainAt - core::now(), core::Duration(ShortestWait));
         EvacuationsAnswer answer;
-        if (told.revision == 0) {
+        if (!told.position.known()) {
             answer = co_await m_directory.listEvacuations();
         } else {
             const auto span = m_evacuationsLink.lost() ? core::Duration(ShortestWait) : core::Duration(TargetsWait);
-            answer = co_await m_directory.awaitEvacuations(told.revision, span);
+            answer = co_await m_directory.awaitEvacuations(told.position.revision, std::min(span, untilList));
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
-        static_cast<void>(m_evacuationsLink.noteEra(answer.era));
+        const auto &before = m_context.evacuations.position;
+        const bool restored = m_evacuationsLink.noteEra(answer.position.era, now)
+            || (answer.status == DirectoryStatus::Ok && before.known() && answer.position.era > before.era);
+        if (restored) {
+            listAgainAt = now + LapseTime;
+        }
+        if (told.position.known() && isOtherEra(answer, told.position)) {
+            told = {};
+            continue;
+        }
         const auto wait = m_evacuationsLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
             m_context.evacuationsHeardAt = now;
-            told.revision = answer.revision;
+            told.position = answer.position;
             for (const auto &change : answer.changes) {
                 if (change.gone) {
                     told.domains.erase(change.failureDomain);
@@ -263,16 +313,30 @@
                     told.domains.insert(change.failureDomain);
                 }
             }
-            takeEvacuations(m_context, told, "directory", now);
+            takeEvacuationsOf(told, listAgainAt, now);
         } else if (answer.status == DirectoryStatus::HistoryGone) {
             told = {}; // The list tells what the history hides.
         }
+        if (now >= listAgainAt) {
+            told = {};
+            listAgainAt = absl::InfiniteFuture();
+        }
         if (wait > absl::ZeroDuration()) {
             co_await net::sleepFor(wait);
         }
     }
 }
 
+template<Directory D>
+void Follower<D>::takeEvacuationsOf(const Evacuations &told, core::Time restoredUntil, core::Time now)
+{
+    if (restoredUntil != absl::InfiniteFuture()) {
+        takeRestoredEvacuations(m_context, told, now);
+    } else {
+        takeEvacuations(m_context, told, "directory", now);
+    }
+}
+
 template<Directory D>
 net::Task<> Follower<D>::followTargets()
 {
@@ -280,16 +344,16 @@
     while (!m_context.table) {
         co_await net::sleepFor(StartPause);
     }
-    std::int64_t revision = 0;
+    DirectoryPosition known;
     core::Time changedAt = absl::InfinitePast();
     for (;;) {
         const auto askedAt = core::now();
         if (!readsNow(askedAt)) {
-            revision = 0;
+            known = {};
             co_await net::sleepFor(RolePause);
             continue;
         }
-        const bool whole = revision == 0;
+        const bool whole = !known.known();
         TargetsAnswer answer;
         if (whole) {
             answer = co_await m_directory.listTargets();
@@ -297,27 +361,31 @@
             // After a failure an answer at once tells when the directory is back: what is missing then may still
             // return.
             const auto span = m_targetsLink.lost() ? core::Duration(ShortestWait) : core::Duration(TargetsWait);
-            answer = co_await m_directory.awaitTargets(revision, span);
+            answer = co_await m_directory.awaitTargets(known.revision, span);
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
-        static_cast<void>(m_targetsLink.noteEra(answer.era));
+        static_cast<void>(m_targetsLink.noteEra(answer.position.era, now));
+        if (!whole && isOtherEra(answer, known)) {
+            known = {};
+            continue;
+        }
         auto wait = m_targetsLink.ended(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
             if (!whole && !answer.changes.empty()) {
                 wait = now - changedAt < ChangesInARow ? core::Duration(TargetsPause) : absl::ZeroDuration();
                 changedAt = now;
             }
-            revision = answer.revision;
+            known = answer.position;
             m_context.targetsHeardAt = now;
             m_context.targetsKnownAt = std::max(m_context.targetsKnownAt, askedAt);
             if (whole) {
-                m_intake.whole(answer.changes, revision, "directory", now);
+                m_intake.whole(answer.changes, known, "directory", now);
             } else {
-                m_intake.changes(answer.changes, revision, "directory", now);
+                m_intake.changes(answer.changes, known, "directory", now);
             }
         } else if (answer.status == DirectoryStatus::HistoryGone) {
-            revision = 0;
+            known = {};
         }
         if (wait > absl::ZeroDuration()) {
             co_await net::sleepFor(wait);
--- a/include/spurlug/relay/peer_state.h
+++ b/include/spurlug/relay/peer_state.h
@@ -23,16 +23,16 @@
     core::Duration proofAge = absl::InfiniteDuration();
     std::string document; ///< Source of the configuration; empty when the asker has that version.
     core::Duration targetsAge = absl::InfiniteDuration();
-    std::int64_t targetsRevision = 0; ///< The directory's revision that the list is from.
-    bool wholeList = true; ///< Whether `targets` are all; else what changed since the asker's revision.
+    DirectoryPosition targetsPosition; ///< What the list is as of.
+    bool wholeList = true; ///< Whether `targets` are all; else what changed since the asker's position.
     std::vector<TargetChange> targets;
 };
 
 /// \brief What this daemon knows.
 /// \param askersVersion Version of the configuration that the asker has.
-/// \param askersRevision Revision of the list of targets that the asker has; 0: none.
-[[nodiscard]] PeerState peerState(const RelayContext &context, std::int64_t askersVersion, std::int64_t askersRevision,
-                                  core::Time now);
+/// \param askersPosition Of the list of targets that the asker has.
+[[nodiscard]] PeerState peerState(const RelayContext &context, std::int64_t askersVersion,
+                                  const DirectoryPosition &askersPosition, core::Time now);
 
 /// \brief How new what this daemon knows is.
 /// \param regainedAt When the directory was regained last; in the infinite past: it was never lost.
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -173,21 +173,19 @@
 template<Dialect Protocol, Directory Source>
 net::Response RelayDaemon<Protocol, Source>::control(const net::Request &request) const
 {
-    constexpr std::string_view VersionPart = "/state?version=";
-    constexpr std::string_view TargetsPart = "&targets=";
-    const std::string_view path = request.target;
-    const auto split = path.find(TargetsPart);
-    if (!path.starts_with(VersionPart) || split == std::string_view::npos) {
+    constexpr std::string_view StatePath = "/state?";
+    const std::string_view target = request.target;
+    if (!target.starts_with(StatePath)) {
         return textResponse(core::http_status::NotFound, "not found\n", "text/plain");
     }
-    std::int64_t version = 0;
-    std::int64_t revision = 0;
-    const auto versionText = path.substr(VersionPart.size(), split - VersionPart.size());
-    if (!core::readNumber(versionText, version)
-        || !core::readNumber(path.substr(split + TargetsPart.size()), revision)) {
-        return textResponse(core::http_status::BadRequest, "version or targets is no number\n", "text/plain");
+    const auto query = target.substr(StatePath.size());
+    const auto version = queryNumber(query, "version");
+    const auto era = queryNumber(query, "era");
+    const auto revision = queryNumber(query, "targets");
+    if (!version || !era || !revision) {
+        return textResponse(core::http_status::BadRequest, "version, era or targets is no number\n", "text/plain");
     }
-    const auto state = peerState(m_context, version, revision, core::now());
+    const auto state = peerState(m_context, *version, {*era, *revision}, core::now());
     return textResponse(core::http_status::Ok, writePeerState(state), "application/x-protobuf");
 }
 
--- a/include/spurlug/relay/request_run_impl.h
+++ b/include/spurlug/relay/request_run_impl.h
@@ -169,7 +169,7 @@
             continue;
         }
         // A grant could not be used before the list of targets was read, and the request would be placed alone for it.
-        const bool listRead = m_context.targetsRevision > 0 && evacuationsKnown(m_context);
+        const bool listRead = m_context.targetsPosition.known() && evacuationsKnown(m_context);
         const bool asked = listRead && session.pursue(query, m_progress.priority(), now);
         if (!asked) {
             if (auto chosen = m_progress.choose(now)) {
--- a/include/spurlug/relay/simple_server.h
+++ b/include/spurlug/relay/simple_server.h
@@ -8,7 +8,10 @@
 #include "spurlug/net/http_message.h"
 #include "spurlug/net/listener.h"
 
+#include <cstdint>
 #include <functional>
+#include <optional>
+#include <string_view>
 
 namespace spurlug::relay
 {
@@ -35,6 +38,9 @@
     Handler m_handler;
 };
 
+/// \brief A whole number in a query, `name=number` between `&`; nothing when there is none.
+[[nodiscard]] std::optional<std::int64_t> queryNumber(std::string_view query, std::string_view name);
+
 /// \brief A response with a text body.
 [[nodiscard]] net::Response textResponse(int status, std::string body, std::string_view contentType);
 
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -173,6 +173,8 @@
     RefusalPause fullPause; ///< After it turned a request down without asking for a cooldown.
     core::Time reportedUntil = absl::InfinitePast(); ///< A peer cannot reach it: others are preferred until this.
     core::Time dropAt = absl::InfiniteFuture(); ///< Its entry is gone; it gets nothing after this.
+    /// A copy of the directory lists it though it was gone: it gets nothing until it writes its entry, or this.
+    core::Time doubtedUntil = absl::InfinitePast();
     ColdStart coldStart;
     RateLimit rateLimit;
     RecentSends recentSends; ///< Of this daemon, and as a scheduler of all that it placed here.
@@ -219,7 +221,7 @@
     /// \brief Whether it serves, as far as the directory goes.
     [[nodiscard]] bool serves(core::Time now) const noexcept
     {
-        return !m_leaving && fault.empty() && now < dropAt;
+        return !m_leaving && fault.empty() && now < dropAt && now >= doubtedUntil;
     }
 
     /// \brief Whether it may get new work, as far as the directory goes.
--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -19,6 +19,7 @@
 struct RelayBounds
 {
     core::Duration drain = absl::Seconds(2); ///< A leaving target gets nothing new after this.
+    core::Duration targetHeartbeat = absl::Milliseconds(1200); ///< Targets write their entries so often.
     core::Duration grace = absl::Seconds(8); ///< From the request to stop until the process is killed.
     core::Duration revoke = absl::Seconds(5); ///< A key that was taken away works no longer than this.
     bool failClosed = true; ///< Whether keys stop working when it cannot be known that they are still valid.
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -213,10 +213,12 @@
     out.set_version(static_cast<std::uint64_t>(answer.version));
     out.set_proof_ms(ms32(answer.proofAge));
     out.set_contact_ms(ms32(answer.contactAge));
-    out.set_targets_revision(static_cast<std::uint64_t>(answer.targetsRevision));
+    out.set_targets_era(static_cast<std::uint64_t>(answer.targetsPosition.era));
+    out.set_targets_revision(static_cast<std::uint64_t>(answer.targetsPosition.revision));
     out.set_targets_ms(ms32(answer.targetsAge));
     out.set_regained_ms(ms32(answer.regainedAge));
-    out.set_evacuations_revision(static_cast<std::uint64_t>(answer.evacuations.revision));
+    out.set_evacuations_era(static_cast<std::uint64_t>(answer.evacuations.position.era));
+    out.set_evacuations_revision(static_cast<std::uint64_t>(answer.evacuations.position.revision));
     for (const auto &domain : answer.evacuations.domains) {
         out.add_evacuated(domain);
     }
@@ -230,10 +232,12 @@
     answer.version = static_cast<std::int64_t>(in.version());
     answer.proofAge = spanOf(in.proof_ms());
     answer.contactAge = spanOf(in.contact_ms());
-    answer.targetsRevision = static_cast<std::int64_t>(in.targets_revision());
+    answer.targetsPosition
+        = {static_cast<std::int64_t>(in.targets_era()), static_cast<std::int64_t>(in.targets_revision())};
     answer.targetsAge = spanOf(in.targets_ms());
     answer.regainedAge = spanOf(in.regained_ms());
-    answer.evacuations.revision = static_cast<std::int64_t>(in.evacuations_revision());
+    answer.evacuations.position
+        = {static_cast<std::int64_t>(in.evacuations_era()), static_cast<std::int64_t>(in.evacuations_revision())};
     answer.evacuations.domains.insert(in.evacuated().begin(), in.evacuated().end());
     return answer;
 }
--- a/src/relay/evacuations.cpp
+++ b/src/relay/evacuations.cpp
@@ -22,7 +22,7 @@
 {
     context.metrics.count(metrics::Counter::EvacuationsHeard);
     core::log(core::LogLevel::Info, evacuated ? "domain_evacuated" : "domain_taken_back",
-              {{"domain", domain}, {"revision", told.revision}, {"from", from}});
+              {{"domain", domain}, {"era", told.position.era}, {"revision", told.position.revision}, {"from", from}});
 }
 
 /// The targets of a failure domain that is taken back may have turned cold shortly before, and their entries may say so
@@ -42,7 +42,7 @@
 void takeEvacuations(RelayContext &context, const Evacuations &told, std::string_view from, core::Time now)
 {
     auto &known = context.evacuations;
-    if (told.revision <= known.revision) {
+    if (told.position <= known.position) {
         return;
     }
     for (const auto &domain : told.domains) {
@@ -62,10 +62,17 @@
     known = told;
 }
 
+void takeRestoredEvacuations(RelayContext &context, Evacuations told, core::Time now)
+{
+    told.domains.insert(context.evacuations.domains.begin(), context.evacuations.domains.end());
+    --told.position.revision;
+    takeEvacuations(context, told, "directory", now);
+}
+
 bool evacuationsKnown(const RelayContext &context) noexcept
 {
     const bool asked = context.settings.bounds.evacuate > absl::ZeroDuration();
-    return !asked || context.evacuations.revision > 0;
+    return !asked || context.evacuations.position.known();
 }
 
 } // namespace spurlug::relay
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -28,6 +28,8 @@
 
 /// How long after the directory is back its missing entries may still come back.
 constexpr auto LapseTime = absl::Seconds(2);
+/// The directory drops the entry of a target that is gone after three of its heartbeats; one more for the way.
+constexpr double HeartbeatsMissed = 4;
 /// Part of the time in which a leaving target must get nothing more that a missing one is still used.
 constexpr double KeepShare = 0.8;
 
@@ -73,7 +75,7 @@
     return std::max(wait, spread(m_context.directoryCallers, draw(m_context.random)));
 }
 
-bool DirectoryLink::noteEra(std::int64_t era)
+bool DirectoryLink::noteEra(std::int64_t era, core::Time now)
 {
     if (era <= m_era) {
         return false;
@@ -82,6 +84,7 @@
     if (before == 0) {
         return false;
     }
+    m_regainedAt = now;
     m_context.metrics.count(metrics::Counter::DirectoryRestored);
     core::log(core::LogLevel::Warning, "directory_restored", {{"what", m_what}, {"era", era}, {"before", before}});
     return true;
@@ -112,10 +115,14 @@
     }
     const bool wasUnusable = known && (known->dropAt != absl::InfiniteFuture() || !known->fault.empty());
     const bool changed = known && (known->entry.draining != entry.draining || known->entry.service != entry.service);
+    const bool wasGone = known && known->dropAt != absl::InfiniteFuture();
     const auto news = m_context.targets.put(entry);
     if (news == EntryNews::Outdated) {
         return;
     }
+    const bool isDoubted = m_inNewEra && wasGone && news == EntryNews::Updated;
+    const auto doubted = m_context.settings.bounds.targetHeartbeat * HeartbeatsMissed;
+    m_context.targets.find(entry.id)->doubtedUntil = isDoubted ? now + doubted : absl::InfinitePast();
     m_faults.erase(entry.id);
     if (m_inOneList && news != EntryNews::Updated) {
         m_newInList.insert(entry.id);
@@ -134,6 +141,7 @@
                    {"service", entry.service},
                    {"address", entry.address.text()},
                    {"draining", entry.draining},
+                   {"doubted", isDoubted},
                    {"from", from}});
     }
 }
@@ -151,8 +159,8 @@
         return;
     }
     const bool startsAreTold = newest->entry.startMs > 0 && added->entry.startMs > 0;
-    if (!startsAreTold && m_newInList.contains(newest->entry.id)) {
-        return; // Which of the two is later is not known.
+    if (!startsAreTold && (m_inNewEra || m_newInList.contains(newest->entry.id))) {
+        return; // Which of the two is later is not known: a copy may list what has ended.
     }
     auto later = startsAreTold && newest->entry.startMs > added->entry.startMs ? newest : added;
     endLife(m_context, later == added ? *newest : *added, "another life is listed at its address");
@@ -181,7 +189,8 @@
     if (life.startMs > 0 && life.startMs < known->entry.startMs) {
         return; // An earlier life ended.
     }
-    const bool mayComeBack = now - m_link.regainedAt() < LapseTime && !known->leaving();
+    const bool isBack = m_inNewEra || now - m_link.regainedAt() < LapseTime;
+    const bool mayComeBack = isBack && !known->leaving();
     const auto kept = std::min(core::Duration(LapseTime), m_context.settings.bounds.drain) * KeepShare;
     const auto dropAt = mayComeBack ? now + kept : now;
     m_context.targets.drop(life.id, dropAt);
@@ -189,23 +198,29 @@
               {{"target", life.id}, {"from", from}, {"keptMs", core::toMs(dropAt - now)}});
 }
 
-bool TargetIntake::isNews(std::int64_t revision, std::string_view from)
+bool TargetIntake::isNews(const DirectoryPosition &position, std::string_view from)
 {
-    if (revision < m_context.targetsRevision) {
-        core::log(core::LogLevel::Info, "targets_outdated",
-                  {{"revision", revision}, {"known", m_context.targetsRevision}, {"from", from}});
-        return false;
+    const auto &known = m_context.targetsPosition;
+    if (position >= known) {
+        return true;
     }
-    m_context.targetsRevision = revision;
-    return true;
+    core::log(core::LogLevel::Info, "targets_outdated",
+              {{"era", position.era},
+               {"revision", position.revision},
+               {"knownEra", known.era},
+               {"knownRevision", known.revision},
+               {"from", from}});
+    return false;
 }
 
-void TargetIntake::whole(const std::vector<TargetChange> &list, std::int64_t revision, std::string_view from,
-                         core::Time now)
+void TargetIntake::whole(const std::vector<TargetChange> &list, const DirectoryPosition &position,
+                         std::string_view from, core::Time now)
 {
-    if (!isNews(revision, from)) {
+    if (!isNews(position, from)) {
         return;
     }
+    const auto before = std::exchange(m_context.targetsPosition, position);
+    m_inNewEra = before.known() && position.era > before.era;
     std::set<std::string> present;
     m_newInList.clear();
     m_inOneList = true;
@@ -224,22 +239,24 @@
     for (const auto &id : missing) {
         drop({id, 0}, from, now);
     }
+    m_inNewEra = false;
     std::erase_if(m_faults, [&present](const auto &item) { return !present.contains(item.first); });
-    m_context.targetLog.restart(revision);
+    m_context.targetLog.restart(position);
     m_context.targets.forgetGone(now);
 }
 
-void TargetIntake::changes(const std::vector<TargetChange> &changes, std::int64_t revision, std::string_view from,
-                           core::Time now)
+void TargetIntake::changes(const std::vector<TargetChange> &changes, const DirectoryPosition &position,
+                           std::string_view from, core::Time now)
 {
-    if (!isNews(revision, from)) {
+    if (!isNews(position, from) || position.era != m_context.targetsPosition.era) {
         return;
     }
+    m_context.targetsPosition = position;
     for (const auto &change : changes) {
         take(change, from, now);
     }
     if (!changes.empty()) {
-        m_context.targetLog.add(revision, changes);
+        m_context.targetLog.add(position, changes);
     }
     m_context.targets.forgetGone(now);
 }
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -111,14 +111,14 @@
         answer.proofAge = context.configurationProof.age(answer.version, now);
     }
     answer.contactAge = now - context.directoryHeardAt();
-    answer.targetsRevision = context.targetLog.newest();
+    answer.targetsPosition = context.targetLog.newest();
     answer.targetsAge = now - context.targetsKnownAt;
     answer.regainedAge = now - regainedAt;
     answer.evacuations = context.evacuations;
     return answer;
 }
 
-PeerState peerState(const RelayContext &context, std::int64_t askersVersion, std::int64_t askersRevision,
+PeerState peerState(const RelayContext &context, std::int64_t askersVersion, const DirectoryPosition &askersPosition,
                     core::Time now)
 {
     PeerState state;
@@ -128,8 +128,8 @@
         state.document = state.version > askersVersion ? context.document : std::string();
     }
     state.targetsAge = now - context.targetsKnownAt;
-    state.targetsRevision = context.targetsRevision;
-    if (auto changes = context.targetLog.since(askersRevision)) {
+    state.targetsPosition = context.targetsPosition;
+    if (auto changes = context.targetLog.since(askersPosition)) {
         state.wholeList = false;
         state.targets = std::move(*changes);
         return state;
@@ -153,7 +153,8 @@
     out.set_proof_ms(ageMs(state.proofAge));
     out.set_document(state.document);
     out.set_targets_ms(ageMs(state.targetsAge));
-    out.set_targets_revision(static_cast<std::uint64_t>(state.targetsRevision));
+    out.set_targets_era(static_cast<std::uint64_t>(state.targetsPosition.era));
+    out.set_targets_revision(static_cast<std::uint64_t>(state.targetsPosition.revision));
     out.set_whole_list(state.wholeList);
     NameTable names(out);
     for (const auto &change : state.targets) {
@@ -173,7 +174,8 @@
     state.proofAge = ageFrom(in.proof_ms());
     state.document = in.document();
     state.targetsAge = ageFrom(in.targets_ms());
-    state.targetsRevision = static_cast<std::int64_t>(in.targets_revision());
+    state.targetsPosition
+        = {static_cast<std::int64_t>(in.targets_era()), static_cast<std::int64_t>(in.targets_revision())};
     state.wholeList = in.whole_list();
     for (const auto &news : in.targets()) {
         state.targets.push_back(readChange(news, in));
--- a/src/relay/request_patience.cpp
+++ b/src/relay/request_patience.cpp
@@ -62,7 +62,7 @@
 
 bool RequestProgress::hasNoTarget(core::Time now) const
 {
-    const bool listRead = m_context.targetsRevision > 0;
+    const bool listRead = m_context.targetsPosition.known();
     return listRead && !m_ranSomewhere && m_context.targets.listed(m_service, now).empty();
 }
 
--- a/src/relay/simple_server.cpp
+++ b/src/relay/simple_server.cpp
@@ -5,8 +5,11 @@
 
 #include "spurlug/relay/simple_server.h"
 
+#include "spurlug/core/text.h"
 #include "spurlug/net/server_connection.h"
 
+#include <algorithm>
+
 namespace spurlug::relay
 {
 
@@ -57,6 +60,21 @@
     return m_listener.address();
 }
 
+std::optional<std::int64_t> queryNumber(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const auto part = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(part.size() + 1, query.size()));
+        std::int64_t value = 0;
+        const auto split = part.find('=');
+        const bool isMeant = split != std::string_view::npos && part.substr(0, split) == name;
+        if (isMeant && core::readNumber(part.substr(split + 1), value)) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
 net::Response textResponse(int status, std::string body, std::string_view contentType)
 {
     net::Response response;
--- a/src/relay/target_log.cpp
+++ b/src/relay/target_log.cpp
@@ -8,31 +8,31 @@
 namespace spurlug::relay
 {
 
-void TargetLog::restart(std::int64_t revision)
+void TargetLog::restart(const DirectoryPosition &position)
 {
     m_batches.clear();
-    m_reachesBackTo = revision;
-    m_newest = revision;
+    m_reachesBackTo = position;
+    m_newest = position;
 }
 
-void TargetLog::add(std::int64_t revision, std::vector<TargetChange> changes)
+void TargetLog::add(const DirectoryPosition &position, std::vector<TargetChange> changes)
 {
-    m_batches.emplace_back(revision, std::move(changes));
-    m_newest = revision;
+    m_batches.emplace_back(position, std::move(changes));
+    m_newest = position;
     if (m_batches.size() > MostBatches) {
         m_reachesBackTo = m_batches.front().first;
         m_batches.pop_front();
     }
 }
 
-std::optional<std::vector<TargetChange>> TargetLog::since(std::int64_t revision) const
+std::optional<std::vector<TargetChange>> TargetLog::since(const DirectoryPosition &position) const
 {
-    if (revision <= 0 || revision < m_reachesBackTo) {
+    if (!position.known() || position < m_reachesBackTo) { // The log is of one era.
         return std::nullopt;
     }
     std::vector<TargetChange> changes;
     for (const auto &[upTo, batch] : m_batches) {
-        if (upTo > revision) {
+        if (upTo > position) {
             changes.insert(changes.end(), batch.begin(), batch.end());
         }
     }
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -20,6 +20,7 @@
 void readBounds(core::ObjectReader &reader, RelayBounds &bounds)
 {
     bounds.drain = readMs(reader, "drainMs", bounds.drain);
+    bounds.targetHeartbeat = readMs(reader, "targetHeartbeatMs", bounds.targetHeartbeat);
     bounds.grace = readMs(reader, "graceMs", bounds.grace);
     bounds.revoke = readMs(reader, "revokeMs", bounds.revoke);
     bounds.failClosed = reader.flag("failClosed", bounds.failClosed);
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -58,7 +58,7 @@
 /// Fills in what the template uses: fields, a section that stands where its field is given, and the list of domains.
 std::string fill(std::string text, const std::map<std::string, std::string> &values)
 {
-    const std::regex section("\\{\\{#(bounds[^}]*)\\}\\}([^#]*)\\{\\{/bounds[^}]*\\}\\}");
+    const std::regex section("\\{\\{#((?!zones)[^}]*)\\}\\}([^#]*)\\{\\{/\\1\\}\\}");
     for (std::smatch found; std::regex_search(text, found, section);) {
         text = found.prefix().str() + (values.contains(found[1]) ? found[2].str() : "") + found.suffix().str();
     }
@@ -100,4 +100,11 @@
     BOOST_TEST((load(values).bounds.evacuate == absl::Seconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(the_heartbeats_of_targets_are_taken_where_they_are_given)
+{
+    auto values = fields();
+    values["heartbeat_ms"] = "1500";
+    BOOST_TEST((load(values).bounds.targetHeartbeat == absl::Milliseconds(1500)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/property/target_life_property.cpp
+++ b/tests/property/target_life_property.cpp
@@ -182,14 +182,14 @@
 private:
     void hearList(std::size_t upTo)
     {
-        m_state.intake.whole(wholeList(m_history[upTo]), static_cast<std::int64_t>(upTo), "test", m_now);
+        m_state.intake.whole(wholeList(m_history[upTo]), {0, static_cast<std::int64_t>(upTo)}, "test", m_now);
         m_known = std::max(m_known, upTo);
     }
 
     void hearChanges(std::size_t from, std::size_t upTo)
     {
         const auto changes = changesBetween(m_history, from, upTo);
-        m_state.intake.changes(changes, static_cast<std::int64_t>(upTo), "test", m_now);
+        m_state.intake.changes(changes, {0, static_cast<std::int64_t>(upTo)}, "test", m_now);
         m_known = std::max(m_known, upTo);
     }
 
--- a/tests/property/target_notice_property.cpp
+++ b/tests/property/target_notice_property.cpp
@@ -139,7 +139,7 @@
         change.entry.startMs = *rc::gen::inRange<std::int64_t>(FirstStart, process.startMs + 1);
         change.entry.draining
             = change.entry.startMs == process.startMs && process.leaves && *rc::gen::arbitrary<bool>();
-        m_daemons[daemon]->intake.changes({change}, ++m_revision, "test", m_now);
+        m_daemons[daemon]->intake.changes({change}, {0, ++m_revision}, "test", m_now);
     }
 
     void hearGone(std::size_t daemon)
@@ -147,7 +147,7 @@
         TargetChange change;
         change.entry.id = drawProcess().id;
         change.gone = true;
-        m_daemons[daemon]->intake.changes({change}, ++m_revision, "test", m_now);
+        m_daemons[daemon]->intake.changes({change}, {0, ++m_revision}, "test", m_now);
     }
 
     void hearAnswer(std::size_t daemon)
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -511,15 +511,19 @@
 BOOST_AUTO_TEST_CASE(a_follower_is_told_only_what_changed_since_its_own_list)
 {
     TargetLog log;
-    BOOST_TEST(!log.since(0).has_value());
-    log.restart(10);
-    log.add(12, {{entry("a"), false}});
-    log.add(15, {{entry("a"), true}});
-    BOOST_TEST(!log.since(9).has_value()); // The whole list is needed.
-    BOOST_TEST(log.since(10)->size() == 2U);
-    BOOST_TEST(log.since(13)->size() == 1U);
-    BOOST_TEST(log.since(15)->empty());
-    BOOST_TEST(log.newest() == 15);
+    BOOST_TEST(!log.since({0, 0}).has_value());
+    log.restart({0, 10});
+    log.add({0, 12}, {{entry("a"), false}});
+    log.add({0, 15}, {{entry("a"), true}});
+    BOOST_TEST(!log.since({0, 9}).has_value()); // The whole list is needed.
+    BOOST_TEST(log.since({0, 10})->size() == 2U);
+    BOOST_TEST(log.since({0, 13})->size() == 1U);
+    BOOST_TEST(log.since({0, 15})->empty());
+    BOOST_TEST((log.newest() == DirectoryPosition{0, 15}));
+    log.restart({1, 8}); // The directory came back from a copy.
+    log.add({1, 16}, {{entry("b"), false}});
+    BOOST_TEST(!log.since({0, 15}).has_value());
+    BOOST_TEST(log.since({1, 8})->size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -31,7 +31,7 @@
             table->services.at("model").engine.reset();
         }
         context.adopt(table, "{}", "test", at(0));
-        intake.whole({{entry("a")}, {entry("b")}}, 1, "test", at(0));
+        intake.whole({{entry("a")}, {entry("b")}}, {0, 1}, "test", at(0));
     }
 
     core::Ref<Target> find(const std::string &id)
--- a/tests/unit/relay_knowledge_test.cpp
+++ b/tests/unit/relay_knowledge_test.cpp
@@ -95,19 +95,19 @@
 BOOST_AUTO_TEST_CASE(a_missing_entry_is_gone_at_once_in_ordinary_times)
 {
     RelayState state;
-    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, 10, "test", at(0));
-    state.intake.changes({{entry("b"), true}}, 11, "test", at(10));
+    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, {0, 10}, "test", at(0));
+    state.intake.changes({{entry("b"), true}}, {0, 11}, "test", at(10));
     BOOST_TEST(state.context.targets.listed("model", at(10)).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_while_the_directory_was_away_is_kept_for_a_moment_unless_it_was_leaving)
 {
     RelayState state;
-    state.intake.whole({{entry("a"), false}, {entry("leaving", true), false}}, 10, "test", at(0));
+    state.intake.whole({{entry("a"), false}, {entry("leaving", true), false}}, {0, 10}, "test", at(0));
     const auto lost = state.link.ended(DirectoryStatus::Unreachable, "", at(100));
     const auto regained = state.link.ended(DirectoryStatus::Ok, "", at(5000));
     BOOST_TEST((lost > regained));
-    state.intake.whole({}, 12, "test", at(5000));
+    state.intake.whole({}, {0, 12}, "test", at(5000));
     BOOST_TEST(state.context.targets.listed("model", at(5100)).size() == 1U);
     BOOST_TEST(state.context.targets.listed("model", at(7000)).empty());
 }
@@ -148,31 +148,31 @@
     BOOST_REQUIRE(!request.authorise(at(0)));
     static_cast<void>(request.query(at(0)));
     BOOST_TEST(!request.hasNoTarget(at(0))); // The list was not read yet.
-    state.intake.whole({}, 1, "test", at(1));
+    state.intake.whole({}, {0, 1}, "test", at(1));
     BOOST_TEST(request.hasNoTarget(at(1)));
     BOOST_TEST(
         (request.retryAfter(core::Reason::NoTarget, Start) > request.retryAfter(core::Reason::NoCapacity, Start)));
-    state.intake.changes({{entry("a")}}, 2, "test", at(2));
+    state.intake.changes({{entry("a")}}, {0, 2}, "test", at(2));
     BOOST_TEST(!request.hasNoTarget(at(2)));
-    state.intake.changes({{entry("a", true)}}, 3, "test", at(3));
+    state.intake.changes({{entry("a", true)}}, {0, 3}, "test", at(3));
     BOOST_TEST(request.hasNoTarget(at(3))); // It leaves.
 }
 
 BOOST_AUTO_TEST_CASE(an_older_list_brings_nobody_back)
 {
     RelayState state;
-    state.intake.whole({{entry("a"), false}}, 10, "test", at(0));
-    state.intake.changes({{entry("a"), true}}, 11, "test", at(10));
-    state.intake.whole({{entry("a"), false}}, 10, "a slow peer", at(20));
+    state.intake.whole({{entry("a"), false}}, {0, 10}, "test", at(0));
+    state.intake.changes({{entry("a"), true}}, {0, 11}, "test", at(10));
+    state.intake.whole({{entry("a"), false}}, {0, 10}, "a slow peer", at(20));
     BOOST_TEST(state.context.targets.listed("model", at(30)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(peers_are_told_only_of_targets_that_are_listed)
 {
     RelayState state;
-    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, 10, "test", at(0));
+    state.intake.whole({{entry("a"), false}, {entry("b"), false}}, {0, 10}, "test", at(0));
     state.context.targets.drop("b", at(2000)); // Kept for a moment here.
-    const auto told = readPeerState(writePeerState(peerState(state.context, 0, 0, at(10))));
+    const auto told = readPeerState(writePeerState(peerState(state.context, 0, {}, at(10))));
     BOOST_REQUIRE(told.targets.size() == 1U);
     BOOST_TEST(told.targets.front().entry.id == "a");
 }
@@ -184,7 +184,7 @@
     constexpr std::size_t Targets = 3003;
     constexpr std::size_t MostBytesEach = 56;
     PeerState state;
-    state.targetsRevision = 9;
+    state.targetsPosition = {2, 9};
     for (std::size_t i = 0; i < Targets; ++i) {
         TargetChange change;
         change.entry = entry(core::cat("i-", 1'000'000'000 + i), i % 7 == 0);
--- a/tests/unit/target_life_test.cpp
+++ b/tests/unit/target_life_test.cpp
@@ -74,16 +74,16 @@
 {
     RelayState state;
     auto &targets = state.context.targets;
-    state.intake.whole({{lifeOf("a", FirstStart, true)}}, 1, "test", at(0));
-    state.intake.changes({{lifeOf("a", FirstStart)}}, 2, "test", at(1));
+    state.intake.whole({{lifeOf("a", FirstStart, true)}}, {0, 1}, "test", at(0));
+    state.intake.changes({{lifeOf("a", FirstStart)}}, {0, 2}, "test", at(1));
     BOOST_TEST(targets.listed("model", at(2)).empty()); // It said so for the rest of that life.
-    state.intake.changes({{lifeOf("a", SecondStart)}}, 3, "test", at(2));
+    state.intake.changes({{lifeOf("a", SecondStart)}}, {0, 3}, "test", at(2));
     BOOST_TEST(targets.listed("model", at(3)).size() == 1U);
-    state.intake.changes({{lifeOf("a", FirstStart, true)}}, 4, "a slow peer", at(3));
+    state.intake.changes({{lifeOf("a", FirstStart, true)}}, {0, 4}, "a slow peer", at(3));
     BOOST_TEST(targets.listed("model", at(4)).size() == 1U);
-    state.intake.changes({{lifeOf("a", FirstStart), true}}, 5, "a slow peer", at(4)); // The earlier life ended.
+    state.intake.changes({{lifeOf("a", FirstStart), true}}, {0, 5}, "a slow peer", at(4)); // The earlier life ended.
     BOOST_TEST(targets.listed("model", at(5)).size() == 1U);
-    state.intake.changes({{lifeOf("a", SecondStart), true}}, 6, "test", at(5));
+    state.intake.changes({{lifeOf("a", SecondStart), true}}, {0, 6}, "test", at(5));
     BOOST_TEST(targets.listed("model", at(6)).empty());
 }
 
@@ -134,27 +134,28 @@
 {
     RelayState state;
     auto &targets = state.context.targets;
-    state.intake.whole({{lifeOf("a", FirstStart)}, {lifeOf("b", FirstStart)}}, 1, "test", at(0));
-    state.intake.changes({{lifeOf("a", 0), false, "/slots: expected an integer"}}, 2, "test", at(1));
+    state.intake.whole({{lifeOf("a", FirstStart)}, {lifeOf("b", FirstStart)}}, {0, 1}, "test", at(0));
+    state.intake.changes({{lifeOf("a", 0), false, "/slots: expected an integer"}}, {0, 2}, "test", at(1));
     BOOST_REQUIRE(targets.listed("model", at(2)).size() == 1U);
     BOOST_TEST(targets.listed("model", at(2)).front()->entry.id == "b");
-    const auto told = readPeerState(writePeerState(peerState(state.context, 0, 0, at(2))));
+    const auto told = readPeerState(writePeerState(peerState(state.context, 0, {}, at(2))));
     RelayState follower;
-    follower.intake.whole(told.targets, told.targetsRevision, "peer", at(2));
+    follower.intake.whole(told.targets, told.targetsPosition, "peer", at(2));
     BOOST_TEST(follower.context.targets.listed("model", at(3)).size() == 1U);
-    state.intake.changes({{lifeOf("a", FirstStart)}}, 3, "test", at(3));
+    state.intake.changes({{lifeOf("a", FirstStart)}}, {0, 3}, "test", at(3));
     BOOST_TEST(targets.listed("model", at(4)).size() == 2U);
-    state.intake.changes({{lifeOf("a", 0)}}, 4, "test", at(4)); // It had told its start: some other program wrote this.
+    state.intake.changes({{lifeOf("a", 0)}}, {0, 4}, "test",
+                         at(4)); // It had told its start: some other program wrote this.
     BOOST_TEST(targets.listed("model", at(5)).size() == 1U);
-    state.intake.whole({{lifeOf("a", FirstStart)}, {lifeOf("b", FirstStart)}}, 5, "test", at(5));
+    state.intake.whole({{lifeOf("a", FirstStart)}, {lifeOf("b", FirstStart)}}, {0, 5}, "test", at(5));
     BOOST_TEST(targets.listed("model", at(6)).size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(peers_tell_lives)
 {
     RelayState state;
-    state.intake.whole({{lifeOf("a", SecondStart)}}, 1, "test", at(0));
-    const auto told = readPeerState(writePeerState(peerState(state.context, 0, 0, at(1))));
+    state.intake.whole({{lifeOf("a", SecondStart)}}, {0, 1}, "test", at(0));
+    const auto told = readPeerState(writePeerState(peerState(state.context, 0, {}, at(1))));
     BOOST_REQUIRE(told.targets.size() == 1U);
     BOOST_TEST((told.targets.front().entry.life() == TargetLife{"a", SecondStart}));
 }
@@ -175,25 +176,25 @@
     auto &targets = state.context.targets;
     auto later = entry("b");
     later.address = entry("a").address;
-    state.intake.whole({{entry("a")}}, 1, "test", at(0));
+    state.intake.whole({{entry("a")}}, {0, 1}, "test", at(0));
     const auto earlier = targets.find("a");
     int told = 0;
     const LifeWatch watch(earlier, [&told](const core::Ref<Target> &) { ++told; });
-    state.intake.changes({{entry("a"), true}}, 2, "test", at(10));
+    state.intake.changes({{entry("a"), true}}, {0, 2}, "test", at(10));
     BOOST_TEST(!earlier->over()); // Entries lapse, and some targets serve on without one.
     auto foreign = later;
     foreign.id = "written-by-hand";
     foreign.service = "unknown";
-    state.intake.changes({{foreign}}, 3, "test", at(20));
+    state.intake.changes({{foreign}}, {0, 3}, "test", at(20));
     BOOST_TEST(!earlier->over());
-    state.intake.changes({{later}}, 4, "test", at(30));
+    state.intake.changes({{later}}, {0, 4}, "test", at(30));
     BOOST_TEST(earlier->over());
     BOOST_TEST(told == 1);
     BOOST_TEST(!targets.find("b")->over());
     int toldAtOnce = 0;
     const LifeWatch late(earlier, [&toldAtOnce](const core::Ref<Target> &) { ++toldAtOnce; });
     BOOST_TEST(toldAtOnce == 1);
-    state.intake.changes({{entry("a")}}, 5, "a slow peer", at(40)); // It was listed again by somebody who lags.
+    state.intake.changes({{entry("a")}}, {0, 5}, "a slow peer", at(40)); // It was listed again by somebody who lags.
     BOOST_TEST(earlier->over());
     BOOST_TEST(!earlier->listed(at(41)));
     BOOST_TEST(targets.find("b")->listed(at(41)));
@@ -207,10 +208,10 @@
         auto first = lifeOf("z-first", startsAreTold ? FirstStart : 0);
         auto second = lifeOf("a-second", startsAreTold ? SecondStart : 0);
         second.address = first.address;
-        state.intake.whole({{second}, {first}}, 1, "test", at(0));
+        state.intake.whole({{second}, {first}}, {0, 1}, "test", at(0));
         BOOST_TEST(state.context.targets.find("a-second")->listed(at(1)));
         BOOST_TEST(state.context.targets.find("z-first")->over() == startsAreTold); // Though it came last.
-        state.intake.changes({{second}}, 2, "test", at(10));
+        state.intake.changes({{second}}, {0, 2}, "test", at(10));
         BOOST_TEST(state.context.targets.find("a-second")->listed(at(11)));
     }
 }
--- a/tests/unit/target_notice_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -31,7 +31,7 @@
         : chats(tableOf(priority))
     {
         context.adopt(chats, "{}", "test", at(0));
-        intake.whole({{entry("a")}, {entry("b")}}, 1, "test", at(0));
+        intake.whole({{entry("a")}, {entry("b")}}, {0, 1}, "test", at(0));
     }
 
     static config::RouteTableRef tableOf(std::int64_t priority)
@@ -105,7 +105,7 @@
 BOOST_AUTO_TEST_CASE(a_request_that_may_go_to_resting_targets_only_is_told_to_come_back_at_once_where_others_are_free)
 {
     TwoEngines state;
-    state.intake.changes({{entry("c")}}, 2, "test", at(0));
+    state.intake.changes({{entry("c")}}, {0, 2}, "test", at(0));
     RequestProgress request(state.context, shortPrompt(), at(0));
     BOOST_REQUIRE(!request.authorise(at(0)));
     for (const auto *id : {"a", "b"}) {
@@ -137,7 +137,7 @@
 BOOST_AUTO_TEST_CASE(a_target_that_rests_or_leaves_is_asked_for_no_help)
 {
     TwoEngines state;
-    state.intake.changes({{entry("c")}, {entry("d")}}, 2, "test", at(0));
+    state.intake.changes({{entry("c")}, {entry("d")}}, {0, 2}, "test", at(0));
     state.rest("a", absl::Seconds(3), at(0));
     AnswerFacts leaving;
     leaving.status = 200;
@@ -196,7 +196,7 @@
     const std::vector<std::uint32_t> expected{state.find("a")->hash};
     BOOST_TEST((leavingNews(state.context, 8) == expected));
     BOOST_TEST(leavingNews(state.context, 0).empty());
-    state.intake.changes({{entry("a", true)}}, 2, "test", at(1));
+    state.intake.changes({{entry("a", true)}}, {0, 2}, "test", at(1));
     BOOST_TEST(leavingNews(state.context, 8).empty());
     BOOST_TEST(state.find("a")->leaving());
     TwoEngines peer;
