An unreadable time of coldness does not cost the answer that told it

Callers saw: their connection ended without an answer, though the target had served them, where Cold-Remaining-Ms was no whole number. Cause: the field was read as a caller's is, by an exception that nobody catches on the way of an answer. Change: such a time is counted and logged (cold_unreadable) and the answer stands, as with Retry-After and Server-Limit. Measured: an_unreadable_time_of_coldness_does_not_cost_the_answer failed before (no status), passes now.

--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -69,6 +69,7 @@
     DirectoryRestored, ///< Times that the directory came back from an older copy of itself, for each thing read there.
     RateLimitsTold, ///< Answers in which a target named the rate that it takes from the whole fleet.
     RateLimitUnreadable, ///< Answers in which it named a rate that is none.
+    ColdUnreadable, ///< Answers in which a target told a time of slowness that is none.
     ColdStarts, ///< Times that a target came to be slow, as this daemon learnt.
     EvacuationsHeard, ///< Failure domains that were evacuated or taken back, as this daemon learnt.
     LivesOver, ///< Lives of targets that were known to be over before their entries said so.
@@ -142,6 +143,7 @@
         EnumName<Counter>{Counter::DirectoryRestored, "directory_restored"},
         EnumName<Counter>{Counter::RateLimitsTold, "rate_limits_told"},
         EnumName<Counter>{Counter::RateLimitUnreadable, "rate_limit_unreadable"},
+        EnumName<Counter>{Counter::ColdUnreadable, "cold_unreadable"},
         EnumName<Counter>{Counter::ColdStarts, "cold_starts"},
         EnumName<Counter>{Counter::EvacuationsHeard, "evacuations_heard"},
         EnumName<Counter>{Counter::LivesOver, "lives_over"},
--- a/include/spurlug/relay/request_facts.h
+++ b/include/spurlug/relay/request_facts.h
@@ -75,6 +75,7 @@
     std::optional<core::Address> faultAt; ///< The helper that was at fault.
     bool leaving = false; ///< The target ends soon.
     std::optional<core::Duration> cold; ///< How much longer the target is slow; nothing: not told.
+    bool coldUnreadable = false; ///< It told a time that is none.
     std::optional<core::Duration> retryAfter; ///< Time in which it wants nothing from this daemon; nothing: not told.
     bool retryAfterUnreadable = false; ///< It told a time that is none.
     std::optional<double> rateLimit; ///< Requests a second that the target takes from all daemons; nothing: not told.
--- a/src/relay/target_notice.cpp
+++ b/src/relay/target_notice.cpp
@@ -31,6 +31,10 @@
     if (answer.cold) {
         noteCold(context, target, *answer.cold, "answer", now);
     }
+    if (answer.coldUnreadable) {
+        context.metrics.count(metrics::Counter::ColdUnreadable);
+        core::log(core::LogLevel::Warning, "cold_unreadable", {{"target", target.entry.id}, {"request", request}});
+    }
     if (answer.leaving) {
         context.metrics.count(metrics::Counter::LeavingTold);
         if (context.targets.noteLeaving(target)) {
--- a/tests/platform/cold_target_test.cpp
+++ b/tests/platform/cold_target_test.cpp
@@ -158,6 +158,21 @@
     });
 }
 
+// An answer that told an unreadable time ended its caller's connection without a word.
+BOOST_AUTO_TEST_CASE(an_unreadable_time_of_coldness_does_not_cost_the_answer)
+{
+    RelayFleet fleet;
+    auto &target = fleet.addTarget("app");
+    target.cold = "soon";
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.ready();
+        const auto got = co_await fleet.ask(Ask());
+        BOOST_TEST(got.status == 200);
+        const auto unreadable = co_await fleet.figure("cold_unreadable_total");
+        BOOST_TEST(unreadable == 1);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -136,6 +136,9 @@
     if (leaving) {
         head.headers.add("Server-Leaving", "1");
     }
+    if (!cold.empty()) {
+        head.headers.add("Cold-Remaining-Ms", cold);
+    }
     if (!limit.empty()) {
         head.headers.add("Server-Limit", limit);
     }
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -67,6 +67,7 @@
     Behaviour behaviour;
     std::vector<Behaviour> script; ///< For the next requests, before `behaviour`.
     bool leaving = false; ///< It says in all its answers that it ends soon.
+    std::string cold; ///< How much longer it is cold, as it stands in all its answers; empty: not told.
     std::string limit; ///< Rate that it names in all its answers; empty: none.
     std::string crashesOn; ///< Body of a request that ends the process once it runs; empty: none does.
     core::Duration crashAfter = absl::Milliseconds(10); ///< From the begin of such a run.
