A target that the store's copy brings back stays doubted when its list is read again

Cause: after a return from a copy the list is read more than once; the second reading counted as the target's own word, and a target that was gone got requests again. Change: a change of its entry ends the doubt, or its time does; a list read again does not. LapseTime stands once.

--- a/include/spurlug/relay/follower.h
+++ b/include/spurlug/relay/follower.h
@@ -17,6 +17,9 @@
 namespace spurlug::relay
 {
 
+/// How long after the directory is back what it lost, or let lapse, may still be written again.
+inline constexpr auto LapseTime = absl::Seconds(2);
+
 /// \brief Whether calls to the directory get answers, and since when. Logs each change.
 class DirectoryLink
 {
@@ -86,6 +89,8 @@
     [[nodiscard]] bool isNews(const DirectoryPosition &position, std::string_view from);
     void take(const TargetChange &change, std::string_view from, core::Time now);
     void put(const TargetEntry &entry, std::string_view from, core::Time now);
+    /// Doubts a target that a copy of the directory brings back; a list read again says nothing more of it.
+    void judgeCopy(Target &target, bool wasGone, core::Time now) const;
     /// Ends the earlier one of two lives that are listed with one address, where it can be told.
     void judgeLivesAt(const core::Ref<Target> &added, EntryNews news);
     void withdraw(const std::string &id, const std::string &fault, std::string_view from);
@@ -151,9 +156,6 @@
     static constexpr auto HeardOfLate = absl::Milliseconds(2500);
     static constexpr auto StartPause = absl::Milliseconds(20); ///< Between looks for a first configuration.
 
-    /// How long after the directory is back what it lost may still be written again.
-    static constexpr auto LapseTime = absl::Seconds(2);
-
     /// Whether an answer to a wait is of another era than the position that was waited from. What lies between is lost.
     template<typename Answer>
     [[nodiscard]] static bool isOtherEra(const Answer &answer, const DirectoryPosition &known)
--- a/src/relay/follower.cpp
+++ b/src/relay/follower.cpp
@@ -26,8 +26,6 @@
 /// So many daemons need no spreading: readers, and fleets as small.
 constexpr std::size_t FewCallers = 20;
 
-/// How long after the directory is back its missing entries may still come back.
-constexpr auto LapseTime = absl::Seconds(2);
 /// The directory drops the entry of a target that is gone after three of its heartbeats; one more for the way.
 constexpr double HeartbeatsMissed = 4;
 /// Part of the time in which a leaving target must get nothing more that a missing one is still used.
@@ -120,14 +118,12 @@
     if (news == EntryNews::Outdated) {
         return;
     }
-    const bool isDoubted = m_inNewEra && wasGone && news == EntryNews::Updated;
-    const auto doubted = m_context.settings.bounds.targetHeartbeat * HeartbeatsMissed;
-    m_context.targets.find(entry.id)->doubtedUntil = isDoubted ? now + doubted : absl::InfinitePast();
     m_faults.erase(entry.id);
     if (m_inOneList && news != EntryNews::Updated) {
         m_newInList.insert(entry.id);
     }
     const auto target = m_context.targets.find(entry.id);
+    judgeCopy(*target, wasGone && news == EntryNews::Updated, now);
     noteCold(m_context, *target, entry.cold, from, now);
     judgeLivesAt(target, news);
     if (news == EntryNews::Restarted) {
@@ -141,11 +137,20 @@
                    {"service", entry.service},
                    {"address", entry.address.text()},
                    {"draining", entry.draining},
-                   {"doubted", isDoubted},
+                   {"doubted", now < target->doubtedUntil},
                    {"from", from}});
     }
 }
 
+void TargetIntake::judgeCopy(Target &target, bool wasGone, core::Time now) const
+{
+    if (m_inNewEra && wasGone) {
+        target.doubtedUntil = now + m_context.settings.bounds.targetHeartbeat * HeartbeatsMissed;
+    } else if (!m_inOneList) {
+        target.doubtedUntil = absl::InfinitePast(); // It wrote its entry since the copy was made.
+    }
+}
+
 void TargetIntake::judgeLivesAt(const core::Ref<Target> &added, EntryNews news)
 {
     if (!m_context.table || m_context.table->service(added->entry.service) == nullptr) {
--- a/tests/unit/relay_knowledge_test.cpp
+++ b/tests/unit/relay_knowledge_test.cpp
@@ -167,6 +167,41 @@
     BOOST_TEST(state.context.targets.listed("model", at(30)).empty());
 }
 
+// A target that was gone was used again as soon as the copy that lists it was read a second time.
+BOOST_AUTO_TEST_CASE(a_target_that_a_copy_brings_back_is_doubted_until_it_writes_or_its_entry_outlasts_it)
+{
+    for (const bool writes : {true, false}) {
+        RelayState state;
+        const auto listed = [&state](std::int64_t ms) { return state.context.targets.listed("model", at(ms)).size(); };
+        state.intake.whole({{entry("a")}, {entry("b")}}, {1, 10}, "test", at(0));
+        state.intake.changes({{entry("a"), true}}, {1, 11}, "test", at(10));
+        state.intake.whole({{entry("a")}, {entry("b")}}, {2, 9}, "test", at(100));
+        BOOST_TEST(listed(110) == 1U);
+        state.intake.whole({{entry("a")}, {entry("b")}}, {2, 9}, "test", at(200));
+        BOOST_TEST(listed(210) == 1U);
+        if (writes) {
+            state.intake.changes({{entry("a")}}, {2, 10}, "test", at(300));
+            BOOST_TEST(listed(310) == 2U);
+        } else {
+            BOOST_TEST(listed(4000) == 1U);
+            BOOST_TEST(listed(6000) == 2U);
+        }
+    }
+}
+
+// Changes that go on from a list of an earlier era were taken for those of the known one.
+BOOST_AUTO_TEST_CASE(changes_of_another_era_than_the_known_list_are_not_taken)
+{
+    RelayState state;
+    state.intake.whole({{entry("a")}}, {1, 10}, "test", at(0));
+    state.intake.changes({{entry("a"), true}}, {2, 12}, "test", at(10));
+    BOOST_TEST(state.context.targets.listed("model", at(20)).size() == 1U);
+    state.intake.whole({{entry("a")}, {entry("b")}}, {2, 3}, "test", at(30));
+    BOOST_TEST(state.context.targets.listed("model", at(40)).size() == 2U);
+    state.intake.whole({}, {1, 99}, "a slow peer", at(50));
+    BOOST_TEST(state.context.targets.listed("model", at(60)).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(peers_are_told_only_of_targets_that_are_listed)
 {
     RelayState state;
