--- a/include/spurlug/relay/directory_position.h
+++ b/include/spurlug/relay/directory_position.h
@@ -4,8 +4,8 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace spurlug::relay
 {
@@ -23,7 +23,27 @@
         return revision > 0;
     }
 
-    friend auto operator<=>(const DirectoryPosition &left, const DirectoryPosition &right) = default;
+    friend bool operator==(const DirectoryPosition &left, const DirectoryPosition &right) = default;
+
+    friend bool operator<(const DirectoryPosition &left, const DirectoryPosition &right) noexcept
+    {
+        return std::tie(left.era, left.revision) < std::tie(right.era, right.revision);
+    }
+
+    friend bool operator>(const DirectoryPosition &left, const DirectoryPosition &right) noexcept
+    {
+        return right < left;
+    }
+
+    friend bool operator<=(const DirectoryPosition &left, const DirectoryPosition &right) noexcept
+    {
+        return !(right < left);
+    }
+
+    friend bool operator>=(const DirectoryPosition &left, const DirectoryPosition &right) noexcept
+    {
+        return !(left < right);
+    }
 };
 
 } // namespace spurlug::relay
