The head of the shared rates' property says what its model plays

Cause: it spoke of cuts, which the model does not draw; found by reading the diff. Ruled out: nothing. Change: a comment alone. Measured: formatter clean; no test was run on it.

--- a/tests/property/fleet_rate_property.cpp
+++ b/tests/property/fleet_rate_property.cpp
@@ -3,10 +3,10 @@
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 //
-// Read in the code: no daemon hears of all requests for a target, so a limit of the whole fleet has to follow from what
-// each knows. Wanted: whatever daemons die, join or are cut from each other, and however many of them press, a cold
-// target gets no more in any second than the operator bears: 1.5 times its rate, and five. Proof: the property fails
-// where a daemon takes at least one request for each cold target.
+// No daemon hears of all requests for a target, so a rate of the whole fleet has to follow from what each knows.
+// Wanted: whatever daemons die and start again, and however many of them press, a target gets no more in any span than
+// the operator bears: 1.5 times its rate, and five. The model plays no cuts: a daemon counts the domain that it knew at
+// its largest. The property fails where a daemon takes at least one request for each cold target.
 //
 //----------------------------------------------------------------------------------------------------------------------
 
