Move the decisions about waiting out of RequestProgress

Cause: overload control needs one place that decides how long a request waits, when it is refused and when its caller returns; RequestProgress also handles attempts, logs and counters. Change: relay/wait_policy holds waitExpired, availableTooLate, maxWait, callerTimeout, wakePosition, continueAt and retryAfter as functions of their inputs; RequestProgress passes its state. Constants and their reasons moved unchanged. Measured: unit tests of waiting, cooldowns and rate limits pass as before; no check changed.

--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -8,6 +8,7 @@
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/request_info.h"
 #include "spurlug/relay/target_choice.h"
+#include "spurlug/relay/wait_policy.h"
 
 #include <memory>
 #include <optional>
@@ -154,13 +155,6 @@
         std::int64_t total = 0;
     };
 
-    /// When a target accepts requests from this daemon again, and why not now.
-    struct Unavailability
-    {
-        core::Time until;
-        core::Reason reason;
-    };
-
     /// Nothing if the target accepts a request now. The rate limits of engines are not checked: only the scheduler that
     /// places their prompts knows whether the limit admits one.
     [[nodiscard]] std::optional<Unavailability> unavailability(const Target &target, core::Time now) const;
@@ -185,11 +179,10 @@
     /// Whether the stream tolerates only short gaps between events.
     [[nodiscard]] bool needsShortGaps() const noexcept;
     [[nodiscard]] Refusal refuse(core::Reason reason, core::Time now) const;
-    /// Maximum time without a target before a request that has run nowhere is refused.
-    [[nodiscard]] core::Duration maxWait() const noexcept;
-    /// Position in the order in which waiting requests continue, 0 to 1: by the operator's priority, random within
-    /// one priority.
-    [[nodiscard]] double wakePosition() const;
+    /// What the wait of the request depends on.
+    [[nodiscard]] WaitingRequest waitingRequest() const noexcept;
+    /// Draws a position in the order in which waiting requests continue.
+    [[nodiscard]] double drawWakePosition() const;
 
     RelayContext &m_context;
     const RequestInfo m_facts;
--- a/src/relay/request_timeouts.cpp
+++ b/src/relay/request_timeouts.cpp
@@ -15,19 +15,6 @@
 
 using core::Reason;
 
-constexpr auto RetryAfterOtherDaemon = absl::Milliseconds(50); // Another daemon can serve the request at once.
-constexpr auto RetryAfterFull = absl::Milliseconds(100); // Slots become free several times within this time.
-/// Expired target entries are back within 2 s after the directory recovers, entries of new targets sooner.
-constexpr auto RetryAfterNoTarget = absl::Seconds(1);
-constexpr auto RetryAfterNotReady = absl::Milliseconds(300); // A daemon reads its configuration in less time.
-
-/// Requests that were refused while all targets were cooling down are retried spread over this time after the first
-/// target accepts requests again, not all at once. If that target refuses again, only a few have reached it.
-constexpr auto RetrySpread = absl::Seconds(1);
-/// The same for requests that wait in this daemon; shorter, as only a part of their latency objective is left.
-constexpr auto WakeSpread = absl::Milliseconds(40);
-constexpr std::int64_t PriorityLevels = 4; // Number of distinguished priorities; higher ones count as the last.
-
 /// A silent target is checked after this multiple of the expected time; most live targets have answered by then.
 constexpr double SilenceCheckFactor = 2;
 constexpr auto MinSilenceCheckDelay = absl::Milliseconds(600); // Longer than the forward passes that streams tolerate.
@@ -40,14 +27,6 @@
 constexpr auto MinGapTimeout = absl::Milliseconds(1400); // Callers abandon a stream after 2 s of silence.
 /// A target that responded to any request within this time is alive: forward passes of a busy engine are shorter.
 constexpr auto AliveAfterActivity = absl::Milliseconds(700);
-/// Callers abandon a stream, also before its first event, after the longest of these times (users' protocol): a fixed
-/// one, a multiple of the latency objective, and a multiple of the longest gap that meets the objective.
-constexpr auto MinCallerTimeout = absl::Seconds(2);
-constexpr double CallerTimeoutAims = 4;
-constexpr double CallerTimeoutGaps = 8;
-/// Maximum share of that time that a prompt whose stream tolerates long gaps waits in this daemon, so that its caller
-/// still has time to retry. Values between 0.25 and 0.75 make no difference to the number of served requests.
-constexpr double LongGapsWaitShare = 0.4;
 constexpr double PlainServiceTimeoutFactor
     = 2; // Multiple of the latency objective; requests to plain services are short.
 constexpr auto MinPlainServiceTimeout = absl::Milliseconds(300);
@@ -56,11 +35,7 @@
 
 core::Duration RequestProgress::callerTimeout() const noexcept
 {
-    auto timeout = std::max(core::Duration(MinCallerTimeout), m_route->latencyObjective * CallerTimeoutAims);
-    if (m_route->gapObjective != absl::InfiniteDuration()) {
-        timeout = std::max(timeout, m_route->gapObjective * CallerTimeoutGaps);
-    }
-    return timeout;
+    return relay::callerTimeout(m_route->latencyObjective, m_route->gapObjective);
 }
 
 bool RequestProgress::hasNoTarget(core::Time now) const
@@ -74,22 +49,24 @@
     return m_context.targets.allEvacuated(m_service, now) ? Reason::DomainsEvacuated : Reason::NoTarget;
 }
 
-bool RequestProgress::waitExpired(core::Time now) const noexcept
+WaitingRequest RequestProgress::waitingRequest() const noexcept
 {
-    // If the request may have run or the caller has a part of the stream, it is worth waiting longer.
-    if (m_mayHaveRun) {
-        return false;
-    }
-    return now - m_arrivedAt - m_attemptTime >= maxWait();
+    const bool toleratesLongGaps = !needsShortGaps() && m_facts.prompt.has_value();
+    WaitingRequest request;
+    request.arrivedAt = m_arrivedAt;
+    request.deadline = m_deadline;
+    request.attemptTime = m_attemptTime;
+    request.maxWait = maxWait(m_route->latencyObjective, callerTimeout(), toleratesLongGaps);
+    request.mayHaveRun = m_mayHaveRun;
+    return request;
 }
 
-core::Duration RequestProgress::maxWait() const noexcept
+bool RequestProgress::waitExpired(core::Time now) const noexcept
 {
-    return needsShortGaps() || !m_facts.prompt ? m_route->latencyObjective : callerTimeout() * LongGapsWaitShare;
+    return relay::waitExpired(waitingRequest(), now);
 }
 
-std::optional<RequestProgress::Unavailability> RequestProgress::unavailability(const Target &target,
-                                                                               core::Time now) const
+std::optional<Unavailability> RequestProgress::unavailability(const Target &target, core::Time now) const
 {
     if (target.cooldown().isActive(now)) {
         return Unavailability{target.cooldown().endsAt(), Reason::TargetsCoolingDown};
@@ -105,8 +82,7 @@
     return Unavailability{share.nextPermitAt(rate, now), Reason::TargetsLimited};
 }
 
-std::optional<RequestProgress::Unavailability> RequestProgress::earliestAvailability(const TargetQuery &query,
-                                                                                     core::Time now) const
+std::optional<Unavailability> RequestProgress::earliestAvailability(const TargetQuery &query, core::Time now) const
 {
     if (m_context.targets.avoidedTargets(now).empty() && !m_context.targets.anyRateLimited()) {
         return std::nullopt;
@@ -142,23 +118,18 @@
 
 bool RequestProgress::availableTooLate(core::Time availableAt, core::Time now) const noexcept
 {
-    if (m_mayHaveRun) {
-        return availableAt >= m_deadline;
-    }
-    const auto waited = now - m_arrivedAt - m_attemptTime;
-    return availableAt >= std::min(m_deadline, now + maxWait() - waited);
+    return relay::availableTooLate(waitingRequest(), availableAt, now);
 }
 
-double RequestProgress::wakePosition() const
+double RequestProgress::drawWakePosition() const
 {
-    const auto level = std::clamp<std::int64_t>(m_priority, 0, PriorityLevels - 1);
     std::uniform_real_distribution<double> uniform(0, 1);
-    return (static_cast<double>(level) + uniform(m_context.random)) / PriorityLevels;
+    return wakePosition(m_priority, uniform(m_context.random));
 }
 
 core::Time RequestProgress::continueAt(core::Time availableAt) const
 {
-    return std::min(availableAt + WakeSpread * wakePosition(), m_deadline);
+    return relay::continueAt(waitingRequest(), availableAt, drawWakePosition());
 }
 
 bool RequestProgress::targetIsAlive(core::Time now) const noexcept
@@ -191,33 +162,12 @@
 
 core::Duration RequestProgress::retryAfter(Reason reason, core::Time now) const
 {
-    switch (reason) {
-    case Reason::Stopping:
-    case Reason::StaleConfiguration:
-        return RetryAfterOtherDaemon;
-    case Reason::NotReady:
-        return RetryAfterNotReady;
-    case Reason::NoTarget:
-    case Reason::DomainsEvacuated:
-        return RetryAfterNoTarget;
-    case Reason::TargetsCoolingDown:
-    case Reason::TargetsLimited: {
-        TargetQuery anyTarget; // A retry may go to targets that this request must not use any more.
-        anyTarget.service = m_service;
-        const auto nextAt = availableAt(anyTarget, now);
-        const bool known
-            = nextAt && *nextAt != absl::InfiniteFuture(); // Otherwise it may be the turn of other daemons.
-        return known ? *nextAt - now + RetrySpread * wakePosition() : core::Duration(RetryAfterFull);
-    }
-    case Reason::CrashesTargets:
-        return CrashTracker::FirstTrialDelay;
-    case Reason::UnknownPath:
-    case Reason::MissingKey:
-    case Reason::UnknownKey:
-        return absl::ZeroDuration(); // A retry cannot succeed.
-    default:
-        return RetryAfterFull;
+    if (reason != Reason::TargetsCoolingDown && reason != Reason::TargetsLimited) {
+        return relay::retryAfter(reason, std::nullopt, 0, now);
     }
+    TargetQuery anyTarget; // A retry may go to targets that this request must not use any more.
+    anyTarget.service = m_service;
+    return relay::retryAfter(reason, availableAt(anyTarget, now), drawWakePosition(), now);
 }
 
 } // namespace spurlug::relay
