--- a/include/spurlug/config/route_table.h
+++ b/include/spurlug/config/route_table.h
@@ -79,6 +79,7 @@
 {
     core::Duration shortGapStreams = absl::InfiniteDuration(); ///< Of streams that tolerate only short gaps.
     core::Duration otherStreams = absl::InfiniteDuration(); ///< Of all other streams.
+    core::Duration longestGap = absl::ZeroDuration(); ///< Longest gap objective of any stream; 0 if there is none.
 };
 
 /// \brief A service and the properties shared by its targets.
@@ -90,6 +91,11 @@
     double warmUpRequestsPerSecond = 0; ///< Requests per second accepted during warm-up; 0: as many as afterwards.
     std::int64_t maxConnections = 0; ///< Maximum connections to one target from all daemons together.
     std::optional<EngineCosts> engine; ///< Set when the targets are model engines.
+
+    /// \brief Whether the usual request fills the KV memory of an engine as soon as it fills its slots. Neither is then
+    /// a reserve for the other: an engine with free slots may lack memory, and the reverse. False if no usual request
+    /// is configured.
+    [[nodiscard]] bool memoryBound() const noexcept;
 };
 
 /// \brief Limits for requests of callers.
@@ -124,6 +130,8 @@
     [[nodiscard]] const Route *routeNamed(std::string_view name) const noexcept;
     /// \brief The service called `name`; null when there is none.
     [[nodiscard]] const ServiceSpec *serviceNamed(const std::string &name) const noexcept;
+    /// \brief Whether the engines of any service have no reserve, see ServiceSpec::memoryBound.
+    [[nodiscard]] bool contended() const noexcept;
     /// \brief Smallest gap objectives of the streams of each service.
     /// \param shortGapThreshold Streams with a gap objective below this tolerate only short gaps.
     [[nodiscard]] std::unordered_map<std::string, GapObjectives> gapObjectives(core::Duration shortGapThreshold) const;
--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
+#include "spurlug/overload/load_view.h"
 #include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/request_info.h"
 #include "spurlug/relay/target_health.h"
@@ -29,6 +30,8 @@
     std::optional<relay::TargetFault> fault; ///< Empty if the attempt succeeded.
     std::uint32_t requestingEngine
         = 0; ///< relay::incarnationHash of the engine that asked for help; 0 if the daemon asked.
+    std::optional<double> firstRatio = std::nullopt; ///< Observed by expected time to the first event, if known.
+    std::optional<double> gapRatio = std::nullopt; ///< Observed by expected time between events, if known.
 };
 
 /// \brief All work of one daemon at the targets; replaces its previous report.
@@ -69,6 +72,9 @@
     core::Duration callerTimeout
         = absl::InfiniteDuration(); ///< Time from arrival until the caller is likely to give up.
     int priority = 0; ///< Set by the operator; 0 is the most urgent.
+    std::uint32_t organisation = 0; ///< Hash of the name of the caller's organisation; 0 if there is none.
+    std::uint64_t digest = 0; ///< Of the content of the request; a caller that returns sends the same. 0 if not known.
+    core::Duration timeLeft = absl::InfiniteDuration(); ///< Until the caller's deadline, as of sending.
     std::vector<std::uint32_t> excludedTargets; ///< incarnationHash of targets that must not answer the prompt.
     std::vector<std::uint32_t> allowedTargets; ///< If not empty, only these targets may answer the prompt.
     std::vector<std::uint32_t>
@@ -84,6 +90,7 @@
     Granted, ///< Engines are assigned.
     Queued, ///< No engine is free now; the grant follows.
     Declined, ///< The daemon cannot schedule the service: it is draining, or lacks the service's engine costs.
+    Refused, ///< The request cannot be served before its caller leaves; nothing was sent to a target.
 };
 
 /// \brief A scheduler's reply to a PlacementRequest.
@@ -98,6 +105,9 @@
     std::vector<std::int64_t> reservedTokens; ///< KV memory that each of the first helpers reserves.
     core::Duration expectedTtft = absl::ZeroDuration(); ///< Expected time to the first event.
     core::Duration partPrefillTime = absl::ZeroDuration(); ///< Prefill time of each engine.
+    core::Duration retryAfter = absl::ZeroDuration(); ///< Of a refusal: when the caller should return; 0: not at all.
+    core::Duration expectedWait = absl::ZeroDuration(); ///< Expected wait of the request at the scheduler.
+    std::optional<overload::LoadView> load;
 };
 
 /// \brief Withdraws a PlacementRequest and its grant, if it has one.
@@ -175,6 +185,7 @@
         EnumName<Kind>{Kind::Granted, "granted"},
         EnumName<Kind>{Kind::Queued, "queued"},
         EnumName<Kind>{Kind::Declined, "not_here"},
+        EnumName<Kind>{Kind::Refused, "refused"},
     };
 };
 
--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -54,6 +54,7 @@
     TargetsLimited, ///< All eligible targets are at their current request limit for this daemon.
     DomainsEvacuated, ///< The operator evacuated the failure domain of the target, or of all targets.
     IncarnationEnded, ///< The target, or an engine that its answer needs, was replaced by a later incarnation.
+    PredictedLate, ///< The first event is expected after the caller leaves or its deadline.
 };
 
 template<>
@@ -102,11 +103,12 @@
         EnumName<Reason>{Reason::TargetsLimited, "targets_limited"},
         EnumName<Reason>{Reason::DomainsEvacuated, "domains_evacuated"},
         EnumName<Reason>{Reason::IncarnationEnded, "life_over"},
+        EnumName<Reason>{Reason::PredictedLate, "predicted_late"},
     };
 };
 
 // Counters by reason are arrays of the table's size, indexed by enumerator.
-static_assert(static_cast<std::size_t>(Reason::IncarnationEnded) + 1 == EnumNames<Reason>::table.size(),
+static_assert(static_cast<std::size_t>(Reason::PredictedLate) + 1 == EnumNames<Reason>::table.size(),
               "every reason has a name, in the order of their declaration");
 
 /// \brief Whether an attempt or a whole request may have run.
--- /dev/null
+++ b/include/spurlug/membership/load_view_codec.h
@@ -0,0 +1,18 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: encoding of the scheduler's view of the load
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "spurlug/heartbeat.pb.h"
+#include "spurlug/overload/load_view.h"
+
+namespace spurlug::membership
+{
+
+/// \brief Writes a view; organisations beyond LoadView::MaxExcesses are omitted.
+void writeLoadView(const overload::LoadView &view, wire::LoadView &out);
+/// \brief Reads a view as sent; overload::LoadViewStore rejects impossible values.
+[[nodiscard]] overload::LoadView readLoadView(const wire::LoadView &in);
+
+} // namespace spurlug::membership
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -73,6 +73,16 @@
     ColdStarts, ///< Times that this daemon learnt that a target warms up.
     EvacuationChanges, ///< Evacuations of failure domains that this daemon learnt to have started or ended.
     IncarnationsEnded, ///< Target incarnations known to have ended before their entries said so.
+    AdmissionRefused, ///< Requests that this daemon's scheduler refused because they could not be served in time.
+    AdmissionLate, ///< Requests that waited behind others because their first event would be late.
+    ReturnsOnTime, ///< Refused callers that returned when they were told to.
+    ReturnsEarly, ///< Refused callers that returned before.
+    LoadViewsSent,
+    LoadViewsAccepted, ///< Load views from other daemons that were newer than the known one.
+    LoadViewsDropped, ///< Load views that were outdated or had impossible values.
+    FairGrantsFloor, ///< Grants to less urgent requests while more urgent ones waited.
+    EjectionsSpared, ///< Failures that did not eject a target because it answered others at that time.
+    DomainRamps, ///< Times that the load of a failure domain began to move gradually.
 };
 
 /// \brief Timers of the daemon; exported in seconds.
@@ -85,6 +95,8 @@
     RouteDecision,
     GrantWait,
     TokenGap,
+    QueueWait, ///< Time that a prompt waited at this daemon's scheduler for its grant.
+    PredictionError, ///< Absolute difference of real and predicted time to the first event.
 };
 
 } // namespace spurlug::metrics
@@ -147,6 +159,16 @@
         EnumName<Counter>{Counter::ColdStarts, "cold_starts"},
         EnumName<Counter>{Counter::EvacuationChanges, "evacuations_heard"},
         EnumName<Counter>{Counter::IncarnationsEnded, "lives_over"},
+        EnumName<Counter>{Counter::AdmissionRefused, "admission_refused"},
+        EnumName<Counter>{Counter::AdmissionLate, "admission_late"},
+        EnumName<Counter>{Counter::ReturnsOnTime, "returns_on_time"},
+        EnumName<Counter>{Counter::ReturnsEarly, "returns_early"},
+        EnumName<Counter>{Counter::LoadViewsSent, "views_sent"},
+        EnumName<Counter>{Counter::LoadViewsAccepted, "views_taken"},
+        EnumName<Counter>{Counter::LoadViewsDropped, "views_dropped"},
+        EnumName<Counter>{Counter::FairGrantsFloor, "fair_grants_floor"},
+        EnumName<Counter>{Counter::EjectionsSpared, "ejections_spared"},
+        EnumName<Counter>{Counter::DomainRamps, "domain_ramps"},
     };
 };
 
@@ -162,6 +184,8 @@
         EnumName<Timer>{Timer::RouteDecision, "route_decision_seconds"},
         EnumName<Timer>{Timer::GrantWait, "grant_wait_seconds"},
         EnumName<Timer>{Timer::TokenGap, "between_tokens_seconds"},
+        EnumName<Timer>{Timer::QueueWait, "queue_wait_seconds"},
+        EnumName<Timer>{Timer::PredictionError, "predicted_error_seconds"},
     };
 };
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -9,6 +9,7 @@
 #include "spurlug/core/reason.h"
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/net/io.h"
+#include "spurlug/overload/features.h"
 #include "spurlug/relay/crash_tracker.h"
 #include "spurlug/relay/domain_links.h"
 #include "spurlug/relay/evacuations.h"
@@ -83,6 +84,12 @@
     /// \brief What this daemon knows about its fleet. Its share of the fleet-wide retry budget is computed from this.
     [[nodiscard]] FleetView fleetView(core::Time now) const;
 
+    /// \brief Features of overload control that settings and configuration activate.
+    [[nodiscard]] const overload::Features &features() const noexcept
+    {
+        return m_features;
+    }
+
     /// \brief Whether keys can be checked: the configuration was recently known to be the newest, or checks fail open.
     [[nodiscard]] bool canCheckKeys(core::Time now) const;
 
@@ -104,6 +111,9 @@
     /// \param from Source of the configuration, for logs.
     void activateConfiguration(config::RouteTableRef newer, std::string sourceText, std::string_view from,
                                core::Time now);
+
+private:
+    overload::Features m_features; ///< Updated with each configuration.
 };
 
 } // namespace spurlug::relay
--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -7,6 +7,7 @@
 #include "spurlug/core/address.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/time.h"
+#include "spurlug/settings/overload_settings.h"
 #include "spurlug/settings/placement_weights.h"
 
 #include <string>
@@ -54,6 +55,7 @@
     core::LogLevel logLevel = core::LogLevel::Info;
     RelayBounds bounds;
     PlacementWeights placement;
+    OverloadSettings overload;
 
     /// \brief Whether this daemon shares its part of the fleet's limits with the daemons of a failure domain.
     [[nodiscard]] bool sharesLimitsWith(const std::string &domain) const
--- a/include/spurlug/targets/outstanding.h
+++ b/include/spurlug/targets/outstanding.h
@@ -18,6 +18,7 @@
     std::int64_t requests = 0; ///< Requests that the target answers, in prefill or decode.
     std::int64_t decodingRequests = 0; ///< Of these, the ones in decode.
     std::int64_t shortGapRequests = 0; ///< Of `requests`, the ones whose streams tolerate only short gaps.
+    std::int64_t longGapRequests = 0; ///< Of `requests`, the ones that tolerate the longest gaps of their service.
     std::int64_t prefillParts = 0; ///< Prompt parts being prefilled for other targets.
     std::int64_t memoryTokens = 0; ///< Maximum KV memory that the work may need.
     std::int64_t decodingContextTokens = 0; ///< Total context of the requests in decode.
--- a/src/config/route_table.cpp
+++ b/src/config/route_table.cpp
@@ -37,6 +37,22 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
+bool ServiceSpec::memoryBound() const noexcept
+{
+    // The rest covers that KV memory is allocated in blocks and that requests differ from the usual one.
+    constexpr double FullMemoryShare = 0.9;
+    if (!engine || engine->meanPromptTokens <= 0 || engine->meanAnswerTokens <= 0 || engine->kvMemoryTokens <= 0) {
+        return false;
+    }
+    const auto requestTokens = static_cast<double>(engine->meanPromptTokens + engine->meanAnswerTokens);
+    return requestTokens * engine->slots >= FullMemoryShare * static_cast<double>(engine->kvMemoryTokens);
+}
+
+bool RouteTable::contended() const noexcept
+{
+    return std::any_of(services.begin(), services.end(), [](const auto &item) { return item.second.memoryBound(); });
+}
+
 std::unordered_map<std::string, GapObjectives> RouteTable::gapObjectives(core::Duration shortGapThreshold) const
 {
     std::unordered_map<std::string, GapObjectives> byService;
@@ -46,6 +62,9 @@
             auto &smallestGap
                 = route.gapObjective < shortGapThreshold ? objectives.shortGapStreams : objectives.otherStreams;
             smallestGap = std::min(smallestGap, route.gapObjective);
+            if (route.gapObjective != absl::InfiniteDuration()) {
+                objectives.longestGap = std::max(objectives.longestGap, route.gapObjective);
+            }
         }
     }
     return byService;
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/control/messages.h"
 
 #include "spurlug/control.pb.h"
+#include "spurlug/membership/load_view_codec.h"
 #include "spurlug/membership/work_codec.h"
 
 #include <algorithm>
@@ -31,6 +32,21 @@
     return ms == InfiniteMs ? absl::InfiniteDuration() : core::fromMs(ms);
 }
 
+/// Encodes an optional ratio; 0 means that there is none.
+std::uint32_t toThousandths(std::optional<double> ratio)
+{
+    constexpr double Thousand = 1000;
+    constexpr double MaxRatio = 1e6;
+    const auto valid = ratio && *ratio > 0 ? std::min(*ratio, MaxRatio) : 0;
+    return static_cast<std::uint32_t>(valid * Thousand);
+}
+
+std::optional<double> fromThousandths(std::uint32_t value)
+{
+    constexpr double Thousandth = 0.001;
+    return value > 0 ? std::optional(value * Thousandth) : std::nullopt;
+}
+
 std::uint32_t toMicros32(core::Duration duration)
 {
     return clampToUint32(absl::ToInt64Microseconds(duration));
@@ -81,6 +97,8 @@
         outcomeOut.set_target(outcome.target);
         outcomeOut.set_fault(outcome.fault ? static_cast<std::uint32_t>(*outcome.fault) + 1 : 0);
         outcomeOut.set_asked_by(outcome.requestingEngine);
+        outcomeOut.set_first_ratio(toThousandths(outcome.firstRatio));
+        outcomeOut.set_gap_ratio(toThousandths(outcome.gapRatio));
     }
     out.set_wants_word(report.wantsAck);
 }
@@ -104,6 +122,8 @@
         TargetOutcome outcome;
         outcome.target = outcomeIn.target();
         outcome.requestingEngine = outcomeIn.asked_by();
+        outcome.firstRatio = fromThousandths(outcomeIn.first_ratio());
+        outcome.gapRatio = fromThousandths(outcomeIn.gap_ratio());
         if (outcomeIn.fault() > 0) {
             outcome.fault = static_cast<relay::TargetFault>(std::min(outcomeIn.fault() - 1, lastFault));
         }
@@ -136,6 +156,9 @@
     writeAll(request.allowedTargets, *out.mutable_only_at());
     writeAll(request.avoidedTargets, *out.mutable_unwanted());
     writeRates(request.rates, *out.mutable_rates());
+    out.set_organisation(request.organisation);
+    out.set_digest(request.digest);
+    out.set_deadline_ms(request.timeLeft == absl::InfiniteDuration() ? 0 : std::max(toMs32(request.timeLeft), 1U));
     out.set_at_home(request.localDomainOnly);
     out.set_near_helpers(request.localHelpersOnly);
 }
@@ -157,6 +180,11 @@
     request.allowedTargets.assign(in.only_at().begin(), in.only_at().end());
     request.avoidedTargets.assign(in.unwanted().begin(), in.unwanted().end());
     request.rates = readRates(in.rates());
+    request.organisation = in.organisation();
+    request.digest = in.digest();
+    if (in.deadline_ms() > 0) {
+        request.timeLeft = fromMs32(in.deadline_ms());
+    }
     request.localDomainOnly = in.at_home();
     request.localHelpersOnly = in.near_helpers();
     return request;
@@ -176,6 +204,11 @@
     }
     out.set_expected_us(toMicros32(reply.expectedTtft));
     out.set_part_us(toMicros32(reply.partPrefillTime));
+    out.set_retry_ms(toMs32(reply.retryAfter));
+    out.set_wait_ms(toMs32(reply.expectedWait));
+    if (reply.load) {
+        membership::writeLoadView(*reply.load, *out.mutable_load());
+    }
 }
 
 PlacementReply read(const wire::PlacementAnswer &in)
@@ -183,14 +216,19 @@
     PlacementReply reply;
     reply.vm = in.vm();
     reply.requestNumber = in.ask();
-    const auto last = static_cast<std::uint32_t>(ReplyKind::Declined);
-    reply.kind = static_cast<ReplyKind>(std::min(in.kind(), last));
+    const auto last = static_cast<std::uint32_t>(ReplyKind::Refused);
+    reply.kind = in.kind() <= last ? static_cast<ReplyKind>(in.kind()) : ReplyKind::Declined;
     reply.grantNumber = in.grant();
     reply.target = in.target();
     reply.helpers.assign(in.helpers().begin(), in.helpers().end());
     reply.reservedTokens.assign(in.holding_tokens().begin(), in.holding_tokens().end());
     reply.expectedTtft = absl::Microseconds(in.expected_us());
     reply.partPrefillTime = absl::Microseconds(in.part_us());
+    reply.retryAfter = fromMs32(in.retry_ms());
+    reply.expectedWait = fromMs32(in.wait_ms());
+    if (in.has_load()) {
+        reply.load = membership::readLoadView(in.load());
+    }
     return reply;
 }
 
--- a/src/membership/work_codec.cpp
+++ b/src/membership/work_codec.cpp
@@ -31,6 +31,7 @@
     out.set_requests(clampToUint32(work.work.requests));
     out.set_writers(clampToUint32(work.work.decodingRequests));
     out.set_tight_requests(clampToUint32(work.work.shortGapRequests));
+    out.set_long_gap(clampToUint32(work.work.longGapRequests));
     out.set_parts(clampToUint32(work.work.prefillParts));
     out.set_memory_tokens(clampToUint32(work.work.memoryTokens));
     out.set_context_tokens(clampToUint32(work.work.decodingContextTokens));
@@ -46,6 +47,7 @@
     work.work.requests = in.requests();
     work.work.decodingRequests = in.writers();
     work.work.shortGapRequests = in.tight_requests();
+    work.work.longGapRequests = in.long_gap();
     work.work.prefillParts = in.parts();
     work.work.memoryTokens = in.memory_tokens();
     work.work.decodingContextTokens = in.context_tokens();
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -112,6 +112,7 @@
                {"proofAgeMs", core::toMs(configurationFreshness.age(newer->version, now))}});
     metrics.count(metrics::Counter::ConfigurationsApplied);
     table = std::move(newer);
+    m_features = overload::resolveFeatures(settings.overload, table.get());
     pauses = table->gapObjectives(settings.placement.tightGap);
     document = std::move(sourceText);
 }
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -63,6 +63,38 @@
     weights.plainQueueShare = reader.number("plainQueueShare", 0, MaxWeight, weights.plainQueueShare);
 }
 
+FeatureMode readMode(core::ObjectReader &reader, const std::string &key)
+{
+    const auto mode = core::enumFromName<FeatureMode>(reader.string(key, "auto"));
+    if (!mode) {
+        reader.addFault(key, "auto, on or off");
+    }
+    return mode.value_or(FeatureMode::Auto);
+}
+
+void readOverload(core::ObjectReader &reader, OverloadSettings &overload)
+{
+    constexpr double MinOrganisationWeight = 0.01;
+    constexpr double MaxOrganisationWeight = 100;
+    constexpr double MaxFloorShare = 0.5;
+    constexpr std::int64_t MinViewAgeMs = 500;
+    constexpr std::int64_t MaxViewAgeMs = 60'000;
+    overload.admission = readMode(reader, "admission");
+    overload.fairShares = readMode(reader, "fairShares");
+    overload.targetFeedback = readMode(reader, "targetFeedback");
+    overload.domainShift = readMode(reader, "domainShift");
+    overload.floorShare = reader.number("floorShare", 0, MaxFloorShare, overload.floorShare);
+    overload.viewMaxAge
+        = core::fromMs(reader.integer("viewMaxAgeMs", MinViewAgeMs, MaxViewAgeMs, core::toMs(overload.viewMaxAge)));
+    reader.forEachObject("weights", [&](core::ObjectReader &child) {
+        const auto organisation = child.string("organisation");
+        const auto weight = child.number("weight", MinOrganisationWeight, MaxOrganisationWeight, 1);
+        if (!overload.weights.emplace(organisation, weight).second) {
+            child.addFault("organisation", "each organisation once");
+        }
+    });
+}
+
 RelaySettings readSettings(core::ObjectReader &reader)
 {
     RelaySettings settings;
@@ -83,6 +115,7 @@
     settings.logLevel = readLogLevel(reader);
     reader.visitObject("bounds", [&](core::ObjectReader &child) { readBounds(child, settings.bounds); });
     reader.visitObject("placement", [&](core::ObjectReader &child) { readPlacement(child, settings.placement); });
+    reader.visitObject("overload", [&](core::ObjectReader &child) { readOverload(child, settings.overload); });
     reader.rejectUnknownMembers();
     return settings;
 }
--- a/src/targets/outstanding.cpp
+++ b/src/targets/outstanding.cpp
@@ -17,6 +17,7 @@
     requests += other.requests;
     decodingRequests += other.decodingRequests;
     shortGapRequests += other.shortGapRequests;
+    longGapRequests += other.longGapRequests;
     prefillParts += other.prefillParts;
     memoryTokens += other.memoryTokens;
     decodingContextTokens += other.decodingContextTokens;
@@ -30,6 +31,7 @@
     requests -= other.requests;
     decodingRequests -= other.decodingRequests;
     shortGapRequests -= other.shortGapRequests;
+    longGapRequests -= other.longGapRequests;
     prefillParts -= other.prefillParts;
     memoryTokens -= other.memoryTokens;
     decodingContextTokens -= other.decodingContextTokens;
@@ -39,7 +41,7 @@
 Outstanding &Outstanding::operator*=(double factor) noexcept
 {
     for (auto *field : {&prefillMicros, &partPrefillMicros, &requests, &decodingRequests, &shortGapRequests,
-                        &prefillParts, &memoryTokens, &decodingContextTokens}) {
+                        &longGapRequests, &prefillParts, &memoryTokens, &decodingContextTokens}) {
         *field = static_cast<std::int64_t>(static_cast<double>(*field) * factor);
     }
     return *this;
