Eject targets by the evidence of all daemons

One connection whose packet was lost ejected a target at the scheduler for 1.5 s, and the daemon then reported the target as unreachable until it got an answer from it, which it never did, because the scheduler grants a reported target to nobody. In a crowd on links that lose 0.15 % of the packets, 8 of 53 engines were idle.

With targetFeedback on: - One failed connection does not eject a target that has answered within the last second (EjectionPolicy::byEvidence); two in a row do, and so does one without such an answer. Counted as ejections_spared. - A daemon reports a target only while it has ejected it. A scheduler ignores a report about a target that has answered within the last second, and an answer ends an earlier report. - The first event of an answer ends the probation and is reported at once (TargetOutcome.first_event_only). It leaves the series of failures as it is, so that an engine which breaks every stream is ejected as soon as before.

With the feature off, nothing changes.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -32,6 +32,7 @@
         = 0; ///< relay::incarnationHash of the engine that asked for help; 0 if the daemon asked.
     std::optional<double> firstRatio = std::nullopt; ///< Observed by expected time to the first event, if known.
     std::optional<double> gapRatio = std::nullopt; ///< Observed by expected time between events, if known.
+    bool firstEventOnly = false; ///< The answer has begun; its end is reported by another outcome.
 };
 
 /// \brief All work of one daemon at the targets; replaces its previous report.
--- a/include/spurlug/control/scheduler_client.h
+++ b/include/spurlug/control/scheduler_client.h
@@ -71,6 +71,12 @@
 
     /// @}
 
+    /// \brief Number of outcomes that have not been reported yet.
+    [[nodiscard]] std::size_t queuedOutcomeCount() const noexcept
+    {
+        return m_outcomes.size();
+    }
+
     /// \brief The scheduler to ask now; nothing if this daemon should place prompts itself.
     [[nodiscard]] std::optional<ChosenScheduler> scheduler() const;
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -64,7 +64,7 @@
     DomainLinks links;
     FleetRetryBudget retries;
     CrashTracker crashes;
-    EjectionPolicy ejection;
+    EjectionPolicy ejection; ///< Updated with each configuration.
     std::mt19937_64 random;
     control::Roster roster; ///< Live daemons.
     control::SchedulerClient *schedulerClient = nullptr; ///< Null: this daemon places requests without a scheduler.
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -162,6 +162,8 @@
     [[nodiscard]] std::optional<Unavailability> earliestAvailability(const TargetQuery &query, core::Time now) const;
     /// Computes `m_digest`.
     void computeDigest();
+    /// Records the first event of an attempt at an engine, which proves that the engine works.
+    void recordFirstEvent(core::Time now);
     /// Records that the target and the engines that help it were reached.
     void recordReachability();
     /// Refuses work that is known to crash its targets, unless this daemon now sends it as a trial.
@@ -206,6 +208,7 @@
     core::Time m_sentAt = absl::InfinitePast();
     core::Time m_answeredAt = absl::InfinitePast(); ///< When the first event or the complete answer arrived.
     core::Time m_lastEventAt = absl::InfinitePast();
+    core::Time m_attemptAnsweredAt = absl::InfinitePast(); ///< When the first event of the current attempt arrived.
     core::Duration m_longestGap = absl::ZeroDuration(); ///< Longest time between two consecutive events.
     int m_attempts = 0;
     core::Reason m_retryCause = core::Reason::None; ///< Why the request was last sent again; None if it was not.
--- a/include/spurlug/relay/target_health.h
+++ b/include/spurlug/relay/target_health.h
@@ -34,14 +34,26 @@
     /// Duration of the first ejection; doubles with each consecutive one.
     core::Duration initialDuration = absl::Milliseconds(1500);
     core::Duration maxDuration = absl::Seconds(8);
+    /// Whether a single failed connection does not eject a target that has answered recently: a lost packet looks the
+    /// same as a dead target.
+    bool byEvidence = false;
+    /// How long an answer proves that a target is reachable. Outcomes of other daemons arrive within a report interval,
+    /// which is half a second at most.
+    core::Duration evidenceLifetime = absl::Seconds(1);
+    int maxFailedConnections = 2; ///< Consecutive ones that eject a target in spite of an answer within that time.
 };
 
 /// \brief Results of one target as a state machine without I/O.
 class TargetHealth
 {
 public:
+    /// \brief Notes that the target completed a request.
     void noteSuccess(core::Time now) noexcept;
-    void noteFailure(TargetFault fault, const EjectionPolicy &policy, core::Time now) noexcept;
+    /// \brief Notes the first event of an answer: the target is reachable and works. Ends the probation, but leaves the
+    /// failures counted, because a target may break every answer after its first event.
+    void noteFirstEvent(core::Time now) noexcept;
+    /// \returns True if the failure did not eject the target only because it has answered recently.
+    bool noteFailure(TargetFault fault, const EjectionPolicy &policy, core::Time now) noexcept;
 
     /// \brief Whether the target is ejected now.
     [[nodiscard]] bool isEjected(core::Time now) const noexcept
@@ -56,10 +68,29 @@
         return m_unreachable && isOnProbation();
     }
 
+    /// \brief Whether to report the target to the scheduler as unreachable. By evidence, this ends with the ejection:
+    /// a scheduler that grants the target to nobody while it is reported would never learn that it is back.
+    [[nodiscard]] bool reportsUnreachable(const EjectionPolicy &policy, core::Time now) const noexcept
+    {
+        return isUnreachable() && (!policy.byEvidence || isEjected(now));
+    }
+
     /// \brief Whether the target was ejected and has not answered since. It then gets one request at a time.
     [[nodiscard]] bool isOnProbation() const noexcept
     {
-        return m_consecutiveEjections > 0;
+        return m_onProbation;
+    }
+
+    /// \brief When the target last answered; InfinitePast if never.
+    [[nodiscard]] core::Time lastSuccessAt() const noexcept
+    {
+        return m_lastSuccessAt;
+    }
+
+    /// \brief Whether the target has answered so recently that it counts as reachable.
+    [[nodiscard]] bool answeredRecently(const EjectionPolicy &policy, core::Time now) const noexcept
+    {
+        return now - m_lastSuccessAt <= policy.evidenceLifetime;
     }
 
     /// \brief Moving average of failures, 0 to 1.
@@ -74,8 +105,11 @@
     double m_failureShare = 0;
     int m_consecutiveFailures = 0;
     int m_consecutiveEjections = 0;
+    int m_failedConnections = 0; ///< Since the last answer.
+    bool m_onProbation = false;
     bool m_unreachable = false; ///< Whether the last ejection was due to a failed connection or a timeout.
     core::Time m_ejectedUntil = absl::InfinitePast();
+    core::Time m_lastSuccessAt = absl::InfinitePast();
 };
 
 } // namespace spurlug::relay
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -302,9 +302,11 @@
     void removePeer(const std::string &peer);
 
     /// \brief Processes a peer's report of targets that do not answer it. A report that covers too large a share of all
-    /// targets is ignored, because the peer itself is then assumed to be cut off.
+    /// targets is ignored, because the peer itself is then assumed to be cut off. With ejection by evidence, so is a
+    /// report about a target that has answered recently.
     /// \returns Targets that had no current report before, for logging.
-    Targets notePeerReport(const std::vector<std::uint32_t> &unreachable, core::Time now);
+    Targets notePeerReport(const std::vector<std::uint32_t> &unreachable, core::Time now,
+                           const EjectionPolicy &policy = {});
 
     /// @}
     /// \name Queries
@@ -330,7 +332,8 @@
     /// \brief Whether any target has announced a rate limit.
     [[nodiscard]] bool anyRateLimited() const noexcept;
     /// \brief Hashes of targets that do not answer this daemon.
-    [[nodiscard]] std::vector<std::uint32_t> unreachableTargets(core::Time now) const;
+    [[nodiscard]] std::vector<std::uint32_t> unreachableTargets(core::Time now,
+                                                                const EjectionPolicy &policy = {}) const;
     [[nodiscard]] const std::unordered_map<std::string, core::Ref<Target>> &all() const noexcept;
 
     /// @}
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -99,6 +99,7 @@
         outcomeOut.set_asked_by(outcome.requestingEngine);
         outcomeOut.set_first_ratio(toThousandths(outcome.firstRatio));
         outcomeOut.set_gap_ratio(toThousandths(outcome.gapRatio));
+        outcomeOut.set_first_event_only(outcome.firstEventOnly);
     }
     out.set_wants_word(report.wantsAck);
 }
@@ -124,6 +125,7 @@
         outcome.requestingEngine = outcomeIn.asked_by();
         outcome.firstRatio = fromThousandths(outcomeIn.first_ratio());
         outcome.gapRatio = fromThousandths(outcomeIn.gap_ratio());
+        outcome.firstEventOnly = outcomeIn.first_event_only();
         if (outcomeIn.fault() > 0) {
             outcome.fault = static_cast<relay::TargetFault>(std::min(outcomeIn.fault() - 1, lastFault));
         }
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -70,7 +70,7 @@
         const bool covered = grant->second.vm == report.vm && grant->first <= report.newestGrant;
         grant = covered ? removeGrant(grant) : std::next(grant);
     }
-    for (const auto &target : m_context.targets.notePeerReport(report.unreachable, now)) {
+    for (const auto &target : m_context.targets.notePeerReport(report.unreachable, now, m_context.ejection)) {
         core::log(core::LogLevel::Info, "target_reported",
                   {{"target", target->entry.id}, {"by", report.vm}, {"reported", report.unreachable.size()}});
     }
@@ -128,11 +128,18 @@
         return;
     }
     if (!outcome.fault) {
-        target->health.noteSuccess(now);
+        if (m_context.ejection.byEvidence) {
+            target->reportedUnreachableUntil = absl::InfinitePast(); // It answers, whatever was reported before.
+        }
+        if (outcome.firstEventOnly) {
+            target->health.noteFirstEvent(now);
+        } else {
+            target->health.noteSuccess(now);
+        }
     } else if (*outcome.fault == relay::TargetFault::Busy) {
         target->refusalBackoff.noteRefusal(now);
-    } else {
-        target->health.noteFailure(*outcome.fault, m_context.ejection, now);
+    } else if (target->health.noteFailure(*outcome.fault, m_context.ejection, now)) {
+        m_context.metrics.count(metrics::Counter::EjectionsSpared);
     }
 }
 
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -193,7 +193,7 @@
     report.sequence = ++m_sequence;
     report.newestGrant = m_newestGrant;
     report.work = m_context.targets.localWork(now);
-    report.unreachable = m_context.targets.unreachableTargets(now);
+    report.unreachable = m_context.targets.unreachableTargets(now, m_context.ejection);
     report.draining = relay::drainingReports(m_context, MaxReportedDraining);
     report.rates = relay::rateReports(m_context, MaxReportedRates, now);
     report.outcomes = std::exchange(m_outcomes, {});
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -113,6 +113,7 @@
     metrics.count(metrics::Counter::ConfigurationsApplied);
     table = std::move(newer);
     m_features = overload::resolveFeatures(settings.overload, table.get());
+    ejection.byEvidence = m_features.targetFeedback;
     pauses = table->gapObjectives(settings.placement.tightGap);
     document = std::move(sourceText);
 }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -199,6 +199,7 @@
     m_chosen = chosen;
     m_helperCausedFailure = false;
     m_sentAt = now;
+    m_attemptAnsweredAt = absl::InfinitePast();
     ++m_attempts;
     const auto expected = now + chosen.expectedTtft;
     const auto works = addedWork(chosen, m_facts.prompt.value_or(PromptInfo{}));
@@ -249,6 +250,10 @@
     for (const auto &work : m_localWork) {
         work->notePrefillDone();
     }
+    if (m_attemptAnsweredAt == absl::InfinitePast()) {
+        m_attemptAnsweredAt = now;
+        recordFirstEvent(now);
+    }
     if (m_answeredAt != absl::InfinitePast()) {
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
         m_lastEventAt = now;
@@ -263,6 +268,19 @@
     }
 }
 
+void RequestProgress::recordFirstEvent(core::Time now)
+{
+    if (!m_context.features().targetFeedback || !usesEngine()) {
+        return;
+    }
+    m_chosen.target->health.noteFirstEvent(now);
+    if (m_context.schedulerClient != nullptr) {
+        m_context.schedulerClient->queueOutcome(
+            {.target = m_chosen.target->hash, .fault = std::nullopt, .firstEventOnly = true});
+        reportLoadChange();
+    }
+}
+
 void RequestProgress::endAttempt(Outcome outcome, Reason reason, std::optional<TargetFault> fault,
                                  const std::string &detail, core::Time now)
 {
@@ -293,7 +311,9 @@
     }
     auto &health = m_chosen.target->health;
     if (fault) {
-        health.noteFailure(*fault, m_context.ejection, now);
+        if (health.noteFailure(*fault, m_context.ejection, now)) {
+            m_context.metrics.count(metrics::Counter::EjectionsSpared);
+        }
     } else if (outcome == Outcome::Completed) {
         health.noteSuccess(now);
     }
--- a/src/relay/target_health.cpp
+++ b/src/relay/target_health.cpp
@@ -20,6 +20,7 @@
 
 void TargetHealth::noteSuccess(core::Time now) noexcept
 {
+    noteFirstEvent(now);
     m_failureShare *= 1 - SuccessWeight;
     m_consecutiveFailures = 0;
     if (!isEjected(now)) {
@@ -27,10 +28,17 @@
     }
 }
 
-void TargetHealth::noteFailure(TargetFault fault, const EjectionPolicy &policy, core::Time now) noexcept
+void TargetHealth::noteFirstEvent(core::Time now) noexcept
+{
+    m_lastSuccessAt = std::max(m_lastSuccessAt, now);
+    m_failedConnections = 0;
+    m_onProbation = m_onProbation && isEjected(now);
+}
+
+bool TargetHealth::noteFailure(TargetFault fault, const EjectionPolicy &policy, core::Time now) noexcept
 {
     if (fault == TargetFault::Busy) {
-        return; // A full target is not a failing one.
+        return false; // A full target is not a failing one.
     }
     m_failureShare += (1 - m_failureShare) * policy.newestWeight;
     ++m_consecutiveFailures;
@@ -38,10 +46,15 @@
     if (!isEjected(now)) {
         m_unreachable = unreachable;
     }
-    if (unreachable || m_consecutiveFailures >= policy.maxConsecutiveFailures
+    m_failedConnections += fault == TargetFault::Unreachable ? 1 : 0;
+    const bool isSpared = policy.byEvidence && fault == TargetFault::Unreachable
+        && m_failedConnections < policy.maxFailedConnections && answeredRecently(policy, now);
+    if ((unreachable && !isSpared) || m_consecutiveFailures >= policy.maxConsecutiveFailures
         || m_failureShare > policy.maxFailureShare) {
         eject(policy, now);
+        return false;
     }
+    return isSpared;
 }
 
 void TargetHealth::eject(const EjectionPolicy &policy, core::Time now) noexcept
@@ -52,6 +65,7 @@
     const auto doublings = std::min(m_consecutiveEjections, MaxDoublings);
     m_ejectedUntil = now + std::min(policy.initialDuration * (1 << doublings), policy.maxDuration);
     ++m_consecutiveEjections;
+    m_onProbation = true;
     m_failureShare = 0;
     m_consecutiveFailures = policy.maxConsecutiveFailures - 1; // One more failure after its return ejects it again.
 }
--- a/src/relay/target_set.cpp
+++ b/src/relay/target_set.cpp
@@ -333,7 +333,8 @@
     m_workByPeer.erase(peer);
 }
 
-TargetSet::Targets TargetSet::notePeerReport(const std::vector<std::uint32_t> &unreachable, core::Time now)
+TargetSet::Targets TargetSet::notePeerReport(const std::vector<std::uint32_t> &unreachable, core::Time now,
+                                             const EjectionPolicy &policy)
 {
     Targets newlyReported;
     const auto maxReported = std::max(1.0, static_cast<double>(m_targets.size()) * MaxReportedShare);
@@ -345,6 +346,9 @@
         if (found == m_byHash.end()) {
             continue;
         }
+        if (policy.byEvidence && found->second->health.answeredRecently(policy, now)) {
+            continue; // Only the link between the peer and the target fails.
+        }
         if (found->second->reportedUnreachableUntil < now) {
             newlyReported.push_back(found->second);
         }
@@ -379,11 +383,11 @@
     return hashes;
 }
 
-std::vector<std::uint32_t> TargetSet::unreachableTargets(core::Time now) const
+std::vector<std::uint32_t> TargetSet::unreachableTargets(core::Time now, const EjectionPolicy &policy) const
 {
     std::vector<std::uint32_t> hashes;
     for (const auto &[hash, target] : m_byHash) {
-        if (target->acceptsNewWork(now) && target->health.isUnreachable()) {
+        if (target->acceptsNewWork(now) && target->health.reportsUnreachable(policy, now)) {
             hashes.push_back(hash);
         }
     }
