Divide plain load by shares of failure domains, move it gradually

Cause: every daemon prefers the plain targets of its own failure domain, so with 1, 1 and 2 targets in three domains the busiest one has 1.6 times the mean load. After a cut or an evacuation, the load of a domain moves in one step.

Change, active with `domainShift` only: a daemon computes from the number of daemons and usable slots of each domain which share of its requests goes where, draws the domain by these shares, and takes the target with the least own work there. A share that grows is reached linearly in 2 s; a domain without usable targets is left at once. The scheduler uses the engines of a returning domain gradually, too, but uses any of them for a prompt that would be late or find no engine without them. FleetMembership publishes the number of daemons of each domain (`domainSizes`).

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -6,9 +6,12 @@
 
 #include "spurlug/config/route_table.h"
 #include "spurlug/control/roster.h"
+#include "spurlug/core/log_rate_limiter.h"
 #include "spurlug/core/reason.h"
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/net/io.h"
+#include "spurlug/overload/domain_shares.h"
+#include "spurlug/overload/engine_ramps.h"
 #include "spurlug/overload/features.h"
 #include "spurlug/relay/crash_tracker.h"
 #include "spurlug/relay/domain_links.h"
@@ -21,6 +24,7 @@
 #include "spurlug/settings/relay_settings.h"
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -74,6 +78,11 @@
     /// Largest number of daemons of this one's failure domain that this daemon, or one whose heartbeats it received,
     /// ever knew at the same time.
     std::size_t largestDomainSize = 1;
+    /// Live daemons of each failure domain, including this one; counts of other domains are up to 7 s old.
+    std::map<std::string, std::size_t> domainSizes;
+    std::map<std::string, overload::DomainShares> domainShares; ///< By plain service; used with `domainShift`.
+    std::map<std::string, overload::EngineRamps> engineRamps; ///< By service; used with `domainShift`.
+    core::LogRateLimiter shareChangeLog{1}; ///< Limits `domain_share_changed`, by failure domain.
     const core::Time startedAt;
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -27,6 +27,9 @@
     bool mayHelp = true; ///< Whether it may prefill a part for another target.
     bool reservedForShortGaps
         = false; ///< Reserved for streams that tolerate only short gaps; kept free of long prompts.
+    std::int64_t ownRequests = 0; ///< Requests of this daemon at the target; set for placePlainByShare.
+    std::size_t domain = 0; ///< Number of its failure domain; set for placePlainByShare.
+    double share = 0; ///< Share of this daemon's requests; set for placePlainByShare.
 };
 
 /// \brief A prompt with the constraints on its placement.
@@ -90,4 +93,10 @@
 [[nodiscard]] std::optional<Placement> placePlain(const std::vector<Candidate> &candidates,
                                                   const PlacementWeights &weights, std::uint64_t randomValue);
 
+/// \brief Chooses a target of a plain service: draws the failure domain by the shares of its targets, then takes the
+/// target with the least own work there. If no target with a share has room, chooses as placePlain does.
+/// \returns std::nullopt if all targets are full.
+[[nodiscard]] std::optional<Placement> placePlainByShare(const std::vector<Candidate> &candidates,
+                                                         const PlacementWeights &weights, std::uint64_t randomValue);
+
 } // namespace spurlug::relay
--- a/src/relay/fleet_membership.cpp
+++ b/src/relay/fleet_membership.cpp
@@ -407,8 +407,11 @@
     m_context.roster.replace(mergeReported(directMembers));
     m_directMembers.replace(std::move(directMembers));
     std::size_t total = 0;
+    m_context.domainSizes.clear();
     for (const auto &domain : m_context.roster.failureDomains()) {
-        total += daemonCountIn(domain, now);
+        const auto count = daemonCountIn(domain, now);
+        m_context.domainSizes[domain] = count;
+        total += count;
         const auto registrars = m_context.roster.holdersIn(domain, Role::Registrar, RegistrarsPerDomain);
         auto &last = m_lastRegistrars[domain];
         last.clear();
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -10,10 +10,51 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace spurlug::relay
 {
 
+namespace
+{
+
+/// Known requests at a plain target per slot.
+double utilizationOf(const Candidate &candidate) noexcept
+{
+    return static_cast<double>(candidate.load.requests) / static_cast<double>(std::max(candidate.slots, 1));
+}
+
+/// Whether a plain target may answer and has room for one more request.
+bool hasPlainRoom(const Candidate &candidate, const PlacementWeights &weights) noexcept
+{
+    return candidate.mayAnswer && utilizationOf(candidate) < 1 + weights.plainQueueShare;
+}
+
+/// The failure domain drawn by the shares of the targets that have room; std::nullopt if none of them has a share.
+std::optional<std::size_t> drawDomain(const std::vector<Candidate> &candidates, const PlacementWeights &weights,
+                                      double randomShare)
+{
+    double total = 0;
+    for (const auto &candidate : candidates) {
+        total += hasPlainRoom(candidate, weights) ? candidate.share : 0;
+    }
+    std::optional<std::size_t> drawn;
+    auto rest = randomShare * total;
+    for (const auto &candidate : candidates) {
+        if (!hasPlainRoom(candidate, weights) || candidate.share <= 0) {
+            continue;
+        }
+        drawn = candidate.domain;
+        rest -= candidate.share;
+        if (rest < 0) {
+            break;
+        }
+    }
+    return drawn;
+}
+
+} // namespace
+
 double choiceJitter(std::uint64_t randomValue, std::size_t candidate) noexcept
 {
     constexpr std::uint64_t Spread = 0x9E3779B97F4A7C15ULL; // Odd constants whose set bits are spread over the word.
@@ -84,13 +125,38 @@
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto &candidate = candidates[i];
-        const auto slots = static_cast<double>(std::max(candidate.slots, 1));
-        const auto utilization = static_cast<double>(candidate.load.requests) / slots;
-        if (!candidate.mayAnswer || utilization >= 1 + weights.plainQueueShare) {
+        if (!hasPlainRoom(candidate, weights)) {
             continue;
         }
-        const auto cost
-            = utilization + (candidate.isLocalDomain ? 0 : RemotePenalty) + MaxJitter * choiceJitter(randomValue, i);
+        const auto cost = utilizationOf(candidate) + (candidate.isLocalDomain ? 0 : RemotePenalty)
+            + MaxJitter * choiceJitter(randomValue, i);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = Placement{i, {}, {}, absl::ZeroDuration(), absl::ZeroDuration()};
+        }
+    }
+    return best;
+}
+
+std::optional<Placement> placePlainByShare(const std::vector<Candidate> &candidates, const PlacementWeights &weights,
+                                           std::uint64_t randomValue)
+{
+    constexpr std::uint64_t Salt = 0xD6E8FEB86659FD93ULL; // Makes the draw independent of the jitter.
+    const auto domain = drawDomain(candidates, weights, choiceJitter(randomValue ^ Salt, candidates.size()));
+    if (!domain) {
+        return placePlain(candidates, weights, randomValue);
+    }
+    std::optional<Placement> best;
+    auto bestCost = std::make_pair(std::numeric_limits<double>::infinity(), 0.0);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto &candidate = candidates[i];
+        if (candidate.domain != *domain || !hasPlainRoom(candidate, weights)) {
+            continue;
+        }
+        const auto slots = static_cast<double>(std::max(candidate.slots, 1));
+        // The minimum of exponentially distributed numbers chooses equal targets in proportion to their slots.
+        const auto tieBreak = -std::log1p(-choiceJitter(randomValue, i)) / slots;
+        const auto cost = std::make_pair(static_cast<double>(candidate.ownRequests) / slots, tieBreak);
         if (cost < bestCost) {
             bestCost = cost;
             best = Placement{i, {}, {}, absl::ZeroDuration(), absl::ZeroDuration()};
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -5,7 +5,11 @@
 
 #include "spurlug/relay/target_choice.h"
 
+#include "spurlug/core/log.h"
+
 #include <algorithm>
+#include <iterator>
+#include <nlohmann/json.hpp>
 
 namespace spurlug::relay
 {
@@ -19,6 +23,8 @@
 /// Share of a service's targets up to which peers' unreachability reports are believed. If more are reported, the
 /// network is assumed to be at fault.
 constexpr double MaxAvoidedShare = 0.34;
+/// Interval of the counts of available engines. A ramp adds an engine of a domain with 18 every 120 ms.
+constexpr auto EngineCountInterval = absl::Milliseconds(20);
 
 /// Whether targets that are warming up are eligible.
 enum class WarmingUpTargets
@@ -58,7 +64,8 @@
         }
     }
 
-    [[nodiscard]] std::vector<Candidate> build() const
+    /// \param engineLimits Engines of failure domains that may answer, where these are not all.
+    [[nodiscard]] std::vector<Candidate> build(const overload::EngineCounts &engineLimits) const
     {
         const auto slots = m_targets.empty() ? 1 : m_targets.front()->entry.slots;
         const auto reservedEngines = enginesForShortGaps(m_loads, slots, m_context.settings.placement);
@@ -77,10 +84,33 @@
             candidate.mayHelp = mayHelp(target);
             candidates.push_back(candidate);
         }
+        if (anyHealthy) {
+            applyLimits(engineLimits, candidates);
+        }
         return candidates;
     }
 
+    /// Whether the target is usable for some time, whatever the query excludes. Refusals, rate limits and probes are
+    /// left out: they change within milliseconds.
+    [[nodiscard]] bool isSteadilyUsable(std::size_t index) const
+    {
+        const auto &target = *m_targets[index];
+        return isHealthy(target) && !isWarmingUp(target) && !target.cooldown().isActive(m_now);
+    }
+
 private:
+    /// Keeps requests from engines beyond the limit of their failure domain. Those reserved for short gaps stay so.
+    void applyLimits(overload::EngineCounts engineLimits, std::vector<Candidate> &candidates) const
+    {
+        for (std::size_t i = 0; i < candidates.size() && !engineLimits.empty(); ++i) {
+            const auto limit = engineLimits.find(m_targets[i]->entry.failureDomain);
+            if (limit != engineLimits.end() && candidates[i].mayAnswer) {
+                candidates[i].mayAnswer = limit->second > 0;
+                limit->second -= limit->second > 0 ? 1 : 0;
+            }
+        }
+    }
+
     [[nodiscard]] bool isReportedUnreachable(const Target &target) const
     {
         return m_trustsReports && m_now < target.reportedUnreachableUntil;
@@ -150,6 +180,12 @@
         if (includeEjected) {
             return true;
         }
+        const bool probeInProgress = target.health.isOnProbation() && m_loads[index].requests > 0;
+        return isHealthy(target) && !probeInProgress;
+    }
+
+    [[nodiscard]] bool isHealthy(const Target &target) const
+    {
         if (isPartitioned(target)) {
             return false;
         }
@@ -158,8 +194,7 @@
         if (isReportedUnreachable(target) && !target.health.isOnProbation()) {
             return false;
         }
-        const bool probeInProgress = target.health.isOnProbation() && m_loads[index].requests > 0;
-        return !target.health.isEjected(m_now) && !probeInProgress;
+        return !target.health.isEjected(m_now);
     }
 
     const RelayContext &m_context;
@@ -188,6 +223,107 @@
     return localTargets.empty() ? targets : localTargets;
 }
 
+/// Shares of a plain service's failure domains that apply to one choice.
+struct PlainShares
+{
+    overload::DomainSizes sizes; ///< Domains that this daemon reaches.
+    overload::Shares shares; ///< By failure domain; empty if the choice doesn't go by shares.
+
+    /// Share of one target, given that the targets of a domain are used by their slots.
+    [[nodiscard]] double shareOf(const Target &target) const
+    {
+        const auto share = shares.find(target.entry.failureDomain);
+        const auto size = sizes.find(target.entry.failureDomain);
+        if (share == shares.end() || size == sizes.end() || size->second.slots <= 0) {
+            return 0;
+        }
+        return share->second * std::max(target.entry.slots, 1) / static_cast<double>(size->second.slots);
+    }
+};
+
+/// The failure domains that this daemon reaches, with their daemons and their usable targets of a service.
+overload::DomainSizes knownSizes(const RelayContext &context, const std::string &service, core::Time now)
+{
+    TargetQuery query;
+    query.service = service;
+    const auto &ownDomain = context.settings.failureDomain;
+    const auto targets = context.targets.availableTargets(service, now);
+    const CandidateBuilder builder(context, query, targets, WarmingUpTargets::Excluded, now);
+    overload::DomainSizes sizes;
+    for (const auto &[domain, daemons] : context.domainSizes) {
+        if (!context.links.isDown(ownDomain, domain, now)) {
+            sizes[domain].daemons = daemons;
+        }
+    }
+    sizes[ownDomain].daemons = std::max<std::size_t>(sizes[ownDomain].daemons, 1);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (builder.isSteadilyUsable(i)) {
+            auto &size = sizes[targets[i]->entry.failureDomain];
+            ++size.targets;
+            size.slots += std::max(targets[i]->entry.slots, 1);
+        }
+    }
+    return sizes;
+}
+
+void logShareChanges(RelayContext &context, const std::string &service, const overload::ShareUpdate &update,
+                     const overload::DomainSizes &sizes, core::Time now)
+{
+    for (const auto &change : update.changes) {
+        std::int64_t suppressed = 0;
+        if (!context.shareChangeLog.tryLog(change.domain, now, suppressed)) {
+            continue;
+        }
+        const auto size = sizes.find(change.domain);
+        const auto known = size == sizes.end() ? overload::DomainSize{} : size->second;
+        core::log(core::LogLevel::Info, "domain_share_changed",
+                  {{"domain", change.domain},
+                   {"service", service},
+                   {"from", change.from},
+                   {"to", change.to},
+                   {"daemons", known.daemons},
+                   {"targets", known.targets},
+                   {"suppressed", suppressed}});
+    }
+}
+
+/// Updates the shares of a plain service; the result is empty if the choice doesn't go by shares.
+PlainShares updateShares(RelayContext &context, const TargetQuery &query, core::Time now)
+{
+    const auto *service = context.table ? context.table->serviceNamed(query.service) : nullptr;
+    if (!context.features().domainShift || service == nullptr || service->engine) {
+        return {};
+    }
+    PlainShares result;
+    result.sizes = knownSizes(context, query.service, now);
+    auto &shares = context.domainShares[query.service];
+    const auto update = shares.update(context.settings.failureDomain, result.sizes, now);
+    if (update.startsRamp) {
+        context.metrics.count(metrics::Counter::DomainRamps);
+    }
+    logShareChanges(context, query.service, update, result.sizes, now);
+    result.shares = shares.shares(now);
+    return result;
+}
+
+/// Updates the ramps of the engines of a service and returns the limits that apply to the scheduler's choices.
+overload::EngineCounts updateEngineLimits(RelayContext &context, const TargetQuery &query, core::Time now)
+{
+    if (!context.features().domainShift || !query.forScheduler || !query.prompt) {
+        return {};
+    }
+    auto &ramps = context.engineRamps[query.service];
+    if (now - ramps.updatedAt() >= EngineCountInterval) {
+        overload::EngineCounts available;
+        for (const auto &[domain, size] : knownSizes(context, query.service, now)) {
+            available[domain] = size.targets;
+        }
+        const auto begun = ramps.update(available, now);
+        context.metrics.count(metrics::Counter::DomainRamps, static_cast<std::int64_t>(begun));
+    }
+    return ramps.limits();
+}
+
 /// Chooses among candidates such that the answering engine can reach its helpers.
 class TargetChooser
 {
@@ -198,23 +334,43 @@
         , m_targets(targets)
         , m_now(now)
         , m_randomValue(context.random())
+        , m_plainShares(updateShares(context, query, now))
+        , m_engineLimits(updateEngineLimits(context, query, now))
     { }
 
     [[nodiscard]] std::optional<Placement> choose() const
     {
-        auto placement = chooseAmong(WarmingUpTargets::Excluded);
+        auto placement = chooseWithinLimits();
         const bool anyWarmingUp = std::any_of(m_targets.begin(), m_targets.end(),
                                               [this](const auto &target) { return target->warmUp.isActive(m_now); });
         if (!placement && anyWarmingUp) {
-            placement = chooseAmong(WarmingUpTargets::RateLimited);
+            placement = chooseAmong(WarmingUpTargets::RateLimited, {});
         }
         return placement;
     }
 
 private:
-    [[nodiscard]] std::optional<Placement> chooseAmong(WarmingUpTargets warmingUpTargets) const
+    /// Uses engines beyond the limits of their failure domains only if the request would be late without them.
+    [[nodiscard]] std::optional<Placement> chooseWithinLimits() const
+    {
+        auto limited = chooseAmong(WarmingUpTargets::Excluded, m_engineLimits);
+        if (m_engineLimits.empty() || (limited && isInTime(*limited))) {
+            return limited;
+        }
+        auto unlimited = chooseAmong(WarmingUpTargets::Excluded, {});
+        const bool isBetter = unlimited && (!limited || unlimited->expectedTtft < limited->expectedTtft);
+        return isBetter ? unlimited : limited;
+    }
+
+    [[nodiscard]] bool isInTime(const Placement &placement) const
+    {
+        return m_query.prompt->waited + placement.expectedTtft <= m_query.prompt->ttftObjective;
+    }
+
+    [[nodiscard]] std::optional<Placement> chooseAmong(WarmingUpTargets warmingUpTargets,
+                                                       const overload::EngineCounts &engineLimits) const
     {
-        auto candidates = CandidateBuilder(m_context, m_query, m_targets, warmingUpTargets, m_now).build();
+        auto candidates = CandidateBuilder(m_context, m_query, m_targets, warmingUpTargets, m_now).build(engineLimits);
         auto placement = place(candidates);
         if (!placement || helpersReachable(*placement)) {
             return placement;
@@ -234,9 +390,24 @@
         if (m_query.prompt && spec != nullptr && spec->engine) {
             return placePrompt(*spec->engine, *m_query.prompt, candidates, rule, m_randomValue);
         }
+        if (!m_plainShares.shares.empty()) {
+            return placePlainByShare(withShares(candidates), rule, m_randomValue);
+        }
         return placePlain(candidates, rule, m_randomValue);
     }
 
+    [[nodiscard]] std::vector<Candidate> withShares(std::vector<Candidate> candidates) const
+    {
+        const auto &shares = m_plainShares.shares;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const auto domain = shares.find(domainOf(i));
+            candidates[i].domain = static_cast<std::size_t>(std::distance(shares.begin(), domain));
+            candidates[i].share = m_plainShares.shareOf(*m_targets[i]);
+            candidates[i].ownRequests = m_targets[i]->localWork(m_now).requests;
+        }
+        return candidates;
+    }
+
     [[nodiscard]] const std::string &domainOf(std::size_t candidate) const
     {
         return m_targets[candidate]->entry.failureDomain;
@@ -261,6 +432,8 @@
     const TargetSet::Targets &m_targets;
     const core::Time m_now;
     const std::uint64_t m_randomValue;
+    const PlainShares m_plainShares;
+    const overload::EngineCounts m_engineLimits;
 };
 
 } // namespace
--- a/tests/unit/fleet_growth_test.cpp
+++ b/tests/unit/fleet_growth_test.cpp
@@ -328,6 +328,11 @@
     for (std::size_t i = 0; i < fleet.size(); ++i) {
         const bool isInside = i % DomainCount == 2;
         BOOST_TEST(fleet.context(i).daemonCount == (isInside ? Size / DomainCount : Size - Size / DomainCount));
+        // Guards against shares of load for daemons that are cut off or in the list of a few members only.
+        const auto &sizes = fleet.context(i).domainSizes;
+        BOOST_TEST(sizes.size() == (isInside ? 1 : DomainCount - 1));
+        BOOST_TEST(sizes.at(fleet.context(i).settings.failureDomain) == Size / DomainCount);
+        BOOST_TEST((isInside || sizes.at("hall-1") == Size / DomainCount));
     }
     fleet.setPartitioned(2, false);
     const auto recoveryTime = fleet.timeToAgreement(Size);
