Check that daemons beyond a cut don't count in the shares

Cause: with equal domain sizes the test of the cut had the same result whether the daemons beyond the cut were counted or not; a trial change that counted them passed it.

Change: the domains of that test have unequal sizes, and it checks the share of the domain that is left.

--- a/tests/unit/domain_choice_test.cpp
+++ b/tests/unit/domain_choice_test.cpp
@@ -93,6 +93,7 @@
 BOOST_AUTO_TEST_CASE(a_domain_behind_a_cut_gets_nothing_and_returns_gradually)
 {
     Daemon daemon("hall-a");
+    daemon.context.domainSizes["hall-a"] = 40;
     const auto crossing = daemon.choose(10'000, at(0));
     const auto before = crossing.at("hall-c/0") + crossing.at("hall-c/1");
     daemon.context.links.noteFailure("hall-a", "hall-c", 1, at(1));
@@ -101,6 +102,8 @@
     BOOST_TEST(!cut.contains("hall-c/0"));
     BOOST_TEST(!cut.contains("hall-c/1"));
     BOOST_TEST(!cut.contains("none"));
+    // The daemons beyond the cut send nothing here: 40 and 29 share two targets.
+    BOOST_TEST(cut.at("hall-b/0") / 1000.0 == 1 - 0.5 * 69 / 40, boost::test_tools::tolerance(0.2));
     daemon.context.links.noteSuccess("hall-a", "hall-c");
     BOOST_TEST(!daemon.choose(1000, at(100)).contains("hall-c/0"));
     const auto half = daemon.choose(10'000, at(1100));
