Admit waiting prompts by the predicted time of their first event

Cause: a burst of short prompts that needs 7 % more slots than exist made a third of all first events late, because every request waited equally long and was then queued at an engine. Change: overload::Admission measures drain and in-time arrivals of each service and kind and predicts the first event; the scheduler lets prompts wait in time, wait late, or refuses them. overload::ReturnBook gives refused callers a Retry-After. Daemons end refused requests with reason predicted_late and leave requests that a scheduler holds to its prediction. Inactive unless overload.admission is.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -75,6 +75,7 @@
     std::uint32_t organisation = 0; ///< Hash of the name of the caller's organisation; 0 if there is none.
     std::uint64_t digest = 0; ///< Of the content of the request; a caller that returns sends the same. 0 if not known.
     core::Duration timeLeft = absl::InfiniteDuration(); ///< Until the caller's deadline, as of sending.
+    bool mayHaveRun = false; ///< Whether a target may have processed the request; it is then never refused.
     std::vector<std::uint32_t> excludedTargets; ///< incarnationHash of targets that must not answer the prompt.
     std::vector<std::uint32_t> allowedTargets; ///< If not empty, only these targets may answer the prompt.
     std::vector<std::uint32_t>
--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/control/admission_control.h"
 #include "spurlug/control/messages.h"
 #include "spurlug/relay/target_choice.h"
 
@@ -54,7 +55,8 @@
     /// late ones; then those that tolerate only short gaps before others, because they occupy an engine for a fraction
     /// of the time; then by the least time to spare. A late request that tolerates longer gaps is skipped while another
     /// of that kind can still be in time.
-    /// \returns Pairs of a daemon's VM and its grant.
+    /// With admission by prediction, requests that cannot be served before their callers leave are refused.
+    /// \returns Pairs of a daemon's VM and its grant or refusal.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> placeQueued(core::Time now);
 
     /// \brief Removes expired reports, grants and requests, such as those of daemons that have gone silent.
@@ -74,6 +76,8 @@
         PlacementRequest request;
         core::Time arrivedAt; ///< When the caller's request arrived at its daemon.
         core::Time lastReceivedAt; ///< When the request was received last.
+        core::Time queuedAt = absl::InfinitePast(); ///< When the request was received first.
+        AdmissionTicket ticket; ///< Only with admission by prediction.
     };
 
     struct Grant
@@ -99,6 +103,19 @@
     /// Time that would be left until the first event of a prompt is due if as many engines as may share it began to
     /// prefill it now; negative if it will be late.
     [[nodiscard]] core::Duration slackTime(const QueuedRequest &queued, core::Time now) const;
+    /// Whether the first event of a waiting prompt can still meet its objective.
+    [[nodiscard]] bool canBeInTime(const QueuedRequest &queued, core::Time now) const;
+    /// Handles a new request with admission by prediction.
+    [[nodiscard]] PlacementReply admit(QueuedRequest queued, core::Time now);
+    /// Waiting work that is placed before a request.
+    [[nodiscard]] overload::WorkAhead workAhead(const QueuedRequest &queued) const;
+    /// Whether requests that could be placed now, and come first, wait for the same engines.
+    [[nodiscard]] bool waitsBehindOthers(const QueuedRequest &queued) const;
+    /// Notes a grant for the predictions.
+    void noteGrant(const QueuedRequest &queued, const PlacementReply &grant, core::Time now);
+    /// Removes the queued requests that cannot be served before their callers leave, after a round of placements.
+    /// \returns Pairs of a daemon's VM and its refusal.
+    [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> refuseHopeless(core::Time now);
     void applyOutcome(const TargetOutcome &outcome, const std::string &requesterDomain, core::Time now);
     /// Records how an engine responded when another one asked it for help. An engine that refuses help may still answer
     /// its own requests well.
@@ -113,6 +130,7 @@
     std::function<void()> m_onQueued = [] {};
     Grants m_grants; ///< By number.
     std::vector<QueuedRequest> m_queue;
+    AdmissionControl m_admission;
     std::map<std::string, ReportState> m_reportStates; ///< By daemon.
     std::uint64_t m_newestGrant = 0;
 };
--- a/include/spurlug/control/scheduler_client.h
+++ b/include/spurlug/control/scheduler_client.h
@@ -129,6 +129,18 @@
     /// \returns The targets, if the reply is a grant that this daemon can use.
     [[nodiscard]] std::optional<relay::ChosenTargets> handleReply(const PlacementReply &reply, core::Time now);
 
+    /// \brief The retry time of the caller if the scheduler refused the request; 0 if a retry cannot succeed.
+    [[nodiscard]] std::optional<core::Duration> refusal() const noexcept
+    {
+        return m_refusal;
+    }
+
+    /// \brief Whether a scheduler has queued the request, also while another one is asked because the first is silent.
+    [[nodiscard]] bool isHeld() const noexcept
+    {
+        return m_held;
+    }
+
     /// \brief When `sendIfDue` should be called next.
     [[nodiscard]] core::Time nextDueAt() const noexcept
     {
@@ -149,6 +161,9 @@
     int m_unresponsiveCount = 0; ///< Schedulers that did not answer this request.
     int m_cancelledCount = 0; ///< Placement requests that were cancelled after their grant.
     bool m_queued = false; ///< Whether it replied that the request is queued.
+    bool m_held = false; ///< Whether any scheduler replied that the request is queued.
+    bool m_mayHaveRun = false; ///< Whether a target may have processed the request; a refusal does not apply then.
+    std::optional<core::Duration> m_refusal;
     bool m_grantUnusable = false; ///< Whether a grant contained targets that this daemon cannot use.
     bool m_granted = false;
     core::Ref<relay::RequestInbox> m_inbox;
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -182,7 +182,7 @@
             }
         }
         m_failureReason = core::Reason::NoCapacity;
-        if (m_progress.waitExpired(now)) {
+        if (m_progress.waitExpired(now, asked && session.isHeld())) {
             co_return std::nullopt;
         }
         const auto nextCheckAt = asked ? session.nextDueAt() : now + detail::TargetCheckInterval;
@@ -196,6 +196,11 @@
                 m_grant = arrived->answer;
                 co_return chosen;
             }
+            if (const auto retryAfter = session.refusal()) {
+                m_progress.recordRefusal(*retryAfter);
+                m_failureReason = core::Reason::PredictedLate;
+                co_return std::nullopt;
+            }
         }
     }
 }
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -73,6 +73,10 @@
     /// silent, and a new connection was refused.
     void recordTargetCrash(const core::Ref<Target> &target, core::Time now);
 
+    /// \brief Records the scheduler's refusal of a request that has run nowhere.
+    /// \param retryAfter When the caller should return; 0 if a retry cannot succeed.
+    void recordRefusal(core::Duration retryAfter) noexcept;
+
     /// \brief Whether to send the request again; charges the retry to the fleet-wide retry budget.
     /// \param isRepeatable Whether the request may be processed twice.
     /// \param cause Why the last attempt failed.
@@ -126,7 +130,9 @@
     [[nodiscard]] core::Time continueAt(core::Time availableAt) const;
     /// \brief Whether a request without an available target should be refused now instead of waiting longer. The time
     /// spent in attempts is not counted: a target that did not accept the connection says nothing about the others.
-    [[nodiscard]] bool waitExpired(core::Time now) const noexcept;
+    /// \param heldByScheduler Whether a scheduler has queued the request. With admission by prediction it then decides,
+    /// and the request waits until its caller leaves.
+    [[nodiscard]] bool waitExpired(core::Time now, bool heldByScheduler = false) const noexcept;
     /// \brief Whether the target recently sent bytes for any request or passed a check, so that it is slow, not dead.
     [[nodiscard]] bool targetIsAlive(core::Time now) const noexcept;
     /// \brief Whether the current attempt depends on a target: it answers the request, holds KV memory for the prompt,
@@ -208,6 +214,7 @@
     core::Time m_lastEventAt = absl::InfinitePast();
     core::Duration m_longestGap = absl::ZeroDuration(); ///< Longest time between two consecutive events.
     int m_attempts = 0;
+    core::Duration m_refusalRetryAfter = absl::ZeroDuration(); ///< As told by the scheduler.
     core::Reason m_retryCause = core::Reason::None; ///< Why the request was last sent again; None if it was not.
     bool m_mayHaveRun = false;
     bool m_isTrial = false; ///< Sent although it is quarantined, to test whether it still crashes its target.
--- a/include/spurlug/relay/target_choice.h
+++ b/include/spurlug/relay/target_choice.h
@@ -41,6 +41,10 @@
     /// Restricts helpers to the failure domain of the answering engine. Set after a helper was refused for this
     /// request.
     bool localHelpersOnly = false;
+    std::uint32_t organisation = 0; ///< Hash of the name of the caller's organisation; 0 if there is none.
+    std::uint64_t digest = 0; ///< First 8 bytes of the digest of the request's work; 0 if not known.
+    core::Duration timeLeft = absl::InfiniteDuration(); ///< Until the deadline of the request.
+    bool mayHaveRun = false; ///< Whether a target may have processed the request.
 };
 
 /// \brief Whether a request that tolerates only short gaps and has waited this long may queue at an engine instead of
--- /dev/null
+++ b/src/control/admission_control.cpp
@@ -0,0 +1,243 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: the scheduler's admission of placement requests by prediction
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/control/admission_control.h"
+
+#include "spurlug/core/log.h"
+#include "spurlug/core/text.h"
+#include "spurlug/relay/placement.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::control
+{
+
+namespace
+{
+
+using overload::Kind;
+using overload::Verdict;
+
+/// A scheduler has the work reports of all daemons after this time; before, it refuses nobody by prediction.
+constexpr auto SettlingTime = absl::Milliseconds(300);
+/// A scheduler that no daemon used for this long has lost its reports and starts anew.
+constexpr auto MaxSilence = absl::Milliseconds(1600);
+/// Rounds follow each other after 10 ms while something waits; the margin covers delayed ones.
+constexpr auto MaxRoundAge = absl::Milliseconds(30);
+constexpr auto RefusalTtl = absl::Milliseconds(500); ///< Daemons ask again after 30 ms if a reply was lost.
+/// Share of their time that engines spend on prefill, before it is measured.
+constexpr double InitialPrefillShare = 0.5;
+
+} // namespace
+
+Kind kindOf(const PlacementRequest &request) noexcept
+{
+    return request.shortGaps ? Kind::ShortGaps : Kind::LongGaps;
+}
+
+AdmissionControl::AdmissionControl(relay::RelayContext &context)
+    : m_context(context)
+{ }
+
+bool AdmissionControl::isActive() const noexcept
+{
+    return m_context.features().admission;
+}
+
+void AdmissionControl::noteActivity(core::Time now)
+{
+    if (now - m_lastActivityAt > MaxSilence) {
+        m_activeSince = now;
+    }
+    m_lastActivityAt = now;
+}
+
+double AdmissionControl::initialDrain(const std::string &service, Kind kind, core::Time now) const
+{
+    constexpr double MsPerSecond = 1000;
+    const auto *spec = m_context.table->serviceNamed(service);
+    if (spec == nullptr || !spec->engine) {
+        return 0; // The configuration changed while requests waited.
+    }
+    const auto &costs = *spec->engine;
+    const auto engines = static_cast<double>(m_context.targets.availableTargets(service, now).size());
+    if (kind == Kind::LongGaps) {
+        return engines * MsPerSecond * InitialPrefillShare;
+    }
+    relay::Outstanding full;
+    full.decodingRequests = costs.slots;
+    full.decodingContextTokens = costs.slots * costs.meanPromptTokens;
+    const auto stepMs = relay::decodePassMs(costs, full) / std::max(costs.stepsPerPass, 1);
+    const auto answerMs = stepMs * static_cast<double>(costs.meanAnswerTokens);
+    return answerMs > 0 ? engines * costs.slots * MsPerSecond / answerMs : 0;
+}
+
+AdmissionControl::Lane &AdmissionControl::laneOf(const std::string &service, Kind kind, core::Time now)
+{
+    const LaneKey key{service, kind};
+    const auto found = m_lanes.find(key);
+    if (found != m_lanes.end()) {
+        return found->second;
+    }
+    return m_lanes.emplace(key, Lane{overload::Admission(initialDrain(service, kind, now)), {}}).first->second;
+}
+
+const AdmissionControl::Lane *AdmissionControl::findLane(const PlacementRequest &request) const
+{
+    const auto found = m_lanes.find({request.service, kindOf(request)});
+    return found != m_lanes.end() ? &found->second : nullptr;
+}
+
+AdmissionTicket AdmissionControl::admit(const PlacementRequest &request, core::Time arrivedAt, core::Time now)
+{
+    const auto &costs = *m_context.table->serviceNamed(request.service)->engine;
+    const auto engines = request.shortGaps ? 1 : m_context.settings.placement.mostHelpers + 1;
+    AdmissionTicket ticket;
+    ticket.prompt.arrivedAt = arrivedAt;
+    ticket.prompt.leavesAt = std::min(arrivedAt + request.callerTimeout, now + request.timeLeft);
+    ticket.prompt.ttftObjective = request.ttftObjective;
+    ticket.prompt.leastTtft = absl::Milliseconds(
+        relay::prefillPartMs(costs, request.prompt.promptTokens, static_cast<std::size_t>(engines)));
+    ticket.work = request.shortGaps ? 1 : relay::prefillPartMs(costs, request.prompt.promptTokens, 1);
+    auto &lane = laneOf(request.service, kindOf(request), now);
+    switch (request.digest != 0 ? lane.returns.arrivalOf(request.digest, now) : overload::Arrival::New) {
+    case overload::Arrival::New:
+        break;
+    case overload::Arrival::Early:
+        m_context.metrics.count(metrics::Counter::ReturnsEarly);
+        break;
+    case overload::Arrival::OnTime:
+        m_context.metrics.count(metrics::Counter::ReturnsOnTime);
+        lane.returns.remove(request.digest);
+        ticket.returnedOnTime = true;
+        break;
+    }
+    return ticket;
+}
+
+Verdict AdmissionControl::decide(const PlacementRequest &request, AdmissionTicket &ticket,
+                                 const overload::WorkAhead &ahead, core::Time now)
+{
+    auto &lane = laneOf(request.service, kindOf(request), now);
+    auto prediction = lane.admission.predict(ticket.prompt, ahead, now);
+    if (prediction.verdict == Verdict::InTime && !ticket.inTime) {
+        prediction.verdict = Verdict::Late; // It keeps its place, so that the prediction of others stays valid.
+    }
+    ticket.expectedWait = prediction.wait;
+    if (prediction.verdict != Verdict::InTime && std::exchange(ticket.inTime, false)
+        && prediction.verdict == Verdict::Late) {
+        m_context.metrics.count(metrics::Counter::AdmissionLate);
+    }
+    return prediction.verdict;
+}
+
+void AdmissionControl::noteGrant(const PlacementRequest &request, const AdmissionTicket &ticket,
+                                 core::Duration expectedTtft, core::Time now)
+{
+    auto &lane = laneOf(request.service, kindOf(request), now);
+    lane.admission.noteGrant(ticket.work, expectedTtft - ticket.prompt.leastTtft, now);
+    lane.returns.remove(request.digest);
+}
+
+void AdmissionControl::noteArrival(const PlacementRequest &request, const AdmissionTicket &ticket, core::Time now)
+{
+    if (ticket.inTime) {
+        laneOf(request.service, kindOf(request), now).admission.noteArrival(ticket.work, now);
+    }
+}
+
+void AdmissionControl::noteWaiting(const std::string &service, Kind kind, core::Time now)
+{
+    laneOf(service, kind, now).admission.setWaiting(true, now);
+}
+
+void AdmissionControl::noteRound(const std::set<std::pair<std::string, Kind>> &waiting, core::Time now)
+{
+    for (auto &[key, lane] : m_lanes) {
+        const bool waits = waiting.contains(key);
+        lane.admission.setWaiting(waits, now);
+        lane.unplacedAt = waits ? now : lane.unplacedAt;
+    }
+}
+
+PlacementReply AdmissionControl::refuse(const PlacementRequest &request, const AdmissionTicket &ticket,
+                                        const overload::WorkAhead &ahead, core::Time now)
+{
+    auto &lane = laneOf(request.service, kindOf(request), now);
+    const auto drain = lane.admission.drainPerSecond(now);
+    const auto drainTime = [drain](double work) {
+        return drain > 0 ? absl::Seconds(work / drain) : core::Duration(absl::InfiniteDuration());
+    };
+    overload::RefusedCaller caller;
+    caller.digest = request.digest;
+    caller.timeLeft = request.timeLeft;
+    caller.leastTtft = ticket.prompt.leastTtft;
+    caller.backlog = drainTime(ahead.inTime + ahead.late);
+    caller.spacing = drainTime(ticket.work);
+    caller.expectedWait = ticket.expectedWait;
+    PlacementReply reply;
+    reply.vm = m_context.settings.vm;
+    reply.requestNumber = request.requestNumber;
+    reply.kind = ReplyKind::Refused;
+    reply.retryAfter = lane.returns.enter(caller, now);
+    reply.expectedWait = ticket.expectedWait;
+    m_refusals[{request.vm, request.requestNumber}] = {reply, now};
+    m_context.metrics.count(metrics::Counter::AdmissionRefused);
+    const auto expected = now + ticket.expectedWait + ticket.prompt.leastTtft - ticket.prompt.arrivedAt;
+    core::log(core::LogLevel::Info, "placement_refused",
+              {{"by", request.vm},
+               {"digest", absl::StrCat(absl::Hex(request.digest, absl::kZeroPad16))},
+               {"service", request.service},
+               {"kind", request.shortGaps ? "short" : "long"},
+               {"organisation", request.organisation},
+               {"waitedMs", core::toMs(now - ticket.prompt.arrivedAt)},
+               {"expectedMs", core::toMs(std::min(expected, core::Duration(absl::Hours(1))))},
+               {"leavesMs", core::toMs(ticket.prompt.leavesAt - now)},
+               {"aheadInTime", ahead.inTime},
+               {"aheadLate", ahead.late},
+               {"drainPerSecond", drain},
+               {"inTimePerSecond", lane.admission.arrivalPerSecond(now)},
+               {"viewAgeMs", 0},
+               {"retryMs", core::toMs(reply.retryAfter)}});
+    return reply;
+}
+
+void AdmissionControl::cancel(const PlacementCancel &cancel)
+{
+    m_refusals.erase({cancel.vm, cancel.requestNumber});
+}
+
+void AdmissionControl::removeExpired(core::Time now)
+{
+    std::erase_if(m_refusals, [now](const auto &item) { return now - item.second.sentAt > RefusalTtl; });
+}
+
+std::optional<PlacementReply> AdmissionControl::findRefusal(const PlacementRequest &request) const
+{
+    const auto found = m_refusals.find({request.vm, request.requestNumber});
+    return found != m_refusals.end() ? std::optional(found->second.reply) : std::nullopt;
+}
+
+bool AdmissionControl::mayRefuse(const PlacementRequest &request, core::Time now) const
+{
+    return !request.mayHaveRun && request.digest != 0 && now - m_activeSince >= SettlingTime;
+}
+
+bool AdmissionControl::recentlyFull(const PlacementRequest &request, core::Time now) const
+{
+    const auto *lane = findLane(request);
+    return lane != nullptr && now - lane->unplacedAt <= MaxRoundAge;
+}
+
+bool AdmissionControl::canBeInTime(const PlacementRequest &request, const AdmissionTicket &ticket, core::Time now) const
+{
+    const auto *lane = findLane(request);
+    return ticket.inTime && (lane == nullptr || lane->admission.canBeInTime(ticket.prompt, absl::ZeroDuration(), now));
+}
+
+} // namespace spurlug::control
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -161,6 +161,7 @@
     out.set_deadline_ms(request.timeLeft == absl::InfiniteDuration() ? 0 : std::max(toMs32(request.timeLeft), 1U));
     out.set_at_home(request.localDomainOnly);
     out.set_near_helpers(request.localHelpersOnly);
+    out.set_may_have_run(request.mayHaveRun);
 }
 
 PlacementRequest read(const wire::PlacementAsk &in)
@@ -187,6 +188,7 @@
     }
     request.localDomainOnly = in.at_home();
     request.localHelpersOnly = in.near_helpers();
+    request.mayHaveRun = in.may_have_run();
     return request;
 }
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -39,6 +39,7 @@
 
 Scheduler::Scheduler(relay::RelayContext &context)
     : m_context(context)
+    , m_admission(context)
 { }
 
 void Scheduler::setQueuedCallback(std::function<void()> callback)
@@ -63,6 +64,7 @@
         return;
     }
     state = {report.incarnation, report.sequence, now};
+    m_admission.noteActivity(now);
     const auto domain = domainOrOwn(report.failureDomain);
     m_context.targets.setPeerWork(report.vm, report.work, now);
     m_context.metrics.count(metrics::Counter::WorkReportsReceived);
@@ -163,17 +165,142 @@
     if (known != m_queue.end()) {
         known->lastReceivedAt = now;
         known->request = ask; // The daemon's list of unwanted targets may have changed.
+        reply.expectedWait = known->ticket.expectedWait;
         return reply;
     }
+    if (m_admission.isActive()) {
+        return admit({ask, now - ask.waited, now, now, {}}, now);
+    }
     if (auto granted = place(ask, now - ask.waited, now)) {
         return *granted;
     }
-    m_queue.push_back({ask, now - ask.waited, now});
+    m_queue.push_back({ask, now - ask.waited, now, now, {}});
     m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
     m_onQueued();
     return reply;
 }
 
+PlacementReply Scheduler::admit(QueuedRequest queued, core::Time now)
+{
+    const auto &request = queued.request;
+    m_admission.noteActivity(now);
+    if (auto refusal = m_admission.findRefusal(request)) {
+        return *refusal;
+    }
+    queued.ticket = m_admission.admit(request, queued.arrivedAt, now);
+    if (!waitsBehindOthers(queued)) {
+        if (auto granted = place(request, queued.arrivedAt, now)) {
+            m_admission.noteArrival(request, queued.ticket, now);
+            m_admission.noteGrant(request, queued.ticket, granted->expectedTtft, now);
+            return *granted;
+        }
+    }
+    const auto ahead = workAhead(queued);
+    const auto verdict = m_admission.decide(request, queued.ticket, ahead, now);
+    // The next round decides about a request that arrives after engines may have become free.
+    const bool mayRefuse = m_admission.mayRefuse(request, now) && m_admission.recentlyFull(request, now);
+    if (verdict == overload::Verdict::Refuse && mayRefuse) {
+        return m_admission.refuse(request, queued.ticket, ahead, now);
+    }
+    m_admission.noteWaiting(request.service, kindOf(request), now);
+    m_admission.noteArrival(request, queued.ticket, now);
+    PlacementReply reply;
+    reply.vm = m_context.settings.vm;
+    reply.requestNumber = request.requestNumber;
+    reply.kind = ReplyKind::Queued;
+    reply.expectedWait = queued.ticket.expectedWait;
+    m_queue.push_back(std::move(queued));
+    m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
+    m_onQueued();
+    return reply;
+}
+
+overload::WorkAhead Scheduler::workAhead(const QueuedRequest &queued) const
+{
+    overload::WorkAhead ahead;
+    const auto &request = queued.request;
+    const auto startBy = [](const AdmissionTicket &ticket) {
+        return ticket.prompt.arrivedAt + ticket.prompt.ttftObjective - ticket.prompt.leastTtft;
+    };
+    for (const auto &other : m_queue) {
+        const auto &ticket = other.ticket;
+        if (other.request.shortGaps != request.shortGaps || other.request.priority > request.priority
+            || other.request.service != request.service) {
+            continue;
+        }
+        if (other.request.priority < request.priority) {
+            ahead.inTime += ticket.work;
+        } else if (!ticket.inTime) {
+            ahead.late += ticket.work;
+        } else if (ticket.returnedOnTime != queued.ticket.returnedOnTime ? ticket.returnedOnTime
+                                                                         : startBy(ticket) <= startBy(queued.ticket)) {
+            ahead.inTime += ticket.work;
+        }
+    }
+    return ahead;
+}
+
+bool Scheduler::waitsBehindOthers(const QueuedRequest &queued) const
+{
+    const auto &request = queued.request;
+    if (!request.shortGaps || request.mayHaveRun) {
+        return false; // Long prompts differ in the engines that they need.
+    }
+    return std::any_of(m_queue.begin(), m_queue.end(), [&](const QueuedRequest &other) {
+        const auto &earlier = other.request;
+        const bool constrained
+            = !earlier.excludedTargets.empty() || !earlier.allowedTargets.empty() || !earlier.avoidedTargets.empty();
+        return earlier.shortGaps && other.ticket.inTime && !constrained && earlier.priority <= request.priority
+            && earlier.service == request.service;
+    });
+}
+
+void Scheduler::noteGrant(const QueuedRequest &queued, const PlacementReply &grant, core::Time now)
+{
+    if (m_admission.isActive()) {
+        m_admission.noteGrant(queued.request, queued.ticket, grant.expectedTtft, now);
+        m_context.metrics.addSample(metrics::Timer::QueueWait, now - queued.queuedAt);
+    }
+}
+
+std::vector<std::pair<std::string, PlacementReply>> Scheduler::refuseHopeless(core::Time now)
+{
+    std::vector<std::pair<std::string, PlacementReply>> refusals;
+    if (!m_admission.isActive()) {
+        return refusals;
+    }
+    std::set<std::pair<std::string, overload::Kind>> waiting;
+    for (const auto &queued : m_queue) {
+        waiting.emplace(queued.request.service, kindOf(queued.request));
+    }
+    m_admission.noteRound(waiting, now);
+    // The queue is in the order of placement, so that the work ahead of a request is that of the entries before it.
+    std::map<std::pair<std::string, overload::Kind>, overload::WorkAhead> aheadByLane;
+    std::vector<QueuedRequest> kept;
+    kept.reserve(m_queue.size());
+    for (auto &queued : m_queue) {
+        const auto &request = queued.request;
+        auto &ahead = aheadByLane[{request.service, kindOf(request)}];
+        const bool inTime = canBeInTime(queued, now);
+        const auto verdict
+            = inTime ? overload::Verdict::InTime : m_admission.decide(request, queued.ticket, ahead, now);
+        if (verdict == overload::Verdict::Refuse && m_admission.mayRefuse(request, now)) {
+            refusals.emplace_back(request.vm, m_admission.refuse(request, queued.ticket, ahead, now));
+            continue;
+        }
+        (inTime ? ahead.inTime : ahead.late) += queued.ticket.work;
+        kept.push_back(std::move(queued));
+    }
+    m_queue = std::move(kept);
+    return refusals;
+}
+
+bool Scheduler::canBeInTime(const QueuedRequest &queued, core::Time now) const
+{
+    const bool hasSlack = slackTime(queued, now) >= absl::ZeroDuration();
+    return m_admission.isActive() ? hasSlack && m_admission.canBeInTime(queued.request, queued.ticket, now) : hasSlack;
+}
+
 core::Duration Scheduler::slackTime(const QueuedRequest &queued, core::Time now) const
 {
     const auto &request = queued.request;
@@ -191,8 +318,8 @@
 {
     const auto orderOf = [this, now](const QueuedRequest &waiting) {
         const auto slack = slackTime(waiting, now);
-        const bool late = slack < absl::ZeroDuration();
-        return std::make_tuple(waiting.request.priority, late, !waiting.request.shortGaps, slack);
+        return std::make_tuple(waiting.request.priority, !canBeInTime(waiting, now), !waiting.ticket.returnedOnTime,
+                               !waiting.request.shortGaps, slack);
     };
     using Order = decltype(orderOf(m_queue.front()));
     std::vector<std::pair<Order, QueuedRequest>> ordered;
@@ -217,7 +344,9 @@
     request.ttftObjective = placementRequest.ttftObjective;
     request.shortGaps = placementRequest.shortGaps;
     request.waited = now - arrivedAt;
-    request.mayQueue = relay::mayQueueAtEngine(request.waited, placementRequest.ttftObjective);
+    // With admission by prediction, short-gap prompts wait here: one that is queued at an engine cannot be overtaken.
+    request.mayQueue = (!m_admission.isActive() || !placementRequest.shortGaps)
+        && relay::mayQueueAtEngine(request.waited, placementRequest.ttftObjective);
     request.callerTimeout = placementRequest.callerTimeout;
     if (const auto found = m_context.pauses.find(placementRequest.service); found != m_context.pauses.end()) {
         request.toleratedGaps = found->second;
@@ -264,6 +393,7 @@
 
 void Scheduler::cancel(const PlacementCancel &cancel)
 {
+    m_admission.cancel(cancel);
     std::erase_if(m_queue, [&cancel](const QueuedRequest &waiting) {
         return waiting.request.vm == cancel.vm && waiting.request.requestNumber == cancel.requestNumber;
     });
@@ -285,6 +415,7 @@
 {
     std::vector<std::pair<std::string, PlacementReply>> grants;
     if (m_queue.empty() || !m_context.table) {
+        static_cast<void>(refuseHopeless(now)); // Notes that nothing waits.
         return grants;
     }
     sortQueue(now);
@@ -293,7 +424,7 @@
     bool inTimeRequestWaiting
         = false; // A request that tolerates longer gaps found no engine, but can still be in time.
     for (auto queued = m_queue.begin(); queued != m_queue.end();) {
-        const bool late = slackTime(*queued, now) < absl::ZeroDuration();
+        const bool late = !canBeInTime(*queued, now);
         auto &failures = queued->request.shortGaps ? failedShortGaps : failedLongGaps;
         const bool deferred = late && !queued->request.shortGaps && inTimeRequestWaiting;
         auto reply = failures >= MaxFailedPlacements || deferred ? std::optional<PlacementReply>()
@@ -305,9 +436,12 @@
             continue;
         }
         failures = 0;
+        noteGrant(*queued, *reply, now);
         grants.emplace_back(queued->request.vm, std::move(*reply));
         queued = m_queue.erase(queued);
     }
+    auto refusals = refuseHopeless(now);
+    std::move(refusals.begin(), refusals.end(), std::back_inserter(grants));
     return grants;
 }
 
@@ -315,6 +449,7 @@
 {
     std::erase_if(m_queue,
                   [now](const QueuedRequest &waiting) { return now - waiting.lastReceivedAt > QueuedRequestTtl; });
+    m_admission.removeExpired(now);
     for (auto grant = m_grants.begin(); grant != m_grants.end();) {
         grant = now - grant->second.grantedAt > GrantTtl ? removeGrant(grant) : std::next(grant);
     }
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -322,6 +322,11 @@
     request.rates = relay::rateReports(m_context, MaxReportedRates, now);
     request.localDomainOnly = scheduler.fallback;
     request.localHelpersOnly = query.localHelpersOnly;
+    request.organisation = query.organisation;
+    request.digest = query.digest;
+    request.timeLeft = query.timeLeft;
+    request.mayHaveRun = query.mayHaveRun;
+    m_mayHaveRun = query.mayHaveRun;
     m_nextDueAt = now + RetryInterval;
     m_client->sendRequest(request, scheduler, now);
 }
@@ -342,8 +347,13 @@
     if (reply.requestNumber != m_requestNumber || reply.kind == ReplyKind::Declined) {
         return std::nullopt;
     }
-    if (reply.kind == ReplyKind::Queued) {
+    if (reply.kind == ReplyKind::Refused && !m_mayHaveRun) {
+        m_refusal = reply.retryAfter;
+        return std::nullopt;
+    }
+    if (reply.kind == ReplyKind::Queued || reply.kind == ReplyKind::Refused) {
         m_queued = true;
+        m_held = true;
         m_nextDueAt = now + QueuedRepeatInterval;
         return std::nullopt;
     }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -176,6 +176,10 @@
     }
     query.avoidedTargets = m_context.targets.avoidedTargets(now);
     query.localHelpersOnly = m_anyHelpFailed;
+    query.organisation = m_organisation.empty() ? 0 : static_cast<std::uint32_t>(core::fastHash(m_organisation));
+    query.digest = m_digest.high;
+    query.timeLeft = m_deadline - now;
+    query.mayHaveRun = m_mayHaveRun;
     query.excludedTargets = m_unreachableTargets;
     const bool targetLimitReached = m_sentTo.size() >= static_cast<std::size_t>(m_route->maxTargets);
     if (targetLimitReached) {
--- a/src/relay/request_timeouts.cpp
+++ b/src/relay/request_timeouts.cpp
@@ -61,9 +61,19 @@
     return request;
 }
 
-bool RequestProgress::waitExpired(core::Time now) const noexcept
+bool RequestProgress::waitExpired(core::Time now, bool heldByScheduler) const noexcept
 {
-    return relay::waitExpired(waitingRequest(), now);
+    auto request = waitingRequest();
+    if (heldByScheduler && m_context.features().admission) {
+        request.attemptTime = absl::ZeroDuration();
+        request.maxWait = callerTimeout();
+    }
+    return relay::waitExpired(request, now);
+}
+
+void RequestProgress::recordRefusal(core::Duration retryAfter) noexcept
+{
+    m_refusalRetryAfter = retryAfter;
 }
 
 std::optional<Unavailability> RequestProgress::unavailability(const Target &target, core::Time now) const
@@ -162,6 +172,9 @@
 
 core::Duration RequestProgress::retryAfter(Reason reason, core::Time now) const
 {
+    if (reason == Reason::PredictedLate) {
+        return m_refusalRetryAfter;
+    }
     if (reason != Reason::TargetsCoolingDown && reason != Reason::TargetsLimited) {
         return relay::retryAfter(reason, std::nullopt, 0, now);
     }
