--- a/bench/cores_bench.cpp
+++ b/bench/cores_bench.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/admission/request_body.h"
 #include "spurlug/config/configuration.h"
 #include "spurlug/config/parts.h"
+#include "spurlug/control/scheduler.h"
 #include "spurlug/core/rendezvous.h"
 #include "spurlug/dispatch/sse.h"
 #include "spurlug/dispatch/token_reassembler.h"
@@ -167,6 +168,73 @@
 }
 BENCHMARK(serveAsks)->Arg(10)->Arg(30)->Arg(100)->Arg(300)->Unit(benchmark::kMicrosecond);
 
+/// A scheduler whose engines are full, and prompts that wait for them, admitted by prediction.
+struct FullEngines
+{
+    explicit FullEngines(std::int64_t waiting)
+    {
+        constexpr int Slots = 12;
+        constexpr int Engines = 54;
+        settings.vm = "scheduler";
+        settings.overload.admission = settings::FeatureMode::On;
+        auto table = core::makeRef<config::RouteTable>();
+        table->version = 1;
+        config::ServiceSpec service;
+        service.name = "model";
+        service.engine.emplace();
+        service.engine->slots = Slots;
+        service.engine->kvMemoryTokens = 197'200;
+        service.engine->meanAnswerTokens = 500;
+        table->services.emplace("model", service);
+        context.activateConfiguration(table, "{}", "bench", Now);
+        for (int i = 0; i < Engines; ++i) {
+            context.targets.put({"engine-" + std::to_string(i), "model", {"127.0.0.1", 8000}, "hall-a", Slots, false});
+        }
+        request.vm = "vm-1";
+        request.service = "model";
+        request.prompt = {5000, 500};
+        request.ttftObjective = absl::Milliseconds(300);
+        request.callerTimeout = absl::Seconds(2);
+        while (static_cast<std::int64_t>(scheduler.queuedCount()) < waiting) {
+            ask();
+        }
+    }
+
+    control::PlacementReply ask()
+    {
+        request.digest = ++request.requestNumber;
+        return scheduler.handleRequest(request, Now);
+    }
+
+    net::Loop loop;
+    settings::RelaySettings settings;
+    metrics::Metrics metrics;
+    relay::RelayContext context{loop, settings, metrics, Now};
+    control::Scheduler scheduler{context};
+    control::PlacementRequest request;
+};
+
+/// A request that joins the queue and leaves it again.
+void admitPrompt(benchmark::State &state)
+{
+    FullEngines fleet(state.range(0));
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(fleet.ask());
+        fleet.scheduler.cancel({fleet.request.vm, fleet.request.requestNumber});
+    }
+}
+BENCHMARK(admitPrompt)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
+
+/// A round of placements that finds no engine; there is one every 10 ms while anything waits.
+void runPlacementRound(benchmark::State &state)
+{
+    FullEngines fleet(state.range(0));
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(fleet.scheduler.placeQueued(Now));
+    }
+}
+BENCHMARK(runPlacementRound)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
+
 void relayToken(benchmark::State &state)
 {
     const std::string event = "id: 0\ndata: {\"id\":\"x\",\"object\":\"chat.completion.chunk\",\"created\":1764000000,"
--- a/tests/platform/overload_test.cpp
+++ b/tests/platform/overload_test.cpp
@@ -5,6 +5,8 @@
 
 #include "relay_fleet.h"
 
+#include "spurlug/core/text.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
@@ -113,6 +115,78 @@
     });
 }
 
+// A crowd of callers at an engine without reserve: whoever cannot be served before it leaves is told so at once, truly
+// and with a time to return. Without admission, all waited for their objective and were then refused with the same
+// constant time. While a slot is free, nobody may be refused.
+BOOST_AUTO_TEST_CASE(a_crowd_is_refused_truly_and_a_free_slot_never)
+{
+    constexpr int Slots = 4;
+    RelayFleet fleet;
+    auto &target = fleet.addTarget("model", Slots);
+    target.behaviour.eventCount = 5;
+    target.behaviour.eventInterval = absl::Milliseconds(200);
+    auto &engine = fleet.configuration["services"][1]["engine"];
+    engine["slots"] = Slots;
+    engine["usual"] = {{"prompt", 50'000}, {"answer", 900}}; // Memory-bound, so that admission is active.
+    fleet.configuration["routes"][2]["slo_ms"] = 300;
+    fleet.writeConfiguration();
+    std::vector<CallerAnswer> answers;
+    std::size_t started = 0;
+    const auto start = [&] {
+        ++started;
+        net::asio::co_spawn(
+            fleet.loop,
+            [&fleet, &answers, number = started]() -> net::Task<> {
+                CallerRequest request;
+                request.path = "/chat/1";
+                request.promptTokens = 1000;
+                request.body = core::cat("question ", number); // Equal content would be one returning caller.
+                auto answer = co_await fleet.send(request);
+                answers.push_back(std::move(answer));
+            },
+            net::asio::detached);
+    };
+    const auto awaitAnswers = [&]() -> net::Task<> {
+        while (answers.size() < started) {
+            co_await net::sleepFor(absl::Milliseconds(10));
+        }
+    };
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        for (int i = 0; i < 40; ++i) {
+            start();
+        }
+        co_await awaitAnswers();
+        std::size_t served = 0;
+        for (const auto &answer : answers) {
+            served += answer.status == 200 && answer.isComplete ? 1 : 0;
+            if (answer.status != 200) {
+                BOOST_TEST(answer.status == 503);
+                BOOST_TEST(answer.body.find("predicted_late") != std::string::npos);
+                BOOST_TEST(answer.timeToHead < absl::Seconds(2)); // When the caller leaves.
+                const auto *retryAfter = answer.head.headers.find("Retry-After");
+                const auto seconds = retryAfter != nullptr ? std::stod(std::string(*retryAfter)) : 0;
+                BOOST_TEST((seconds == 0 || (seconds >= 0.1 && seconds <= 1))); // A third of 3 s.
+            }
+        }
+        BOOST_TEST(target.startedRequests().size() == served); // Refused requests did not run.
+        BOOST_TEST(served >= static_cast<std::size_t>(Slots));
+        const auto refused = co_await fleet.metric("admission_refused_total");
+        BOOST_TEST(refused == static_cast<double>(answers.size() - served));
+        BOOST_TEST(refused > 0);
+        answers.clear();
+        started = 0;
+        for (int round = 0; round < 3; ++round) {
+            for (int i = 0; i < Slots - 1; ++i) {
+                start();
+            }
+            co_await awaitAnswers();
+        }
+        BOOST_TEST(
+            std::all_of(answers.begin(), answers.end(), [](const auto &answer) { return answer.status == 200; }));
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_prompt_beyond_one_engine_s_memory_is_spread_and_its_memory_released)
 {
     RelayFleet fleet;
