Place long prompts by the streams that each engine has

Cause: in a service whose prompts fill the KV memory of an engine, most engines have one long stream. They accepted prefill parts only up to the gap of the strictest route with longer gaps. Four failed placements ended a round, so the largest prompts at the head of the queue blocked smaller ones, and a late prompt waited for enough engines although no prompt in time needed them.

Change, active with the feature `admission`: - Streams with the longest gap of the service are counted by themselves, in a daemon's work and in grants (`PlacementAsk.long_gap`). An engine that has only those accepts parts up to that gap. Streams with a middle gap prefer engines that have such streams. - A round allows 16 failed placements for each kind, counted over the round. A late long prompt yields only to prompts in time that are no larger and found no engine. - A late prompt that no prompt in time waits for is limited by the time that its caller still waits.

The choice of engines in `prefillersInTime` is not changed: its iteration ends at the largest number of engines that accept their parts. A test compares it with a search over all numbers.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -68,6 +68,7 @@
     core::Duration ttftObjective
         = absl::ZeroDuration(); ///< Time from arrival within which the first event should come.
     bool shortGaps = true; ///< Whether its stream tolerates only short gaps between tokens.
+    bool longGap = false; ///< Whether its stream tolerates the longest gap of the service.
     core::Duration waited = absl::ZeroDuration(); ///< Time since the prompt arrived, as of sending.
     core::Duration callerTimeout
         = absl::InfiniteDuration(); ///< Time from arrival until the caller is likely to give up.
--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -99,6 +99,9 @@
     /// Time that would be left until the first event of a prompt is due if as many engines as may share it began to
     /// prefill it now; negative if it will be late.
     [[nodiscard]] core::Duration slackTime(const QueuedRequest &queued, core::Time now) const;
+    /// Whether the first event of a queued request can still come in time.
+    [[nodiscard]] bool canBeInTime(const QueuedRequest &queued, core::Time now) const;
+    void updateInTimePromptWaits(core::Time now);
     void applyOutcome(const TargetOutcome &outcome, const std::string &requesterDomain, core::Time now);
     /// Records how an engine responded when another one asked it for help. An engine that refuses help may still answer
     /// its own requests well.
@@ -115,6 +118,8 @@
     std::vector<QueuedRequest> m_queue;
     std::map<std::string, ReportState> m_reportStates; ///< By daemon.
     std::uint64_t m_newestGrant = 0;
+    /// Whether a queued prompt that tolerates longer gaps can still be in time; true without admission by prediction.
+    bool m_inTimePromptWaits = true;
 };
 
 } // namespace spurlug::control
--- a/include/spurlug/relay/engine_estimate.h
+++ b/include/spurlug/relay/engine_estimate.h
@@ -55,6 +55,8 @@
     /// \brief Whether the engine's streams stay within their tolerated gaps if it prefills one more part. An engine
     /// without streams accepts parts of any length, but only if little prefill is queued there.
     [[nodiscard]] bool staysInTime(std::size_t candidate, double part) const noexcept;
+    /// \brief Number of streams that tolerate neither only short gaps nor the longest gap of the service.
+    [[nodiscard]] std::int64_t middleStreams(std::size_t candidate) const noexcept;
     /// \brief Cost of reaching the engine, plus jitter that differs by request, so that daemons which see the same
     /// loads choose differently.
     [[nodiscard]] double networkCostMs(std::size_t candidate) const noexcept;
@@ -68,6 +70,9 @@
     /// Longest batch pass that keeps streams with the given tolerated gap in time.
     [[nodiscard]] double maxPassMs(core::Duration gap) const noexcept;
 
+    /// Smallest gap tolerated by the engine's streams other than those that tolerate only short gaps.
+    [[nodiscard]] core::Duration otherStreamsGap(std::size_t candidate) const noexcept;
+
     const config::EngineCosts &m_costs;
     const PromptRequest &m_request;
     const std::vector<Candidate> &m_candidates;
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -35,6 +35,13 @@
     PromptInfo prompt;
     core::Duration ttftObjective; ///< TTFT objective: time to the first event that counts as in time.
     bool shortGaps = true; ///< Whether its stream tolerates only short gaps between events.
+    bool longGap = false; ///< Whether its stream tolerates the longest gap of the service.
+    /// Whether the streams that an engine has limit the prefill parts that it accepts, instead of the strictest streams
+    /// of the service. Set while admission by prediction is active.
+    bool gapsByEngine = false;
+    /// Whether a prompt with longer gaps that can still be in time waits. It needs the engines that a late one
+    /// occupies.
+    bool inTimePromptWaits = true;
     /// Whether a request that tolerates only short gaps has waited here long enough to queue for a slot.
     bool mayQueue = false;
     core::Duration waited = absl::ZeroDuration(); ///< Time since its arrival.
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -178,6 +178,8 @@
     [[nodiscard]] const std::string &chooseService();
     /// Whether the stream tolerates only short gaps between events.
     [[nodiscard]] bool needsShortGaps() const noexcept;
+    /// Whether the stream tolerates the longest gap of its service; false while admission by prediction is not active.
+    [[nodiscard]] bool toleratesLongestGap() const;
     [[nodiscard]] Refusal refuse(core::Reason reason, core::Time now) const;
     /// What the wait of the request depends on.
     [[nodiscard]] WaitingRequest waitingRequest() const noexcept;
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -149,6 +149,7 @@
     out.set_answer_tokens(clampToUint32(request.prompt.maxAnswerTokens));
     out.set_aim_ms(toMs32(request.ttftObjective));
     out.set_tight(request.shortGaps);
+    out.set_long_gap(request.longGap);
     out.set_waited_ms(toMs32(request.waited));
     out.set_patience_ms(toMs32(request.callerTimeout));
     out.set_priority(clampToUint32(request.priority));
@@ -173,6 +174,7 @@
     request.prompt = {in.prompt_tokens(), in.answer_tokens()};
     request.ttftObjective = fromMs32(in.aim_ms());
     request.shortGaps = in.tight();
+    request.longGap = in.long_gap();
     request.waited = fromMs32(in.waited_ms());
     request.callerTimeout = fromMs32(in.patience_ms());
     request.priority = static_cast<int>(std::min<std::uint32_t>(in.priority(), std::numeric_limits<int>::max()));
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -10,6 +10,7 @@
 #include "spurlug/relay/target_notice.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <tuple>
 
@@ -27,6 +28,10 @@
 /// After this many consecutive requests found no engine, the rest of their kind (with or without the need for short
 /// gaps) is left for the next round: they differ little, and each attempt costs some tens of us.
 constexpr int MaxFailedPlacements = 4;
+/// The same with admission by prediction, counted over the round: the largest prompts fail first, and smaller ones
+/// behind them may still find an engine.
+constexpr int MaxFailedPlacementsPerRound = 16;
+constexpr auto NoPrompt = std::numeric_limits<std::int64_t>::max(); ///< Larger than any prompt, tokens.
 constexpr auto AssumedLoadAge = absl::Milliseconds(20); ///< Network transit and processing delay at both ends.
 
 /// Key under which the work of a grant is recorded, next to the VM names of reporting daemons.
@@ -165,6 +170,7 @@
         known->request = ask; // The daemon's list of unwanted targets may have changed.
         return reply;
     }
+    updateInTimePromptWaits(now);
     if (auto granted = place(ask, now - ask.waited, now)) {
         return *granted;
     }
@@ -187,11 +193,24 @@
     return queued.arrivedAt + request.ttftObjective - now - absl::Milliseconds(prefillMs);
 }
 
+bool Scheduler::canBeInTime(const QueuedRequest &queued, core::Time now) const
+{
+    return slackTime(queued, now) >= absl::ZeroDuration();
+}
+
+void Scheduler::updateInTimePromptWaits(core::Time now)
+{
+    m_inTimePromptWaits = !m_context.features().admission
+        || std::any_of(m_queue.begin(), m_queue.end(), [this, now](const QueuedRequest &waiting) {
+               return !waiting.request.shortGaps && canBeInTime(waiting, now);
+           });
+}
+
 void Scheduler::sortQueue(core::Time now)
 {
     const auto orderOf = [this, now](const QueuedRequest &waiting) {
         const auto slack = slackTime(waiting, now);
-        const bool late = slack < absl::ZeroDuration();
+        const bool late = !canBeInTime(waiting, now);
         return std::make_tuple(waiting.request.priority, late, !waiting.request.shortGaps, slack);
     };
     using Order = decltype(orderOf(m_queue.front()));
@@ -216,6 +235,9 @@
     request.prompt = placementRequest.prompt;
     request.ttftObjective = placementRequest.ttftObjective;
     request.shortGaps = placementRequest.shortGaps;
+    request.gapsByEngine = m_context.features().admission;
+    request.longGap = request.gapsByEngine && placementRequest.longGap;
+    request.inTimePromptWaits = !request.gapsByEngine || m_inTimePromptWaits;
     request.waited = now - arrivedAt;
     request.mayQueue = relay::mayQueueAtEngine(request.waited, placementRequest.ttftObjective);
     request.callerTimeout = placementRequest.callerTimeout;
@@ -256,6 +278,7 @@
         works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->expectedTtft)});
     }
     works.back().work.shortGapRequests = placementRequest.shortGaps ? 1 : 0;
+    works.back().work.longGapRequests = request.longGap ? 1 : 0;
     m_context.targets.setPeerWork(grantKey(reply.grantNumber), works, now);
     m_grants[reply.grantNumber] = {reply, placementRequest.vm, now};
     m_context.metrics.count(metrics::Counter::PlacementsGranted);
@@ -288,23 +311,32 @@
         return grants;
     }
     sortQueue(now);
+    updateInTimePromptWaits(now);
+    const bool countsPerRound = m_context.features().admission;
+    const int maxFailures = countsPerRound ? MaxFailedPlacementsPerRound : MaxFailedPlacements;
     int failedShortGaps = 0;
     int failedLongGaps = 0;
-    bool inTimeRequestWaiting
-        = false; // A request that tolerates longer gaps found no engine, but can still be in time.
+    // Size of the smallest prompt that tolerates longer gaps, found no engine, but can still be in time.
+    auto smallestInTime = NoPrompt;
     for (auto queued = m_queue.begin(); queued != m_queue.end();) {
-        const bool late = slackTime(*queued, now) < absl::ZeroDuration();
-        auto &failures = queued->request.shortGaps ? failedShortGaps : failedLongGaps;
-        const bool deferred = late && !queued->request.shortGaps && inTimeRequestWaiting;
-        auto reply = failures >= MaxFailedPlacements || deferred ? std::optional<PlacementReply>()
-                                                                 : place(queued->request, queued->arrivedAt, now);
+        const auto &request = queued->request;
+        const bool late = !canBeInTime(*queued, now);
+        auto &failures = request.shortGaps ? failedShortGaps : failedLongGaps;
+        // A late prompt leaves the engines to one that can be in time. With admission by prediction, it does so only
+        // for one that is no larger: a larger one found none of the engines sufficient that serve the late one.
+        const bool yields = countsPerRound ? smallestInTime <= request.prompt.promptTokens : smallestInTime != NoPrompt;
+        const bool deferred = late && !request.shortGaps && yields;
+        auto reply = failures >= maxFailures || deferred ? std::optional<PlacementReply>()
+                                                         : place(request, queued->arrivedAt, now);
         if (!reply) {
-            ++failures;
-            inTimeRequestWaiting = inTimeRequestWaiting || (!late && !queued->request.shortGaps);
+            failures += countsPerRound && deferred ? 0 : 1;
+            if (!late && !request.shortGaps) {
+                smallestInTime = std::min(smallestInTime, request.prompt.promptTokens);
+            }
             ++queued;
             continue;
         }
-        failures = 0;
+        failures = countsPerRound ? failures : 0;
         grants.emplace_back(queued->request.vm, std::move(*reply));
         queued = m_queue.erase(queued);
     }
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -313,6 +313,7 @@
     request.prompt = query.prompt->prompt;
     request.ttftObjective = query.prompt->ttftObjective;
     request.shortGaps = query.prompt->shortGaps;
+    request.longGap = query.prompt->longGap;
     request.waited = query.prompt->waited;
     request.callerTimeout = query.prompt->callerTimeout;
     request.priority = priority;
--- a/src/relay/engine_estimate.cpp
+++ b/src/relay/engine_estimate.cpp
@@ -114,7 +114,7 @@
     const auto shortGapDelayMs = static_cast<double>(load.shortGapRequests)
         * std::max(0.0, pass - maxPassMs(m_request.toleratedGaps.shortGapStreams));
     const auto longGapDelayMs
-        = static_cast<double>(longGapStreams) * std::max(0.0, pass - maxPassMs(m_request.toleratedGaps.otherStreams));
+        = static_cast<double>(longGapStreams) * std::max(0.0, pass - maxPassMs(otherStreamsGap(candidate)));
     return (shortGapDelayMs + longGapDelayMs) * m_weights.harmWeight;
 }
 
@@ -123,6 +123,20 @@
     return absl::ToDoubleMilliseconds(gap) * m_weights.passShare;
 }
 
+std::int64_t EngineEstimate::middleStreams(std::size_t candidate) const noexcept
+{
+    const auto &load = at(candidate).load;
+    return std::max<std::int64_t>(load.requests - load.shortGapRequests - load.longGapRequests, 0);
+}
+
+core::Duration EngineEstimate::otherStreamsGap(std::size_t candidate) const noexcept
+{
+    const auto &gaps = m_request.toleratedGaps;
+    const bool onlyLongestGaps
+        = m_request.gapsByEngine && at(candidate).load.longGapRequests > 0 && middleStreams(candidate) == 0;
+    return onlyLongestGaps ? std::max(gaps.otherStreams, gaps.longestGap) : gaps.otherStreams;
+}
+
 bool EngineEstimate::staysInTime(std::size_t candidate, double part) const noexcept
 {
     const auto &load = at(candidate).load;
@@ -130,9 +144,8 @@
     if (!servesShortGaps(candidate) && load.requests == 0) {
         return queuedMs <= m_weights.emptyAheadMs; // No stream waits for its passes.
     }
-    const auto &pauses = m_request.toleratedGaps;
-    return decodePassMs(m_costs, load) + queuedMs + part
-        <= maxPassMs(servesShortGaps(candidate) ? pauses.shortGapStreams : pauses.otherStreams);
+    const auto gap = servesShortGaps(candidate) ? m_request.toleratedGaps.shortGapStreams : otherStreamsGap(candidate);
+    return decodePassMs(m_costs, load) + queuedMs + part <= maxPassMs(gap);
 }
 
 double EngineEstimate::networkCostMs(std::size_t candidate) const noexcept
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -146,12 +146,24 @@
     return m_route->gapObjective < m_context.settings.placement.tightGap;
 }
 
+bool RequestProgress::toleratesLongestGap() const
+{
+    const auto found = m_context.pauses.find(m_service);
+    if (!m_context.features().admission || needsShortGaps() || found == m_context.pauses.end()) {
+        return false;
+    }
+    const auto &longestGap = found->second.longestGap;
+    return longestGap > absl::ZeroDuration() && m_route->gapObjective >= longestGap; // It may be infinite.
+}
+
 PromptRequest RequestProgress::promptRequest(core::Time now) const
 {
     PromptRequest request;
     request.prompt = *m_facts.prompt;
     request.ttftObjective = m_route->latencyObjective;
     request.shortGaps = needsShortGaps();
+    request.longGap = toleratesLongestGap();
+    request.gapsByEngine = m_context.features().admission;
     request.waited = now - m_arrivedAt;
     request.mayQueue = mayQueueAtEngine(request.waited, m_route->latencyObjective);
     request.callerTimeout = std::min(callerTimeout(), m_deadline - m_arrivedAt);
@@ -201,7 +213,8 @@
     m_sentAt = now;
     ++m_attempts;
     const auto expected = now + chosen.expectedTtft;
-    const auto works = addedWork(chosen, m_facts.prompt.value_or(PromptInfo{}));
+    auto works = addedWork(chosen, m_facts.prompt.value_or(PromptInfo{}));
+    works.back().second.longGapRequests = toleratesLongestGap() ? 1 : 0;
     for (std::size_t i = 0; i < works.size(); ++i) {
         const bool answers = i + 1 == works.size();
         const auto kind = answers ? LocalWork::Kind::Request : LocalWork::Kind::PrefillPart;
--- a/src/relay/spread_placement.cpp
+++ b/src/relay/spread_placement.cpp
@@ -56,8 +56,11 @@
             return ttftObjectiveMs - waitedMs;
         }
         const auto remainingMs = absl::ToDoubleMilliseconds(m_request.callerTimeout) - waitedMs;
-        return std::min(std::max(ttftObjectiveMs * m_weights.lateSpan, fastestMs * MaxSlowdown),
-                        remainingMs * m_weights.patienceShare);
+        const auto callerLimitMs = remainingMs * m_weights.patienceShare;
+        if (!m_request.inTimePromptWaits) {
+            return callerLimitMs; // No other prompt would be in time on the engines that it occupies.
+        }
+        return std::min(std::max(ttftObjectiveMs * m_weights.lateSpan, fastestMs * MaxSlowdown), callerLimitMs);
     }
 
     /// Number of engines that would prefill the prompt if none had other work. Engines that recover from failures do
@@ -154,6 +157,17 @@
         return candidates;
     }
 
+    /// Whether the engine has streams beside which one more does not lower the gap that the engine tolerates. A stream
+    /// with a middle gap beside streams with only the longest one halves the parts that the engine accepts.
+    [[nodiscard]] bool gathersWithAlike(std::size_t candidate) const
+    {
+        if (m_request.gapsByEngine && !m_request.longGap) {
+            return m_engines.middleStreams(candidate) > 0;
+        }
+        const auto &load = m_engines.at(candidate).load;
+        return load.requests != load.shortGapRequests;
+    }
+
     /// The cheapest engine that can generate the answer; std::nullopt if none has both a slot and memory.
     [[nodiscard]] std::optional<std::size_t> cheapestTarget(const Prefillers &prefillers, double part) const
     {
@@ -163,9 +177,7 @@
             if (!m_engines.hasSlot(i) || !m_engines.fitsPrompt(i)) {
                 continue;
             }
-            const auto &load = m_engines.at(i).load;
-            const bool noLongGapStreams = load.requests == load.shortGapRequests;
-            const auto cost = costOf(i, part) + (noLongGapStreams ? m_weights.gatherCostMs : 0);
+            const auto cost = costOf(i, part) + (gathersWithAlike(i) ? 0 : m_weights.gatherCostMs);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = i;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -53,9 +53,10 @@
 /// A scheduler with engines of 10 slots each, as in a large fleet.
 struct SchedulerState
 {
-    explicit SchedulerState(int engines)
+    explicit SchedulerState(int engines, settings::FeatureMode overloadMode = settings::FeatureMode::Auto)
     {
         settings.vm = "scheduler";
+        settings.overload.admission = settings.overload.fairShares = overloadMode;
         auto table = core::makeRef<config::RouteTable>();
         table->version = 1;
         config::Route route;
@@ -406,6 +407,47 @@
     BOOST_TEST(grants.front().first == "fresh");
 }
 
+// Guards against grants that a scheduler counts as streams with a middle gap until the daemon reports them.
+BOOST_AUTO_TEST_CASE(a_grant_counts_as_a_stream_with_the_longest_gap_only_with_admission)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        SchedulerState state(1, mode);
+        auto request = shortPromptRequest("a", 1);
+        request.shortGaps = false;
+        request.longGap = true;
+        BOOST_REQUIRE((state.scheduler.handleRequest(request, at(0)).kind == ReplyKind::Granted));
+        const auto load = state.context.targets.find("engine-0")->load(at(0));
+        BOOST_TEST(load.longGapRequests == (mode == settings::FeatureMode::On ? 1 : 0));
+    }
+}
+
+// Guards against rounds that end at the largest prompts: four that exceed the memory of all engines kept the engines
+// from the smaller prompts behind them.
+BOOST_AUTO_TEST_CASE(prompts_that_find_no_engine_do_not_end_the_round_for_smaller_ones)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        SchedulerState state(2, mode);
+        auto request = shortPromptRequest("a", 0);
+        request.shortGaps = false;
+        request.ttftObjective = absl::Milliseconds(6000);
+        request.callerTimeout = absl::Seconds(24);
+        auto busy = workReport("busy", 1, 0);
+        for (const auto &[id, target] : state.context.targets.all()) {
+            busy.work.push_back({target->hash, {.partPrefillMicros = 600'000, .prefillParts = 1}, 600'000});
+        }
+        state.scheduler.applyReport(busy, at(0));
+        for (const std::int64_t tokens : {420'000, 420'000, 420'000, 420'000, 420'000, 20'000}) {
+            ++request.requestNumber;
+            request.prompt = {tokens, 500};
+            BOOST_TEST((state.scheduler.handleRequest(request, at(1)).kind == ReplyKind::Queued));
+        }
+        state.scheduler.applyReport(workReport("busy", 2, 0), at(400));
+        const auto grants = state.scheduler.placeQueued(at(400));
+        BOOST_TEST(grants.size() == (mode == settings::FeatureMode::On ? 1U : 0U));
+        BOOST_TEST(state.scheduler.queuedCount() == 6 - grants.size());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reported_prefill_decreases_until_the_next_report)
 {
     SchedulerState state(1);
@@ -499,6 +541,7 @@
     request.excludedTargets = {1, 2};
     request.allowedTargets = {3};
     request.localDomainOnly = true;
+    request.longGap = true;
     const auto message = control::readMessage(control::writeMessage(request));
     BOOST_REQUIRE(message.has_value());
     const auto &decoded = std::get<control::PlacementRequest>(*message);
@@ -508,6 +551,7 @@
     BOOST_TEST(decoded.excludedTargets == request.excludedTargets, boost::test_tools::per_element());
     BOOST_TEST(decoded.allowedTargets == request.allowedTargets, boost::test_tools::per_element());
     BOOST_TEST(decoded.localDomainOnly);
+    BOOST_TEST(decoded.longGap);
     control::FreshnessReply reply;
     const auto decodedReply = control::readMessage(control::writeMessage(reply));
     BOOST_TEST((std::get<control::FreshnessReply>(*decodedReply).proofAge == absl::InfiniteDuration()));
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 #include "relay_fixtures.h"
+#include "spurlug/relay/engine_estimate.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -325,6 +326,99 @@
     BOOST_TEST(!placePrompt(engineCosts(), promptRequest(2000), candidates, {}, 1).has_value());
 }
 
+/// Returns engines each of which decodes one stream.
+std::vector<Candidate> decodingCandidates(std::size_t count, bool longGap)
+{
+    auto candidates = idleCandidates(count);
+    for (auto &candidate : candidates) {
+        candidate.load.requests = candidate.load.decodingRequests = 1;
+        candidate.load.longGapRequests = longGap ? 1 : 0;
+    }
+    return candidates;
+}
+
+/// Returns a prompt of `tokens` tokens at a service with gaps of 250, 600 and 1,000 ms.
+PromptRequest contendedRequest(std::int64_t tokens, bool longGap)
+{
+    auto request = promptRequest(tokens, false);
+    request.gapsByEngine = true;
+    request.longGap = longGap;
+    request.toleratedGaps.longestGap = absl::Milliseconds(1000);
+    return request;
+}
+
+// Guards against long prompts that wait although only streams with the longest gap run: every engine with a stream
+// accepted parts as if it had a stream of the strictest route with longer gaps.
+BOOST_AUTO_TEST_CASE(an_engine_with_only_longest_gap_streams_accepts_parts_up_to_that_gap)
+{
+    const auto request = contendedRequest(130'000, true); // Parts of 551 ms on three engines; 468 and 780 ms fit.
+    BOOST_TEST(placePrompt(engineCosts(), request, decodingCandidates(3, true), {}, 1).has_value());
+    BOOST_TEST(!placePrompt(engineCosts(), request, decodingCandidates(3, false), {}, 1).has_value());
+    auto mixed = decodingCandidates(3, true);
+    for (auto &candidate : mixed) {
+        ++candidate.load.requests; // A stream with a middle gap that is not in the decode phase yet.
+    }
+    BOOST_TEST(!placePrompt(engineCosts(), request, mixed, {}, 1).has_value());
+    auto withoutFeature = request;
+    withoutFeature.gapsByEngine = false;
+    BOOST_TEST(!placePrompt(engineCosts(), withoutFeature, decodingCandidates(3, true), {}, 1).has_value());
+}
+
+// Guards against one middle stream on each engine, which halves the parts that all of them accept.
+BOOST_AUTO_TEST_CASE(middle_streams_gather_on_engines_that_have_one)
+{
+    auto candidates = decodingCandidates(8, true);
+    candidates[5].load.longGapRequests = 0;
+    const auto middle = placePrompt(engineCosts(), contendedRequest(45'000, false), candidates, {}, 1);
+    BOOST_REQUIRE(middle.has_value());
+    BOOST_TEST(middle->target == 5U);
+}
+
+// Guards against a choice of engines that leaves out some that would accept parts of the size in use.
+BOOST_AUTO_TEST_CASE(a_long_prompt_uses_the_largest_number_of_engines_that_accept_its_parts)
+{
+    const auto costs = engineCosts();
+    const PlacementWeights weights;
+    std::mt19937_64 random(1);
+    for (int round = 0; round < 200; ++round) {
+        const auto request = contendedRequest(60'000 + static_cast<std::int64_t>(random() % 120'000), true);
+        auto candidates = decodingCandidates(12, true);
+        for (auto &candidate : candidates) {
+            candidate.load.longGapRequests = static_cast<std::int64_t>(random() % 2);
+            candidate.load.partPrefillMicros = static_cast<std::int64_t>(random() % 500'000);
+        }
+        const EngineEstimate engines(costs, request, candidates, weights, 1);
+        std::size_t largest = 0;
+        for (std::size_t parts = 1; parts <= candidates.size(); ++parts) {
+            const auto part = prefillPartMs(costs, request.prompt.promptTokens, parts);
+            std::size_t accepting = 0;
+            for (std::size_t i = 0; i < candidates.size(); ++i) {
+                accepting += engines.staysInTime(i, part) ? 1 : 0;
+            }
+            largest = accepting >= parts ? parts : largest;
+        }
+        const auto placement = placePrompt(costs, request, candidates, weights, 1);
+        BOOST_TEST((placement ? placement->helpers.size() + 1 : 0) == largest);
+    }
+}
+
+// Guards against idle engines while late prompts wait: they are placed if their callers are still there at the first
+// event, unless a prompt that can be in time needs the engines.
+BOOST_AUTO_TEST_CASE(a_late_prompt_takes_few_engines_when_no_prompt_in_time_waits)
+{
+    auto candidates = idleCandidates(8);
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        candidates[i].load.partPrefillMicros = 600'000;
+    }
+    auto request = contendedRequest(190'000, true);
+    request.waited = absl::Seconds(4);
+    BOOST_TEST(!placePrompt(engineCosts(), request, candidates, {}, 1).has_value());
+    request.inTimePromptWaits = false;
+    BOOST_TEST(placePrompt(engineCosts(), request, candidates, {}, 1).has_value()); // 2.9 s of the 6 s left.
+    request.waited = absl::Milliseconds(7000);
+    BOOST_TEST(!placePrompt(engineCosts(), request, candidates, {}, 1).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
