Share engine time fairly between organisations that wait

Cause: all organisations shared one queue ordered by slack, and a new request was placed before those that waited. An organisation with many requests, or whose callers retry at once, got most of the engine time. Short prompts and prompts in time could keep all others waiting for as long as they came.

Change, active with the feature `fairShares`: - `overload::FairQueue` orders waiting requests by start-time fair queueing over engine time, with the weights of `overload.weights`, after priority, lateness, return time and kind. It tracks at most 256 organisations. - `overload::FloorCredits` gives less urgent priorities, longer gaps, and late prompts with longer gaps `floorShare` of the grants each while they wait. `overload::GrantRound` combines both into the attempts of one round. - A new request queues if others of its kind wait for its service.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include "spurlug/control/messages.h"
+#include "spurlug/overload/fair_queue.h"
+#include "spurlug/overload/grant_round.h"
 #include "spurlug/relay/target_choice.h"
 
 #include <cstdint>
@@ -53,7 +55,10 @@
     /// \brief Places queued requests, ordered by the operator's priority; then those that can still be in time before
     /// late ones; then those that tolerate only short gaps before others, because they occupy an engine for a fraction
     /// of the time; then by the least time to spare. A late request that tolerates longer gaps is skipped while another
-    /// of that kind can still be in time.
+    /// of that kind can still be in time; with admission by prediction, only if that one is no larger.
+    ///
+    /// With fair shares, the start time of the organisation precedes the time to spare, and less urgent requests get a
+    /// share of the grants, see overload::FairQueue and overload::FloorCredits.
     /// \returns Pairs of a daemon's VM and its grant.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> placeQueued(core::Time now);
 
@@ -95,7 +100,16 @@
     [[nodiscard]] std::optional<PlacementReply> place(const PlacementRequest &placementRequest, core::Time arrivedAt,
                                                       core::Time now);
     [[nodiscard]] bool canSchedule(const std::string &service) const;
-    void sortQueue(core::Time now);
+    /// Sorts the queue into the order of the grants.
+    /// \returns What this order depends on, by position in the queue.
+    std::vector<overload::QueueItem> sortQueue(core::Time now);
+    [[nodiscard]] std::vector<std::size_t> grantOrder(const std::vector<overload::QueueItem> &items);
+    /// Engine time that a request needs, ms: its prefill on all engines, and its part of the passes of a full engine.
+    [[nodiscard]] double engineMs(const PlacementRequest &request) const;
+    /// Whether a new request must queue because others of its kind wait for the service; otherwise organisations with
+    /// more new requests would get more engines.
+    [[nodiscard]] bool waitsBehindOthers(const PlacementRequest &request) const;
+    void noteQueuedGrant(const overload::QueueItem &item, overload::GrantRound &round);
     /// Time that would be left until the first event of a prompt is due if as many engines as may share it began to
     /// prefill it now; negative if it will be late.
     [[nodiscard]] core::Duration slackTime(const QueuedRequest &queued, core::Time now) const;
@@ -118,6 +132,8 @@
     std::vector<QueuedRequest> m_queue;
     std::map<std::string, ReportState> m_reportStates; ///< By daemon.
     std::uint64_t m_newestGrant = 0;
+    overload::FairQueue m_fairQueue;
+    overload::FloorCredits m_floors;
     /// Whether a queued prompt that tolerates longer gaps can still be in time; true without admission by prediction.
     bool m_inTimePromptWaits = true;
 };
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <tuple>
 
 namespace spurlug::control
@@ -44,6 +45,8 @@
 
 Scheduler::Scheduler(relay::RelayContext &context)
     : m_context(context)
+    , m_fairQueue(context.settings.overload)
+    , m_floors(context.settings.overload.floorShare)
 { }
 
 void Scheduler::setQueuedCallback(std::function<void()> callback)
@@ -171,7 +174,7 @@
         return reply;
     }
     updateInTimePromptWaits(now);
-    if (auto granted = place(ask, now - ask.waited, now)) {
+    if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, now - ask.waited, now)) {
         return *granted;
     }
     m_queue.push_back({ask, now - ask.waited, now});
@@ -180,6 +183,14 @@
     return reply;
 }
 
+bool Scheduler::waitsBehindOthers(const PlacementRequest &request) const
+{
+    return m_context.features().fairShares
+        && std::any_of(m_queue.begin(), m_queue.end(), [&request](const QueuedRequest &waiting) {
+               return waiting.request.service == request.service && waiting.request.shortGaps == request.shortGaps;
+           });
+}
+
 core::Duration Scheduler::slackTime(const QueuedRequest &queued, core::Time now) const
 {
     const auto &request = queued.request;
@@ -206,26 +217,60 @@
            });
 }
 
-void Scheduler::sortQueue(core::Time now)
+double Scheduler::engineMs(const PlacementRequest &request) const
+{
+    const auto *spec = m_context.table->serviceNamed(request.service);
+    if (spec == nullptr || !spec->engine) {
+        return 0; // The configuration changed.
+    }
+    const auto &costs = *spec->engine;
+    const auto slots = std::max(costs.slots, 1);
+    const auto stepMs = costs.stepMs + costs.perSequenceMs * slots;
+    return relay::prefillPartMs(costs, request.prompt.promptTokens, 1)
+        + static_cast<double>(request.prompt.maxAnswerTokens) * stepMs / slots;
+}
+
+std::vector<std::size_t> Scheduler::grantOrder(const std::vector<overload::QueueItem> &items)
 {
-    const auto orderOf = [this, now](const QueuedRequest &waiting) {
-        const auto slack = slackTime(waiting, now);
-        const bool late = !canBeInTime(waiting, now);
-        return std::make_tuple(waiting.request.priority, late, !waiting.request.shortGaps, slack);
+    if (m_context.features().fairShares) {
+        return m_fairQueue.order(items);
+    }
+    const auto orderOf = [&items](std::size_t index) {
+        const auto &item = items[index];
+        return std::make_tuple(item.priority, item.late, !item.shortGaps, item.slack);
     };
-    using Order = decltype(orderOf(m_queue.front()));
-    std::vector<std::pair<Order, QueuedRequest>> ordered;
-    ordered.reserve(m_queue.size());
-    for (auto &waiting : m_queue) {
-        auto order = orderOf(waiting);
-        ordered.emplace_back(std::move(order), std::move(waiting));
-    }
-    std::stable_sort(ordered.begin(), ordered.end(),
-                     [](const auto &left, const auto &right) { return left.first < right.first; });
-    m_queue.clear();
-    for (auto &[order, waiting] : ordered) {
-        m_queue.push_back(std::move(waiting));
+    std::vector<std::size_t> indices(items.size());
+    std::iota(indices.begin(), indices.end(), 0);
+    std::stable_sort(indices.begin(), indices.end(),
+                     [&orderOf](std::size_t left, std::size_t right) { return orderOf(left) < orderOf(right); });
+    return indices;
+}
+
+std::vector<overload::QueueItem> Scheduler::sortQueue(core::Time now)
+{
+    std::vector<overload::QueueItem> items;
+    items.reserve(m_queue.size());
+    for (const auto &waiting : m_queue) {
+        const auto &request = waiting.request;
+        overload::QueueItem item;
+        item.priority = request.priority;
+        item.late = !canBeInTime(waiting, now);
+        item.shortGaps = request.shortGaps;
+        item.organisation = request.organisation;
+        item.costMs = m_context.features().fairShares ? engineMs(request) : 0;
+        item.slack = slackTime(waiting, now);
+        items.push_back(item);
+    }
+    std::vector<QueuedRequest> orderedQueue;
+    std::vector<overload::QueueItem> orderedItems;
+    orderedQueue.reserve(m_queue.size());
+    orderedItems.reserve(m_queue.size());
+    for (const auto index : grantOrder(items)) {
+        orderedQueue.push_back(std::move(m_queue[index]));
+        orderedItems.push_back(items[index]);
     }
+    m_queue = std::move(orderedQueue);
+    return orderedItems;
 }
 
 std::optional<PlacementReply> Scheduler::place(const PlacementRequest &placementRequest, core::Time arrivedAt,
@@ -308,41 +353,64 @@
 {
     std::vector<std::pair<std::string, PlacementReply>> grants;
     if (m_queue.empty() || !m_context.table) {
+        m_fairQueue.reset();
         return grants;
     }
-    sortQueue(now);
+    const auto items = sortQueue(now);
     updateInTimePromptWaits(now);
     const bool countsPerRound = m_context.features().admission;
+    const bool fairShares = m_context.features().fairShares;
     const int maxFailures = countsPerRound ? MaxFailedPlacementsPerRound : MaxFailedPlacements;
     int failedShortGaps = 0;
     int failedLongGaps = 0;
     // Size of the smallest prompt that tolerates longer gaps, found no engine, but can still be in time.
     auto smallestInTime = NoPrompt;
-    for (auto queued = m_queue.begin(); queued != m_queue.end();) {
-        const auto &request = queued->request;
-        const bool late = !canBeInTime(*queued, now);
-        auto &failures = request.shortGaps ? failedShortGaps : failedLongGaps;
+    std::vector<bool> granted(m_queue.size());
+    overload::GrantRound round(items, fairShares ? &m_floors : nullptr);
+    while (const auto index = round.next()) {
+        const auto &item = items[*index];
+        const auto &request = m_queue[*index].request;
+        auto &failures = item.shortGaps ? failedShortGaps : failedLongGaps;
         // A late prompt leaves the engines to one that can be in time. With admission by prediction, it does so only
         // for one that is no larger: a larger one found none of the engines sufficient that serve the late one.
         const bool yields = countsPerRound ? smallestInTime <= request.prompt.promptTokens : smallestInTime != NoPrompt;
-        const bool deferred = late && !request.shortGaps && yields;
+        const bool deferred = item.late && !item.shortGaps && yields && !round.isFloorAttempt();
         auto reply = failures >= maxFailures || deferred ? std::optional<PlacementReply>()
-                                                         : place(request, queued->arrivedAt, now);
+                                                         : place(request, m_queue[*index].arrivedAt, now);
         if (!reply) {
             failures += countsPerRound && deferred ? 0 : 1;
-            if (!late && !request.shortGaps) {
+            if (!item.late && !item.shortGaps) {
                 smallestInTime = std::min(smallestInTime, request.prompt.promptTokens);
             }
-            ++queued;
             continue;
         }
         failures = countsPerRound ? failures : 0;
-        grants.emplace_back(queued->request.vm, std::move(*reply));
-        queued = m_queue.erase(queued);
+        noteQueuedGrant(item, round);
+        grants.emplace_back(request.vm, std::move(*reply));
+        granted[*index] = true;
     }
+    std::vector<QueuedRequest> stillQueued;
+    for (std::size_t i = 0; i < granted.size(); ++i) {
+        if (!granted[i]) {
+            stillQueued.push_back(std::move(m_queue[i]));
+        }
+    }
+    m_queue = std::move(stillQueued);
     return grants;
 }
 
+void Scheduler::noteQueuedGrant(const overload::QueueItem &item, overload::GrantRound &round)
+{
+    if (!m_context.features().fairShares) {
+        return;
+    }
+    m_fairQueue.noteGrant(item);
+    round.noteGrant();
+    if (round.isFloorAttempt()) {
+        m_context.metrics.count(metrics::Counter::FairGrantsFloor);
+    }
+}
+
 void Scheduler::removeExpired(core::Time now)
 {
     std::erase_if(m_queue,
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -407,6 +407,40 @@
     BOOST_TEST(grants.front().first == "fresh");
 }
 
+// Guards against an organisation with many requests that gets all free slots, in a round or ahead of the queue.
+BOOST_AUTO_TEST_CASE(free_slots_are_shared_between_organisations_that_wait)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        SchedulerState state(1, mode);
+        auto busy = workReport("busy", 1, 0);
+        busy.work = {{state.context.targets.find("engine-0")->hash, {.requests = 10, .shortGapRequests = 10}, 0}};
+        state.scheduler.applyReport(busy, at(0));
+        auto request = shortPromptRequest("loud", 0);
+        request.organisation = 1;
+        for (; request.requestNumber < 10; ++request.requestNumber) {
+            BOOST_TEST((state.scheduler.handleRequest(request, at(1)).kind == ReplyKind::Queued));
+        }
+        request.vm = "quiet";
+        request.organisation = 2;
+        for (; request.requestNumber < 12; ++request.requestNumber) {
+            BOOST_TEST((state.scheduler.handleRequest(request, at(2)).kind == ReplyKind::Queued));
+        }
+        busy.sequence = 2;
+        busy.work.front().work.requests = busy.work.front().work.shortGapRequests = 6;
+        state.scheduler.applyReport(busy, at(10));
+        request.vm = "loud";
+        request.organisation = 1;
+        const bool fair = mode == settings::FeatureMode::On;
+        BOOST_TEST(
+            (state.scheduler.handleRequest(request, at(10)).kind == (fair ? ReplyKind::Queued : ReplyKind::Granted)));
+        const auto grants = state.scheduler.placeQueued(at(10));
+        BOOST_TEST(grants.size() == (fair ? 4U : 3U));
+        const auto quiet
+            = std::count_if(grants.begin(), grants.end(), [](const auto &g) { return g.first == "quiet"; });
+        BOOST_TEST(quiet == (fair ? 2 : 0));
+    }
+}
+
 // Guards against grants that a scheduler counts as streams with a middle gap until the daemon reports them.
 BOOST_AUTO_TEST_CASE(a_grant_counts_as_a_stream_with_the_longest_gap_only_with_admission)
 {
