--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -6,6 +6,8 @@
 
 #include "spurlug/control/admission_control.h"
 #include "spurlug/control/messages.h"
+#include "spurlug/overload/fair_queue.h"
+#include "spurlug/overload/grant_round.h"
 #include "spurlug/relay/target_choice.h"
 
 #include <cstdint>
@@ -54,8 +56,11 @@
     /// \brief Places queued requests, ordered by the operator's priority; then those that can still be in time before
     /// late ones; then those that tolerate only short gaps before others, because they occupy an engine for a fraction
     /// of the time; then by the least time to spare. A late request that tolerates longer gaps is skipped while another
-    /// of that kind can still be in time.
-    /// With admission by prediction, requests that cannot be served before their callers leave are refused.
+    /// of that kind can still be in time; with admission by prediction, only if that one is no larger. Requests that
+    /// cannot be served before their callers leave are then refused.
+    ///
+    /// With fair shares, the start time of the organisation precedes the time to spare, and less urgent requests get a
+    /// share of the grants, see overload::FairQueue and overload::FloorCredits.
     /// \returns Pairs of a daemon's VM and its grant or refusal.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> placeQueued(core::Time now);
 
@@ -99,18 +104,27 @@
     [[nodiscard]] std::optional<PlacementReply> place(const PlacementRequest &placementRequest, core::Time arrivedAt,
                                                       core::Time now);
     [[nodiscard]] bool canSchedule(const std::string &service) const;
-    void sortQueue(core::Time now);
+    /// Sorts the queue into the order of the grants.
+    /// \returns What this order depends on, by position in the queue.
+    std::vector<overload::QueueItem> sortQueue(core::Time now);
+    [[nodiscard]] std::vector<std::size_t> grantOrder(const std::vector<overload::QueueItem> &items);
+    /// Engine time that a request needs, ms: its prefill on all engines, and its part of the passes of a full engine.
+    [[nodiscard]] double engineMs(const PlacementRequest &request) const;
+    /// Whether a new request must queue because others of its kind wait for the service. With fair shares all others
+    /// count, because organisations with more new requests would get more engines; with admission by prediction those
+    /// that can be in time, because a new request would overtake them.
+    [[nodiscard]] bool waitsBehindOthers(const PlacementRequest &request) const;
+    void noteQueuedGrant(const overload::QueueItem &item, overload::GrantRound &round);
     /// Time that would be left until the first event of a prompt is due if as many engines as may share it began to
     /// prefill it now; negative if it will be late.
     [[nodiscard]] core::Duration slackTime(const QueuedRequest &queued, core::Time now) const;
     /// Whether the first event of a waiting prompt can still meet its objective.
     [[nodiscard]] bool canBeInTime(const QueuedRequest &queued, core::Time now) const;
+    void updateInTimePromptWaits(core::Time now);
     /// Handles a new request with admission by prediction.
     [[nodiscard]] PlacementReply admit(QueuedRequest queued, core::Time now);
     /// Waiting work that is placed before a request.
     [[nodiscard]] overload::WorkAhead workAhead(const QueuedRequest &queued) const;
-    /// Whether requests that could be placed now, and come first, wait for the same engines.
-    [[nodiscard]] bool waitsBehindOthers(const QueuedRequest &queued) const;
     /// Notes a grant for the predictions.
     void noteGrant(const QueuedRequest &queued, const PlacementReply &grant, core::Time now);
     /// Removes the queued requests that cannot be served before their callers leave, after a round of placements.
@@ -133,6 +147,10 @@
     AdmissionControl m_admission;
     std::map<std::string, ReportState> m_reportStates; ///< By daemon.
     std::uint64_t m_newestGrant = 0;
+    overload::FairQueue m_fairQueue;
+    overload::FloorCredits m_floors;
+    /// Whether a queued prompt that tolerates longer gaps can still be in time; true without admission by prediction.
+    bool m_inTimePromptWaits = true;
 };
 
 } // namespace spurlug::control
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -10,7 +10,9 @@
 #include "spurlug/relay/target_notice.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <tuple>
 
 namespace spurlug::control
@@ -27,6 +29,10 @@
 /// After this many consecutive requests found no engine, the rest of their kind (with or without the need for short
 /// gaps) is left for the next round: they differ little, and each attempt costs some tens of us.
 constexpr int MaxFailedPlacements = 4;
+/// The same with admission by prediction, counted over the round: the largest prompts fail first, and smaller ones
+/// behind them may still find an engine.
+constexpr int MaxFailedPlacementsPerRound = 16;
+constexpr auto NoPrompt = std::numeric_limits<std::int64_t>::max(); ///< Larger than any prompt, tokens.
 constexpr auto AssumedLoadAge = absl::Milliseconds(20); ///< Network transit and processing delay at both ends.
 
 /// Key under which the work of a grant is recorded, next to the VM names of reporting daemons.
@@ -40,6 +46,8 @@
 Scheduler::Scheduler(relay::RelayContext &context)
     : m_context(context)
     , m_admission(context)
+    , m_fairQueue(context.settings.overload)
+    , m_floors(context.settings.overload.floorShare)
 { }
 
 void Scheduler::setQueuedCallback(std::function<void()> callback)
@@ -178,7 +186,8 @@
     if (m_admission.isActive()) {
         return admit({ask, now - ask.waited, now, now, {}}, now);
     }
-    if (auto granted = place(ask, now - ask.waited, now)) {
+    updateInTimePromptWaits(now);
+    if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, now - ask.waited, now)) {
         return *granted;
     }
     m_queue.push_back({ask, now - ask.waited, now, now, {}});
@@ -195,7 +204,8 @@
         return *refusal;
     }
     queued.ticket = m_admission.admit(request, queued.arrivedAt, now);
-    if (!waitsBehindOthers(queued)) {
+    updateInTimePromptWaits(now);
+    if (!waitsBehindOthers(request)) {
         if (auto granted = place(request, queued.arrivedAt, now)) {
             m_admission.noteArrival(request, queued.ticket, now);
             m_admission.noteGrant(request, queued.ticket, granted->expectedTtft, now);
@@ -247,19 +257,24 @@
     return ahead;
 }
 
-bool Scheduler::waitsBehindOthers(const QueuedRequest &queued) const
+bool Scheduler::waitsBehindOthers(const PlacementRequest &request) const
 {
-    const auto &request = queued.request;
-    if (!request.shortGaps || request.mayHaveRun) {
-        return false; // Long prompts differ in the engines that they need.
-    }
-    return std::any_of(m_queue.begin(), m_queue.end(), [&](const QueuedRequest &other) {
-        const auto &earlier = other.request;
-        const bool constrained
-            = !earlier.excludedTargets.empty() || !earlier.allowedTargets.empty() || !earlier.avoidedTargets.empty();
-        return earlier.shortGaps && other.ticket.inTime && !constrained && earlier.priority <= request.priority
-            && earlier.service == request.service;
-    });
+    // Requests that a daemon sends again go ahead: their callers already have a part of the time behind them.
+    if (request.mayHaveRun) {
+        return false;
+    }
+    // Long prompts differ in the engines that they need, so only fair shares make one wait for another.
+    const bool fairShares = m_context.features().fairShares;
+    const bool inTimeOnly = m_admission.isActive() && request.shortGaps;
+    return (fairShares || inTimeOnly) && std::any_of(m_queue.begin(), m_queue.end(), [&](const QueuedRequest &other) {
+               const auto &earlier = other.request;
+               if (earlier.service != request.service || earlier.shortGaps != request.shortGaps) {
+                   return false;
+               }
+               const bool constrained = !earlier.excludedTargets.empty() || !earlier.allowedTargets.empty()
+                   || !earlier.avoidedTargets.empty();
+               return !inTimeOnly || (other.ticket.inTime && !constrained && earlier.priority <= request.priority);
+           });
 }
 
 void Scheduler::noteGrant(const QueuedRequest &queued, const PlacementReply &grant, core::Time now)
@@ -321,26 +336,69 @@
     return queued.arrivedAt + request.ttftObjective - now - absl::Milliseconds(prefillMs);
 }
 
-void Scheduler::sortQueue(core::Time now)
+void Scheduler::updateInTimePromptWaits(core::Time now)
 {
-    const auto orderOf = [this, now](const QueuedRequest &waiting) {
-        const auto slack = slackTime(waiting, now);
-        return std::make_tuple(waiting.request.priority, !canBeInTime(waiting, now), !waiting.ticket.returnedOnTime,
-                               !waiting.request.shortGaps, slack);
-    };
-    using Order = decltype(orderOf(m_queue.front()));
-    std::vector<std::pair<Order, QueuedRequest>> ordered;
-    ordered.reserve(m_queue.size());
-    for (auto &waiting : m_queue) {
-        auto order = orderOf(waiting);
-        ordered.emplace_back(std::move(order), std::move(waiting));
-    }
-    std::stable_sort(ordered.begin(), ordered.end(),
-                     [](const auto &left, const auto &right) { return left.first < right.first; });
-    m_queue.clear();
-    for (auto &[order, waiting] : ordered) {
-        m_queue.push_back(std::move(waiting));
+    m_inTimePromptWaits = !m_context.features().admission
+        || std::any_of(m_queue.begin(), m_queue.end(), [this, now](const QueuedRequest &waiting) {
+               return !waiting.request.shortGaps && canBeInTime(waiting, now);
+           });
+}
+
+double Scheduler::engineMs(const PlacementRequest &request) const
+{
+    const auto *spec = m_context.table->serviceNamed(request.service);
+    if (spec == nullptr || !spec->engine) {
+        return 0; // The configuration changed.
     }
+    const auto &costs = *spec->engine;
+    const auto slots = std::max(costs.slots, 1);
+    const auto stepMs = costs.stepMs + costs.perSequenceMs * slots;
+    return relay::prefillPartMs(costs, request.prompt.promptTokens, 1)
+        + static_cast<double>(request.prompt.maxAnswerTokens) * stepMs / slots;
+}
+
+std::vector<std::size_t> Scheduler::grantOrder(const std::vector<overload::QueueItem> &items)
+{
+    if (m_context.features().fairShares) {
+        return m_fairQueue.order(items);
+    }
+    const auto orderOf = [&items](std::size_t index) {
+        const auto &item = items[index];
+        return std::make_tuple(item.priority, item.late, !item.shortGaps, item.slack);
+    };
+    std::vector<std::size_t> indices(items.size());
+    std::iota(indices.begin(), indices.end(), 0);
+    std::stable_sort(indices.begin(), indices.end(),
+                     [&orderOf](std::size_t left, std::size_t right) { return orderOf(left) < orderOf(right); });
+    return indices;
+}
+
+std::vector<overload::QueueItem> Scheduler::sortQueue(core::Time now)
+{
+    std::vector<overload::QueueItem> items;
+    items.reserve(m_queue.size());
+    for (const auto &waiting : m_queue) {
+        const auto &request = waiting.request;
+        overload::QueueItem item;
+        item.priority = request.priority;
+        item.late = !canBeInTime(waiting, now);
+        item.returnsOnTime = waiting.ticket.returnedOnTime;
+        item.shortGaps = request.shortGaps;
+        item.organisation = request.organisation;
+        item.costMs = m_context.features().fairShares ? engineMs(request) : 0;
+        item.slack = slackTime(waiting, now);
+        items.push_back(item);
+    }
+    std::vector<QueuedRequest> orderedQueue;
+    std::vector<overload::QueueItem> orderedItems;
+    orderedQueue.reserve(m_queue.size());
+    orderedItems.reserve(m_queue.size());
+    for (const auto index : grantOrder(items)) {
+        orderedQueue.push_back(std::move(m_queue[index]));
+        orderedItems.push_back(items[index]);
+    }
+    m_queue = std::move(orderedQueue);
+    return orderedItems;
 }
 
 std::optional<PlacementReply> Scheduler::place(const PlacementRequest &placementRequest, core::Time arrivedAt,
@@ -350,6 +408,9 @@
     request.prompt = placementRequest.prompt;
     request.ttftObjective = placementRequest.ttftObjective;
     request.shortGaps = placementRequest.shortGaps;
+    request.gapsByEngine = m_context.features().admission;
+    request.longGap = request.gapsByEngine && placementRequest.longGap;
+    request.inTimePromptWaits = !request.gapsByEngine || m_inTimePromptWaits;
     request.waited = now - arrivedAt;
     // With admission by prediction, short-gap prompts wait here: one that is queued at an engine cannot be overtaken.
     request.mayQueue = (!m_admission.isActive() || !placementRequest.shortGaps)
@@ -392,6 +453,7 @@
         works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->expectedTtft)});
     }
     works.back().work.shortGapRequests = placementRequest.shortGaps ? 1 : 0;
+    works.back().work.longGapRequests = request.longGap ? 1 : 0;
     m_context.targets.setPeerWork(grantKey(reply.grantNumber), works, now);
     m_grants[reply.grantNumber] = {reply, placementRequest.vm, now};
     m_context.metrics.count(metrics::Counter::PlacementsGranted);
@@ -423,35 +485,67 @@
     std::vector<std::pair<std::string, PlacementReply>> grants;
     if (m_queue.empty() || !m_context.table) {
         static_cast<void>(refuseHopeless(now)); // Notes that nothing waits.
+        m_fairQueue.reset();
         return grants;
     }
-    sortQueue(now);
+    const auto items = sortQueue(now);
+    updateInTimePromptWaits(now);
+    const bool countsPerRound = m_context.features().admission;
+    const bool fairShares = m_context.features().fairShares;
+    const int maxFailures = countsPerRound ? MaxFailedPlacementsPerRound : MaxFailedPlacements;
     int failedShortGaps = 0;
     int failedLongGaps = 0;
-    bool inTimeRequestWaiting
-        = false; // A request that tolerates longer gaps found no engine, but can still be in time.
-    for (auto queued = m_queue.begin(); queued != m_queue.end();) {
-        const bool late = !canBeInTime(*queued, now);
-        auto &failures = queued->request.shortGaps ? failedShortGaps : failedLongGaps;
-        const bool deferred = late && !queued->request.shortGaps && inTimeRequestWaiting;
-        auto reply = failures >= MaxFailedPlacements || deferred ? std::optional<PlacementReply>()
-                                                                 : place(queued->request, queued->arrivedAt, now);
+    // Size of the smallest prompt that tolerates longer gaps, found no engine, but can still be in time.
+    auto smallestInTime = NoPrompt;
+    std::vector<bool> granted(m_queue.size());
+    overload::GrantRound round(items, fairShares ? &m_floors : nullptr);
+    while (const auto index = round.next()) {
+        const auto &item = items[*index];
+        const auto &request = m_queue[*index].request;
+        auto &failures = item.shortGaps ? failedShortGaps : failedLongGaps;
+        // A late prompt leaves the engines to one that can be in time. With admission by prediction, it does so only
+        // for one that is no larger: a larger one found none of the engines sufficient that serve the late one.
+        const bool yields = countsPerRound ? smallestInTime <= request.prompt.promptTokens : smallestInTime != NoPrompt;
+        const bool deferred = item.late && !item.shortGaps && yields && !round.isFloorAttempt();
+        auto reply = failures >= maxFailures || deferred ? std::optional<PlacementReply>()
+                                                         : place(request, m_queue[*index].arrivedAt, now);
         if (!reply) {
-            ++failures;
-            inTimeRequestWaiting = inTimeRequestWaiting || (!late && !queued->request.shortGaps);
-            ++queued;
+            failures += countsPerRound && deferred ? 0 : 1;
+            if (!item.late && !item.shortGaps) {
+                smallestInTime = std::min(smallestInTime, request.prompt.promptTokens);
+            }
             continue;
         }
-        failures = 0;
-        noteGrant(*queued, *reply, now);
-        grants.emplace_back(queued->request.vm, std::move(*reply));
-        queued = m_queue.erase(queued);
+        failures = countsPerRound ? failures : 0;
+        noteQueuedGrant(item, round);
+        noteGrant(m_queue[*index], *reply, now);
+        grants.emplace_back(request.vm, std::move(*reply));
+        granted[*index] = true;
+    }
+    std::vector<QueuedRequest> stillQueued;
+    for (std::size_t i = 0; i < granted.size(); ++i) {
+        if (!granted[i]) {
+            stillQueued.push_back(std::move(m_queue[i]));
+        }
     }
+    m_queue = std::move(stillQueued);
     auto refusals = refuseHopeless(now);
     std::move(refusals.begin(), refusals.end(), std::back_inserter(grants));
     return grants;
 }
 
+void Scheduler::noteQueuedGrant(const overload::QueueItem &item, overload::GrantRound &round)
+{
+    if (!m_context.features().fairShares) {
+        return;
+    }
+    m_fairQueue.noteGrant(item);
+    round.noteGrant();
+    if (round.isFloorAttempt()) {
+        m_context.metrics.count(metrics::Counter::FairGrantsFloor);
+    }
+}
+
 void Scheduler::removeExpired(core::Time now)
 {
     std::erase_if(m_queue,
