Observe the speed of targets by the answers they give

An outcome said whether an attempt failed, not how long it took, so that a slow engine was planned with its published costs.

targets::ObservedSpeed estimates the ratio of observed to expected times, for the first event and for the gaps. Daemons take samples from whole answers and send them with the outcome; the scheduler applies them in applyOutcome, the daemon to its own table. Impossible ratios are dropped and counted (speed_samples_dropped).

Samples compare with the times by published costs alone, which travel with the grant (published_us, pass_us): the daemon does not know the load of the engine, and an expected time that allows for the observed speed would hide it.

Active only with targetFeedback; the choice of targets does not use it yet.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/time.h"
 #include "spurlug/overload/load_view.h"
 #include "spurlug/relay/evacuations.h"
+#include "spurlug/relay/published_times.h"
 #include "spurlug/relay/request_info.h"
 #include "spurlug/relay/target_health.h"
 #include "spurlug/targets/outstanding.h"
@@ -109,6 +110,7 @@
     core::Duration retryAfter = absl::ZeroDuration(); ///< Of a refusal: when the caller should return; 0: not at all.
     core::Duration expectedWait = absl::ZeroDuration(); ///< Expected wait of the request at the scheduler.
     std::optional<overload::LoadView> load;
+    relay::PublishedTimes published;
 };
 
 /// \brief Withdraws a PlacementRequest and its grant, if it has one.
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -82,6 +82,7 @@
     LoadViewsDropped, ///< Load views that were outdated or had impossible values.
     FairGrantsFloor, ///< Grants to less urgent requests while more urgent ones waited.
     EjectionsSpared, ///< Failures that did not eject a target because it answered others at that time.
+    SpeedSamplesDropped, ///< Impossible ratios of observed to expected times.
     DomainRamps, ///< Times that the load of a failure domain began to move gradually.
 };
 
@@ -168,6 +169,7 @@
         EnumName<Counter>{Counter::LoadViewsDropped, "views_dropped"},
         EnumName<Counter>{Counter::FairGrantsFloor, "fair_grants_floor"},
         EnumName<Counter>{Counter::EjectionsSpared, "ejections_spared"},
+        EnumName<Counter>{Counter::SpeedSamplesDropped, "speed_samples_dropped"},
         EnumName<Counter>{Counter::DomainRamps, "domain_ramps"},
     };
 };
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -18,6 +18,7 @@
 #include "spurlug/relay/placement.h"
 #include "spurlug/relay/target_change_log.h"
 #include "spurlug/relay/target_set.h"
+#include "spurlug/relay/target_speed.h"
 #include "spurlug/settings/relay_settings.h"
 
 #include <cstdint>
@@ -58,6 +59,8 @@
     DirectoryPosition targetsPosition; ///< Directory position of the list of targets.
     TargetChangeLog targetLog; ///< Recent changes of the list of targets.
     TargetSet targets;
+    std::unordered_map<std::string, ServiceSpeed> speeds; ///< By service.
+    std::unordered_map<std::string, AnswerTimeMean> answerTimes; ///< By plain service.
     Evacuations evacuations;
     core::Time evacuationsAnsweredAt
         = absl::InfinitePast(); ///< When the directory last answered an evacuations request.
--- a/include/spurlug/relay/placement.h
+++ b/include/spurlug/relay/placement.h
@@ -25,6 +25,7 @@
     bool isLocalDomain = false; ///< Whether it is in the local failure domain.
     bool mayAnswer = true; ///< Whether it may get the request itself.
     bool mayHelp = true; ///< Whether it may prefill a part for another target.
+    double speed = 1; ///< Its times by those of the service's median target; 1 is as published, 2 is twice as slow.
     bool reservedForShortGaps
         = false; ///< Reserved for streams that tolerate only short gaps; kept free of long prompts.
 };
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -170,6 +170,8 @@
     [[nodiscard]] std::optional<Refusal> refuseQuarantined(core::Time now);
     /// Records that the request completed without crashing its target.
     void recordSuccess(core::Time now);
+    /// The ratios of observed to expected times that the ended attempt showed; empty unless it got a whole answer.
+    [[nodiscard]] SpeedSamples speedSamples(core::Time now);
     /// Charges a retry to the fleet-wide retry budget.
     /// \returns Whether the budget allows it.
     [[nodiscard]] bool chargeRetryBudget(core::Reason cause, core::Time now);
@@ -209,6 +211,7 @@
     core::Time m_answeredAt = absl::InfinitePast(); ///< When the first event or the complete answer arrived.
     core::Time m_lastEventAt = absl::InfinitePast();
     core::Time m_attemptAnsweredAt = absl::InfinitePast(); ///< When the first event of the current attempt arrived.
+    GapMeter m_gaps; ///< Of the current attempt.
     core::Duration m_longestGap = absl::ZeroDuration(); ///< Longest time between two consecutive events.
     int m_attempts = 0;
     core::Reason m_retryCause = core::Reason::None; ///< Why the request was last sent again; None if it was not.
--- a/include/spurlug/relay/target_choice.h
+++ b/include/spurlug/relay/target_choice.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/placement.h"
+#include "spurlug/relay/published_times.h"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,7 @@
     std::vector<std::int64_t> reservedTokens; ///< KV memory tokens held by each of the first helpers, in order.
     core::Duration expectedTtft; ///< Expected time until the first event.
     core::Duration partPrefillTime; ///< Expected prefill time of each engine's part.
+    PublishedTimes published = {}; ///< For comparison with the observed times.
 };
 
 /// \brief What a request requires of its target.
--- a/include/spurlug/relay/target_set.h
+++ b/include/spurlug/relay/target_set.h
@@ -13,6 +13,7 @@
 #include "spurlug/relay/target_incarnation.h"
 #include "spurlug/relay/warm_up.h"
 #include "spurlug/targets/cooldown.h"
+#include "spurlug/targets/observed_speed.h"
 #include "spurlug/targets/outstanding.h"
 
 #include <boost/intrusive/list.hpp>
@@ -180,6 +181,8 @@
     core::Time unconfirmedUntil = absl::InfinitePast();
     WarmUp warmUp;
     RateLimit rateLimit;
+    targets::ObservedSpeed speed; ///< By the attempts of this daemon and, on a scheduler, of all daemons.
+    bool reportedSlow = false; ///< Whether the log says that it is slow.
     RecentSends recentSends; ///< Sends by this daemon and, on a scheduler, all placements at this target.
     std::string entryError; ///< Why the newest entry is invalid; empty if it is valid.
 
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -208,6 +208,8 @@
     out.set_part_us(toMicros32(reply.partPrefillTime));
     out.set_retry_ms(toMs32(reply.retryAfter));
     out.set_wait_ms(toMs32(reply.expectedWait));
+    out.set_published_us(toMicros32(reply.published.ttft));
+    out.set_pass_us(toMicros32(reply.published.pass));
     if (reply.load) {
         membership::writeLoadView(*reply.load, *out.mutable_load());
     }
@@ -228,6 +230,8 @@
     reply.partPrefillTime = absl::Microseconds(in.part_us());
     reply.retryAfter = fromMs32(in.retry_ms());
     reply.expectedWait = fromMs32(in.wait_ms());
+    reply.published.ttft = absl::Microseconds(in.published_us());
+    reply.published.pass = absl::Microseconds(in.pass_us());
     if (in.has_load()) {
         reply.load = membership::readLoadView(in.load());
     }
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
 #include "spurlug/relay/target_notice.h"
+#include "spurlug/relay/target_speed.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -123,6 +124,7 @@
         return;
     }
     recordLinkOutcome(outcome, requesterDomain, now);
+    relay::applySpeedSamples(m_context, *target, {outcome.firstRatio, outcome.gapRatio}, now);
     if (outcome.requestingEngine != 0) {
         recordHelpOutcome(*target, outcome, now);
         return;
@@ -258,6 +260,7 @@
     reply.reservedTokens = chosen->reservedTokens;
     reply.expectedTtft = chosen->expectedTtft;
     reply.partPrefillTime = chosen->partPrefillTime;
+    reply.published = chosen->published;
     std::vector<targets::TargetWork> works;
     for (const auto &[target, work] : relay::addedWork(*chosen, placementRequest.prompt)) {
         works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->expectedTtft)});
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -380,6 +380,7 @@
         = static_cast<double>(reply.helpers.size() + 1) / static_cast<double>(chosen.helpers.size() + 1);
     chosen.expectedTtft = reply.expectedTtft + reply.partPrefillTime * (partScale - 1);
     chosen.partPrefillTime = reply.partPrefillTime * partScale;
+    chosen.published = reply.published;
     m_granted = true;
     return chosen;
 }
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -199,6 +199,7 @@
     m_chosen = chosen;
     m_helperCausedFailure = false;
     m_sentAt = now;
+    m_gaps = {};
     m_attemptAnsweredAt = absl::InfinitePast();
     ++m_attempts;
     const auto expected = now + chosen.expectedTtft;
@@ -253,6 +254,8 @@
     if (m_attemptAnsweredAt == absl::InfinitePast()) {
         m_attemptAnsweredAt = now;
         recordFirstEvent(now);
+    } else {
+        m_gaps.add(now - m_lastEventAt, m_chosen.published.pass);
     }
     if (m_answeredAt != absl::InfinitePast()) {
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
@@ -302,9 +305,11 @@
         m_chosen.target->refusalBackoff.noteRefusal(now);
     }
     m_mayHaveRun = m_mayHaveRun || outcome != Outcome::NotRun;
+    const auto samples = outcome == Outcome::Completed && !fault ? speedSamples(now) : SpeedSamples{};
+    applySpeedSamples(m_context, *m_chosen.target, samples, now);
     const bool helperBusy = fault == TargetFault::Busy && m_helperCausedFailure;
     if (m_context.schedulerClient != nullptr && (fault || outcome == Outcome::Completed) && !helperBusy) {
-        m_context.schedulerClient->queueOutcome({hash, fault});
+        m_context.schedulerClient->queueOutcome({hash, fault, 0, samples.first, samples.gap});
     }
     if (fault == TargetFault::Unreachable) {
         m_context.links.noteFailure(m_context.settings.failureDomain, m_chosen.target->entry.failureDomain, hash, now);
@@ -336,6 +341,22 @@
                {"targetLeftOut", health.isEjected(now)}});
 }
 
+SpeedSamples RequestProgress::speedSamples(core::Time now)
+{
+    if (!m_context.features().targetFeedback) {
+        return {};
+    }
+    if (!usesEngine()) {
+        return {std::nullopt, m_context.answerTimes[m_service].add(now - m_sentAt)};
+    }
+    SpeedSamples samples;
+    samples.gap = m_gaps.ratio(m_chosen.published.pass);
+    if (m_chosen.helpers.empty()) { // Otherwise a helper may be the slow one.
+        samples.first = firstEventRatio(m_attemptAnsweredAt - m_sentAt, m_chosen.published);
+    }
+    return samples;
+}
+
 void RequestProgress::cancelAttempt(Reason reason, core::Time now)
 {
     m_localWork.clear();
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -263,6 +263,25 @@
     const std::uint64_t m_randomValue;
 };
 
+/// Times of a chosen engine by its published costs; unknown if engines help it, because each of them may be slow.
+PublishedTimes publishedTimes(const RelayContext &context, const TargetQuery &query, const ChosenTargets &chosen,
+                              core::Time now)
+{
+    const auto *spec = context.table ? context.table->serviceNamed(query.service) : nullptr;
+    if (spec == nullptr || !spec->engine) {
+        return {};
+    }
+    PublishedTimes published;
+    auto load = chosen.target->load(now);
+    load.decodingRequests = load.requests + 1; // Those that are in prefill now decode together with this one.
+    load.decodingContextTokens += query.prompt->prompt.promptTokens;
+    published.pass = absl::Milliseconds(decodePassMs(*spec->engine, load));
+    if (chosen.helpers.empty()) {
+        published.ttft = chosen.expectedTtft;
+    }
+    return published;
+}
+
 } // namespace
 
 bool mayQueueAtEngine(core::Duration waited, core::Duration ttftObjective) noexcept
@@ -289,6 +308,9 @@
     }
     chosen.expectedTtft = placement->expectedTtft;
     chosen.partPrefillTime = placement->partPrefillTime;
+    if (context.features().targetFeedback && query.prompt) {
+        chosen.published = publishedTimes(context, query, chosen, now);
+    }
     return chosen;
 }
 
