Use the observed speed of targets in their choice

Candidate::speed holds the times of a target by those of the service's median target, without deviations of up to 25 %, which equal engines show as well. EngineEstimate scales prefill, passes and waits by it; placePlain multiplies its cost. The expected time to the first event also contains the median, so that costs that are off for all make nothing slow but everything longer.

Engines are not kept for short prompts while they are slow: such an engine was preferred to faster ones for as long as it met the objective. One request in 50 goes to a target without a sample in 5 s. With targetFeedback off, nothing changes.

--- a/include/spurlug/relay/engine_estimate.h
+++ b/include/spurlug/relay/engine_estimate.h
@@ -16,8 +16,8 @@
 
 //----------------------------------------------------------------------------------------------------------------------
 
-/// \brief Estimates for the candidates of one prompt, based on the engines' published costs. Candidates are identified
-/// by index; times are in ms.
+/// \brief Estimates for the candidates of one prompt, based on the engines' published costs and on Candidate::speed.
+/// Candidates are identified by index; times are in ms. Parts are given in ms by the published costs.
 class EngineEstimate
 {
 public:
@@ -40,6 +40,10 @@
     /// \brief Whether the prompt and its answer fit into the unreserved KV memory.
     [[nodiscard]] bool fitsPrompt(std::size_t candidate) const noexcept;
 
+    /// \brief Duration of one batch pass without prefill; 0 if no request generates at the engine.
+    [[nodiscard]] double passMs(std::size_t candidate) const noexcept;
+    /// \brief Time that the engine takes to prefill a part that takes `part` by the published costs.
+    [[nodiscard]] double partMs(std::size_t candidate, double part) const noexcept;
     /// \brief Time of the prefill that is queued at the engine.
     [[nodiscard]] double queuedPrefillMs(std::size_t candidate) const noexcept;
     /// \brief Time until the engine has prefilled a part after its current work.
--- a/src/relay/engine_estimate.cpp
+++ b/src/relay/engine_estimate.cpp
@@ -73,16 +73,26 @@
     return freeMemory(candidate) >= m_request.prompt.maxMemoryTokens();
 }
 
+double EngineEstimate::passMs(std::size_t candidate) const noexcept
+{
+    return decodePassMs(m_costs, at(candidate).load) * at(candidate).speed;
+}
+
+double EngineEstimate::partMs(std::size_t candidate, double part) const noexcept
+{
+    return part * at(candidate).speed;
+}
+
 double EngineEstimate::queuedPrefillMs(std::size_t candidate) const noexcept
 {
-    return prefillMs(at(candidate).load);
+    return prefillMs(at(candidate).load) * at(candidate).speed;
 }
 
 double EngineEstimate::finishMs(std::size_t candidate, double part) const noexcept
 {
-    const auto &load = at(candidate).load;
-    const auto pass = decodePassMs(m_costs, load);
-    return prefillMs(load) + part + pass + pass / 2; // On average, half of a batch pass is still in progress.
+    const auto pass = passMs(candidate);
+    return queuedPrefillMs(candidate) + partMs(candidate, part) + pass
+        + pass / 2; // On average, half of a batch pass is still in progress.
 }
 
 double EngineEstimate::finishMs(std::size_t target, const std::vector<std::size_t> &helpers, double part) const noexcept
@@ -101,7 +111,7 @@
     if (queuedRequests <= 0) {
         return 0;
     }
-    const auto stepMs = decodePassMs(m_costs, engine.load) / m_costs.stepsPerPass;
+    const auto stepMs = passMs(candidate) / m_costs.stepsPerPass;
     const auto answerMs = stepMs * static_cast<double>(m_costs.meanAnswerTokens);
     return answerMs * static_cast<double>(queuedRequests) / engine.slots;
 }
@@ -109,7 +119,7 @@
 double EngineEstimate::streamDelayCost(std::size_t candidate, double part) const noexcept
 {
     const auto &load = at(candidate).load;
-    const auto pass = decodePassMs(m_costs, load) + prefillMs(load) + part;
+    const auto pass = passMs(candidate) + queuedPrefillMs(candidate) + partMs(candidate, part);
     const auto longGapStreams = std::max<std::int64_t>(load.decodingRequests - load.shortGapRequests, 0);
     const auto shortGapDelayMs = static_cast<double>(load.shortGapRequests)
         * std::max(0.0, pass - maxPassMs(m_request.toleratedGaps.shortGapStreams));
@@ -131,7 +141,7 @@
         return queuedMs <= m_weights.emptyAheadMs; // No stream waits for its passes.
     }
     const auto &pauses = m_request.toleratedGaps;
-    return decodePassMs(m_costs, load) + queuedMs + part
+    return passMs(candidate) + queuedMs + partMs(candidate, part)
         <= maxPassMs(servesShortGaps(candidate) ? pauses.shortGapStreams : pauses.otherStreams);
 }
 
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -89,8 +89,9 @@
         if (!candidate.mayAnswer || utilization >= 1 + weights.plainQueueShare) {
             continue;
         }
-        const auto cost
+        const auto publishedCost
             = utilization + (candidate.isLocalDomain ? 0 : RemotePenalty) + MaxJitter * choiceJitter(randomValue, i);
+        const auto cost = publishedCost * candidate.speed;
         if (cost < bestCost) {
             bestCost = cost;
             best = Placement{i, {}, {}, absl::ZeroDuration(), absl::ZeroDuration()};
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -20,6 +20,27 @@
 /// network is assumed to be at fault.
 constexpr double MaxAvoidedShare = 0.34;
 
+/// One request in so many goes to a target whose speed was not observed lately. A slow one that gets no requests would
+/// otherwise keep its estimate for some time after it has recovered.
+constexpr std::uint64_t SamplingInterval = 50;
+/// Observed times of equal targets differ by about this: a pass takes longer while prompts are prefilled in it, and the
+/// load at the time of the choice is not known exactly.
+constexpr double NoiseRatio = 1.25;
+
+/// Ratio of the observed times of a service's median target to its published costs; 1 while the feature is off.
+double medianSpeed(const RelayContext &context, const std::string &service)
+{
+    const auto found = context.speeds.find(service);
+    return context.features().targetFeedback && found != context.speeds.end() ? found->second.median : 1;
+}
+
+/// The times of a target by those of the service's median target. A deviation of up to NoiseRatio counts as none.
+double relativeSpeed(const Target &target, double medianSpeed, core::Time now)
+{
+    const auto ratio = target.speed.ratio(now) / medianSpeed;
+    return ratio / std::clamp(ratio, 1 / NoiseRatio, NoiseRatio);
+}
+
 /// Whether targets that are warming up are eligible.
 enum class WarmingUpTargets
 {
@@ -46,6 +67,7 @@
         , m_query(query)
         , m_targets(targets)
         , m_warmingUpTargets(warmingUpTargets)
+        , m_medianSpeed(medianSpeed(context, query.service))
         , m_senderDomain(query.senderDomain.empty() ? context.settings.failureDomain : query.senderDomain)
         , m_now(now)
     {
@@ -72,9 +94,13 @@
             candidate.slots = target.entry.slots;
             candidate.isLocalDomain = target.entry.failureDomain == m_context.settings.failureDomain;
             candidate.mayAnswer = isUsable(i, !anyHealthy);
-            candidate.reservedForShortGaps = candidate.mayAnswer && reservedCount < reservedEngines;
+            const bool isSlow = m_context.features().targetFeedback && target.reportedSlow;
+            candidate.reservedForShortGaps = candidate.mayAnswer && !isSlow && reservedCount < reservedEngines;
             reservedCount += candidate.reservedForShortGaps ? 1 : 0;
             candidate.mayHelp = mayHelp(target);
+            if (m_context.features().targetFeedback) {
+                candidate.speed = relativeSpeed(target, m_medianSpeed, m_now);
+            }
             candidates.push_back(candidate);
         }
         return candidates;
@@ -166,6 +192,7 @@
     const TargetQuery &m_query;
     const TargetSet::Targets &m_targets;
     const WarmingUpTargets m_warmingUpTargets;
+    const double m_medianSpeed;
     const std::string m_senderDomain; ///< Failure domain of the requesting daemon.
     const core::Time m_now;
     bool m_trustsReports = true; ///< False if so many targets are reported unreachable that the reports are ignored.
@@ -202,6 +229,11 @@
 
     [[nodiscard]] std::optional<Placement> choose() const
     {
+        if (m_context.features().targetFeedback && (m_randomValue >> 32U) % SamplingInterval == 0) {
+            if (auto sampling = chooseForSampling()) {
+                return sampling;
+            }
+        }
         auto placement = chooseAmong(WarmingUpTargets::Excluded);
         const bool anyWarmingUp = std::any_of(m_targets.begin(), m_targets.end(),
                                               [this](const auto &target) { return target->warmUp.isActive(m_now); });
@@ -212,6 +244,24 @@
     }
 
 private:
+    /// Chooses one of the targets whose speed was not observed lately, at random; nothing if none of them is free.
+    [[nodiscard]] std::optional<Placement> chooseForSampling() const
+    {
+        auto candidates = CandidateBuilder(m_context, m_query, m_targets, WarmingUpTargets::Excluded, m_now).build();
+        std::vector<std::size_t> stale;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (std::exchange(candidates[i].mayAnswer, false) && m_targets[i]->speed.isStale(m_now)) {
+                stale.push_back(i);
+            }
+        }
+        if (stale.empty()) {
+            return std::nullopt;
+        }
+        candidates[stale[m_randomValue % stale.size()]].mayAnswer = true;
+        auto placement = place(candidates);
+        return placement && helpersReachable(*placement) ? placement : std::nullopt;
+    }
+
     [[nodiscard]] std::optional<Placement> chooseAmong(WarmingUpTargets warmingUpTargets) const
     {
         auto candidates = CandidateBuilder(m_context, m_query, m_targets, warmingUpTargets, m_now).build();
@@ -277,7 +327,8 @@
     load.decodingContextTokens += query.prompt->prompt.promptTokens;
     published.pass = absl::Milliseconds(decodePassMs(*spec->engine, load));
     if (chosen.helpers.empty()) {
-        published.ttft = chosen.expectedTtft;
+        const auto median = medianSpeed(context, query.service);
+        published.ttft = chosen.expectedTtft / (median * relativeSpeed(*chosen.target, median, now));
     }
     return published;
 }
@@ -292,6 +343,9 @@
 std::optional<ChosenTargets> chooseTargets(RelayContext &context, const TargetQuery &query, core::Time now)
 {
     const auto targets = eligibleTargets(context, query, now);
+    if (context.features().targetFeedback) {
+        static_cast<void>(serviceSpeed(context, query.service, now));
+    }
     const TargetChooser chooser(context, query, targets, now);
     const auto placement = chooser.choose();
     if (!placement) {
@@ -306,7 +360,8 @@
     for (const auto &holding : placement->reservations) {
         chosen.reservedTokens.push_back(holding.tokens);
     }
-    chosen.expectedTtft = placement->expectedTtft;
+    // The choice compares the targets with each other; the expected time also allows for costs that are off for all.
+    chosen.expectedTtft = placement->expectedTtft * medianSpeed(context, query.service);
     chosen.partPrefillTime = placement->partPrefillTime;
     if (context.features().targetFeedback && query.prompt) {
         chosen.published = publishedTimes(context, query, chosen, now);
--- a/tests/unit/observed_speed_test.cpp
+++ b/tests/unit/observed_speed_test.cpp
@@ -6,12 +6,16 @@
 #include "relay_state.h"
 
 #include "spurlug/core/text.h"
+#include "spurlug/relay/target_choice.h"
 #include "spurlug/relay/target_speed.h"
 #include "spurlug/targets/observed_speed.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cmath>
 #include <limits>
+#include <memory>
+#include <vector>
 
 namespace
 {
@@ -23,9 +27,10 @@
 /// A daemon with six engines.
 struct SpeedState : RelayState
 {
-    SpeedState()
+    explicit SpeedState(settings::FeatureMode mode = settings::FeatureMode::On)
     {
-        settings.overload.targetFeedback = settings::FeatureMode::On;
+        settings.overload.targetFeedback = mode;
+        context.random.seed(7);
         context.activateConfiguration(chatTable(), "{}", "test", at(0));
         for (int i = 0; i < Engines; ++i) {
             context.targets.put(entry(core::cat("e", i)));
@@ -53,6 +58,44 @@
     static constexpr int Engines = 6;
 };
 
+/// Sends a short prompt each `stepMs` for 20 s to engines of which some are slow, and reports what they show.
+/// Returns how many requests each engine got in the second half.
+std::vector<int> requestsByEngine(SpeedState &state, const std::vector<double> &slowness, std::int64_t stepMs)
+{
+    struct Run
+    {
+        ChosenTargets chosen;
+        std::unique_ptr<LocalWork> work;
+        std::int64_t endMs;
+        double ratio;
+    };
+    std::vector<Run> runs;
+    std::vector<int> requests(slowness.size());
+    TargetQuery query;
+    query.service = "model";
+    query.prompt = promptRequest(4'000);
+    for (std::int64_t ms = 0; ms < 20'000; ms += stepMs) {
+        std::erase_if(runs, [&](const Run &run) {
+            if (run.endMs <= ms) {
+                applySpeedSamples(state.context, *run.chosen.target, {run.ratio, run.ratio}, at(ms));
+            }
+            return run.endMs <= ms;
+        });
+        const auto chosen = chooseTargets(state.context, query, at(ms));
+        if (!chosen) {
+            continue;
+        }
+        const auto number = static_cast<std::size_t>(chosen->target->entry.id[1] - '0');
+        requests[number] += ms >= 10'000 ? 1 : 0;
+        auto work = std::make_unique<LocalWork>(chosen->target, LocalWork::Kind::Request,
+                                                addedWork(*chosen, query.prompt->prompt).back().second, at(ms),
+                                                at(ms) + chosen->expectedTtft, true);
+        runs.push_back(
+            {*chosen, std::move(work), ms + static_cast<std::int64_t>(400 * slowness[number]), slowness[number]});
+    }
+    return requests;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(observed_speed)
@@ -156,4 +199,77 @@
     BOOST_TEST(std::abs(mean.add(absl::Milliseconds(50)).value_or(0) - 5) < 0.01);
 }
 
+// Guards against equal shares for engines of which a third are five times slower, and against slow ones that idle.
+BOOST_AUTO_TEST_CASE(slow_engines_get_a_smaller_share_and_not_none)
+{
+    SpeedState state;
+    SpeedState withoutFeature(settings::FeatureMode::Off);
+    const auto slowRequests = [](SpeedState &of) {
+        const auto requests = requestsByEngine(of, {5, 5, 1, 1, 1, 1}, 7);
+        return requests[0] + requests[1];
+    };
+    const auto slow = slowRequests(state);
+    BOOST_TEST(slow > 0);
+    BOOST_TEST(slow * 4 < slowRequests(withoutFeature) * 3);
+    BOOST_TEST(state.engine(0).reportedSlow);
+}
+
+// Guards against engines that are left out, or refused work, because all are slower than published.
+BOOST_AUTO_TEST_CASE(engines_that_are_all_slower_are_used_alike_with_longer_times)
+{
+    SpeedState state;
+    SpeedState slowState;
+    const auto requests = requestsByEngine(state, {1, 1, 1, 1, 1, 1}, 20);
+    const auto slowRequests = requestsByEngine(slowState, {2, 2, 2, 2, 2, 2}, 20);
+    BOOST_TEST(*std::min_element(slowRequests.begin(), slowRequests.end())
+               >= *std::min_element(requests.begin(), requests.end()) / 2);
+    TargetQuery query;
+    query.service = "model";
+    query.prompt = promptRequest(4'000);
+    const auto usual = chooseTargets(state.context, query, at(60'000));
+    slowState.observe(0, 2, 60'000);
+    for (int i = 1; i < SpeedState::Engines; ++i) {
+        slowState.observe(i, 2, 60'000);
+    }
+    const auto slow = chooseTargets(slowState.context, query, at(62'000));
+    BOOST_REQUIRE((usual && slow));
+    BOOST_TEST(std::abs(absl::FDivDuration(slow->expectedTtft, usual->expectedTtft) - 2) < 0.3);
+    BOOST_TEST(std::abs(absl::FDivDuration(slow->published.ttft, usual->published.ttft) - 1) < 0.1);
+}
+
+// Guards against a target that is known to be slow for ever because it gets no requests.
+BOOST_AUTO_TEST_CASE(some_requests_go_to_targets_without_recent_samples)
+{
+    SpeedState state;
+    state.observe(0, 16, 0);
+    state.observe(0, 16, 2000);
+    int sampling = 0;
+    for (std::int64_t ms = 9100; ms < 9900; ++ms) {
+        for (int i = 1; i < SpeedState::Engines; ++i) {
+            applySpeedSamples(state.context, state.engine(i), {1, std::nullopt}, at(ms));
+        }
+        TargetQuery query;
+        query.service = "model";
+        query.prompt = promptRequest(4'000);
+        const auto chosen = chooseTargets(state.context, query, at(ms));
+        sampling += chosen && chosen->target->entry.id == "e0" ? 1 : 0;
+    }
+    BOOST_TEST(sampling >= 4); // 16 in the mean.
+    BOOST_TEST(sampling <= 40);
+}
+
+// Guards against plain targets that are used alike whatever their speed.
+BOOST_AUTO_TEST_CASE(a_slow_plain_target_is_used_less)
+{
+    auto candidates = idleCandidates(2);
+    candidates[0].isLocalDomain = true;
+    candidates[1].isLocalDomain = true;
+    candidates[0].speed = 4;
+    candidates[0].load.requests = 2;
+    candidates[1].load.requests = 4;
+    BOOST_TEST(placePlain(candidates, {}, 1)->target == 1U);
+    candidates[1].load.requests = 12;
+    BOOST_TEST(placePlain(candidates, {}, 1)->target == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
