Merge the observed speed of targets

Speed of a plain target also counts in the choice by shares of failure domains. Only slow targets get sample requests: a short-gap stream on any other engine would keep long prompts from it. Without fair shares, callers that return at their time still go ahead.

--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
 #include "spurlug/relay/target_notice.h"
+#include "spurlug/relay/target_speed.h"
 
 #include <algorithm>
 #include <limits>
@@ -133,6 +134,7 @@
         return;
     }
     recordLinkOutcome(outcome, requesterDomain, now);
+    relay::applySpeedSamples(m_context, *target, {outcome.firstRatio, outcome.gapRatio}, now);
     if (outcome.requestingEngine != 0) {
         recordHelpOutcome(*target, outcome, now);
         return;
@@ -364,7 +366,8 @@
     }
     const auto orderOf = [&items](std::size_t index) {
         const auto &item = items[index];
-        return std::make_tuple(item.priority, item.late, !item.shortGaps, item.slack);
+        const bool ahead = !item.late && item.returnsOnTime;
+        return std::make_tuple(item.priority, item.late, !ahead, !item.shortGaps, item.slack);
     };
     std::vector<std::size_t> indices(items.size());
     std::iota(indices.begin(), indices.end(), 0);
@@ -448,6 +451,7 @@
     reply.reservedTokens = chosen->reservedTokens;
     reply.expectedTtft = chosen->expectedTtft;
     reply.partPrefillTime = chosen->partPrefillTime;
+    reply.published = chosen->published;
     std::vector<targets::TargetWork> works;
     for (const auto &[target, work] : relay::addedWork(*chosen, placementRequest.prompt)) {
         works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->expectedTtft)});
--- a/src/relay/placement.cpp
+++ b/src/relay/placement.cpp
@@ -128,8 +128,9 @@
         if (!hasPlainRoom(candidate, weights)) {
             continue;
         }
-        const auto cost = utilizationOf(candidate) + (candidate.isLocalDomain ? 0 : RemotePenalty)
+        const auto publishedCost = utilizationOf(candidate) + (candidate.isLocalDomain ? 0 : RemotePenalty)
             + MaxJitter * choiceJitter(randomValue, i);
+        const auto cost = publishedCost * candidate.speed;
         if (cost < bestCost) {
             bestCost = cost;
             best = Placement{i, {}, {}, absl::ZeroDuration(), absl::ZeroDuration()};
@@ -155,8 +156,10 @@
         }
         const auto slots = static_cast<double>(std::max(candidate.slots, 1));
         // The minimum of exponentially distributed numbers chooses equal targets in proportion to their slots.
-        const auto tieBreak = -std::log1p(-choiceJitter(randomValue, i)) / slots;
-        const auto cost = std::make_pair(static_cast<double>(candidate.ownRequests) / slots, tieBreak);
+        // A slow target counts as one with fewer slots.
+        const auto speedSlots = slots / candidate.speed;
+        const auto tieBreak = -std::log1p(-choiceJitter(randomValue, i)) / speedSlots;
+        const auto cost = std::make_pair(static_cast<double>(candidate.ownRequests) / speedSlots, tieBreak);
         if (cost < bestCost) {
             bestCost = cost;
             best = Placement{i, {}, {}, absl::ZeroDuration(), absl::ZeroDuration()};
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -26,6 +26,27 @@
 /// Interval of the counts of available engines. A ramp adds an engine of a domain with 18 every 120 ms.
 constexpr auto EngineCountInterval = absl::Milliseconds(20);
 
+/// One request in so many goes to a slow target whose speed was not observed lately, which would otherwise keep its
+/// estimate for some time after it has recovered. Targets that are not slow need no samples.
+constexpr std::uint64_t SamplingInterval = 50;
+/// Observed times of equal targets differ by about this: a pass takes longer while prompts are prefilled in it, and the
+/// load at the time of the choice is not known exactly.
+constexpr double NoiseRatio = 1.25;
+
+/// Ratio of the observed times of a service's median target to its published costs; 1 while the feature is off.
+double medianSpeed(const RelayContext &context, const std::string &service)
+{
+    const auto found = context.speeds.find(service);
+    return context.features().targetFeedback && found != context.speeds.end() ? found->second.median : 1;
+}
+
+/// The times of a target by those of the service's median target. A deviation of up to NoiseRatio counts as none.
+double relativeSpeed(const Target &target, double medianSpeed, core::Time now)
+{
+    const auto ratio = target.speed.ratio(now) / medianSpeed;
+    return ratio / std::clamp(ratio, 1 / NoiseRatio, NoiseRatio);
+}
+
 /// Whether targets that are warming up are eligible.
 enum class WarmingUpTargets
 {
@@ -52,6 +73,7 @@
         , m_query(query)
         , m_targets(targets)
         , m_warmingUpTargets(warmingUpTargets)
+        , m_medianSpeed(medianSpeed(context, query.service))
         , m_senderDomain(query.senderDomain.empty() ? context.settings.failureDomain : query.senderDomain)
         , m_now(now)
     {
@@ -79,9 +101,13 @@
             candidate.slots = target.entry.slots;
             candidate.isLocalDomain = target.entry.failureDomain == m_context.settings.failureDomain;
             candidate.mayAnswer = isUsable(i, !anyHealthy);
-            candidate.reservedForShortGaps = candidate.mayAnswer && reservedCount < reservedEngines;
+            const bool isSlow = m_context.features().targetFeedback && target.reportedSlow;
+            candidate.reservedForShortGaps = candidate.mayAnswer && !isSlow && reservedCount < reservedEngines;
             reservedCount += candidate.reservedForShortGaps ? 1 : 0;
             candidate.mayHelp = mayHelp(target);
+            if (m_context.features().targetFeedback) {
+                candidate.speed = relativeSpeed(target, m_medianSpeed, m_now);
+            }
             candidates.push_back(candidate);
         }
         if (anyHealthy) {
@@ -201,6 +227,7 @@
     const TargetQuery &m_query;
     const TargetSet::Targets &m_targets;
     const WarmingUpTargets m_warmingUpTargets;
+    const double m_medianSpeed;
     const std::string m_senderDomain; ///< Failure domain of the requesting daemon.
     const core::Time m_now;
     bool m_trustsReports = true; ///< False if so many targets are reported unreachable that the reports are ignored.
@@ -340,6 +367,11 @@
 
     [[nodiscard]] std::optional<Placement> choose() const
     {
+        if (m_context.features().targetFeedback && (m_randomValue >> 32U) % SamplingInterval == 0) {
+            if (auto sampling = chooseForSampling()) {
+                return sampling;
+            }
+        }
         auto placement = chooseWithinLimits();
         const bool anyWarmingUp = std::any_of(m_targets.begin(), m_targets.end(),
                                               [this](const auto &target) { return target->warmUp.isActive(m_now); });
@@ -350,6 +382,25 @@
     }
 
 private:
+    /// Chooses one of the slow targets whose speed was not observed lately, at random; nothing if none of them is free.
+    [[nodiscard]] std::optional<Placement> chooseForSampling() const
+    {
+        auto candidates = CandidateBuilder(m_context, m_query, m_targets, WarmingUpTargets::Excluded, m_now).build({});
+        std::vector<std::size_t> stale;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const bool mayBeSlow = candidates[i].speed > 1 && m_targets[i]->speed.isStale(m_now);
+            if (std::exchange(candidates[i].mayAnswer, false) && mayBeSlow) {
+                stale.push_back(i);
+            }
+        }
+        if (stale.empty()) {
+            return std::nullopt;
+        }
+        candidates[stale[m_randomValue % stale.size()]].mayAnswer = true;
+        auto placement = place(candidates);
+        return placement && helpersReachable(*placement) ? placement : std::nullopt;
+    }
+
     /// Uses engines beyond the limits of their failure domains only if the request would be late without them.
     [[nodiscard]] std::optional<Placement> chooseWithinLimits() const
     {
@@ -436,6 +487,26 @@
     const overload::EngineCounts m_engineLimits;
 };
 
+/// Times of a chosen engine by its published costs; unknown if engines help it, because each of them may be slow.
+PublishedTimes publishedTimes(const RelayContext &context, const TargetQuery &query, const ChosenTargets &chosen,
+                              core::Time now)
+{
+    const auto *spec = context.table ? context.table->serviceNamed(query.service) : nullptr;
+    if (spec == nullptr || !spec->engine) {
+        return {};
+    }
+    PublishedTimes published;
+    auto load = chosen.target->load(now);
+    load.decodingRequests = load.requests + 1; // Those that are in prefill now decode together with this one.
+    load.decodingContextTokens += query.prompt->prompt.promptTokens;
+    published.pass = absl::Milliseconds(decodePassMs(*spec->engine, load));
+    if (chosen.helpers.empty()) {
+        const auto median = medianSpeed(context, query.service);
+        published.ttft = chosen.expectedTtft / (median * relativeSpeed(*chosen.target, median, now));
+    }
+    return published;
+}
+
 } // namespace
 
 bool mayQueueAtEngine(core::Duration waited, core::Duration ttftObjective) noexcept
@@ -446,6 +517,9 @@
 std::optional<ChosenTargets> chooseTargets(RelayContext &context, const TargetQuery &query, core::Time now)
 {
     const auto targets = eligibleTargets(context, query, now);
+    if (context.features().targetFeedback) {
+        static_cast<void>(serviceSpeed(context, query.service, now));
+    }
     const TargetChooser chooser(context, query, targets, now);
     const auto placement = chooser.choose();
     if (!placement) {
@@ -460,8 +534,12 @@
     for (const auto &holding : placement->reservations) {
         chosen.reservedTokens.push_back(holding.tokens);
     }
-    chosen.expectedTtft = placement->expectedTtft;
+    // The choice compares the targets with each other; the expected time also allows for costs that are off for all.
+    chosen.expectedTtft = placement->expectedTtft * medianSpeed(context, query.service);
     chosen.partPrefillTime = placement->partPrefillTime;
+    if (context.features().targetFeedback && query.prompt) {
+        chosen.published = publishedTimes(context, query, chosen, now);
+    }
     return chosen;
 }
 
