Publish the load view and limit daemons that decide alone

Cause: a daemon that reaches no scheduler knows only its own work, so that all daemons together may admit several times what the engines can take.

Change: the scheduler attaches its backlog as a numbered load view to queued replies, at most one each 500 ms to one daemon. Registrars pass a view that is younger than 1 s on to daemons that ask for one in their heartbeats (new field wants_load). LoadViewStore keeps the newest possible view, and LocalAdmission limits a daemon without a scheduler to its part of the drain rate. The scheduler sets gauges of the backlog, and spurlugctl report shows refusals by prediction and the error of predictions. Everything depends on RelayContext::features().admission. Until admission measures drain rates (Scheduler::currentKindLoads), views have rate 0, which limits nobody.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -5,8 +5,10 @@
 #pragma once
 
 #include "spurlug/control/messages.h"
+#include "spurlug/overload/load_view_publisher.h"
 #include "spurlug/relay/target_choice.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,7 +59,8 @@
     /// \returns Pairs of a daemon's VM and its grant.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> placeQueued(core::Time now);
 
-    /// \brief Removes expired reports, grants and requests, such as those of daemons that have gone silent.
+    /// \brief Removes expired reports, grants and requests, such as those of daemons that have gone silent, and updates
+    /// the gauges of the backlog once a second.
     void removeExpired(core::Time now);
 
     /// @}
@@ -108,6 +111,11 @@
     /// Failure domain named by a daemon; this daemon's if the name is empty.
     [[nodiscard]] const std::string &domainOrOwn(const std::string &domain) const;
     Grants::iterator removeGrant(Grants::iterator grant);
+    /// Backlog by kind.
+    [[nodiscard]] std::array<overload::KindLoad, overload::KindCount> currentKindLoads(core::Time now) const;
+    /// Adds a load view to a queued or refused reply, unless the daemon got one recently.
+    void attachLoadView(PlacementReply &reply, const std::string &vm, core::Time now);
+    void updateGauges(core::Time now);
 
     relay::RelayContext &m_context;
     std::function<void()> m_onQueued = [] {};
@@ -115,6 +123,8 @@
     std::vector<QueuedRequest> m_queue;
     std::map<std::string, ReportState> m_reportStates; ///< By daemon.
     std::uint64_t m_newestGrant = 0;
+    overload::LoadViewPublisher m_views;
+    core::Time m_gaugesUpdatedAt = absl::InfinitePast();
 };
 
 } // namespace spurlug::control
--- a/include/spurlug/membership/heartbeat.h
+++ b/include/spurlug/membership/heartbeat.h
@@ -7,6 +7,7 @@
 #include "spurlug/core/time.h"
 #include "spurlug/membership/domain_table.h"
 #include "spurlug/membership/peer_table.h"
+#include "spurlug/overload/load_view.h"
 #include "spurlug/targets/load_report.h"
 #include "spurlug/targets/outstanding.h"
 #include "spurlug/targets/rate_report.h"
@@ -46,6 +47,8 @@
     std::vector<DomainRoster> rosters;
     /// Largest number of daemons of its failure domain that the sender ever knew at once.
     std::size_t largestDomainSize = 0;
+    bool wantsLoad = false; ///< Whether the sender lacks a recent load view; the reply then has one.
+    std::optional<overload::LoadView> load; ///< Newest load view that the sender knows.
 };
 
 /// \brief Encodes and signs a heartbeat as one datagram.
--- a/include/spurlug/membership/load_view_codec.h
+++ b/include/spurlug/membership/load_view_codec.h
@@ -10,7 +10,8 @@
 namespace spurlug::membership
 {
 
-/// \brief Writes a view; organisations beyond LoadView::MaxExcesses are omitted.
+/// \brief Writes a view in at most LoadView::MaxBytes; the last organisations are omitted if there are more than
+/// LoadView::MaxExcesses or no room is left for them.
 void writeLoadView(const overload::LoadView &view, wire::LoadView &out);
 /// \brief Reads a view as sent; overload::LoadViewStore rejects impossible values.
 [[nodiscard]] overload::LoadView readLoadView(const wire::LoadView &in);
--- a/include/spurlug/overload/load_view.h
+++ b/include/spurlug/overload/load_view.h
@@ -43,6 +43,7 @@
 struct LoadView
 {
     static constexpr std::size_t MaxExcesses = 8; ///< Bounds the size of a message.
+    static constexpr std::size_t MaxBytes = 96; ///< Maximum size of an encoded view.
 
     std::uint64_t schedulerStart = 0; ///< Increases with each start of a scheduler; 0: no view.
     std::uint32_t number = 0; ///< Increases with each view of one scheduler.
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -10,6 +10,8 @@
 #include "spurlug/metrics/metrics.h"
 #include "spurlug/net/io.h"
 #include "spurlug/overload/features.h"
+#include "spurlug/overload/load_view_store.h"
+#include "spurlug/overload/local_admission.h"
 #include "spurlug/relay/crash_tracker.h"
 #include "spurlug/relay/domain_links.h"
 #include "spurlug/relay/evacuations.h"
@@ -74,6 +76,8 @@
     /// Largest number of daemons of this one's failure domain that this daemon, or one whose heartbeats it received,
     /// ever knew at the same time.
     std::size_t largestDomainSize = 1;
+    overload::LoadViewStore loadViews;
+    overload::LocalAdmission localAdmission;
     const core::Time startedAt;
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
@@ -90,6 +94,9 @@
         return m_features;
     }
 
+    /// \brief Stores a load view that another daemon sent, and counts it; ignores it while admission is not active.
+    void takeLoadView(const overload::LoadView &view, core::Time now);
+
     /// \brief Whether keys can be checked: the configuration was recently known to be the newest, or checks fail open.
     [[nodiscard]] bool canCheckKeys(core::Time now) const;
 
--- a/include/spurlug/relay/fleet_membership.h
+++ b/include/spurlug/relay/fleet_membership.h
@@ -73,7 +73,9 @@
     [[nodiscard]] core::Duration steadyInterval(core::Time now) const;
     [[nodiscard]] membership::DaemonState state(core::Time now) const;
     [[nodiscard]] membership::Heartbeat makeHeartbeat(core::Time now);
-    void sendReply(const core::Address &to, std::uint32_t peerDigest, core::Time now);
+    void sendReply(const core::Address &to, std::uint32_t peerDigest, bool wantsLoad, core::Time now);
+    /// The newest load view, if it is recent enough for other daemons.
+    [[nodiscard]] std::optional<overload::LoadView> recentLoadView(core::Time now) const;
     void removeSilentPeers(core::Time now);
     void detectPause(core::Time now);
     /// \returns Whether it lists members or changes the number of daemons.
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -175,8 +175,9 @@
         // A grant cannot be used before the list of targets is read; this daemon would then place the request alone.
         const bool listRead = m_context.targetsPosition.isKnown() && evacuationsKnown(m_context);
         const bool asked = listRead && session.sendIfDue(query, m_progress.priority(), now);
-        if (!asked) {
+        if (!asked && m_progress.mayDecideAlone(query, now)) {
             if (auto chosen = m_progress.choose(now)) {
+                m_progress.noteDecidedAlone(query, now);
                 m_context.metrics.count(metrics::Counter::PlacementsWithoutScheduler, query.prompt ? 1 : 0);
                 co_return chosen;
             }
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -47,6 +47,12 @@
     /// \returns Nothing if no target is free or the evacuations are not known yet.
     [[nodiscard]] std::optional<ChosenTargets> choose(core::Time now);
 
+    /// \brief Whether this daemon may place the request without a scheduler now: by the last load view, its part of the
+    /// fleet's capacity is not used up. Always true for a request that may have run.
+    [[nodiscard]] bool mayDecideAlone(const TargetQuery &query, core::Time now);
+    /// \brief Charges a request that this daemon placed without a scheduler to its part of the fleet's capacity.
+    void noteDecidedAlone(const TargetQuery &query, core::Time now);
+
     /// \brief Starts an attempt at these targets; the request counts towards their load from now on.
     /// \param scheduler Name of the VM whose scheduler chose them; empty if this daemon chose them.
     void beginAttempt(const ChosenTargets &chosen, std::string_view scheduler, core::Time now);
@@ -176,6 +182,10 @@
     [[nodiscard]] SlotUsage slotUsage(const std::string &service, core::Time now) const;
     [[nodiscard]] PromptRequest promptRequest(core::Time now) const;
     [[nodiscard]] const std::string &chooseService();
+    /// Whether a request without a scheduler is limited to this daemon's part of the fleet's capacity.
+    [[nodiscard]] bool isLimitedAlone(const TargetQuery &query) const noexcept;
+    /// Cost of a prompt for overload::LocalAdmission.
+    [[nodiscard]] double admissionCost(const TargetQuery &query) const;
     /// Whether the stream tolerates only short gaps between events.
     [[nodiscard]] bool needsShortGaps() const noexcept;
     [[nodiscard]] Refusal refuse(core::Reason reason, core::Time now) const;
--- a/include/spurlug/report/log_report.h
+++ b/include/spurlug/report/log_report.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <istream>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +31,12 @@
     Counts attemptFailures; ///< Failed attempts, by reason.
     /// Of completed requests with one attempt: time from sending to first event, divided by the expected time.
     std::vector<double> firstEventRatios;
+    /// Of requests with one attempt and a first event: time from arrival to that event, less the time predicted at
+    /// sending.
+    std::vector<double> predictionErrorsMs;
+    Counts predictedLate; ///< Requests that a scheduler refused by prediction, by kind of prompt.
+    std::vector<double> predictedMs; ///< Of each such request: predicted time to the first event.
+    std::vector<double> waitingAhead; ///< Of each such request: requests that it would have waited behind.
     std::vector<double> longestGapsMs; ///< Longest gap of each completed request.
     double prefillMs = 0; ///< Engine time for prefill.
     double wastedPrefillMs = 0; ///< The part of `prefillMs` for requests that were not completed.
@@ -60,9 +67,18 @@
         double prefillMs = 0;
     };
 
+    /// Refusal of a request by prediction.
+    struct Refusal
+    {
+        std::string kind; ///< Of the prompt.
+        double predictedMs = 0;
+        double waitingAhead = 0;
+    };
+
     struct Request
     {
         std::vector<Attempt> attempts;
+        std::optional<Refusal> refusal; ///< The last one, if any.
         std::vector<std::string> failedAttemptReasons; ///< Reason of each failed attempt.
         core::Time endedAt = absl::InfinitePast();
         std::string route;
@@ -76,6 +92,7 @@
         double gapObjectiveMs = 0; ///< 0: there is no objective for gaps.
     };
 
+    static void countPredictions(const Request &request, RouteStatistics &figures);
     static void count(const Request &request, RouteStatistics &figures);
 
     const core::Duration m_interval;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -9,6 +9,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/relay/target_notice.h"
 
+#include <absl/time/clock.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <tuple>
@@ -27,6 +28,7 @@
 /// After this many consecutive requests found no engine, the rest of their kind (with or without the need for short
 /// gaps) is left for the next round: they differ little, and each attempt costs some tens of us.
 constexpr int MaxFailedPlacements = 4;
+constexpr auto GaugeInterval = absl::Seconds(1); ///< Interval between updates of the gauges.
 constexpr auto AssumedLoadAge = absl::Milliseconds(20); ///< Network transit and processing delay at both ends.
 
 /// Key under which the work of a grant is recorded, next to the VM names of reporting daemons.
@@ -39,6 +41,7 @@
 
 Scheduler::Scheduler(relay::RelayContext &context)
     : m_context(context)
+    , m_views(static_cast<std::uint64_t>(absl::ToUnixNanos(absl::Now())))
 { }
 
 void Scheduler::setQueuedCallback(std::function<void()> callback)
@@ -163,6 +166,7 @@
     if (known != m_queue.end()) {
         known->lastReceivedAt = now;
         known->request = ask; // The daemon's list of unwanted targets may have changed.
+        attachLoadView(reply, ask.vm, now);
         return reply;
     }
     if (auto granted = place(ask, now - ask.waited, now)) {
@@ -171,9 +175,47 @@
     m_queue.push_back({ask, now - ask.waited, now});
     m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
     m_onQueued();
+    attachLoadView(reply, ask.vm, now);
     return reply;
 }
 
+std::array<overload::KindLoad, overload::KindCount> Scheduler::currentKindLoads(core::Time /*now*/) const
+{
+    std::array<overload::KindLoad, overload::KindCount> loads;
+    for (const auto &waiting : m_queue) {
+        const auto kind = waiting.request.shortGaps ? overload::Kind::ShortGaps : overload::Kind::LongGaps;
+        ++loads[static_cast<std::size_t>(kind)].waiting;
+    }
+    return loads;
+}
+
+void Scheduler::attachLoadView(PlacementReply &reply, const std::string &vm, core::Time now)
+{
+    if (!m_context.features().admission) {
+        return;
+    }
+    reply.load = m_views.publish(vm, currentKindLoads(now), m_context.roster.size(), {}, now);
+    if (reply.load) {
+        m_context.metrics.count(metrics::Counter::LoadViewsSent);
+        m_context.loadViews.accept(*reply.load, now, absl::Now()); // For answers to heartbeats.
+    }
+}
+
+void Scheduler::updateGauges(core::Time now)
+{
+    if (!m_context.features().admission || now - m_gaugesUpdatedAt < GaugeInterval) {
+        return;
+    }
+    m_gaugesUpdatedAt = now;
+    const auto loads = currentKindLoads(now);
+    const auto &shortGaps = loads[static_cast<std::size_t>(overload::Kind::ShortGaps)];
+    const auto &longGaps = loads[static_cast<std::size_t>(overload::Kind::LongGaps)];
+    m_context.metrics.setGauge("backlog_short", shortGaps.waiting);
+    m_context.metrics.setGauge("backlog_long", longGaps.waiting);
+    m_context.metrics.setGauge("drain_short_per_s", shortGaps.drainPerSecond);
+    m_context.metrics.setGauge("drain_long_ms_per_s", longGaps.drainPerSecond);
+}
+
 core::Duration Scheduler::slackTime(const QueuedRequest &queued, core::Time now) const
 {
     const auto &request = queued.request;
@@ -313,6 +355,7 @@
 
 void Scheduler::removeExpired(core::Time now)
 {
+    updateGauges(now);
     std::erase_if(m_queue,
                   [now](const QueuedRequest &waiting) { return now - waiting.lastReceivedAt > QueuedRequestTtl; });
     for (auto grant = m_grants.begin(); grant != m_grants.end();) {
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -136,6 +136,9 @@
     } else {
         clearSuspicion(reply.vm, now);
     }
+    if (reply.load) {
+        m_context.takeLoadView(*reply.load, now);
+    }
     const auto request = m_openRequests.find(reply.requestNumber);
     if (request != m_openRequests.end()) {
         request->second->events.post(relay::PlacementArrived{reply});
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/hash.h"
 #include "spurlug/heartbeat.pb.h"
+#include "spurlug/membership/load_view_codec.h"
 #include "spurlug/membership/work_codec.h"
 
 #include <algorithm>
@@ -173,6 +174,10 @@
         writeRoster(roster, *out.add_rosters());
     }
     out.set_largest_domain(clampToUint32(static_cast<std::int64_t>(heartbeat.largestDomainSize)));
+    out.set_wants_load(heartbeat.wantsLoad);
+    if (heartbeat.load) {
+        writeLoadView(*heartbeat.load, *out.mutable_load());
+    }
     if (sender.peerAddress.port != 0) {
         out.mutable_hello()->set_failure_domain(sender.failureDomain);
         out.mutable_hello()->set_peer_address(sender.peerAddress.text());
@@ -250,6 +255,10 @@
             heartbeat.rosters.push_back(readRoster(roster));
         }
         heartbeat.largestDomainSize = inner.largest_domain();
+        heartbeat.wantsLoad = inner.wants_load();
+        if (inner.has_load()) {
+            heartbeat.load = readLoadView(inner.load());
+        }
         return heartbeat;
     } catch (const core::InvalidDocument &) {
         return std::nullopt;
--- a/src/membership/load_view_codec.cpp
+++ b/src/membership/load_view_codec.cpp
@@ -49,6 +49,9 @@
         excess.set_excess_ms(clampToUint32(core::toMs(view.excesses[i].excess)));
     }
     out.set_age_ms(clampToUint32(core::toMs(view.age)));
+    while (out.ByteSizeLong() > overload::LoadView::MaxBytes && out.over_size() > 0) {
+        out.mutable_over()->RemoveLast();
+    }
 }
 
 overload::LoadView readLoadView(const wire::LoadView &in)
--- /dev/null
+++ b/src/overload/load_view_publisher.cpp
@@ -0,0 +1,45 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: load views for the replies of a scheduler
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "spurlug/overload/load_view_publisher.h"
+
+#include <algorithm>
+
+namespace spurlug::overload
+{
+
+LoadViewPublisher::LoadViewPublisher(std::uint64_t schedulerStart) noexcept
+    : m_schedulerStart(schedulerStart)
+{ }
+
+std::optional<LoadView> LoadViewPublisher::publish(const std::string &vm, const std::array<KindLoad, KindCount> &kinds,
+                                                   std::size_t daemons, std::vector<ShareExcess> excesses,
+                                                   core::Time now)
+{
+    const auto isRecent = [now](core::Time publishedAt) { return now - publishedAt < MinInterval; };
+    const auto known = m_publishedAt.find(vm);
+    if (known != m_publishedAt.end() && isRecent(known->second)) {
+        return std::nullopt;
+    }
+    if (known == m_publishedAt.end() && m_publishedAt.size() >= MaxDaemons) {
+        std::erase_if(m_publishedAt, [&](const auto &item) { return !isRecent(item.second); });
+        if (m_publishedAt.size() >= MaxDaemons) {
+            return std::nullopt;
+        }
+    }
+    m_publishedAt[vm] = now;
+    std::sort(excesses.begin(), excesses.end(),
+              [](const ShareExcess &left, const ShareExcess &right) { return left.excess > right.excess; });
+    excesses.resize(std::min(excesses.size(), LoadView::MaxExcesses));
+    LoadView view;
+    view.schedulerStart = m_schedulerStart;
+    view.number = ++m_number;
+    view.kinds = kinds;
+    view.daemons = static_cast<std::uint32_t>(std::clamp<std::size_t>(daemons, 1, UINT32_MAX));
+    view.excesses = std::move(excesses);
+    return view;
+}
+
+} // namespace spurlug::overload
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -9,6 +9,7 @@
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
 
+#include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
 namespace spurlug::relay
@@ -32,6 +33,12 @@
 /// How much longer the waits for targets are than the shortest wait for the configuration.
 constexpr auto TargetsExtraWait = absl::Milliseconds(3400);
 
+/// Fraction of a period by which this daemon is ahead of others; it differs between VMs.
+double phaseOf(const std::string &vm)
+{
+    return static_cast<double>(core::fastHash(vm)) / static_cast<double>(UINT64_MAX);
+}
+
 FleetRetryLimit toRetryLimit(const settings::RelayBounds &bounds)
 {
     FleetRetryLimit limit;
@@ -51,6 +58,8 @@
     , retries(toRetryLimit(settings.bounds))
     , random(core::fastHash(core::cat(settings.vm, absl::ToUnixNanos(core::now()))))
     , roster(settings.vm)
+    , loadViews(settings.overload.viewMaxAge)
+    , localAdmission(phaseOf(settings.vm))
     , startedAt(startedAt)
 { }
 
@@ -65,6 +74,24 @@
     return fleet;
 }
 
+void RelayContext::takeLoadView(const overload::LoadView &view, core::Time now)
+{
+    if (!m_features.admission) {
+        return;
+    }
+    switch (loadViews.accept(view, now, absl::Now())) {
+    case overload::ViewVerdict::Accepted:
+        metrics.count(metrics::Counter::LoadViewsAccepted);
+        break;
+    case overload::ViewVerdict::Known:
+        break; // Several registrars send the same view.
+    case overload::ViewVerdict::Outdated:
+    case overload::ViewVerdict::Impossible:
+        metrics.count(metrics::Counter::LoadViewsDropped);
+        break;
+    }
+}
+
 bool RelayContext::canCheckKeys(core::Time now) const
 {
     if (!settings.bounds.failClosed) {
--- a/src/relay/fleet_membership.cpp
+++ b/src/relay/fleet_membership.cpp
@@ -53,6 +53,8 @@
 /// Draining targets listed in a heartbeat: if a large release has more, each heartbeat has a new random selection.
 constexpr std::size_t MaxDrainingReports = 48;
 constexpr std::size_t MaxRateReports = 32; ///< Targets whose rate limits a heartbeat lists.
+/// Age up to which a load view is sent to other daemons, and from which this daemon asks for a newer one.
+constexpr auto MaxSentViewAge = absl::Seconds(1);
 
 Member toMember(const membership::PeerReport &report)
 {
@@ -197,7 +199,7 @@
     return candidates;
 }
 
-void FleetMembership::sendReply(const core::Address &to, std::uint32_t peerDigest, core::Time now)
+void FleetMembership::sendReply(const core::Address &to, std::uint32_t peerDigest, bool wantsLoad, core::Time now)
 {
     auto heartbeat = makeHeartbeat(now);
     heartbeat.rosters = currentRosters(now);
@@ -206,9 +208,19 @@
             roster.members.clear();
         }
     }
+    if (wantsLoad) {
+        heartbeat.load = recentLoadView(now);
+        m_context.metrics.count(metrics::Counter::LoadViewsSent, heartbeat.load ? 1 : 0);
+    }
     m_send(to, membership::writeHeartbeat(heartbeat, ""));
 }
 
+std::optional<overload::LoadView> FleetMembership::recentLoadView(core::Time now) const
+{
+    auto view = m_context.features().admission ? m_context.loadViews.newest(now) : std::nullopt;
+    return view && view->age < MaxSentViewAge ? view : std::nullopt;
+}
+
 core::Address FleetMembership::nextSeed()
 {
     const auto &seeds = m_context.settings.seeds;
@@ -294,6 +306,7 @@
     removeSilentPeers(now);
     auto heartbeat = makeHeartbeat(now);
     heartbeat.wantsReply = true;
+    heartbeat.wantsLoad = m_context.features().admission && !recentLoadView(now);
     static_cast<void>(currentRosters(now));
     heartbeat.rostersDigest = m_rostersDigest;
     const auto datagram = membership::writeHeartbeat(heartbeat, "");
@@ -351,6 +364,9 @@
     }
     applyDrainingReports(m_context, heartbeat.drainingTargets, sender.vm);
     applyRateReports(m_context, heartbeat.rateReports, sender.vm, now);
+    if (heartbeat.load) {
+        m_context.takeLoadView(*heartbeat.load, now);
+    }
     if (isLocalDomain && !heartbeat.wantsReply) {
         m_registrarAnsweredAt = now;
     }
@@ -367,7 +383,7 @@
         sendRound(now); // Informs the registrars of this daemon at once.
     }
     if (heartbeat.wantsReply) {
-        sendReply(address, heartbeat.rostersDigest, now);
+        sendReply(address, heartbeat.rostersDigest, heartbeat.wantsLoad, now);
     }
     if (isNewPeer) {
         m_onNewPeer(address);
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -47,6 +47,11 @@
     return ids;
 }
 
+overload::Kind kindOf(const PromptRequest &prompt) noexcept
+{
+    return prompt.shortGaps ? overload::Kind::ShortGaps : overload::Kind::LongGaps;
+}
+
 } // namespace
 
 RequestProgress::RequestProgress(RelayContext &context, RequestInfo facts, core::Time arrivedAt)
@@ -194,6 +199,33 @@
     return chooseTargets(m_context, query(now), now);
 }
 
+bool RequestProgress::isLimitedAlone(const TargetQuery &query) const noexcept
+{
+    return m_context.features().admission && query.prompt && !m_mayHaveRun;
+}
+
+double RequestProgress::admissionCost(const TargetQuery &query) const
+{
+    const auto *spec = m_table->serviceNamed(query.service);
+    const bool countsRequests = query.prompt->shortGaps || spec == nullptr || !spec->engine;
+    return countsRequests ? 1 : prefillPartMs(*spec->engine, query.prompt->prompt.promptTokens, 1);
+}
+
+bool RequestProgress::mayDecideAlone(const TargetQuery &query, core::Time now)
+{
+    return !isLimitedAlone(query)
+        || m_context.localAdmission.mayAdmit(kindOf(*query.prompt), admissionCost(query),
+                                             m_context.loadViews.newest(now), now);
+}
+
+void RequestProgress::noteDecidedAlone(const TargetQuery &query, core::Time now)
+{
+    if (isLimitedAlone(query)) {
+        m_context.localAdmission.noteAdmitted(kindOf(*query.prompt), admissionCost(query),
+                                              m_context.loadViews.newest(now));
+    }
+}
+
 void RequestProgress::beginAttempt(const ChosenTargets &chosen, std::string_view scheduler, core::Time now)
 {
     m_chosen = chosen;
--- a/src/report/log_report.cpp
+++ b/src/report/log_report.cpp
@@ -49,6 +49,9 @@
             {object->value("waitedMs", 0.0), object->value("expectedMs", 0.0), object->value("readMs", 0.0)});
     } else if (event == "attempt_failed") {
         request.failedAttemptReasons.push_back(object->value("reason", ""));
+    } else if (event == "placement_refused") {
+        request.refusal
+            = {object->value("kind", ""), object->value("predictedMs", 0.0), object->value("waitingAhead", 0.0)};
     } else if (event == "request_ended") {
         request.endedAt = lineTime(*object);
         request.route = object->value("route", "");
@@ -71,9 +74,23 @@
     }
 }
 
+void LogReport::countPredictions(const Request &request, RouteStatistics &figures)
+{
+    if (request.refusal) {
+        ++figures.predictedLate[request.refusal->kind];
+        figures.predictedMs.push_back(request.refusal->predictedMs);
+        figures.waitingAhead.push_back(request.refusal->waitingAhead);
+    }
+    if (request.attempts.size() == 1 && request.firstEventMs >= 0 && request.attempts.front().expectedMs > 0) {
+        const auto &attempt = request.attempts.front();
+        figures.predictionErrorsMs.push_back(request.firstEventMs - attempt.waitedMs - attempt.expectedMs);
+    }
+}
+
 void LogReport::count(const Request &request, RouteStatistics &figures)
 {
     ++figures.requests;
+    countPredictions(request, figures);
     for (const auto &reason : request.failedAttemptReasons) {
         ++figures.attemptFailures[reason];
     }
@@ -133,6 +150,20 @@
                              quantile(row.firstEventRatios, HighQuantile), quantile(row.longestGapsMs, MedianQuantile),
                              quantile(row.longestGapsMs, HighQuantile), row.prefillMs / MsPerSecond,
                              row.prefillMs > 0 ? row.wastedPrefillMs / row.prefillMs * 100 : 0));
+            if (!row.predictionErrorsMs.empty()) {
+                core::append(text,
+                             absl::StrFormat("            first event less predicted, ms: p10 %.0f p50 %.0f p90 %.0f\n",
+                                             quantile(row.predictionErrorsMs, LowQuantile),
+                                             quantile(row.predictionErrorsMs, MedianQuantile),
+                                             quantile(row.predictionErrorsMs, HighQuantile)));
+            }
+            if (!row.predictedLate.empty()) {
+                core::append(text, "            refused by prediction:", formatCounts(row.predictedLate),
+                             absl::StrFormat(
+                                 "; predicted ms p50 %.0f p90 %.0f, waiting ahead p50 %.0f p90 %.0f\n",
+                                 quantile(row.predictedMs, MedianQuantile), quantile(row.predictedMs, HighQuantile),
+                                 quantile(row.waitingAhead, MedianQuantile), quantile(row.waitingAhead, HighQuantile)));
+            }
             if (!row.failureReasons.empty()) {
                 core::append(text, "            not whole:", formatCounts(row.failureReasons), "\n");
             }
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -55,6 +55,31 @@
     BOOST_TEST(report.text().find("not whole: caller_gone 1") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(refusals_and_errors_of_predictions_are_reported_by_route_and_explained_by_request)
+{
+    // Guards against refusals that operators cannot explain, and against errors computed without the wait.
+    constexpr auto RefusalLines = R"(
+{"time":"2026-01-01T10:00:01+00:00","event":"placement_refused","request":"a","organisation":"o","kind":"long_gaps","predictedMs":9000,"waitingAhead":12,"drain":500,"retryMs":3000,"viewAgeMs":0}
+{"time":"2026-01-01T10:00:02+00:00","event":"request_ended","request":"a","route":"chat","outcome":"not_run","reason":"predicted_late","status":503,"totalMs":10}
+{"time":"2026-01-01T10:00:03+00:00","event":"request_sent","request":"b","expectedMs":100,"waitedMs":400}
+{"time":"2026-01-01T10:00:04+00:00","event":"request_ended","request":"b","route":"chat","outcome":"completed","status":200,"firstMs":650,"totalMs":900,"aimMs":300}
+)";
+    report::LogReport report{core::Duration(absl::Seconds(10))};
+    std::istringstream lines(RefusalLines);
+    report.addAll(lines);
+    const auto statistics = report.statistics();
+    const auto &row = statistics.at("chat").begin()->second;
+    BOOST_TEST(row.predictedLate.at("long_gaps") == 1);
+    BOOST_REQUIRE(row.predictionErrorsMs.size() == 1U);
+    BOOST_TEST(row.predictionErrorsMs.front() == 150, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(report.text().find("refused by prediction: long_gaps 1; predicted ms p50 9000") != std::string::npos);
+    BOOST_TEST(report.text().find("first event less predicted, ms: p10 150") != std::string::npos);
+    std::istringstream again(RefusalLines);
+    const auto found = report::linesOfRequest("a", again);
+    BOOST_REQUIRE(found.size() == 2U);
+    BOOST_TEST(found.front().find("\"waitingAhead\":12") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(retries_of_all_daemons_are_summed_in_every_window_against_the_budget)
 {
     // Two requests of two daemons, each sent twice. The window with both retries begins 10 s before the later one.
