--- a/include/spurlug/control/admission_control.h
+++ b/include/spurlug/control/admission_control.h
@@ -71,6 +71,9 @@
 
     /// \brief Whether admission by prediction is active.
     [[nodiscard]] bool isActive() const noexcept;
+    /// \brief Rate at which the backlog of a kind drains in all services: requests/s (short gaps) or engine ms of
+    /// prefill per second (long gaps); 0 if it is not known.
+    [[nodiscard]] double drainPerSecond(overload::Kind kind, core::Time now) const;
     /// \brief The refusal that a repeated request got, for the case that the datagram was lost.
     [[nodiscard]] std::optional<PlacementReply> findRefusal(const PlacementRequest &request) const;
     /// \brief Whether a request may be refused by prediction. Not if it may have run, if this scheduler has just
--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -8,8 +8,10 @@
 #include "spurlug/control/messages.h"
 #include "spurlug/overload/fair_queue.h"
 #include "spurlug/overload/grant_round.h"
+#include "spurlug/overload/load_view_publisher.h"
 #include "spurlug/relay/target_choice.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -64,7 +66,8 @@
     /// \returns Pairs of a daemon's VM and its grant or refusal.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> placeQueued(core::Time now);
 
-    /// \brief Removes expired reports, grants and requests, such as those of daemons that have gone silent.
+    /// \brief Removes expired reports, grants and requests, such as those of daemons that have gone silent, and updates
+    /// the gauges of the backlog once a second.
     void removeExpired(core::Time now);
 
     /// @}
@@ -139,6 +142,11 @@
     /// Failure domain named by a daemon; this daemon's if the name is empty.
     [[nodiscard]] const std::string &domainOrOwn(const std::string &domain) const;
     Grants::iterator removeGrant(Grants::iterator grant);
+    /// Backlog by kind.
+    [[nodiscard]] std::array<overload::KindLoad, overload::KindCount> currentKindLoads(core::Time now) const;
+    /// Adds a load view to a queued or refused reply, unless the daemon got one recently.
+    void attachLoadView(PlacementReply &reply, const std::string &vm, core::Time now);
+    void updateGauges(core::Time now);
 
     relay::RelayContext &m_context;
     std::function<void()> m_onQueued = [] {};
@@ -151,6 +159,8 @@
     overload::FloorCredits m_floors;
     /// Whether a queued prompt that tolerates longer gaps can still be in time; true without admission by prediction.
     bool m_inTimePromptWaits = true;
+    overload::LoadViewPublisher m_views;
+    core::Time m_gaugesUpdatedAt = absl::InfinitePast();
 };
 
 } // namespace spurlug::control
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -13,6 +13,8 @@
 #include "spurlug/overload/domain_shares.h"
 #include "spurlug/overload/engine_ramps.h"
 #include "spurlug/overload/features.h"
+#include "spurlug/overload/load_view_store.h"
+#include "spurlug/overload/local_admission.h"
 #include "spurlug/relay/crash_tracker.h"
 #include "spurlug/relay/domain_links.h"
 #include "spurlug/relay/evacuations.h"
@@ -86,6 +88,8 @@
     std::map<std::string, overload::DomainShares> domainShares; ///< By plain service; used with `domainShift`.
     std::map<std::string, overload::EngineRamps> engineRamps; ///< By service; used with `domainShift`.
     core::LogRateLimiter shareChangeLog{1}; ///< Limits `domain_share_changed`, by failure domain.
+    overload::LoadViewStore loadViews;
+    overload::LocalAdmission localAdmission;
     const core::Time startedAt;
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
@@ -102,6 +106,9 @@
         return m_features;
     }
 
+    /// \brief Stores a load view that another daemon sent, and counts it; ignores it while admission is not active.
+    void takeLoadView(const overload::LoadView &view, core::Time now);
+
     /// \brief Whether keys can be checked: the configuration was recently known to be the newest, or checks fail open.
     [[nodiscard]] bool canCheckKeys(core::Time now) const;
 
--- a/src/control/admission_control.cpp
+++ b/src/control/admission_control.cpp
@@ -217,6 +217,15 @@
     std::erase_if(m_refusals, [now](const auto &item) { return now - item.second.sentAt > RefusalTtl; });
 }
 
+double AdmissionControl::drainPerSecond(Kind kind, core::Time now) const
+{
+    double sum = 0;
+    for (const auto &[key, lane] : m_lanes) {
+        sum += key.second == kind ? lane.admission.drainPerSecond(now) : 0;
+    }
+    return sum;
+}
+
 std::optional<PlacementReply> AdmissionControl::findRefusal(const PlacementRequest &request) const
 {
     const auto found = m_refusals.find({request.vm, request.requestNumber});
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -10,6 +10,7 @@
 #include "spurlug/relay/target_notice.h"
 #include "spurlug/relay/target_speed.h"
 
+#include <absl/time/clock.h>
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -34,6 +35,7 @@
 /// behind them may still find an engine.
 constexpr int MaxFailedPlacementsPerRound = 16;
 constexpr auto NoPrompt = std::numeric_limits<std::int64_t>::max(); ///< Larger than any prompt, tokens.
+constexpr auto GaugeInterval = absl::Seconds(1); ///< Interval between updates of the gauges.
 constexpr auto AssumedLoadAge = absl::Milliseconds(20); ///< Network transit and processing delay at both ends.
 
 /// Key under which the work of a grant is recorded, next to the VM names of reporting daemons.
@@ -49,6 +51,7 @@
     , m_admission(context)
     , m_fairQueue(context.settings.overload)
     , m_floors(context.settings.overload.floorShare)
+    , m_views(static_cast<std::uint64_t>(absl::ToUnixNanos(absl::Now())))
 { }
 
 void Scheduler::setQueuedCallback(std::function<void()> callback)
@@ -183,6 +186,7 @@
         known->lastReceivedAt = now;
         known->request = ask; // The daemon's list of unwanted targets may have changed.
         reply.expectedWait = known->ticket.expectedWait;
+        attachLoadView(reply, ask.vm, now);
         return reply;
     }
     if (m_admission.isActive()) {
@@ -195,6 +199,7 @@
     m_queue.push_back({ask, now - ask.waited, now, now, {}});
     m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
     m_onQueued();
+    attachLoadView(reply, ask.vm, now);
     return reply;
 }
 
@@ -205,6 +210,7 @@
     if (auto refusal = m_admission.findRefusal(request)) {
         return *refusal;
     }
+    const auto vm = request.vm;
     queued.ticket = m_admission.admit(request, queued.arrivedAt, now);
     updateInTimePromptWaits(now);
     if (!waitsBehindOthers(request)) {
@@ -219,7 +225,9 @@
     // The next round decides about a request that arrives after engines may have become free.
     const bool mayRefuse = m_admission.mayRefuse(request, now) && m_admission.recentlyFull(request, now);
     if (verdict == overload::Verdict::Refuse && mayRefuse) {
-        return m_admission.refuse(request, queued.ticket, ahead, now);
+        auto refusal = m_admission.refuse(request, queued.ticket, ahead, now);
+        attachLoadView(refusal, vm, now);
+        return refusal;
     }
     m_admission.noteWaiting(request.service, kindOf(request), now);
     m_admission.noteArrival(request, queued.ticket, now);
@@ -231,6 +239,7 @@
     m_queue.push_back(std::move(queued));
     m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
     m_onQueued();
+    attachLoadView(reply, vm, now);
     return reply;
 }
 
@@ -325,6 +334,52 @@
     return m_admission.isActive() ? hasSlack && m_admission.canBeInTime(queued.request, queued.ticket, now) : hasSlack;
 }
 
+std::array<overload::KindLoad, overload::KindCount> Scheduler::currentKindLoads(core::Time now) const
+{
+    std::array<overload::KindLoad, overload::KindCount> loads;
+    std::array<double, overload::KindCount> waitingWork{};
+    for (const auto &waiting : m_queue) {
+        const auto kind = static_cast<std::size_t>(kindOf(waiting.request));
+        ++loads[kind].waiting;
+        waitingWork[kind] += waiting.ticket.work;
+    }
+    for (const auto kind : {overload::Kind::ShortGaps, overload::Kind::LongGaps}) {
+        auto &load = loads[static_cast<std::size_t>(kind)];
+        load.drainPerSecond = m_admission.drainPerSecond(kind, now);
+        if (load.drainPerSecond > 0) {
+            load.expectedWait = absl::Seconds(waitingWork[static_cast<std::size_t>(kind)] / load.drainPerSecond);
+        }
+    }
+    return loads;
+}
+
+void Scheduler::attachLoadView(PlacementReply &reply, const std::string &vm, core::Time now)
+{
+    if (!m_context.features().admission) {
+        return;
+    }
+    reply.load = m_views.publish(vm, currentKindLoads(now), m_context.roster.size(), m_fairQueue.excesses(), now);
+    if (reply.load) {
+        m_context.metrics.count(metrics::Counter::LoadViewsSent);
+        m_context.loadViews.accept(*reply.load, now, absl::Now()); // For answers to heartbeats.
+    }
+}
+
+void Scheduler::updateGauges(core::Time now)
+{
+    if (!m_context.features().admission || now - m_gaugesUpdatedAt < GaugeInterval) {
+        return;
+    }
+    m_gaugesUpdatedAt = now;
+    const auto loads = currentKindLoads(now);
+    const auto &shortGaps = loads[static_cast<std::size_t>(overload::Kind::ShortGaps)];
+    const auto &longGaps = loads[static_cast<std::size_t>(overload::Kind::LongGaps)];
+    m_context.metrics.setGauge("backlog_short", shortGaps.waiting);
+    m_context.metrics.setGauge("backlog_long", longGaps.waiting);
+    m_context.metrics.setGauge("drain_short_per_s", shortGaps.drainPerSecond);
+    m_context.metrics.setGauge("drain_long_ms_per_s", longGaps.drainPerSecond);
+}
+
 core::Duration Scheduler::slackTime(const QueuedRequest &queued, core::Time now) const
 {
     const auto &request = queued.request;
@@ -552,6 +607,7 @@
 
 void Scheduler::removeExpired(core::Time now)
 {
+    updateGauges(now);
     std::erase_if(m_queue,
                   [now](const QueuedRequest &waiting) { return now - waiting.lastReceivedAt > QueuedRequestTtl; });
     m_admission.removeExpired(now);
