Look up admission state without copies of service names

Cause: each round of placements built map keys for every waiting request. Change: few lanes in a deque, searched in order; refused requests are removed in place.

--- a/include/spurlug/control/admission_control.h
+++ b/include/spurlug/control/admission_control.h
@@ -10,11 +10,12 @@
 #include "spurlug/relay/context.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace spurlug::control
 {
@@ -29,6 +30,14 @@
     core::Duration expectedWait = absl::ZeroDuration(); ///< As last predicted.
 };
 
+/// \brief Waiting work of one service and kind.
+struct LaneBacklog
+{
+    std::string service;
+    overload::Kind kind = overload::Kind::ShortGaps;
+    overload::WorkAhead work;
+};
+
 /// \brief Decides for the scheduler which placement requests wait in time, wait late or are refused, and keeps the
 /// state that the decisions need. Soft state: a new scheduler starts without it.
 class AdmissionControl
@@ -55,7 +64,7 @@
     /// \brief Notes that a request of this service and kind waits from now on.
     void noteWaiting(const std::string &service, overload::Kind kind, core::Time now);
     /// \brief Notes of which services and kinds requests still wait after a round of placements.
-    void noteRound(const std::set<std::pair<std::string, overload::Kind>> &waiting, core::Time now);
+    void noteRound(const std::vector<LaneBacklog> &backlogs, core::Time now);
     /// \brief Refuses a request, logs the refusal and keeps it for repeated asks.
     /// \param ahead Work ahead of it.
     [[nodiscard]] PlacementReply refuse(const PlacementRequest &request, const AdmissionTicket &ticket,
@@ -88,6 +97,8 @@
     /// State of one service and kind.
     struct Lane
     {
+        std::string service;
+        overload::Kind kind;
         overload::Admission admission;
         overload::ReturnBook returns;
         core::Time unplacedAt = absl::InfinitePast(); ///< Last round that left a request without an engine.
@@ -99,15 +110,13 @@
         core::Time sentAt;
     };
 
-    using LaneKey = std::pair<std::string, overload::Kind>;
-
     Lane &laneOf(const std::string &service, overload::Kind kind, core::Time now);
-    [[nodiscard]] const Lane *findLane(const PlacementRequest &request) const;
+    [[nodiscard]] const Lane *findLane(const std::string &service, overload::Kind kind) const;
     /// Drain rate before the first measurement, work/s; 0 if it cannot be estimated.
     [[nodiscard]] double initialDrain(const std::string &service, overload::Kind kind, core::Time now) const;
 
     relay::RelayContext &m_context;
-    std::map<LaneKey, Lane> m_lanes;
+    std::deque<Lane> m_lanes; ///< In the order of their first request; a configuration has few services.
     std::map<std::pair<std::string, std::uint64_t>, Refusal> m_refusals; ///< By daemon and request number.
     core::Time m_lastActivityAt = absl::InfinitePast();
     core::Time m_activeSince = absl::InfinitePast();
--- a/src/control/admission_control.cpp
+++ b/src/control/admission_control.cpp
@@ -79,18 +79,19 @@
 
 AdmissionControl::Lane &AdmissionControl::laneOf(const std::string &service, Kind kind, core::Time now)
 {
-    const LaneKey key{service, kind};
-    const auto found = m_lanes.find(key);
+    const auto found = std::find_if(m_lanes.begin(), m_lanes.end(),
+                                    [&](const Lane &lane) { return lane.kind == kind && lane.service == service; });
     if (found != m_lanes.end()) {
-        return found->second;
+        return *found;
     }
-    return m_lanes.emplace(key, Lane{overload::Admission(initialDrain(service, kind, now)), {}}).first->second;
+    return m_lanes.emplace_back(Lane{service, kind, overload::Admission(initialDrain(service, kind, now)), {}});
 }
 
-const AdmissionControl::Lane *AdmissionControl::findLane(const PlacementRequest &request) const
+const AdmissionControl::Lane *AdmissionControl::findLane(const std::string &service, Kind kind) const
 {
-    const auto found = m_lanes.find({request.service, kindOf(request)});
-    return found != m_lanes.end() ? &found->second : nullptr;
+    const auto found = std::find_if(m_lanes.begin(), m_lanes.end(),
+                                    [&](const Lane &lane) { return lane.kind == kind && lane.service == service; });
+    return found != m_lanes.end() ? &*found : nullptr;
 }
 
 AdmissionTicket AdmissionControl::admit(const PlacementRequest &request, core::Time arrivedAt, core::Time now)
@@ -156,10 +157,12 @@
     laneOf(service, kind, now).admission.setWaiting(true, now);
 }
 
-void AdmissionControl::noteRound(const std::set<std::pair<std::string, Kind>> &waiting, core::Time now)
+void AdmissionControl::noteRound(const std::vector<LaneBacklog> &backlogs, core::Time now)
 {
-    for (auto &[key, lane] : m_lanes) {
-        const bool waits = waiting.contains(key);
+    for (auto &lane : m_lanes) {
+        const bool waits = std::any_of(backlogs.begin(), backlogs.end(), [&lane](const LaneBacklog &backlog) {
+            return backlog.kind == lane.kind && backlog.service == lane.service;
+        });
         lane.admission.setWaiting(waits, now);
         lane.unplacedAt = waits ? now : lane.unplacedAt;
     }
@@ -230,13 +233,13 @@
 
 bool AdmissionControl::recentlyFull(const PlacementRequest &request, core::Time now) const
 {
-    const auto *lane = findLane(request);
+    const auto *lane = findLane(request.service, kindOf(request));
     return lane != nullptr && now - lane->unplacedAt <= MaxRoundAge;
 }
 
 bool AdmissionControl::canBeInTime(const PlacementRequest &request, const AdmissionTicket &ticket, core::Time now) const
 {
-    const auto *lane = findLane(request);
+    const auto *lane = findLane(request.service, kindOf(request));
     return ticket.inTime && (lane == nullptr || lane->admission.canBeInTime(ticket.prompt, absl::ZeroDuration(), now));
 }
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -269,29 +269,34 @@
     if (!m_admission.isActive()) {
         return refusals;
     }
-    std::set<std::pair<std::string, overload::Kind>> waiting;
-    for (const auto &queued : m_queue) {
-        waiting.emplace(queued.request.service, kindOf(queued.request));
-    }
-    m_admission.noteRound(waiting, now);
     // The queue is in the order of placement, so that the work ahead of a request is that of the entries before it.
-    std::map<std::pair<std::string, overload::Kind>, overload::WorkAhead> aheadByLane;
-    std::vector<QueuedRequest> kept;
-    kept.reserve(m_queue.size());
-    for (auto &queued : m_queue) {
-        const auto &request = queued.request;
-        auto &ahead = aheadByLane[{request.service, kindOf(request)}];
-        const bool inTime = canBeInTime(queued, now);
+    std::vector<LaneBacklog> backlogs;
+    const auto backlogOf = [&backlogs](const PlacementRequest &request) -> LaneBacklog & {
+        const auto found = std::find_if(backlogs.begin(), backlogs.end(), [&request](const LaneBacklog &backlog) {
+            return backlog.kind == kindOf(request) && backlog.service == request.service;
+        });
+        return found != backlogs.end() ? *found
+                                       : backlogs.emplace_back(LaneBacklog{request.service, kindOf(request), {}});
+    };
+    auto kept = m_queue.begin();
+    for (auto queued = m_queue.begin(); queued != m_queue.end(); ++queued) {
+        const auto &request = queued->request;
+        auto &ahead = backlogOf(request).work;
+        const bool inTime = canBeInTime(*queued, now);
         const auto verdict
-            = inTime ? overload::Verdict::InTime : m_admission.decide(request, queued.ticket, ahead, now);
+            = inTime ? overload::Verdict::InTime : m_admission.decide(request, queued->ticket, ahead, now);
         if (verdict == overload::Verdict::Refuse && m_admission.mayRefuse(request, now)) {
-            refusals.emplace_back(request.vm, m_admission.refuse(request, queued.ticket, ahead, now));
+            refusals.emplace_back(request.vm, m_admission.refuse(request, queued->ticket, ahead, now));
             continue;
         }
-        (inTime ? ahead.inTime : ahead.late) += queued.ticket.work;
-        kept.push_back(std::move(queued));
+        (inTime ? ahead.inTime : ahead.late) += queued->ticket.work;
+        if (kept != queued) {
+            *kept = std::move(*queued);
+        }
+        ++kept;
     }
-    m_queue = std::move(kept);
+    m_queue.erase(kept, m_queue.end());
+    m_admission.noteRound(backlogs, now);
     return refusals;
 }
 
