--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -222,18 +222,19 @@
     const auto startBy = [](const AdmissionTicket &ticket) {
         return ticket.prompt.arrivedAt + ticket.prompt.ttftObjective - ticket.prompt.leastTtft;
     };
+    const auto comesFirst = [&queued, ownStart = startBy(queued.ticket), &startBy](const AdmissionTicket &other) {
+        return other.returnedOnTime != queued.ticket.returnedOnTime ? other.returnedOnTime : startBy(other) <= ownStart;
+    };
     for (const auto &other : m_queue) {
         const auto &ticket = other.ticket;
         if (other.request.shortGaps != request.shortGaps || other.request.priority > request.priority
             || other.request.service != request.service) {
             continue;
         }
-        if (other.request.priority < request.priority) {
-            ahead.inTime += ticket.work;
-        } else if (!ticket.inTime) {
+        const bool moreUrgent = other.request.priority < request.priority;
+        if (!moreUrgent && !ticket.inTime) {
             ahead.late += ticket.work;
-        } else if (ticket.returnedOnTime != queued.ticket.returnedOnTime ? ticket.returnedOnTime
-                                                                         : startBy(ticket) <= startBy(queued.ticket)) {
+        } else if (moreUrgent || comesFirst(ticket)) {
             ahead.inTime += ticket.work;
         }
     }
