Bound the cost of a round with fair shares, and measure it

Each kind tried 16 requests, and the order was computed with ordered maps. A placement request scanned the whole queue.

Change: short-gap prompts end their round after 4 consecutive failures, as without the features. The order uses one hash map for each urgency. The scan for prompts in time is done only for prompts that tolerate longer gaps. The benchmark `placeWaitingRequests` in cores-bench measures a round over 54 full engines. The scheduler test of long prompts now also has a late prompt that is smaller than those that find no engine.

--- a/bench/cores_bench.cpp
+++ b/bench/cores_bench.cpp
@@ -6,7 +6,9 @@
 #include "spurlug/admission/request_body.h"
 #include "spurlug/config/configuration.h"
 #include "spurlug/config/parts.h"
+#include "spurlug/control/scheduler.h"
 #include "spurlug/core/rendezvous.h"
+#include "spurlug/core/text.h"
 #include "spurlug/dispatch/sse.h"
 #include "spurlug/dispatch/token_reassembler.h"
 #include "spurlug/grants/broker.h"
@@ -167,6 +169,60 @@
 }
 BENCHMARK(serveAsks)->Arg(10)->Arg(30)->Arg(100)->Arg(300)->Unit(benchmark::kMicrosecond);
 
+/// One round of the scheduler over requests of 24 organisations that find no engine.
+void placeWaitingRequests(benchmark::State &state)
+{
+    constexpr int Engines = 54;
+    constexpr int Slots = 12;
+    net::Loop loop;
+    settings::RelaySettings settings;
+    settings.vm = "scheduler";
+    settings.overload.admission = settings.overload.fairShares
+        = state.range(1) > 0 ? settings::FeatureMode::On : settings::FeatureMode::Off;
+    metrics::Metrics metrics;
+    relay::RelayContext context{loop, settings, metrics, Now};
+    auto table = core::makeRef<config::RouteTable>();
+    table->version = 1;
+    config::ServiceSpec service;
+    service.name = "model";
+    service.engine.emplace();
+    service.engine->stepMs = 1;
+    service.engine->prefillTokensPerMs = 206;
+    service.engine->prefillMsPerMillionPairs = 0.138;
+    service.engine->slots = Slots;
+    service.engine->kvMemoryTokens = 197'200;
+    table->services.emplace("model", service);
+    context.activateConfiguration(table, "{}", "benchmark", Now);
+    control::Scheduler scheduler(context);
+    control::WorkReport report;
+    report.vm = "busy";
+    report.incarnation = report.sequence = 1;
+    for (int i = 0; i < Engines; ++i) {
+        context.targets.put({core::cat("engine-", i), "model", {"127.0.0.1", 8000}, "hall-a", Slots, false});
+        targets::TargetWork work;
+        work.target = context.targets.find(core::cat("engine-", i))->hash;
+        work.work.requests = work.work.decodingRequests = work.work.shortGapRequests = Slots;
+        work.work.memoryTokens = service.engine->kvMemoryTokens;
+        report.work.push_back(work);
+    }
+    scheduler.applyReport(report, Now);
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        control::PlacementRequest request;
+        request.vm = core::cat("vm-", i % 86);
+        request.requestNumber = static_cast<std::uint64_t>(i);
+        request.service = "model";
+        request.organisation = static_cast<std::uint32_t>(1 + i % 24);
+        request.shortGaps = i % 10 != 0;
+        request.prompt = {request.shortGaps ? 5000 : 190'000, 500};
+        request.ttftObjective = absl::Milliseconds(request.shortGaps ? 300 : 6000);
+        benchmark::DoNotOptimize(scheduler.handleRequest(request, Now));
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(scheduler.placeQueued(Now));
+    }
+}
+BENCHMARK(placeWaitingRequests)->ArgsProduct({{10, 100, 1000}, {0, 1}})->Unit(benchmark::kMicrosecond);
+
 void relayToken(benchmark::State &state)
 {
     const std::string event = "id: 0\ndata: {\"id\":\"x\",\"object\":\"chat.completion.chunk\",\"created\":1764000000,"
--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -88,6 +88,13 @@
         core::Time grantedAt;
     };
 
+    /// Requests of one kind that found no engine in a round.
+    struct FailedPlacements
+    {
+        int consecutive = 0;
+        int total = 0;
+    };
+
     struct ReportState
     {
         std::uint64_t incarnation = 0;
@@ -109,6 +116,8 @@
     /// Whether a new request must queue because others of its kind wait for the service; otherwise organisations with
     /// more new requests would get more engines.
     [[nodiscard]] bool waitsBehindOthers(const PlacementRequest &request) const;
+    /// Whether no more requests of a kind are tried in a round.
+    [[nodiscard]] bool endsRound(const FailedPlacements &failures, bool shortGaps) const;
     void noteQueuedGrant(const overload::QueueItem &item, overload::GrantRound &round);
     /// Time that would be left until the first event of a prompt is due if as many engines as may share it began to
     /// prefill it now; negative if it will be late.
@@ -134,7 +143,7 @@
     std::uint64_t m_newestGrant = 0;
     overload::FairQueue m_fairQueue;
     overload::FloorCredits m_floors;
-    /// Whether a queued prompt that tolerates longer gaps can still be in time; true without admission by prediction.
+    /// Whether a queued prompt that tolerates longer gaps can still be in time. Used only with admission by prediction.
     bool m_inTimePromptWaits = true;
 };
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -29,8 +29,8 @@
 /// After this many consecutive requests found no engine, the rest of their kind (with or without the need for short
 /// gaps) is left for the next round: they differ little, and each attempt costs some tens of us.
 constexpr int MaxFailedPlacements = 4;
-/// The same with admission by prediction, counted over the round: the largest prompts fail first, and smaller ones
-/// behind them may still find an engine.
+/// Failed placements of a kind after which a round with admission by prediction ends for it, however many succeed in
+/// between. Prompts that tolerate longer gaps differ in size: behind the largest, others may still find an engine.
 constexpr int MaxFailedPlacementsPerRound = 16;
 constexpr auto NoPrompt = std::numeric_limits<std::int64_t>::max(); ///< Larger than any prompt, tokens.
 constexpr auto AssumedLoadAge = absl::Milliseconds(20); ///< Network transit and processing delay at both ends.
@@ -173,7 +173,9 @@
         known->request = ask; // The daemon's list of unwanted targets may have changed.
         return reply;
     }
-    updateInTimePromptWaits(now);
+    if (!ask.shortGaps) {
+        updateInTimePromptWaits(now);
+    }
     if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, now - ask.waited, now)) {
         return *granted;
     }
@@ -211,10 +213,9 @@
 
 void Scheduler::updateInTimePromptWaits(core::Time now)
 {
-    m_inTimePromptWaits = !m_context.features().admission
-        || std::any_of(m_queue.begin(), m_queue.end(), [this, now](const QueuedRequest &waiting) {
-               return !waiting.request.shortGaps && canBeInTime(waiting, now);
-           });
+    m_inTimePromptWaits = std::any_of(m_queue.begin(), m_queue.end(), [this, now](const QueuedRequest &waiting) {
+        return !waiting.request.shortGaps && canBeInTime(waiting, now);
+    });
 }
 
 double Scheduler::engineMs(const PlacementRequest &request) const
@@ -357,16 +358,15 @@
         return grants;
     }
     const auto items = sortQueue(now);
-    updateInTimePromptWaits(now);
+    m_inTimePromptWaits
+        = std::any_of(items.begin(), items.end(), [](const auto &item) { return !item.late && !item.shortGaps; });
     const bool countsPerRound = m_context.features().admission;
-    const bool fairShares = m_context.features().fairShares;
-    const int maxFailures = countsPerRound ? MaxFailedPlacementsPerRound : MaxFailedPlacements;
-    int failedShortGaps = 0;
-    int failedLongGaps = 0;
+    FailedPlacements failedShortGaps;
+    FailedPlacements failedLongGaps;
     // Size of the smallest prompt that tolerates longer gaps, found no engine, but can still be in time.
     auto smallestInTime = NoPrompt;
     std::vector<bool> granted(m_queue.size());
-    overload::GrantRound round(items, fairShares ? &m_floors : nullptr);
+    overload::GrantRound round(items, m_context.features().fairShares ? &m_floors : nullptr);
     while (const auto index = round.next()) {
         const auto &item = items[*index];
         const auto &request = m_queue[*index].request;
@@ -375,16 +375,20 @@
         // for one that is no larger: a larger one found none of the engines sufficient that serve the late one.
         const bool yields = countsPerRound ? smallestInTime <= request.prompt.promptTokens : smallestInTime != NoPrompt;
         const bool deferred = item.late && !item.shortGaps && yields && !round.isFloorAttempt();
-        auto reply = failures >= maxFailures || deferred ? std::optional<PlacementReply>()
-                                                         : place(request, m_queue[*index].arrivedAt, now);
+        const bool ended = endsRound(failures, item.shortGaps);
+        auto reply
+            = ended || deferred ? std::optional<PlacementReply>() : place(request, m_queue[*index].arrivedAt, now);
         if (!reply) {
-            failures += countsPerRound && deferred ? 0 : 1;
+            if (!countsPerRound || !deferred) {
+                ++failures.consecutive;
+                ++failures.total;
+            }
             if (!item.late && !item.shortGaps) {
                 smallestInTime = std::min(smallestInTime, request.prompt.promptTokens);
             }
             continue;
         }
-        failures = countsPerRound ? failures : 0;
+        failures.consecutive = 0;
         noteQueuedGrant(item, round);
         grants.emplace_back(request.vm, std::move(*reply));
         granted[*index] = true;
@@ -399,6 +403,13 @@
     return grants;
 }
 
+bool Scheduler::endsRound(const FailedPlacements &failures, bool shortGaps) const
+{
+    const bool countsPerRound = m_context.features().admission;
+    const bool similarPromptsFailed = failures.consecutive >= MaxFailedPlacements && (shortGaps || !countsPerRound);
+    return similarPromptsFailed || (countsPerRound && failures.total >= MaxFailedPlacementsPerRound);
+}
+
 void Scheduler::noteQueuedGrant(const overload::QueueItem &item, overload::GrantRound &round)
 {
     if (!m_context.features().fairShares) {
--- a/src/overload/fair_queue.cpp
+++ b/src/overload/fair_queue.cpp
@@ -9,8 +9,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <map>
-#include <numeric>
 #include <tuple>
 #include <unordered_set>
 
@@ -20,11 +18,12 @@
 namespace
 {
 
-/// Requests of one class are equally urgent.
-auto classOf(const QueueItem &item)
+using Urgency = std::tuple<int, bool, bool, bool>;
+
+Urgency urgencyOf(const QueueItem &item)
 {
     const bool ahead = !item.late && item.returnsOnTime;
-    return std::make_tuple(item.priority, item.late, !ahead, !item.shortGaps);
+    return {item.priority, item.late, !ahead, !item.shortGaps};
 }
 
 } // namespace
@@ -73,25 +72,42 @@
 std::vector<std::size_t> FairQueue::order(const std::vector<QueueItem> &items)
 {
     updateStartTimes(items);
-    std::vector<std::size_t> indices(items.size());
-    std::iota(indices.begin(), indices.end(), 0);
-    std::stable_sort(indices.begin(), indices.end(),
-                     [&items](std::size_t left, std::size_t right) { return items[left].slack < items[right].slack; });
-    // Requests of an organisation that are ahead in the same class count as granted, so that one round of grants
+    struct Entry
+    {
+        std::size_t index;
+        Urgency urgency;
+        core::Duration slack;
+        double startMs;
+    };
+    std::vector<Entry> entries;
+    entries.reserve(items.size());
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        entries.push_back({i, urgencyOf(items[i]), items[i].slack, 0});
+    }
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
+        return std::tie(left.urgency, left.slack) < std::tie(right.urgency, right.slack);
+    });
+    // Requests of an organisation that are ahead and equally urgent count as granted, so that one round of grants
     // alternates between organisations.
-    std::map<std::pair<decltype(classOf(items.front())), std::uint32_t>, double> nextStartMs;
-    std::vector<double> startMs(items.size());
-    for (const auto i : indices) {
-        const auto organisation = entryOf(items[i]);
-        auto &nextMs
-            = nextStartMs.try_emplace({classOf(items[i]), organisation}, m_startMs.at(organisation)).first->second;
-        startMs[i] = nextMs;
-        nextMs += virtualCostMs(items[i]);
+    std::unordered_map<std::uint32_t, double> nextStartMs;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        if (i > 0 && entries[i].urgency != entries[i - 1].urgency) {
+            nextStartMs.clear();
+        }
+        const auto &item = items[entries[i].index];
+        const auto organisation = entryOf(item);
+        auto &nextMs = nextStartMs.try_emplace(organisation, m_startMs.at(organisation)).first->second;
+        entries[i].startMs = nextMs;
+        nextMs += virtualCostMs(item);
     }
-    std::stable_sort(indices.begin(), indices.end(), [&](std::size_t left, std::size_t right) {
-        return std::make_tuple(classOf(items[left]), startMs[left])
-            < std::make_tuple(classOf(items[right]), startMs[right]);
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry &left, const Entry &right) {
+        return std::tie(left.urgency, left.startMs) < std::tie(right.urgency, right.startMs);
     });
+    std::vector<std::size_t> indices;
+    indices.reserve(entries.size());
+    for (const auto &entry : entries) {
+        indices.push_back(entry.index);
+    }
     return indices;
 }
 
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -470,15 +470,20 @@
             busy.work.push_back({target->hash, {.partPrefillMicros = 600'000, .prefillParts = 1}, 600'000});
         }
         state.scheduler.applyReport(busy, at(0));
-        for (const std::int64_t tokens : {420'000, 420'000, 420'000, 420'000, 420'000, 20'000}) {
+        const auto enqueue = [&](std::int64_t tokens) {
             ++request.requestNumber;
             request.prompt = {tokens, 500};
             BOOST_TEST((state.scheduler.handleRequest(request, at(1)).kind == ReplyKind::Queued));
+        };
+        for (const std::int64_t tokens : {420'000, 420'000, 420'000, 420'000, 420'000, 20'000}) {
+            enqueue(tokens);
         }
+        request.waited = absl::Milliseconds(7000); // Late, and smaller than those that find no engine.
+        enqueue(30'000);
         state.scheduler.applyReport(workReport("busy", 2, 0), at(400));
         const auto grants = state.scheduler.placeQueued(at(400));
-        BOOST_TEST(grants.size() == (mode == settings::FeatureMode::On ? 1U : 0U));
-        BOOST_TEST(state.scheduler.queuedCount() == 6 - grants.size());
+        BOOST_TEST(grants.size() == (mode == settings::FeatureMode::On ? 2U : 0U));
+        BOOST_TEST(state.scheduler.queuedCount() == 7 - grants.size());
     }
 }
 
