--- a/tests/unit/observed_speed_test.cpp
+++ b/tests/unit/observed_speed_test.cpp
@@ -5,7 +5,9 @@
 
 #include "relay_state.h"
 
+#include "spurlug/control/messages.h"
 #include "spurlug/core/text.h"
+#include "spurlug/relay/request_progress.h"
 #include "spurlug/relay/target_choice.h"
 #include "spurlug/relay/target_speed.h"
 #include "spurlug/targets/observed_speed.h"
@@ -237,6 +239,39 @@
     BOOST_TEST(std::abs(absl::FDivDuration(slow->published.ttft, usual->published.ttft) - 1) < 0.1);
 }
 
+// Guards against samples of broken answers, and against blame for a target whose helper may be the slow one.
+BOOST_AUTO_TEST_CASE(whole_answers_give_samples_and_the_first_event_only_without_helpers)
+{
+    SpeedState state;
+    const auto run = [&state](int engine, std::vector<core::Ref<Target>> helpers, std::optional<TargetFault> fault) {
+        RequestProgress request(state.context, shortPrompt(), at(0));
+        BOOST_REQUIRE(!request.authorise(at(0)));
+        static_cast<void>(request.query(at(0))); // Chooses the service.
+        ChosenTargets chosen;
+        chosen.target = core::Ref<Target>(&state.engine(engine));
+        chosen.helpers = std::move(helpers);
+        chosen.published = {absl::Milliseconds(100), absl::Milliseconds(40)};
+        request.beginAttempt(chosen, "", at(0));
+        for (const auto ms : {300, 420, 420, 540, 660}) {
+            request.recordAnswer(at(ms));
+        }
+        request.endAttempt(fault ? core::Outcome::MayHaveRun : core::Outcome::Completed, core::Reason::None, fault, "",
+                           at(660));
+        return state.engine(engine).speed.samples();
+    };
+    BOOST_TEST(run(0, {}, std::nullopt) == 2); // Three times the published times.
+    BOOST_TEST(std::abs(state.engine(0).speed.ratio(at(660)) - 1.25) < 0.01);
+    BOOST_TEST(run(1, {core::Ref<Target>(&state.engine(2))}, std::nullopt) == 1);
+    BOOST_TEST(run(3, {}, TargetFault::ConnectionLost) == 0);
+
+    control::PlacementReply sent;
+    sent.published = {absl::Milliseconds(100), absl::Milliseconds(40)};
+    const auto received = control::readMessage(control::writeMessage(sent));
+    BOOST_REQUIRE(received.has_value());
+    const auto &published = std::get<control::PlacementReply>(*received).published;
+    BOOST_TEST((published.ttft == sent.published.ttft && published.pass == sent.published.pass));
+}
+
 // Guards against a target that is known to be slow for ever because it gets no requests.
 BOOST_AUTO_TEST_CASE(some_requests_go_to_targets_without_recent_samples)
 {
--- a/tests/unit/target_health_test.cpp
+++ b/tests/unit/target_health_test.cpp
@@ -239,8 +239,9 @@
     state.scheduler.applyReport(report, at(0));
     BOOST_TEST((targets.find("e1")->reportedUnreachableUntil > at(0)));
     auto success = reportOf("b", 1);
-    success.outcomes.push_back({targets.find("e1")->hash, std::nullopt});
+    success.outcomes.push_back({targets.find("e1")->hash, std::nullopt, 0, 1.1, std::nullopt});
     state.scheduler.applyReport(success, at(10));
+    BOOST_TEST(targets.find("e1")->speed.samples() == 1); // The ratios of an outcome are applied too.
     report.sequence = 2;
     state.scheduler.applyReport(report, at(900));
     BOOST_TEST((targets.find("e1")->reportedUnreachableUntil < at(0)));
