--- a/src/control/admission_control.cpp
+++ b/src/control/admission_control.cpp
@@ -223,8 +223,8 @@
 double AdmissionControl::drainPerSecond(Kind kind, core::Time now) const
 {
     double sum = 0;
-    for (const auto &[key, lane] : m_lanes) {
-        sum += key.second == kind ? lane.admission.drainPerSecond(now) : 0;
+    for (const auto &lane : m_lanes) {
+        sum += lane.kind == kind ? lane.admission.drainPerSecond(now) : 0;
     }
     return sum;
 }
