Limit what single failures and observed speed do to targets

A spared failure counted as consecutive, so one lost packet ejected a target that had just returned. Sampling filled a slow target until its first answer was complete. Slow plain targets alone in their failure domain kept their full share. Targets without samples counted in the median, so the first sampled ones of an equally slow service looked slow. Silence time-outs grew with the observed speed beyond the caller's.

Spared failures don't count as consecutive, only slow targets without requests are sampled, shares are divided by the relative speed, the median is that of targets with recent samples (1 if fewer than three), and the expected part of silence time-outs is limited with target feedback. A target without recent samples counts as a median one.

--- a/include/spurlug/relay/target_speed.h
+++ b/include/spurlug/relay/target_speed.h
@@ -27,8 +27,8 @@
 /// \brief Observed speed of a service's targets.
 struct ServiceSpeed
 {
-    /// Median ratio of all targets, at least 1. Above 1 the published costs are off for all: nothing is slow then, but
-    /// everything takes longer.
+    /// Median ratio of the targets with recent samples, at least 1; 1 if fewer than three have some. Above 1 the
+    /// published costs are off for all: nothing is slow then, but everything takes longer.
     double median = 1;
     core::Time computedAt = absl::InfinitePast();
     std::int64_t slowTargets = 0;
--- a/include/spurlug/targets/observed_speed.h
+++ b/include/spurlug/targets/observed_speed.h
@@ -47,6 +47,8 @@
     /// \brief Ratio of observed to expected times, 0.25 to 16: the geometric mean of the estimates that have had a
     /// sample lately.
     [[nodiscard]] double ratio(core::Time now) const noexcept;
+    /// \brief Whether any estimate has had a sample lately. Otherwise the ratio is 1 for lack of samples.
+    [[nodiscard]] bool isKnown(core::Time now) const noexcept;
     /// \brief Whether the last sample is so old that a request should be sent in order to get a new one.
     [[nodiscard]] bool isStale(core::Time now) const noexcept;
 
--- a/src/relay/request_timeouts.cpp
+++ b/src/relay/request_timeouts.cpp
@@ -23,6 +23,10 @@
 /// the caller abandons the request, the rest of which must be enough for the other target.
 constexpr double SilenceTimeoutFactor = 4;
 constexpr double CallerTimeoutShare = 0.6;
+/// With target feedback, the expected time contains the observed speed, up to 16. These shares of the time until the
+/// caller abandons the request limit what it adds, so that a hung engine is still detected before that.
+constexpr double MaxSilenceCheckShare = 0.25;
+constexpr double MaxExpectedShare = 0.5;
 constexpr double GapTimeoutFactor = 4; // Multiple of the longest gap between events that meets the objective.
 constexpr auto MinGapTimeout = absl::Milliseconds(1400); // Callers abandon a stream after 2 s of silence.
 /// A target that responded to any request within this time is alive: forward passes of a busy engine are shorter.
@@ -152,9 +156,11 @@
     if (m_route->kind != config::RouteKind::Stream) {
         return silenceTimeout(chosen, bodyStarted);
     }
-    const auto expected = bodyStarted ? m_route->gapObjective : chosen.expectedTtft;
-    return std::min(std::max(expected * SilenceCheckFactor, core::Duration(MinSilenceCheckDelay)),
-                    silenceTimeout(chosen, bodyStarted));
+    auto delay = (bodyStarted ? m_route->gapObjective : chosen.expectedTtft) * SilenceCheckFactor;
+    if (!bodyStarted && m_context.features().targetFeedback) {
+        delay = std::min(delay, callerTimeout() * MaxSilenceCheckShare);
+    }
+    return std::min(std::max(delay, core::Duration(MinSilenceCheckDelay)), silenceTimeout(chosen, bodyStarted));
 }
 
 core::Duration RequestProgress::silenceTimeout(const ChosenTargets &chosen, bool bodyStarted) const noexcept
@@ -163,7 +169,11 @@
         return std::max(m_route->latencyObjective * PlainServiceTimeoutFactor, core::Duration(MinPlainServiceTimeout));
     }
     if (!bodyStarted) {
-        return std::max(chosen.expectedTtft * SilenceTimeoutFactor, callerTimeout() * CallerTimeoutShare);
+        auto expected = chosen.expectedTtft * SilenceTimeoutFactor;
+        if (m_context.features().targetFeedback) {
+            expected = std::min(expected, callerTimeout() * MaxExpectedShare);
+        }
+        return std::max(expected, callerTimeout() * CallerTimeoutShare);
     }
     return m_route->gapObjective == absl::InfiniteDuration()
         ? m_route->gapObjective
--- a/src/relay/target_choice.cpp
+++ b/src/relay/target_choice.cpp
@@ -40,9 +40,13 @@
     return context.features().targetFeedback && found != context.speeds.end() ? found->second.median : 1;
 }
 
-/// The times of a target by those of the service's median target. A deviation of up to NoiseRatio counts as none.
+/// The times of a target by those of the service's median target. A deviation of up to NoiseRatio counts as none, and a
+/// target without recent samples counts as a median one.
 double relativeSpeed(const Target &target, double medianSpeed, core::Time now)
 {
+    if (!target.speed.isKnown(now)) {
+        return 1;
+    }
     const auto ratio = target.speed.ratio(now) / medianSpeed;
     return ratio / std::clamp(ratio, 1 / NoiseRatio, NoiseRatio);
 }
@@ -382,14 +386,17 @@
     }
 
 private:
-    /// Chooses one of the slow targets whose speed was not observed lately, at random; nothing if none of them is free.
+    /// Chooses one of the slow targets without requests whose speed was not observed lately, at random; nothing if
+    /// there is none.
     [[nodiscard]] std::optional<Placement> chooseForSampling() const
     {
         auto candidates = CandidateBuilder(m_context, m_query, m_targets, WarmingUpTargets::Excluded, m_now).build({});
         std::vector<std::size_t> stale;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
-            const bool mayBeSlow = candidates[i].speed > 1 && m_targets[i]->speed.isStale(m_now);
-            if (std::exchange(candidates[i].mayAnswer, false) && mayBeSlow) {
+            // A sample arrives only with a whole answer. Further requests until then would fill the slow target.
+            const bool needsSample
+                = candidates[i].speed > 1 && candidates[i].load.requests == 0 && m_targets[i]->speed.isStale(m_now);
+            if (std::exchange(candidates[i].mayAnswer, false) && needsSample) {
                 stale.push_back(i);
             }
         }
@@ -453,7 +460,7 @@
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             const auto domain = shares.find(domainOf(i));
             candidates[i].domain = static_cast<std::size_t>(std::distance(shares.begin(), domain));
-            candidates[i].share = m_plainShares.shareOf(*m_targets[i]);
+            candidates[i].share = m_plainShares.shareOf(*m_targets[i]) / candidates[i].speed;
             candidates[i].ownRequests = m_targets[i]->localWork(m_now).requests;
         }
         return candidates;
--- a/src/relay/target_health.cpp
+++ b/src/relay/target_health.cpp
@@ -41,7 +41,6 @@
         return false; // A full target is not a failing one.
     }
     m_failureShare += (1 - m_failureShare) * policy.newestWeight;
-    ++m_consecutiveFailures;
     const bool unreachable = fault == TargetFault::Unreachable || fault == TargetFault::Timeout;
     if (!isEjected(now)) {
         m_unreachable = unreachable;
@@ -49,6 +48,8 @@
     m_failedConnections += fault == TargetFault::Unreachable ? 1 : 0;
     const bool isSpared = policy.byEvidence && fault == TargetFault::Unreachable
         && m_failedConnections < policy.maxFailedConnections && answeredRecently(policy, now);
+    // After an ejection, one more failure ejects again; a single lost packet must not count as one.
+    m_consecutiveFailures += isSpared ? 0 : 1;
     if ((unreachable && !isSpared) || m_consecutiveFailures >= policy.maxConsecutiveFailures
         || m_failureShare > policy.maxFailureShare) {
         eject(policy, now);
--- a/src/relay/target_speed.cpp
+++ b/src/relay/target_speed.cpp
@@ -21,6 +21,7 @@
 
 /// Targets are compared this often; a median of some thousand targets takes some tens of us.
 constexpr auto ComparisonInterval = absl::Milliseconds(200);
+constexpr std::size_t MinKnownTargets = 3; // Of fewer, a single slow one would be the median target.
 constexpr double SlowRatio = 2; // By the median target.
 constexpr double NormalRatio = 1.5; // Lower than SlowRatio, so that a target near it is not logged again and again.
 /// Connections and scheduling take some ms, which would be taken for the engine's time.
@@ -99,18 +100,19 @@
     const auto targets = context.targets.availableTargets(service, now);
     std::vector<double> ratios;
     for (const auto &target : targets) {
-        ratios.push_back(target->speed.ratio(now));
+        if (target->speed.isKnown(now)) {
+            ratios.push_back(target->speed.ratio(now));
+        }
     }
     known = {1, now, 0};
-    if (!ratios.empty()) {
-        auto sorted = ratios;
-        const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
-        std::nth_element(sorted.begin(), middle, sorted.end());
+    if (ratios.size() >= MinKnownTargets) {
+        const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+        std::nth_element(ratios.begin(), middle, ratios.end());
         known.median = std::max(*middle, 1.0);
     }
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        logChange(*targets[i], ratios[i] / known.median);
-        known.slowTargets += targets[i]->reportedSlow ? 1 : 0;
+    for (const auto &target : targets) {
+        logChange(*target, target->speed.isKnown(now) ? target->speed.ratio(now) / known.median : 1);
+        known.slowTargets += target->reportedSlow ? 1 : 0;
     }
     std::int64_t slowTargets = 0;
     for (const auto &[name, speed] : context.speeds) {
--- a/src/targets/observed_speed.cpp
+++ b/src/targets/observed_speed.cpp
@@ -80,6 +80,11 @@
     return count == 0 ? 1 : std::exp(sum / count);
 }
 
+bool ObservedSpeed::isKnown(core::Time now) const noexcept
+{
+    return now - std::max(m_first.lastSampleAt(), m_gap.lastSampleAt()) <= EstimateLifetime;
+}
+
 bool ObservedSpeed::isStale(core::Time now) const noexcept
 {
     return now - std::max(m_first.lastSampleAt(), m_gap.lastSampleAt()) > StaleAge;
--- a/tests/unit/domain_choice_test.cpp
+++ b/tests/unit/domain_choice_test.cpp
@@ -21,8 +21,9 @@
 struct Daemon : RelayState
 {
     explicit Daemon(const std::string &domain, settings::FeatureMode mode = settings::FeatureMode::On,
-                    std::size_t enginesPerDomain = 0)
+                    std::size_t enginesPerDomain = 0, settings::FeatureMode feedback = settings::FeatureMode::Off)
     {
+        settings.overload.targetFeedback = feedback;
         settings.failureDomain = domain;
         context.random.seed(1);
         settings.overload.domainShift = mode;
@@ -81,6 +82,20 @@
     }
 }
 
+// Guards against a slow target that keeps its full share because no other target of its domain takes its requests.
+BOOST_AUTO_TEST_CASE(a_slow_target_alone_in_its_domain_gets_a_smaller_share)
+{
+    Daemon daemon("hall-a", settings::FeatureMode::On, 0, settings::FeatureMode::On);
+    daemon.context.domainSizes = {{"hall-a", 60}, {"hall-b", 1}, {"hall-c", 1}};
+    const auto equal = daemon.choose(10'000, at(0));
+    for (int i = 0; i < 20; ++i) {
+        daemon.context.targets.find("hall-b/0")->speed.addGap(4, at(0));
+    }
+    const auto slow = daemon.choose(10'000, at(1));
+    BOOST_TEST(slow.at("hall-b/0") > 0);
+    BOOST_TEST(slow.at("hall-b/0") * 2 < equal.at("hall-b/0"));
+}
+
 // Guards against a change of behaviour where the feature is off.
 BOOST_AUTO_TEST_CASE(without_the_feature_the_own_domain_is_preferred)
 {
--- a/tests/unit/observed_speed_test.cpp
+++ b/tests/unit/observed_speed_test.cpp
@@ -293,6 +293,62 @@
     BOOST_TEST(sampling <= 40);
 }
 
+// Guards against requests that fill a slow target until the first of them has given a sample.
+BOOST_AUTO_TEST_CASE(a_target_with_requests_is_not_sampled)
+{
+    SpeedState state;
+    state.observe(0, 16, 0);
+    state.observe(0, 16, 2000);
+    std::vector<std::unique_ptr<LocalWork>> works;
+    for (std::int64_t ms = 9100; ms < 9900; ++ms) {
+        for (int i = 1; i < SpeedState::Engines; ++i) {
+            applySpeedSamples(state.context, state.engine(i), {1, std::nullopt}, at(ms));
+        }
+        TargetQuery query;
+        query.service = "model";
+        query.prompt = promptRequest(4'000);
+        const auto chosen = chooseTargets(state.context, query, at(ms));
+        if (chosen && chosen->target->entry.id == "e0") {
+            works.push_back(std::make_unique<LocalWork>(chosen->target, LocalWork::Kind::Request,
+                                                        addedWork(*chosen, query.prompt->prompt).back().second, at(ms),
+                                                        at(ms) + chosen->expectedTtft, true));
+        }
+    }
+    BOOST_TEST(works.size() == 1U);
+}
+
+// Guards against a few targets that look slow, and others that look fast, because only the few have samples yet.
+BOOST_AUTO_TEST_CASE(targets_without_samples_do_not_count_in_the_median)
+{
+    SpeedState state;
+    state.observe(0, 5, 0);
+    state.observe(1, 5, 0);
+    BOOST_TEST(serviceSpeed(state.context, "model", at(2500)).median == 1); // Two show nothing about the service.
+    state.observe(0, 5, 3000);
+    state.observe(1, 5, 3000);
+    state.observe(2, 5, 3000);
+    state.observe(2, 5, 5000);
+    const auto &speed = serviceSpeed(state.context, "model", at(7500));
+    BOOST_TEST(speed.median > 2);
+    BOOST_TEST(speed.slowTargets == 0);
+}
+
+// Guards against a hung engine that is detected only after the caller has left, because it was known to be slow.
+BOOST_AUTO_TEST_CASE(observed_speed_extends_silence_timeouts_up_to_a_limit)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        SpeedState state(mode);
+        RequestProgress request(state.context, shortPrompt(), at(0));
+        BOOST_REQUIRE(!request.authorise(at(0)));
+        ChosenTargets chosen;
+        chosen.target = core::Ref<Target>(&state.engine(0));
+        chosen.expectedTtft = request.callerTimeout();
+        const bool limited = mode == settings::FeatureMode::On;
+        BOOST_TEST((request.silenceTimeout(chosen, false) < request.callerTimeout()) == limited);
+        BOOST_TEST((request.silenceCheckDelay(chosen, false) < request.callerTimeout() / 2) == limited);
+    }
+}
+
 // Guards against plain targets that are used alike whatever their speed.
 BOOST_AUTO_TEST_CASE(a_slow_plain_target_is_used_less)
 {
--- a/tests/unit/target_health_test.cpp
+++ b/tests/unit/target_health_test.cpp
@@ -225,6 +225,18 @@
     BOOST_TEST(health.isEjected(at(1700 + 2900))); // The second ejection in a row lasts twice as long.
 }
 
+// Guards against a lost packet that ejects a target which has just returned and answers.
+BOOST_AUTO_TEST_CASE(a_spared_failure_after_the_return_of_a_target_does_not_eject_it)
+{
+    TargetHealth health;
+    health.noteFailure(TargetFault::Unreachable, ByEvidence, at(0));
+    health.noteFirstEvent(at(1600));
+    BOOST_TEST(health.noteFailure(TargetFault::Unreachable, ByEvidence, at(1700)));
+    BOOST_TEST(!health.isEjected(at(1700)));
+    health.noteFailure(TargetFault::ConnectionLost, ByEvidence, at(1800));
+    BOOST_TEST(health.isEjected(at(1800))); // Any other failure still does.
+}
+
 // Guards against reports that never end because the reported target is granted to nobody.
 BOOST_AUTO_TEST_CASE(a_report_ends_with_the_ejection_and_is_ignored_while_others_get_answers)
 {
