Report refusals by prediction by the digest of the work

The report read fields of placement_refused that no scheduler writes: schedulers know only the first 8 bytes of the digest. The line on prediction errors appears only where requests were refused by prediction.

The suite report_tests passes with the fields that schedulers write.

--- a/include/spurlug/report/log_report.h
+++ b/include/spurlug/report/log_report.h
@@ -78,7 +78,7 @@
     struct Request
     {
         std::vector<Attempt> attempts;
-        std::optional<Refusal> refusal; ///< The last one, if any.
+        std::string digest; ///< Its first 16 hex digits.
         std::vector<std::string> failedAttemptReasons; ///< Reason of each failed attempt.
         core::Time endedAt = absl::InfinitePast();
         std::string route;
@@ -92,11 +92,12 @@
         double gapObjectiveMs = 0; ///< 0: there is no objective for gaps.
     };
 
-    static void countPredictions(const Request &request, RouteStatistics &figures);
-    static void count(const Request &request, RouteStatistics &figures);
+    void countPredictions(const Request &request, RouteStatistics &figures) const;
+    void count(const Request &request, RouteStatistics &figures) const;
 
     const core::Duration m_interval;
     std::unordered_map<std::string, Request> m_requests;
+    std::unordered_map<std::string, Refusal> m_refusals; ///< The last one of each digest.
 };
 
 /// \brief The lines about a request, sorted by time: its path through several daemons.
--- a/src/report/log_report.cpp
+++ b/src/report/log_report.cpp
@@ -12,6 +12,7 @@
 #include <absl/strings/str_format.h>
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace spurlug::report
 {
@@ -19,6 +20,9 @@
 namespace
 {
 
+constexpr std::size_t SchedulerDigestLength = 16; ///< Hex digits; schedulers know the first 8 bytes of a digest.
+constexpr std::string_view PredictedLate = "predicted_late"; ///< Reason of a request that was refused by prediction.
+
 /// Returns the value below which `share` of the samples lie; 0 when there are no samples.
 double quantile(std::vector<double> samples, double share)
 {
@@ -39,21 +43,27 @@
 void LogReport::add(std::string_view line)
 {
     const auto object = parseLogLine(line);
-    if (!object || !object->contains("request")) {
+    if (!object) {
         return;
     }
     const auto event = object->value("event", "");
+    if (event == "placement_refused") { // Written by a scheduler, which knows only the digest of the request.
+        m_refusals[object->value("digest", "")] = {object->value("kind", ""), object->value("expectedMs", 0.0),
+                                                   object->value("aheadInTime", 0.0) + object->value("aheadLate", 0.0)};
+        return;
+    }
+    if (!object->contains("request")) {
+        return;
+    }
     auto &request = m_requests[object->value("request", "")];
     if (event == "request_sent") {
         request.attempts.push_back(
             {object->value("waitedMs", 0.0), object->value("expectedMs", 0.0), object->value("readMs", 0.0)});
     } else if (event == "attempt_failed") {
         request.failedAttemptReasons.push_back(object->value("reason", ""));
-    } else if (event == "placement_refused") {
-        request.refusal
-            = {object->value("kind", ""), object->value("predictedMs", 0.0), object->value("waitingAhead", 0.0)};
     } else if (event == "request_ended") {
         request.endedAt = lineTime(*object);
+        request.digest = object->value("digest", "").substr(0, SchedulerDigestLength);
         request.route = object->value("route", "");
         request.outcome = object->value("outcome", "");
         request.reason = object->value("reason", "");
@@ -74,12 +84,13 @@
     }
 }
 
-void LogReport::countPredictions(const Request &request, RouteStatistics &figures)
+void LogReport::countPredictions(const Request &request, RouteStatistics &figures) const
 {
-    if (request.refusal) {
-        ++figures.predictedLate[request.refusal->kind];
-        figures.predictedMs.push_back(request.refusal->predictedMs);
-        figures.waitingAhead.push_back(request.refusal->waitingAhead);
+    const auto refusal = request.reason == PredictedLate ? m_refusals.find(request.digest) : m_refusals.end();
+    if (refusal != m_refusals.end()) {
+        ++figures.predictedLate[refusal->second.kind];
+        figures.predictedMs.push_back(refusal->second.predictedMs);
+        figures.waitingAhead.push_back(refusal->second.waitingAhead);
     }
     if (request.attempts.size() == 1 && request.firstEventMs >= 0 && request.attempts.front().expectedMs > 0) {
         const auto &attempt = request.attempts.front();
@@ -87,7 +98,7 @@
     }
 }
 
-void LogReport::count(const Request &request, RouteStatistics &figures)
+void LogReport::count(const Request &request, RouteStatistics &figures) const
 {
     ++figures.requests;
     countPredictions(request, figures);
@@ -135,6 +146,9 @@
     constexpr double MedianQuantile = 0.5;
     constexpr double HighQuantile = 0.9;
     constexpr double MsPerSecond = 1000;
+    const bool predicts = !m_refusals.empty()
+        || std::any_of(m_requests.begin(), m_requests.end(),
+                       [](const auto &item) { return item.second.reason == PredictedLate; });
     std::string text;
     for (const auto &[route, intervals] : statistics()) {
         core::append(text, "route ", route.empty() ? "(none)" : route, "\n");
@@ -150,7 +164,7 @@
                              quantile(row.firstEventRatios, HighQuantile), quantile(row.longestGapsMs, MedianQuantile),
                              quantile(row.longestGapsMs, HighQuantile), row.prefillMs / MsPerSecond,
                              row.prefillMs > 0 ? row.wastedPrefillMs / row.prefillMs * 100 : 0));
-            if (!row.predictionErrorsMs.empty()) {
+            if (predicts && !row.predictionErrorsMs.empty()) {
                 core::append(text,
                              absl::StrFormat("            first event less predicted, ms: p10 %.0f p50 %.0f p90 %.0f\n",
                                              quantile(row.predictionErrorsMs, LowQuantile),
@@ -178,11 +192,25 @@
 std::vector<std::string> linesOfRequest(std::string_view requestId, std::istream &lines)
 {
     std::vector<std::pair<core::Time, std::string>> found;
+    std::set<std::string> digests; // Of the request, as schedulers write them.
+    std::multimap<std::string, std::pair<core::Time, std::string>> refusals; // By digest.
     std::string line;
     while (std::getline(lines, line)) {
         const auto object = parseLogLine(line);
-        if (object && object->value("request", "") == requestId) {
+        if (!object) {
+            continue;
+        }
+        const auto digest = object->value("digest", "").substr(0, SchedulerDigestLength);
+        if (object->value("request", "") == requestId) {
             found.emplace_back(lineTime(*object), line);
+            digests.insert(digest);
+        } else if (object->value("event", "") == "placement_refused") {
+            refusals.emplace(digest, std::pair(lineTime(*object), line));
+        }
+    }
+    for (auto &[digest, refusal] : refusals) {
+        if (!digest.empty() && digests.contains(digest)) {
+            found.push_back(std::move(refusal));
         }
     }
     std::stable_sort(found.begin(), found.end(),
--- a/tests/unit/report_test.cpp
+++ b/tests/unit/report_test.cpp
@@ -53,14 +53,16 @@
     BOOST_TEST(first.firstEventRatios.front() == 1.0, boost::test_tools::tolerance(1e-6));
     BOOST_TEST(chat.rbegin()->second.inTime == 1);
     BOOST_TEST(report.text().find("not whole: caller_gone 1") != std::string::npos);
+    BOOST_TEST(report.text().find("less predicted") == std::string::npos); // Nothing is refused by prediction here.
 }
 
 BOOST_AUTO_TEST_CASE(refusals_and_errors_of_predictions_are_reported_by_route_and_explained_by_request)
 {
     // Guards against refusals that operators cannot explain, and against errors computed without the wait.
     constexpr auto RefusalLines = R"(
-{"time":"2026-01-01T10:00:01+00:00","event":"placement_refused","request":"a","organisation":"o","kind":"long_gaps","predictedMs":9000,"waitingAhead":12,"drain":500,"retryMs":3000,"viewAgeMs":0}
-{"time":"2026-01-01T10:00:02+00:00","event":"request_ended","request":"a","route":"chat","outcome":"not_run","reason":"predicted_late","status":503,"totalMs":10}
+{"time":"2026-01-01T10:00:01+00:00","event":"placement_refused","by":"vm-1","digest":"00000000000000ab","service":"model","kind":"long","organisation":"o","waitedMs":5,"expectedMs":9000,"leavesMs":2000,"aheadInTime":8,"aheadLate":4,"drainPerSecond":500,"inTimePerSecond":1,"viewAgeMs":0,"retryMs":3000}
+{"time":"2026-01-01T10:00:01+00:00","event":"placement_refused","by":"vm-1","digest":"00000000000000ac","service":"model","kind":"short","organisation":"o","waitedMs":5,"expectedMs":800,"leavesMs":2000,"aheadInTime":1,"aheadLate":0,"drainPerSecond":5,"inTimePerSecond":1,"viewAgeMs":0,"retryMs":3000}
+{"time":"2026-01-01T10:00:02+00:00","event":"request_ended","request":"a","digest":"00000000000000ab00000000000000ac","route":"chat","outcome":"not_run","reason":"predicted_late","status":503,"totalMs":10}
 {"time":"2026-01-01T10:00:03+00:00","event":"request_sent","request":"b","expectedMs":100,"waitedMs":400}
 {"time":"2026-01-01T10:00:04+00:00","event":"request_ended","request":"b","route":"chat","outcome":"completed","status":200,"firstMs":650,"totalMs":900,"aimMs":300}
 )";
@@ -69,15 +71,17 @@
     report.addAll(lines);
     const auto statistics = report.statistics();
     const auto &row = statistics.at("chat").begin()->second;
-    BOOST_TEST(row.predictedLate.at("long_gaps") == 1);
+    BOOST_TEST(row.predictedLate.at("long") == 1);
+    BOOST_TEST(!row.predictedLate.contains("short")); // Of another request.
     BOOST_REQUIRE(row.predictionErrorsMs.size() == 1U);
     BOOST_TEST(row.predictionErrorsMs.front() == 150, boost::test_tools::tolerance(1e-6));
-    BOOST_TEST(report.text().find("refused by prediction: long_gaps 1; predicted ms p50 9000") != std::string::npos);
+    BOOST_TEST(report.text().find("refused by prediction: long 1; predicted ms p50 9000 p90 9000, waiting ahead p50 12")
+               != std::string::npos);
     BOOST_TEST(report.text().find("first event less predicted, ms: p10 150") != std::string::npos);
     std::istringstream again(RefusalLines);
     const auto found = report::linesOfRequest("a", again);
     BOOST_REQUIRE(found.size() == 2U);
-    BOOST_TEST(found.front().find("\"waitingAhead\":12") != std::string::npos);
+    BOOST_TEST(found.front().find("\"aheadInTime\":8") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(retries_of_all_daemons_are_summed_in_every_window_against_the_budget)
