Exclude ejected targets, and count prefill at slow engines alike

A daemon that alone was cut off from a target was granted it again and again, because the scheduler ignores its report while others get answers. Prefill of a slow engine was counted in published time but due in real time. The timer of prediction errors had no samples.

Placement requests exclude the targets that the daemon has ejected while others remain. The error is recorded at the first event of each attempt with admission on.

--- a/include/spurlug/relay/target_choice.h
+++ b/include/spurlug/relay/target_choice.h
@@ -26,6 +26,13 @@
     core::Duration expectedTtft; ///< Expected time until the first event.
     core::Duration partPrefillTime; ///< Expected prefill time of each engine's part.
     PublishedTimes published = {}; ///< For comparison with the observed times.
+
+    /// \brief Expected time until the first event by the published costs, in which work is counted; the expected time
+    /// if it is not known.
+    [[nodiscard]] core::Duration publishedTtft() const noexcept
+    {
+        return published.ttft > absl::ZeroDuration() ? published.ttft : expectedTtft;
+    }
 };
 
 /// \brief What a request requires of its target.
--- a/include/spurlug/report/log_report.h
+++ b/include/spurlug/report/log_report.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <istream>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -518,7 +518,7 @@
     reply.published = chosen->published;
     std::vector<targets::TargetWork> works;
     for (const auto &[target, work] : relay::addedWork(*chosen, placementRequest.prompt)) {
-        works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->expectedTtft)});
+        works.push_back({target->hash, work, absl::ToInt64Microseconds(chosen->publishedTtft())});
     }
     works.back().work.shortGapRequests = placementRequest.shortGaps ? 1 : 0;
     works.back().work.longGapRequests = request.longGap ? 1 : 0;
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -57,6 +57,31 @@
     return hashes;
 }
 
+/// Adds the targets that this daemon has ejected, unless none would remain: if it alone can't reach them, the scheduler
+/// ignores its report and would grant them again.
+std::vector<std::uint32_t> excludedWithEjected(const relay::TargetQuery &query, const relay::RelayContext &context,
+                                               core::Time now)
+{
+    if (!context.features().targetFeedback) {
+        return query.excludedTargets;
+    }
+    auto extended = query.excludedTargets;
+    bool anyRemains = false;
+    for (const auto &target : context.targets.availableTargets(query.service, now)) {
+        const bool allowed = !query.allowedTargets || relay::contains(*query.allowedTargets, target->hash);
+        if (!allowed || relay::contains(query.excludedTargets, target->hash)
+            || relay::contains(query.avoidedTargets, target->hash)) {
+            continue;
+        }
+        if (target->health.isEjected(now)) {
+            extended.push_back(target->hash);
+        } else {
+            anyRemains = true;
+        }
+    }
+    return anyRemains ? extended : query.excludedTargets;
+}
+
 } // namespace
 
 SchedulerClient::SchedulerClient(relay::RelayContext &context, Scheduler &ownScheduler, Send send)
@@ -320,7 +345,7 @@
     request.waited = query.prompt->waited;
     request.callerTimeout = query.prompt->callerTimeout;
     request.priority = priority;
-    request.excludedTargets = firstOf(query.excludedTargets, MaxListedTargets);
+    request.excludedTargets = firstOf(excludedWithEjected(query, m_context, now), MaxListedTargets);
     request.allowedTargets = firstOf(query.allowedTargets.value_or(std::vector<std::uint32_t>()), MaxListedTargets);
     request.avoidedTargets = firstOf(query.avoidedTargets, MaxAvoidedTargets);
     request.rates = relay::rateReports(m_context, MaxReportedRates, now);
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -250,7 +250,7 @@
     m_gaps = {};
     m_attemptAnsweredAt = absl::InfinitePast();
     ++m_attempts;
-    const auto expected = now + chosen.expectedTtft;
+    const auto dueAt = now + chosen.publishedTtft();
     auto works = addedWork(chosen, m_facts.prompt.value_or(PromptInfo{}));
     works.back().second.longGapRequests = toleratesLongestGap() ? 1 : 0;
     for (std::size_t i = 0; i < works.size(); ++i) {
@@ -258,7 +258,7 @@
         const auto kind = answers ? LocalWork::Kind::Request : LocalWork::Kind::PrefillPart;
         const auto &[target, work] = works[i];
         m_localWork.push_back(
-            std::make_unique<LocalWork>(target, kind, work, now, expected, answers && needsShortGaps(), works.size()));
+            std::make_unique<LocalWork>(target, kind, work, now, dueAt, answers && needsShortGaps(), works.size()));
     }
     if (scheduler.empty()) {
         reportLoadChange();
@@ -302,6 +302,10 @@
     }
     if (m_attemptAnsweredAt == absl::InfinitePast()) {
         m_attemptAnsweredAt = now;
+        if (m_context.features().admission && m_chosen.expectedTtft > absl::ZeroDuration()) {
+            m_context.metrics.addSample(metrics::Timer::PredictionError,
+                                        absl::AbsDuration(now - m_sentAt - m_chosen.expectedTtft));
+        }
         recordFirstEvent(now);
     } else {
         m_gaps.add(now - m_lastEventAt, m_chosen.published.pass);
--- a/tests/unit/observed_speed_test.cpp
+++ b/tests/unit/observed_speed_test.cpp
@@ -349,6 +349,22 @@
     }
 }
 
+// Guards against prefill that is counted in published time and ends in real time.
+BOOST_AUTO_TEST_CASE(prefill_at_a_slow_engine_is_due_at_the_published_time)
+{
+    SpeedState state;
+    RequestProgress request(state.context, shortPrompt(), at(0));
+    BOOST_REQUIRE(!request.authorise(at(0)));
+    static_cast<void>(request.query(at(0))); // Chooses the service.
+    ChosenTargets chosen;
+    chosen.target = core::Ref<Target>(&state.engine(0));
+    chosen.expectedTtft = absl::Milliseconds(400);
+    BOOST_TEST((chosen.publishedTtft() == chosen.expectedTtft));
+    chosen.published.ttft = absl::Milliseconds(100);
+    request.beginAttempt(chosen, "", at(0));
+    BOOST_TEST((state.engine(0).localPrefillDueAt() == at(100)));
+}
+
 // Guards against plain targets that are used alike whatever their speed.
 BOOST_AUTO_TEST_CASE(a_slow_plain_target_is_used_less)
 {
--- a/tests/unit/target_health_test.cpp
+++ b/tests/unit/target_health_test.cpp
@@ -286,6 +286,36 @@
     BOOST_TEST(std::get<control::WorkReport>(*received).outcomes.front().firstEventOnly);
 }
 
+// Guards against a daemon that alone can't reach a target and is granted it again and again.
+BOOST_AUTO_TEST_CASE(placement_requests_exclude_ejected_targets_while_others_remain)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        FeedbackState state(2, mode);
+        state.context.roster.replace(
+            {{"other", "hall-a", 1, membership::DaemonState::Serving, {"127.0.0.1", 1}, {"127.0.0.1", 2}}});
+        std::vector<std::uint32_t> excluded;
+        control::SchedulerClient client(state.context, state.scheduler, [&](const auto &, const auto &message) {
+            if (const auto *request = std::get_if<control::PlacementRequest>(&message)) {
+                excluded = request->excludedTargets;
+            }
+        });
+        TargetQuery query;
+        query.service = "model";
+        query.prompt = promptRequest(4'000);
+        const auto excludedAt = [&](std::int64_t ms) {
+            control::PlacementSession session(state.context, &client, core::makeRef<RequestInbox>(state.loop));
+            BOOST_REQUIRE(session.sendIfDue(query, 0, at(ms)));
+            return excluded;
+        };
+        const auto target = state.context.targets.find("e0");
+        target->health.noteFailure(TargetFault::Unreachable, state.context.ejection, at(0));
+        const std::vector<std::uint32_t> expected{target->hash};
+        BOOST_TEST((excludedAt(1) == (mode == settings::FeatureMode::On ? expected : std::vector<std::uint32_t>{})));
+        state.context.targets.find("e1")->health.noteFailure(TargetFault::Unreachable, state.context.ejection, at(2));
+        BOOST_TEST(excludedAt(3).empty());
+    }
+}
+
 // Guards against the loss of capacity that 0.15 % of lost packets caused: 8 of 53 engines had no request in a burst.
 BOOST_AUTO_TEST_CASE(lost_packets_leave_no_engine_idle_in_a_burst)
 {
