Make the median test fail for a median over all targets

With six targets, three sampled ones decided the median also over all of them, so the test passed without the change. With eight it fails without it and passes with it.

--- a/tests/unit/observed_speed_test.cpp
+++ b/tests/unit/observed_speed_test.cpp
@@ -321,6 +321,8 @@
 BOOST_AUTO_TEST_CASE(targets_without_samples_do_not_count_in_the_median)
 {
     SpeedState state;
+    state.context.targets.put(entry("e6")); // Fewer than half of the targets get samples.
+    state.context.targets.put(entry("e7"));
     state.observe(0, 5, 0);
     state.observe(1, 5, 0);
     BOOST_TEST(serviceSpeed(state.context, "model", at(2500)).median == 1); // Two show nothing about the service.
