Limit the attempts of a due floor in a round of grants

While a floor was due, all requests of its group were tried before the others, and each failure counted towards the 16 failed placements of a round. Late long prompts that fit nowhere so kept prompts that can be in time from the engines.

A group now loses its precedence for the round after four failed floor attempts, and these do not count as failures of the round.

The new test in control_test.cpp failed before (2 grants of 3) and passes now.

--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -578,7 +578,8 @@
         auto reply
             = ended || deferred ? std::optional<PlacementReply>() : place(request, m_queue[*index].arrivedAt, now);
         if (!reply) {
-            if (!countsPerRound || !deferred) {
+            const bool counts = !countsPerRound || !deferred;
+            if (counts && !round.isFloorAttempt()) {
                 ++failures.consecutive;
                 ++failures.total;
             }
--- a/src/overload/grant_round.cpp
+++ b/src/overload/grant_round.cpp
@@ -29,6 +29,9 @@
 
 std::optional<std::size_t> GrantRound::next()
 {
+    if (m_floorGroup && !m_granted) {
+        ++m_failedAttempts[static_cast<std::size_t>(*m_floorGroup)];
+    }
     while (m_head < m_items.size() && m_tried[m_head]) {
         ++m_head;
     }
@@ -36,13 +39,15 @@
         return std::nullopt;
     }
     m_current = m_head;
-    m_isFloorAttempt = false;
+    m_floorGroup.reset();
+    m_granted = false;
     if (m_floors != nullptr) {
         for (const auto group : FloorCredits::Groups) {
-            const auto best = m_floors->isDue(group) ? nextOf(group) : std::nullopt;
+            const auto failed = m_failedAttempts[static_cast<std::size_t>(group)];
+            const auto best = m_floors->isDue(group) && failed < MaxFailedFloorAttempts ? nextOf(group) : std::nullopt;
             if (best) {
                 m_current = *best;
-                m_isFloorAttempt = true;
+                m_floorGroup = group;
                 break;
             }
         }
@@ -53,11 +58,12 @@
 
 bool GrantRound::isFloorAttempt() const noexcept
 {
-    return m_isFloorAttempt;
+    return m_floorGroup.has_value();
 }
 
 void GrantRound::noteGrant() noexcept
 {
+    m_granted = true;
     if (m_floors != nullptr) {
         m_floors->noteGrant(m_items[m_current]);
     }
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -487,6 +487,43 @@
     }
 }
 
+// Guards against a floor that ends the round: all late prompts were tried first, and their failures counted for those
+// that can be in time.
+BOOST_AUTO_TEST_CASE(late_prompts_that_fit_nowhere_do_not_end_the_round_when_their_floor_is_due)
+{
+    SchedulerState state(4, settings::FeatureMode::On);
+    state.settings.overload.floorShare = 0.5; // Due after two grants.
+    control::Scheduler scheduler(state.context);
+    auto busy = workReport("busy", 1, 0);
+    for (const auto &[id, target] : state.context.targets.all()) {
+        busy.work.push_back({target->hash, {.partPrefillMicros = 600'000, .prefillParts = 1}, 600'000});
+    }
+    scheduler.applyReport(busy, at(0));
+    auto request = shortPromptRequest("late", 0);
+    request.shortGaps = false;
+    request.ttftObjective = absl::Milliseconds(6000);
+    request.callerTimeout = absl::Seconds(24);
+    const auto enqueue = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            ++request.requestNumber;
+            BOOST_TEST((scheduler.handleRequest(request, at(1)).kind == ReplyKind::Queued));
+        }
+    };
+    request.prompt = {900'000, 500}; // Exceeds the memory of all engines.
+    request.waited = absl::Milliseconds(7000);
+    enqueue(20);
+    request.vm = "in time";
+    request.prompt = {10'000, 500};
+    request.waited = absl::ZeroDuration();
+    enqueue(3);
+    scheduler.applyReport(workReport("busy", 2, 0), at(400));
+    const auto grants = scheduler.placeQueued(at(400));
+    BOOST_TEST(grants.size() == 3U);
+    for (const auto &[vm, reply] : grants) {
+        BOOST_TEST(vm == "in time");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reported_prefill_decreases_until_the_next_report)
 {
     SchedulerState state(1);
