Try free engines before a long prompt is refused on arrival

With fair shares, any waiting prompt with longer gaps made a new one of that kind wait, and admission could refuse it although an engine was free for it. Prompts of that kind differ in the engines that they need.

Scheduler::admit refuses such a prompt only if it was tried. Requests limited to the scheduler's failure domain count as constrained, too.

No test of its own.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -120,9 +120,10 @@
     [[nodiscard]] std::vector<std::size_t> grantOrder(const std::vector<overload::QueueItem> &items);
     /// Engine time that a request needs, ms: its prefill on all engines, and its part of the passes of a full engine.
     [[nodiscard]] double engineMs(const PlacementRequest &request) const;
-    /// Whether a new request must queue because others of its kind wait for the service. With fair shares all others
-    /// count, because organisations with more new requests would get more engines; with admission by prediction those
-    /// that can be in time, because a new request would overtake them.
+    /// Whether a new request must queue because others of its kind wait for the service, which are at least as
+    /// urgent and may use any engine. With fair shares all of them count, because organisations with more new requests
+    /// would get more engines; with admission by prediction those that can be in time, because a new request would
+    /// overtake them.
     [[nodiscard]] bool waitsBehindOthers(const PlacementRequest &request) const;
     /// Whether no more requests of a kind are tried in a round.
     [[nodiscard]] bool endsRound(const FailedPlacements &failures, bool shortGaps) const;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -44,6 +44,13 @@
     return core::cat("grant ", number);
 }
 
+/// Whether a request can use only some of the engines. Others need not wait behind it.
+bool isConstrained(const PlacementRequest &request)
+{
+    return !request.excludedTargets.empty() || !request.allowedTargets.empty() || !request.avoidedTargets.empty()
+        || request.localDomainOnly;
+}
+
 } // namespace
 
 Scheduler::Scheduler(relay::RelayContext &context)
@@ -217,7 +224,8 @@
     if (!request.shortGaps) {
         updateInTimePromptWaits(now);
     }
-    if (!waitsBehindOthers(request)) {
+    const bool waits = waitsBehindOthers(request);
+    if (!waits) {
         if (auto granted = place(request, queued.arrivedAt, now)) {
             m_admission.noteArrival(request, queued.ticket, now);
             m_admission.noteGrant(request, queued.ticket, granted->expectedTtft, now);
@@ -226,8 +234,10 @@
     }
     const auto ahead = workAhead(queued);
     const auto verdict = m_admission.decide(request, queued.ticket, ahead, now);
-    // The next round decides about a request that arrives after engines may have become free.
-    const bool mayRefuse = m_admission.mayRefuse(request, now) && m_admission.recentlyFull(request, now);
+    // The next round decides about a request that arrives after engines may have become free, and about a prompt with
+    // longer gaps that was not tried: it may find an engine where those ahead, of other sizes, find none.
+    const bool engineMayBeFree = (waits && !request.shortGaps) || !m_admission.recentlyFull(request, now);
+    const bool mayRefuse = m_admission.mayRefuse(request, now) && !engineMayBeFree;
     if (verdict == overload::Verdict::Refuse && mayRefuse) {
         auto refusal = m_admission.refuse(request, queued.ticket, ahead, now);
         attachLoadView(refusal, vm, now);
@@ -287,9 +297,8 @@
                if (earlier.service != request.service || earlier.shortGaps != request.shortGaps) {
                    return false;
                }
-               const bool constrained = !earlier.excludedTargets.empty() || !earlier.allowedTargets.empty()
-                   || !earlier.avoidedTargets.empty();
-               return !inTimeOnly || (other.ticket.inTime && !constrained && earlier.priority <= request.priority);
+               const bool isAhead = !isConstrained(earlier) && earlier.priority <= request.priority;
+               return isAhead && (!inTimeOnly || other.ticket.inTime);
            });
 }
 
