Sum the backlog only for replies that carry a load view

The work grew with the square of the number of waiting requests.

LoadViewPublisher::isDue now tells beforehand whether a daemon gets a view. Not benchmarked.

--- a/include/spurlug/overload/load_view_publisher.h
+++ b/include/spurlug/overload/load_view_publisher.h
@@ -35,6 +35,9 @@
                                                   std::size_t daemons, std::vector<ShareExcess> excesses,
                                                   core::Time now);
 
+    /// \brief Whether a daemon got no view in the last `MinInterval`.
+    [[nodiscard]] bool isDue(const std::string &vm, core::Time now) const;
+
 private:
     const std::uint64_t m_schedulerStart;
     std::uint32_t m_number = 0;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -374,8 +374,8 @@
 
 void Scheduler::attachLoadView(PlacementReply &reply, const std::string &vm, core::Time now)
 {
-    if (!m_context.features().admission) {
-        return;
+    if (!m_context.features().admission || !m_views.isDue(vm, now)) {
+        return; // The backlog is summed over the queue, which costs too much for each reply.
     }
     reply.load = m_views.publish(vm, currentKindLoads(now), m_context.roster.size(), m_fairQueue.excesses(), now);
     if (reply.load) {
--- a/src/overload/load_view_publisher.cpp
+++ b/src/overload/load_view_publisher.cpp
@@ -14,17 +14,21 @@
     : m_schedulerStart(schedulerStart)
 { }
 
+bool LoadViewPublisher::isDue(const std::string &vm, core::Time now) const
+{
+    const auto known = m_publishedAt.find(vm);
+    return known == m_publishedAt.end() || now - known->second >= MinInterval;
+}
+
 std::optional<LoadView> LoadViewPublisher::publish(const std::string &vm, const std::array<KindLoad, KindCount> &kinds,
                                                    std::size_t daemons, std::vector<ShareExcess> excesses,
                                                    core::Time now)
 {
-    const auto isRecent = [now](core::Time publishedAt) { return now - publishedAt < MinInterval; };
-    const auto known = m_publishedAt.find(vm);
-    if (known != m_publishedAt.end() && isRecent(known->second)) {
+    if (!isDue(vm, now)) {
         return std::nullopt;
     }
-    if (known == m_publishedAt.end() && m_publishedAt.size() >= MaxDaemons) {
-        std::erase_if(m_publishedAt, [&](const auto &item) { return !isRecent(item.second); });
+    if (!m_publishedAt.contains(vm) && m_publishedAt.size() >= MaxDaemons) {
+        std::erase_if(m_publishedAt, [now](const auto &item) { return now - item.second >= MinInterval; });
         if (m_publishedAt.size() >= MaxDaemons) {
             return std::nullopt;
         }
