Bound the time of the last return after a dip of the drain rate

ReturnBook::m_lastRoomAt never fell. After a dip of the drain rate, callers were told that they cannot succeed although there was room again.

It is limited to the backlog and one spacing for each entry, from now on. The new test in admission_test.cpp failed before and passes now.

--- a/src/overload/return_book.cpp
+++ b/src/overload/return_book.cpp
@@ -32,6 +32,9 @@
         return found->second.returnsAt - now;
     }
     const auto limit = std::min(caller.timeLeft * MaxTimeShare, core::Duration(MaxRetryAfter));
+    // After a dip of the drain rate, the time noted for the last caller is later than all entered callers need.
+    const auto entered = static_cast<double>(m_entries.size());
+    m_lastRoomAt = std::min(m_lastRoomAt, now + caller.backlog + caller.spacing * entered);
     const auto roomAt
         = std::max({now + core::Duration(MinRetryAfter), now + caller.backlog, m_lastRoomAt + caller.spacing});
     if (roomAt + caller.leastTtft > now + caller.timeLeft) {
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -480,6 +480,17 @@
     BOOST_TEST(book.size() == 0);
 }
 
+// After a dip of the drain rate, callers were told that they cannot succeed although the backlog had drained.
+BOOST_AUTO_TEST_CASE(callers_return_sooner_again_when_the_backlog_drains_faster)
+{
+    overload::ReturnBook book;
+    auto caller = refusedCaller(1);
+    caller.timeLeft = absl::Seconds(30);
+    caller.backlog = absl::Seconds(20);
+    BOOST_TEST((book.enter(caller, at(0)) > absl::ZeroDuration()));
+    BOOST_TEST((book.enter(refusedCaller(2), at(1000)) == absl::Milliseconds(420))); // The backlog and two callers.
+}
+
 BOOST_AUTO_TEST_CASE(the_return_book_is_bounded)
 {
     overload::ReturnBook book;
