Send the fields of overload control only while it is on

With all features off, placement requests carried the organisation, the digest, the time left and whether they may have run, and the scheduler searched its queue for long prompts that can be in time without using the result.

The digest, the time left and mayHaveRun are sent with admission, the organisation with admission or fair shares. The search is done only with admission. The new test in control_test.cpp compares the encoded bytes; it failed before and passes now.

--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -199,9 +199,6 @@
     if (m_admission.isActive()) {
         return admit({ask, now - ask.waited, now, now, {}}, now);
     }
-    if (!ask.shortGaps) {
-        updateInTimePromptWaits(now);
-    }
     if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, now - ask.waited, now)) {
         return *granted;
     }
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -326,10 +326,15 @@
     request.rates = relay::rateReports(m_context, MaxReportedRates, now);
     request.localDomainOnly = scheduler.fallback;
     request.localHelpersOnly = query.localHelpersOnly;
-    request.organisation = query.organisation;
-    request.digest = query.digest;
-    request.timeLeft = query.timeLeft;
-    request.mayHaveRun = query.mayHaveRun;
+    const auto features = m_context.features();
+    if (features.admission || features.fairShares) {
+        request.organisation = query.organisation;
+    }
+    if (features.admission) {
+        request.digest = query.digest;
+        request.timeLeft = query.timeLeft;
+        request.mayHaveRun = query.mayHaveRun;
+    }
     m_mayHaveRun = query.mayHaveRun;
     m_nextDueAt = now + RetryInterval;
     m_client->sendRequest(request, scheduler, now);
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -577,6 +577,37 @@
     BOOST_TEST(!session.handleReply(answer, at(6)).has_value());
 }
 
+// Guards against larger requests, or other ones, in deployments that do not use overload control.
+BOOST_AUTO_TEST_CASE(fields_for_overload_control_are_sent_only_with_admission)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        SchedulerState state(2, mode);
+        state.context.roster.replace({member("scheduler"), member("other", "hall-a", 0.5)});
+        control::PlacementRequest sent;
+        control::SchedulerClient client(state.context, state.scheduler, [&](const auto &, const auto &message) {
+            if (const auto *request = std::get_if<control::PlacementRequest>(&message)) {
+                sent = *request;
+            }
+        });
+        control::PlacementSession session(state.context, &client, core::makeRef<RequestInbox>(state.loop));
+        TargetQuery query;
+        query.service = "model";
+        query.prompt = promptRequest(40'000, false);
+        query.organisation = 1;
+        query.digest = 2;
+        query.timeLeft = absl::Seconds(3);
+        query.mayHaveRun = true;
+        BOOST_REQUIRE(session.sendIfDue(query, 0, at(0)));
+        auto plain = sent;
+        plain.organisation = 0;
+        plain.digest = 0;
+        plain.timeLeft = absl::InfiniteDuration();
+        plain.mayHaveRun = false;
+        const bool same = control::writeMessage(sent) == control::writeMessage(plain);
+        BOOST_TEST(same == (mode == settings::FeatureMode::Off));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_that_refused_a_request_gets_none_from_any_daemon_during_the_backoff)
 {
     SchedulerState state(2);
