Accept refusals only from the scheduler that was asked last

A late refusal of a scheduler that was left aside ended a request that another one was about to grant. A withdrawn request also removed its kept refusal, so that a repeated ask that arrived later was decided anew.

PlacementSession ignores refusals of other schedulers, and the scheduler keeps a refusal for its time to live.

--- a/include/spurlug/control/admission_control.h
+++ b/include/spurlug/control/admission_control.h
@@ -65,12 +65,11 @@
     void noteWaiting(const std::string &service, overload::Kind kind, core::Time now);
     /// \brief Notes of which services and kinds requests still wait after a round of placements.
     void noteRound(const std::vector<LaneBacklog> &backlogs, core::Time now);
-    /// \brief Refuses a request, logs the refusal and keeps it for repeated asks.
+    /// \brief Refuses a request, logs the refusal and keeps it for repeated asks, also for those that arrive after the
+    /// daemon has withdrawn the request.
     /// \param ahead Work ahead of it.
     [[nodiscard]] PlacementReply refuse(const PlacementRequest &request, const AdmissionTicket &ticket,
                                         const overload::WorkAhead &ahead, core::Time now);
-    /// \brief Forgets the refusal of a withdrawn request.
-    void cancel(const PlacementCancel &cancel);
     /// \brief Removes refusals that no daemon asks for again.
     void removeExpired(core::Time now);
 
--- a/src/control/admission_control.cpp
+++ b/src/control/admission_control.cpp
@@ -210,11 +210,6 @@
     return reply;
 }
 
-void AdmissionControl::cancel(const PlacementCancel &cancel)
-{
-    m_refusals.erase({cancel.vm, cancel.requestNumber});
-}
-
 void AdmissionControl::removeExpired(core::Time now)
 {
     std::erase_if(m_refusals, [now](const auto &item) { return now - item.second.sentAt > RefusalTtl; });
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -536,7 +536,6 @@
 
 void Scheduler::cancel(const PlacementCancel &cancel)
 {
-    m_admission.cancel(cancel);
     std::erase_if(m_queue, [&cancel](const QueuedRequest &waiting) {
         return waiting.request.vm == cancel.vm && waiting.request.requestNumber == cancel.requestNumber;
     });
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -356,6 +356,9 @@
     if (reply.requestNumber != m_requestNumber || reply.kind == ReplyKind::Declined) {
         return std::nullopt;
     }
+    if (reply.kind == ReplyKind::Refused && reply.vm != m_schedulerVm) {
+        return std::nullopt; // Another scheduler decides now; it may grant the request.
+    }
     if (reply.kind == ReplyKind::Refused && !m_mayHaveRun) {
         m_refusal = reply.retryAfter;
         return std::nullopt;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -608,6 +608,31 @@
     }
 }
 
+// Guards against a late refusal of a scheduler that was left aside, while another one grants the request.
+BOOST_AUTO_TEST_CASE(only_the_scheduler_that_was_asked_last_refuses_a_request)
+{
+    SchedulerState state(2, settings::FeatureMode::On);
+    state.context.roster.replace({member("scheduler"), member("other", "hall-a", 0.5)});
+    control::PlacementReply refusal;
+    refusal.kind = ReplyKind::Refused;
+    control::SchedulerClient client(state.context, state.scheduler, [&](const auto &, const auto &message) {
+        if (const auto *request = std::get_if<control::PlacementRequest>(&message)) {
+            refusal.requestNumber = request->requestNumber;
+        }
+    });
+    control::PlacementSession session(state.context, &client, core::makeRef<RequestInbox>(state.loop));
+    TargetQuery query;
+    query.service = "model";
+    query.prompt = promptRequest(40'000, false);
+    BOOST_REQUIRE(session.sendIfDue(query, 0, at(0)));
+    refusal.vm = "former";
+    BOOST_TEST(!session.handleReply(refusal, at(5)).has_value());
+    BOOST_TEST(!session.refusal().has_value());
+    refusal.vm = "other";
+    BOOST_TEST(!session.handleReply(refusal, at(6)).has_value());
+    BOOST_TEST(session.refusal().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_that_refused_a_request_gets_none_from_any_daemon_during_the_backoff)
 {
     SchedulerState state(2);
