Count grants on arrival for fair shares and floors

A request that was granted on arrival while others waited added nothing to the start time of its organisation and to the credits of the floors.

Scheduler::noteDirectGrant notes it in both while the queue is not empty and fair shares are on. FairQueue::noteGrant starts to track an organisation that it does not know; before, its cost went to the entry of requests without one. The unit tests pass; none is specific to this.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -117,6 +117,10 @@
     /// Sorts the queue into the order of the grants.
     /// \returns What this order depends on, by position in the queue.
     std::vector<overload::QueueItem> sortQueue(core::Time now);
+    /// What the place of a request in the order of the grants depends on.
+    [[nodiscard]] overload::QueueItem queueItem(const QueuedRequest &queued, core::Time now) const;
+    /// Notes the grant of a request on its arrival for the fair shares and floors of those that wait.
+    void noteDirectGrant(const QueuedRequest &queued, core::Time now);
     [[nodiscard]] std::vector<std::size_t> grantOrder(const std::vector<overload::QueueItem> &items);
     /// Engine time that a request needs, ms: its prefill on all engines, and its part of the passes of a full engine.
     [[nodiscard]] double engineMs(const PlacementRequest &request) const;
--- a/include/spurlug/overload/fair_queue.h
+++ b/include/spurlug/overload/fair_queue.h
@@ -36,7 +36,8 @@
     /// \returns Indices of the items.
     [[nodiscard]] std::vector<std::size_t> order(const std::vector<QueueItem> &items);
 
-    /// \brief Advances the start time of the organisation by the cost of a granted request that waited.
+    /// \brief Advances the start time of the organisation by the cost of a granted request, also of one that did not
+    /// wait itself while others did.
     void noteGrant(const QueueItem &item);
 
     /// \brief Forgets all organisations. Called when nothing waits: contention has ended, so nobody owes engine time.
@@ -55,6 +56,8 @@
 private:
     /// The organisation under which a request counts.
     [[nodiscard]] std::uint32_t entryOf(const QueueItem &item) const;
+    /// Adds the start time of an organisation, or that of requests without one if there is no room.
+    void track(std::uint32_t organisation);
     [[nodiscard]] double virtualCostMs(const QueueItem &item) const;
     void updateStartTimes(const std::vector<QueueItem> &items);
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -199,10 +199,12 @@
     if (m_admission.isActive()) {
         return admit({ask, now - ask.waited, now, now, {}}, now);
     }
-    if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, now - ask.waited, now)) {
+    QueuedRequest queued{ask, now - ask.waited, now, now, {}};
+    if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, queued.arrivedAt, now)) {
+        noteDirectGrant(queued, now);
         return *granted;
     }
-    m_queue.push_back({ask, now - ask.waited, now, now, {}});
+    m_queue.push_back(std::move(queued));
     m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
     m_onQueued();
     attachLoadView(reply, ask.vm, now);
@@ -226,6 +228,7 @@
         if (auto granted = place(request, queued.arrivedAt, now)) {
             m_admission.noteArrival(request, queued.ticket, now);
             m_admission.noteGrant(request, queued.ticket, granted->expectedTtft, now);
+            noteDirectGrant(queued, now);
             return *granted;
         }
     }
@@ -446,21 +449,35 @@
     return indices;
 }
 
+overload::QueueItem Scheduler::queueItem(const QueuedRequest &queued, core::Time now) const
+{
+    const auto &request = queued.request;
+    overload::QueueItem item;
+    item.priority = request.priority;
+    item.late = !canBeInTime(queued, now);
+    item.returnsOnTime = queued.ticket.returnedOnTime;
+    item.shortGaps = request.shortGaps;
+    item.organisation = request.organisation;
+    item.costMs = m_context.features().fairShares ? engineMs(request) : 0;
+    item.slack = slackTime(queued, now);
+    return item;
+}
+
+void Scheduler::noteDirectGrant(const QueuedRequest &queued, core::Time now)
+{
+    if (m_context.features().fairShares && !m_queue.empty()) {
+        const auto item = queueItem(queued, now);
+        m_fairQueue.noteGrant(item);
+        m_floors.noteGrant(item);
+    }
+}
+
 std::vector<overload::QueueItem> Scheduler::sortQueue(core::Time now)
 {
     std::vector<overload::QueueItem> items;
     items.reserve(m_queue.size());
     for (const auto &waiting : m_queue) {
-        const auto &request = waiting.request;
-        overload::QueueItem item;
-        item.priority = request.priority;
-        item.late = !canBeInTime(waiting, now);
-        item.returnsOnTime = waiting.ticket.returnedOnTime;
-        item.shortGaps = request.shortGaps;
-        item.organisation = request.organisation;
-        item.costMs = m_context.features().fairShares ? engineMs(request) : 0;
-        item.slack = slackTime(waiting, now);
-        items.push_back(item);
+        items.push_back(queueItem(waiting, now));
     }
     std::vector<QueuedRequest> orderedQueue;
     std::vector<overload::QueueItem> orderedItems;
--- a/src/overload/fair_queue.cpp
+++ b/src/overload/fair_queue.cpp
@@ -46,6 +46,16 @@
     return item.costMs / (weight == m_weights.end() ? 1 : weight->second);
 }
 
+void FairQueue::track(std::uint32_t organisation)
+{
+    const bool hasRoom = m_startMs.size() + (m_startMs.contains(0) ? 0 : 1) < MaxOrganisations;
+    if (organisation == 0 || hasRoom) {
+        m_startMs.try_emplace(organisation, m_virtualMs);
+    } else if (!m_startMs.contains(organisation)) {
+        m_startMs.try_emplace(0, m_virtualMs);
+    }
+}
+
 void FairQueue::updateStartTimes(const std::vector<QueueItem> &items)
 {
     std::unordered_set<std::uint32_t> waiting;
@@ -55,12 +65,7 @@
     std::erase_if(m_startMs,
                   [&](const auto &known) { return !waiting.contains(known.first) && known.second <= m_virtualMs; });
     for (const auto &item : items) {
-        const bool hasRoom = m_startMs.size() + (m_startMs.contains(0) ? 0 : 1) < MaxOrganisations;
-        if (item.organisation == 0 || hasRoom) {
-            m_startMs.try_emplace(item.organisation, m_virtualMs);
-        } else if (!m_startMs.contains(item.organisation)) {
-            m_startMs.try_emplace(0, m_virtualMs);
-        }
+        track(item.organisation);
     }
     auto leastMs = std::numeric_limits<double>::infinity();
     for (const auto &item : items) {
@@ -113,10 +118,8 @@
 
 void FairQueue::noteGrant(const QueueItem &item)
 {
-    const auto known = m_startMs.find(entryOf(item));
-    if (known != m_startMs.end()) {
-        known->second += virtualCostMs(item);
-    }
+    track(item.organisation);
+    m_startMs.at(entryOf(item)) += virtualCostMs(item);
 }
 
 void FairQueue::reset() noexcept
