Measure the drain rate only while capacity is lacking

One request that fits nowhere, or that may use only some engines, kept the measurement of its kind running. The drain rate then fell to the rate of the arrivals, and later prompts were refused although the capacity would have served them.

Only requests that may use any engine count as waiting, and the measurement stops at a grant on arrival until the next arrival has to wait. With fair shares, late prompts with longer gaps are expected to get floorShare of the drain rate. The unit tests pass, the load factor tests included; none is specific to this fault.

--- a/include/spurlug/control/admission_control.h
+++ b/include/spurlug/control/admission_control.h
@@ -36,6 +36,7 @@
     std::string service;
     overload::Kind kind = overload::Kind::ShortGaps;
     overload::WorkAhead work;
+    bool unplaced = false; ///< Whether a request that may use any engine was left without one.
 };
 
 /// \brief Decides for the scheduler which placement requests wait in time, wait late or are refused, and keeps the
@@ -61,8 +62,11 @@
                    core::Time now);
     /// \brief Notes that a request that was not refused arrived, for the arrival rate.
     void noteArrival(const PlacementRequest &request, const AdmissionTicket &ticket, core::Time now);
-    /// \brief Notes that a request of this service and kind waits from now on.
+    /// \brief Notes that an arriving request of this service and kind, which may use any engine, waits from now on.
     void noteWaiting(const std::string &service, overload::Kind kind, core::Time now);
+    /// \brief Notes that a request of this service and kind was granted on arrival. The drain rate is not measured then
+    /// until the next one has to wait.
+    void noteGrantAtOnce(const std::string &service, overload::Kind kind, core::Time now);
     /// \brief Notes of which services and kinds requests still wait after a round of placements.
     void noteRound(const std::vector<LaneBacklog> &backlogs, core::Time now);
     /// \brief Refuses a request, logs the refusal and keeps it for repeated asks, also for those that arrive after the
@@ -103,6 +107,7 @@
         overload::Kind kind;
         overload::Admission admission;
         overload::ReturnBook returns;
+        bool grantsAtOnce = false; ///< Whether the last arrival was granted at once.
         core::Time unplacedAt = absl::InfinitePast(); ///< Last round that left a request without an engine.
     };
 
--- a/include/spurlug/overload/admission.h
+++ b/include/spurlug/overload/admission.h
@@ -48,8 +48,13 @@
 class Admission
 {
 public:
+    /// Least share of the drain rate that is expected to be left to late prompts. Bounds predictions; the capacity is
+    /// never used completely by the prompts that are in time.
+    static constexpr double MinLateShare = 0.02;
+
     /// \param initialDrainPerSecond Assumed until the first measurement, work/s; 0 if it is not known.
-    explicit Admission(double initialDrainPerSecond);
+    /// \param lateShare Share of the grants that late prompts get in any case; `MinLateShare` if it is less.
+    explicit Admission(double initialDrainPerSecond, double lateShare = MinLateShare);
 
     /// \name Commands
     /// @{
@@ -93,9 +98,10 @@
     [[nodiscard]] Measurement advanced(core::Time now) const;
     [[nodiscard]] Measurement initialMeasurement() const;
     /// Drain rate that the arrivals that can be in time leave to late prompts, work/s.
-    [[nodiscard]] static double rateForLate(const Measurement &measurement);
+    [[nodiscard]] double rateForLate(const Measurement &measurement) const;
 
     const double m_initialDrainPerSecond;
+    const double m_lateShare;
     Measurement m_measurement;
     double m_excessMs = 0; ///< Moving average of the excess of granted prompts.
 };
--- a/src/control/admission_control.cpp
+++ b/src/control/admission_control.cpp
@@ -84,7 +84,10 @@
     if (found != m_lanes.end()) {
         return *found;
     }
-    return m_lanes.emplace_back(Lane{service, kind, overload::Admission(initialDrain(service, kind, now)), {}});
+    const bool hasFloor = kind == Kind::LongGaps && m_context.features().fairShares;
+    const auto lateShare = hasFloor ? m_context.settings.overload.floorShare : overload::Admission::MinLateShare;
+    return m_lanes.emplace_back(
+        Lane{service, kind, overload::Admission(initialDrain(service, kind, now), lateShare), {}});
 }
 
 const AdmissionControl::Lane *AdmissionControl::findLane(const std::string &service, Kind kind) const
@@ -154,15 +157,26 @@
 
 void AdmissionControl::noteWaiting(const std::string &service, Kind kind, core::Time now)
 {
-    laneOf(service, kind, now).admission.setWaiting(true, now);
+    auto &lane = laneOf(service, kind, now);
+    lane.grantsAtOnce = false;
+    lane.admission.setWaiting(true, now);
+}
+
+void AdmissionControl::noteGrantAtOnce(const std::string &service, Kind kind, core::Time now)
+{
+    auto &lane = laneOf(service, kind, now);
+    lane.grantsAtOnce = true;
+    lane.admission.setWaiting(false, now);
 }
 
 void AdmissionControl::noteRound(const std::vector<LaneBacklog> &backlogs, core::Time now)
 {
     for (auto &lane : m_lanes) {
-        const bool waits = std::any_of(backlogs.begin(), backlogs.end(), [&lane](const LaneBacklog &backlog) {
-            return backlog.kind == lane.kind && backlog.service == lane.service;
+        const bool unplaced = std::any_of(backlogs.begin(), backlogs.end(), [&lane](const LaneBacklog &backlog) {
+            return backlog.kind == lane.kind && backlog.service == lane.service && backlog.unplaced;
         });
+        // Those that still wait while arrivals are granted at once fit nowhere; the grants then equal the arrivals.
+        const bool waits = unplaced && !lane.grantsAtOnce;
         lane.admission.setWaiting(waits, now);
         lane.unplacedAt = waits ? now : lane.unplacedAt;
     }
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -228,6 +228,9 @@
         if (auto granted = place(request, queued.arrivedAt, now)) {
             m_admission.noteArrival(request, queued.ticket, now);
             m_admission.noteGrant(request, queued.ticket, granted->expectedTtft, now);
+            if (!request.mayHaveRun) { // Such a request precedes those that wait.
+                m_admission.noteGrantAtOnce(request.service, kindOf(request), now);
+            }
             noteDirectGrant(queued, now);
             return *granted;
         }
@@ -243,7 +246,9 @@
         attachLoadView(refusal, vm, now);
         return refusal;
     }
-    m_admission.noteWaiting(request.service, kindOf(request), now);
+    if (!isConstrained(request)) {
+        m_admission.noteWaiting(request.service, kindOf(request), now);
+    }
     m_admission.noteArrival(request, queued.ticket, now);
     PlacementReply reply;
     reply.vm = m_context.settings.vm;
@@ -322,13 +327,16 @@
         const auto found = std::find_if(backlogs.begin(), backlogs.end(), [&request](const LaneBacklog &backlog) {
             return backlog.kind == kindOf(request) && backlog.service == request.service;
         });
-        return found != backlogs.end() ? *found
-                                       : backlogs.emplace_back(LaneBacklog{request.service, kindOf(request), {}});
+        return found != backlogs.end()
+            ? *found
+            : backlogs.emplace_back(LaneBacklog{request.service, kindOf(request), {}, false});
     };
     auto kept = m_queue.begin();
     for (auto queued = m_queue.begin(); queued != m_queue.end(); ++queued) {
         const auto &request = queued->request;
-        auto &ahead = backlogOf(request).work;
+        auto &backlog = backlogOf(request);
+        auto &ahead = backlog.work;
+        backlog.unplaced = backlog.unplaced || !isConstrained(request);
         const bool inTime = canBeInTime(*queued, now);
         const auto verdict
             = inTime ? overload::Verdict::InTime : m_admission.decide(request, queued->ticket, ahead, now);
--- a/src/overload/admission.cpp
+++ b/src/overload/admission.cpp
@@ -22,17 +22,15 @@
 constexpr double MinHistorySeconds = 1;
 /// A measurement is discarded after this long without waiting prompts; the engines and prompts may have changed.
 constexpr auto MaxIdle = absl::Seconds(10);
-/// Least share of the drain rate that is expected to be left to late prompts. Bounds predictions; the capacity is never
-/// used completely by the prompts that are in time.
-constexpr double MinLateShare = 0.02;
 constexpr double ExcessStep = 0.1; ///< Weight of one grant in the average of the excess.
 /// Maximum share of the objective that the excess may take, so that slow engines make not every prompt late.
 constexpr double MaxExcessShare = 0.5;
 
 } // namespace
 
-Admission::Admission(double initialDrainPerSecond)
+Admission::Admission(double initialDrainPerSecond, double lateShare)
     : m_initialDrainPerSecond(std::max(initialDrainPerSecond, 0.0))
+    , m_lateShare(std::max(lateShare, MinLateShare))
     , m_measurement(initialMeasurement())
 { }
 
@@ -104,13 +102,13 @@
     return measurement.seconds > 0 ? measurement.arrived / measurement.seconds : 0;
 }
 
-double Admission::rateForLate(const Measurement &measurement)
+double Admission::rateForLate(const Measurement &measurement) const
 {
     const auto drain = measurement.granted / measurement.seconds;
     if (measurement.history < MinHistorySeconds) {
         return drain;
     }
-    return std::max(drain - measurement.arrived / measurement.seconds, drain * MinLateShare);
+    return std::max(drain - measurement.arrived / measurement.seconds, drain * m_lateShare);
 }
 
 Prediction Admission::predict(const WaitingPrompt &prompt, const WorkAhead &ahead, core::Time now) const
