Add the load view to the refusals of a round

Refusals from Scheduler::refuseHopeless carried no load view, so that daemons whose requests were refused in a round learned nothing of the load. It is attached where one is due, after the queue is whole again. The unit tests pass; none is specific to this.

--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -351,6 +351,9 @@
         ++kept;
     }
     m_queue.erase(kept, m_queue.end());
+    for (auto &[vm, refusal] : refusals) {
+        attachLoadView(refusal, vm, now);
+    }
     m_admission.noteRound(backlogs, now);
     return refusals;
 }
