Count failed placements of a round by service

The counters that end a round for a kind of requests covered all services: a service without free engines ended the round for others. They are kept by service and kind. The unit tests pass; none is specific to this.

--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -95,7 +95,7 @@
         core::Time grantedAt;
     };
 
-    /// Requests of one kind that found no engine in a round.
+    /// Requests of one service and kind that found no engine in a round.
     struct FailedPlacements
     {
         int consecutive = 0;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -15,6 +15,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <string_view>
 #include <tuple>
 
 namespace spurlug::control
@@ -593,8 +594,7 @@
     m_inTimePromptWaits
         = std::any_of(items.begin(), items.end(), [](const auto &item) { return !item.late && !item.shortGaps; });
     const bool countsPerRound = m_context.features().admission;
-    FailedPlacements failedShortGaps;
-    FailedPlacements failedLongGaps;
+    std::map<std::pair<std::string_view, bool>, FailedPlacements> failed; // By service and kind (short gaps).
     // Size of the smallest prompt that tolerates longer gaps, found no engine, but can still be in time.
     auto smallestInTime = NoPrompt;
     std::vector<bool> granted(m_queue.size());
@@ -602,7 +602,7 @@
     while (const auto index = round.next()) {
         const auto &item = items[*index];
         const auto &request = m_queue[*index].request;
-        auto &failures = item.shortGaps ? failedShortGaps : failedLongGaps;
+        auto &failures = failed[{request.service, item.shortGaps}];
         // A late prompt leaves the engines to one that can be in time. With admission by prediction, it does so only
         // for one that is no larger: a larger one found none of the engines sufficient that serve the late one.
         const bool yields = countsPerRound ? smallestInTime <= request.prompt.promptTokens : smallestInTime != NoPrompt;
