--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -95,7 +95,7 @@
         core::Time grantedAt;
     };
 
-    /// Requests of one kind that found no engine in a round.
+    /// Requests of one service and kind that found no engine in a round.
     struct FailedPlacements
     {
         int consecutive = 0;
@@ -117,12 +117,17 @@
     /// Sorts the queue into the order of the grants.
     /// \returns What this order depends on, by position in the queue.
     std::vector<overload::QueueItem> sortQueue(core::Time now);
+    /// What the place of a request in the order of the grants depends on.
+    [[nodiscard]] overload::QueueItem queueItem(const QueuedRequest &queued, core::Time now) const;
+    /// Notes the grant of a request on its arrival for the fair shares and floors of those that wait.
+    void noteDirectGrant(const QueuedRequest &queued, core::Time now);
     [[nodiscard]] std::vector<std::size_t> grantOrder(const std::vector<overload::QueueItem> &items);
     /// Engine time that a request needs, ms: its prefill on all engines, and its part of the passes of a full engine.
     [[nodiscard]] double engineMs(const PlacementRequest &request) const;
-    /// Whether a new request must queue because others of its kind wait for the service. With fair shares all others
-    /// count, because organisations with more new requests would get more engines; with admission by prediction those
-    /// that can be in time, because a new request would overtake them.
+    /// Whether a new request must queue because others of its kind wait for the service, which are at least as
+    /// urgent and may use any engine. With fair shares all of them count, because organisations with more new requests
+    /// would get more engines; with admission by prediction those that can be in time, because a new request would
+    /// overtake them.
     [[nodiscard]] bool waitsBehindOthers(const PlacementRequest &request) const;
     /// Whether no more requests of a kind are tried in a round.
     [[nodiscard]] bool endsRound(const FailedPlacements &failures, bool shortGaps) const;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -15,6 +15,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <string_view>
 #include <tuple>
 
 namespace spurlug::control
@@ -44,6 +45,13 @@
     return core::cat("grant ", number);
 }
 
+/// Whether a request can use only some of the engines. Others need not wait behind it.
+bool isConstrained(const PlacementRequest &request)
+{
+    return !request.excludedTargets.empty() || !request.allowedTargets.empty() || !request.avoidedTargets.empty()
+        || request.localDomainOnly;
+}
+
 } // namespace
 
 Scheduler::Scheduler(relay::RelayContext &context)
@@ -192,13 +200,12 @@
     if (m_admission.isActive()) {
         return admit({ask, now - ask.waited, now, now, {}}, now);
     }
-    if (!ask.shortGaps) {
-        updateInTimePromptWaits(now);
-    }
-    if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, now - ask.waited, now)) {
+    QueuedRequest queued{ask, now - ask.waited, now, now, {}};
+    if (auto granted = waitsBehindOthers(ask) ? std::nullopt : place(ask, queued.arrivedAt, now)) {
+        noteDirectGrant(queued, now);
         return *granted;
     }
-    m_queue.push_back({ask, now - ask.waited, now, now, {}});
+    m_queue.push_back(std::move(queued));
     m_context.metrics.count(metrics::Counter::PlacementRequestsQueued);
     m_onQueued();
     attachLoadView(reply, ask.vm, now);
@@ -217,23 +224,32 @@
     if (!request.shortGaps) {
         updateInTimePromptWaits(now);
     }
-    if (!waitsBehindOthers(request)) {
+    const bool waits = waitsBehindOthers(request);
+    if (!waits) {
         if (auto granted = place(request, queued.arrivedAt, now)) {
             m_admission.noteArrival(request, queued.ticket, now);
             m_admission.noteGrant(request, queued.ticket, granted->expectedTtft, now);
+            if (!request.mayHaveRun) { // Such a request precedes those that wait.
+                m_admission.noteGrantAtOnce(request.service, kindOf(request), now);
+            }
+            noteDirectGrant(queued, now);
             return *granted;
         }
     }
     const auto ahead = workAhead(queued);
     const auto verdict = m_admission.decide(request, queued.ticket, ahead, now);
-    // The next round decides about a request that arrives after engines may have become free.
-    const bool mayRefuse = m_admission.mayRefuse(request, now) && m_admission.recentlyFull(request, now);
+    // The next round decides about a request that arrives after engines may have become free, and about a prompt with
+    // longer gaps that was not tried: it may find an engine where those ahead, of other sizes, find none.
+    const bool engineMayBeFree = (waits && !request.shortGaps) || !m_admission.recentlyFull(request, now);
+    const bool mayRefuse = m_admission.mayRefuse(request, now) && !engineMayBeFree;
     if (verdict == overload::Verdict::Refuse && mayRefuse) {
         auto refusal = m_admission.refuse(request, queued.ticket, ahead, now);
         attachLoadView(refusal, vm, now);
         return refusal;
     }
-    m_admission.noteWaiting(request.service, kindOf(request), now);
+    if (!isConstrained(request)) {
+        m_admission.noteWaiting(request.service, kindOf(request), now);
+    }
     m_admission.noteArrival(request, queued.ticket, now);
     PlacementReply reply;
     reply.vm = m_context.settings.vm;
@@ -287,9 +303,8 @@
                if (earlier.service != request.service || earlier.shortGaps != request.shortGaps) {
                    return false;
                }
-               const bool constrained = !earlier.excludedTargets.empty() || !earlier.allowedTargets.empty()
-                   || !earlier.avoidedTargets.empty();
-               return !inTimeOnly || (other.ticket.inTime && !constrained && earlier.priority <= request.priority);
+               const bool isAhead = !isConstrained(earlier) && earlier.priority <= request.priority;
+               return isAhead && (!inTimeOnly || other.ticket.inTime);
            });
 }
 
@@ -313,13 +328,16 @@
         const auto found = std::find_if(backlogs.begin(), backlogs.end(), [&request](const LaneBacklog &backlog) {
             return backlog.kind == kindOf(request) && backlog.service == request.service;
         });
-        return found != backlogs.end() ? *found
-                                       : backlogs.emplace_back(LaneBacklog{request.service, kindOf(request), {}});
+        return found != backlogs.end()
+            ? *found
+            : backlogs.emplace_back(LaneBacklog{request.service, kindOf(request), {}, false});
     };
     auto kept = m_queue.begin();
     for (auto queued = m_queue.begin(); queued != m_queue.end(); ++queued) {
         const auto &request = queued->request;
-        auto &ahead = backlogOf(request).work;
+        auto &backlog = backlogOf(request);
+        auto &ahead = backlog.work;
+        backlog.unplaced = backlog.unplaced || !isConstrained(request);
         const bool inTime = canBeInTime(*queued, now);
         const auto verdict
             = inTime ? overload::Verdict::InTime : m_admission.decide(request, queued->ticket, ahead, now);
@@ -334,6 +352,9 @@
         ++kept;
     }
     m_queue.erase(kept, m_queue.end());
+    for (auto &[vm, refusal] : refusals) {
+        attachLoadView(refusal, vm, now);
+    }
     m_admission.noteRound(backlogs, now);
     return refusals;
 }
@@ -365,8 +386,8 @@
 
 void Scheduler::attachLoadView(PlacementReply &reply, const std::string &vm, core::Time now)
 {
-    if (!m_context.features().admission) {
-        return;
+    if (!m_context.features().admission || !m_views.isDue(vm, now)) {
+        return; // The backlog is summed over the queue, which costs too much for each reply.
     }
     reply.load = m_views.publish(vm, currentKindLoads(now), m_context.roster.size(), m_fairQueue.excesses(), now);
     if (reply.load) {
@@ -440,21 +461,35 @@
     return indices;
 }
 
+overload::QueueItem Scheduler::queueItem(const QueuedRequest &queued, core::Time now) const
+{
+    const auto &request = queued.request;
+    overload::QueueItem item;
+    item.priority = request.priority;
+    item.late = !canBeInTime(queued, now);
+    item.returnsOnTime = queued.ticket.returnedOnTime;
+    item.shortGaps = request.shortGaps;
+    item.organisation = request.organisation;
+    item.costMs = m_context.features().fairShares ? engineMs(request) : 0;
+    item.slack = slackTime(queued, now);
+    return item;
+}
+
+void Scheduler::noteDirectGrant(const QueuedRequest &queued, core::Time now)
+{
+    if (m_context.features().fairShares && !m_queue.empty()) {
+        const auto item = queueItem(queued, now);
+        m_fairQueue.noteGrant(item);
+        m_floors.noteGrant(item);
+    }
+}
+
 std::vector<overload::QueueItem> Scheduler::sortQueue(core::Time now)
 {
     std::vector<overload::QueueItem> items;
     items.reserve(m_queue.size());
     for (const auto &waiting : m_queue) {
-        const auto &request = waiting.request;
-        overload::QueueItem item;
-        item.priority = request.priority;
-        item.late = !canBeInTime(waiting, now);
-        item.returnsOnTime = waiting.ticket.returnedOnTime;
-        item.shortGaps = request.shortGaps;
-        item.organisation = request.organisation;
-        item.costMs = m_context.features().fairShares ? engineMs(request) : 0;
-        item.slack = slackTime(waiting, now);
-        items.push_back(item);
+        items.push_back(queueItem(waiting, now));
     }
     std::vector<QueuedRequest> orderedQueue;
     std::vector<overload::QueueItem> orderedItems;
@@ -530,7 +565,6 @@
 
 void Scheduler::cancel(const PlacementCancel &cancel)
 {
-    m_admission.cancel(cancel);
     std::erase_if(m_queue, [&cancel](const QueuedRequest &waiting) {
         return waiting.request.vm == cancel.vm && waiting.request.requestNumber == cancel.requestNumber;
     });
@@ -560,8 +594,7 @@
     m_inTimePromptWaits
         = std::any_of(items.begin(), items.end(), [](const auto &item) { return !item.late && !item.shortGaps; });
     const bool countsPerRound = m_context.features().admission;
-    FailedPlacements failedShortGaps;
-    FailedPlacements failedLongGaps;
+    std::map<std::pair<std::string_view, bool>, FailedPlacements> failed; // By service and kind (short gaps).
     // Size of the smallest prompt that tolerates longer gaps, found no engine, but can still be in time.
     auto smallestInTime = NoPrompt;
     std::vector<bool> granted(m_queue.size());
@@ -569,7 +602,7 @@
     while (const auto index = round.next()) {
         const auto &item = items[*index];
         const auto &request = m_queue[*index].request;
-        auto &failures = item.shortGaps ? failedShortGaps : failedLongGaps;
+        auto &failures = failed[{request.service, item.shortGaps}];
         // A late prompt leaves the engines to one that can be in time. With admission by prediction, it does so only
         // for one that is no larger: a larger one found none of the engines sufficient that serve the late one.
         const bool yields = countsPerRound ? smallestInTime <= request.prompt.promptTokens : smallestInTime != NoPrompt;
@@ -578,7 +611,8 @@
         auto reply
             = ended || deferred ? std::optional<PlacementReply>() : place(request, m_queue[*index].arrivedAt, now);
         if (!reply) {
-            if (!countsPerRound || !deferred) {
+            const bool counts = !countsPerRound || !deferred;
+            if (counts && !round.isFloorAttempt()) {
                 ++failures.consecutive;
                 ++failures.total;
             }
--- a/src/control/scheduler_client.cpp
+++ b/src/control/scheduler_client.cpp
@@ -351,10 +351,15 @@
     request.rates = relay::rateReports(m_context, MaxReportedRates, now);
     request.localDomainOnly = scheduler.fallback;
     request.localHelpersOnly = query.localHelpersOnly;
-    request.organisation = query.organisation;
-    request.digest = query.digest;
-    request.timeLeft = query.timeLeft;
-    request.mayHaveRun = query.mayHaveRun;
+    const auto features = m_context.features();
+    if (features.admission || features.fairShares) {
+        request.organisation = query.organisation;
+    }
+    if (features.admission) {
+        request.digest = query.digest;
+        request.timeLeft = query.timeLeft;
+        request.mayHaveRun = query.mayHaveRun;
+    }
     m_mayHaveRun = query.mayHaveRun;
     m_nextDueAt = now + RetryInterval;
     m_client->sendRequest(request, scheduler, now);
@@ -376,6 +381,9 @@
     if (reply.requestNumber != m_requestNumber || reply.kind == ReplyKind::Declined) {
         return std::nullopt;
     }
+    if (reply.kind == ReplyKind::Refused && reply.vm != m_schedulerVm) {
+        return std::nullopt; // Another scheduler decides now; it may grant the request.
+    }
     if (reply.kind == ReplyKind::Refused && !m_mayHaveRun) {
         m_refusal = reply.retryAfter;
         return std::nullopt;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -487,6 +487,43 @@
     }
 }
 
+// Guards against a floor that ends the round: all late prompts were tried first, and their failures counted for those
+// that can be in time.
+BOOST_AUTO_TEST_CASE(late_prompts_that_fit_nowhere_do_not_end_the_round_when_their_floor_is_due)
+{
+    SchedulerState state(4, settings::FeatureMode::On);
+    state.settings.overload.floorShare = 0.5; // Due after two grants.
+    control::Scheduler scheduler(state.context);
+    auto busy = workReport("busy", 1, 0);
+    for (const auto &[id, target] : state.context.targets.all()) {
+        busy.work.push_back({target->hash, {.partPrefillMicros = 600'000, .prefillParts = 1}, 600'000});
+    }
+    scheduler.applyReport(busy, at(0));
+    auto request = shortPromptRequest("late", 0);
+    request.shortGaps = false;
+    request.ttftObjective = absl::Milliseconds(6000);
+    request.callerTimeout = absl::Seconds(24);
+    const auto enqueue = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            ++request.requestNumber;
+            BOOST_TEST((scheduler.handleRequest(request, at(1)).kind == ReplyKind::Queued));
+        }
+    };
+    request.prompt = {900'000, 500}; // Exceeds the memory of all engines.
+    request.waited = absl::Milliseconds(7000);
+    enqueue(20);
+    request.vm = "in time";
+    request.prompt = {10'000, 500};
+    request.waited = absl::ZeroDuration();
+    enqueue(3);
+    scheduler.applyReport(workReport("busy", 2, 0), at(400));
+    const auto grants = scheduler.placeQueued(at(400));
+    BOOST_TEST(grants.size() == 3U);
+    for (const auto &[vm, reply] : grants) {
+        BOOST_TEST(vm == "in time");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reported_prefill_decreases_until_the_next_report)
 {
     SchedulerState state(1);
@@ -540,6 +577,62 @@
     BOOST_TEST(!session.handleReply(answer, at(6)).has_value());
 }
 
+// Guards against larger requests, or other ones, in deployments that do not use overload control.
+BOOST_AUTO_TEST_CASE(fields_for_overload_control_are_sent_only_with_admission)
+{
+    for (const auto mode : {settings::FeatureMode::Off, settings::FeatureMode::On}) {
+        SchedulerState state(2, mode);
+        state.context.roster.replace({member("scheduler"), member("other", "hall-a", 0.5)});
+        control::PlacementRequest sent;
+        control::SchedulerClient client(state.context, state.scheduler, [&](const auto &, const auto &message) {
+            if (const auto *request = std::get_if<control::PlacementRequest>(&message)) {
+                sent = *request;
+            }
+        });
+        control::PlacementSession session(state.context, &client, core::makeRef<RequestInbox>(state.loop));
+        TargetQuery query;
+        query.service = "model";
+        query.prompt = promptRequest(40'000, false);
+        query.organisation = 1;
+        query.digest = 2;
+        query.timeLeft = absl::Seconds(3);
+        query.mayHaveRun = true;
+        BOOST_REQUIRE(session.sendIfDue(query, 0, at(0)));
+        auto plain = sent;
+        plain.organisation = 0;
+        plain.digest = 0;
+        plain.timeLeft = absl::InfiniteDuration();
+        plain.mayHaveRun = false;
+        const bool same = control::writeMessage(sent) == control::writeMessage(plain);
+        BOOST_TEST(same == (mode == settings::FeatureMode::Off));
+    }
+}
+
+// Guards against a late refusal of a scheduler that was left aside, while another one grants the request.
+BOOST_AUTO_TEST_CASE(only_the_scheduler_that_was_asked_last_refuses_a_request)
+{
+    SchedulerState state(2, settings::FeatureMode::On);
+    state.context.roster.replace({member("scheduler"), member("other", "hall-a", 0.5)});
+    control::PlacementReply refusal;
+    refusal.kind = ReplyKind::Refused;
+    control::SchedulerClient client(state.context, state.scheduler, [&](const auto &, const auto &message) {
+        if (const auto *request = std::get_if<control::PlacementRequest>(&message)) {
+            refusal.requestNumber = request->requestNumber;
+        }
+    });
+    control::PlacementSession session(state.context, &client, core::makeRef<RequestInbox>(state.loop));
+    TargetQuery query;
+    query.service = "model";
+    query.prompt = promptRequest(40'000, false);
+    BOOST_REQUIRE(session.sendIfDue(query, 0, at(0)));
+    refusal.vm = "former";
+    BOOST_TEST(!session.handleReply(refusal, at(5)).has_value());
+    BOOST_TEST(!session.refusal().has_value());
+    refusal.vm = "other";
+    BOOST_TEST(!session.handleReply(refusal, at(6)).has_value());
+    BOOST_TEST(session.refusal().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_that_refused_a_request_gets_none_from_any_daemon_during_the_backoff)
 {
     SchedulerState state(2);
