Average the rates of long prompts over the time that their callers wait

A request that leaves out a single target, as each daemon with an ejected one does, counted as one that others need not wait behind. Change: 10 s for prompts whose streams tolerate longer gaps; a request counts as constrained if it leaves out a quarter of the targets.

--- a/include/spurlug/overload/admission.h
+++ b/include/spurlug/overload/admission.h
@@ -54,7 +54,10 @@
 
     /// \param initialDrainPerSecond Assumed until the first measurement, work/s; 0 if it is not known.
     /// \param lateShare Share of the grants that late prompts get in any case; `MinLateShare` if it is less.
-    explicit Admission(double initialDrainPerSecond, double lateShare = MinLateShare);
+    /// \param averagingTime Over which the rates are averaged. The default is about the time in which the answers of
+    /// all slots end once.
+    explicit Admission(double initialDrainPerSecond, double lateShare = MinLateShare,
+                       core::Duration averagingTime = absl::Seconds(2));
 
     /// \name Commands
     /// @{
@@ -102,6 +105,7 @@
 
     const double m_initialDrainPerSecond;
     const double m_lateShare;
+    const double m_averagingSeconds;
     Measurement m_measurement;
     double m_excessMs = 0; ///< Moving average of the excess of granted prompts.
 };
--- a/src/control/admission_control.cpp
+++ b/src/control/admission_control.cpp
@@ -30,6 +30,10 @@
 /// Rounds follow each other after 10 ms while something waits; the margin covers delayed ones.
 constexpr auto MaxRoundAge = absl::Milliseconds(30);
 constexpr auto RefusalTtl = absl::Milliseconds(500); ///< Daemons ask again after 30 ms if a reply was lost.
+constexpr core::Duration ShortGapsAveraging = absl::Seconds(2); ///< As long as their callers wait.
+/// Callers of these prompts wait for about 12 s: a burst of 2 s says little about the whole of such a wait, and prompts
+/// were refused in it that would have been in time.
+constexpr core::Duration LongGapsAveraging = absl::Seconds(10);
 /// Share of their time that engines spend on prefill, before it is measured.
 constexpr double InitialPrefillShare = 0.5;
 
@@ -85,9 +89,10 @@
         return *found;
     }
     const bool hasFloor = kind == Kind::LongGaps && m_context.features().fairShares;
+    const auto averagingTime = kind == Kind::LongGaps ? LongGapsAveraging : ShortGapsAveraging;
     const auto lateShare = hasFloor ? m_context.settings.overload.floorShare : overload::Admission::MinLateShare;
     return m_lanes.emplace_back(
-        Lane{service, kind, overload::Admission(initialDrain(service, kind, now), lateShare), {}});
+        Lane{service, kind, overload::Admission(initialDrain(service, kind, now), lateShare, averagingTime), {}});
 }
 
 const AdmissionControl::Lane *AdmissionControl::findLane(const std::string &service, Kind kind) const
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -45,11 +45,13 @@
     return core::cat("grant ", number);
 }
 
-/// Whether a request can use only some of the engines. Others need not wait behind it.
-bool isConstrained(const PlacementRequest &request)
+/// Whether a request can use only a part of the engines, so that others need not wait behind it. Daemons leave out
+/// single targets that they do not reach; this leaves a request enough engines.
+bool isConstrained(const PlacementRequest &request, std::size_t targetCount)
 {
-    return !request.excludedTargets.empty() || !request.allowedTargets.empty() || !request.avoidedTargets.empty()
-        || request.localDomainOnly;
+    constexpr std::size_t MinLeftOutPart = 4; // A quarter of the targets.
+    const auto leftOut = request.excludedTargets.size() + request.avoidedTargets.size();
+    return !request.allowedTargets.empty() || request.localDomainOnly || leftOut * MinLeftOutPart > targetCount;
 }
 
 } // namespace
@@ -247,7 +249,7 @@
         attachLoadView(refusal, vm, now);
         return refusal;
     }
-    if (!isConstrained(request)) {
+    if (!isConstrained(request, m_context.targets.all().size())) {
         m_admission.noteWaiting(request.service, kindOf(request), now);
     }
     m_admission.noteArrival(request, queued.ticket, now);
@@ -298,12 +300,13 @@
     // Long prompts differ in the engines that they need, so only fair shares make one wait for another.
     const bool fairShares = m_context.features().fairShares;
     const bool inTimeOnly = m_admission.isActive() && request.shortGaps;
+    const auto targetCount = m_context.targets.all().size();
     return (fairShares || inTimeOnly) && std::any_of(m_queue.begin(), m_queue.end(), [&](const QueuedRequest &other) {
                const auto &earlier = other.request;
                if (earlier.service != request.service || earlier.shortGaps != request.shortGaps) {
                    return false;
                }
-               const bool isAhead = !isConstrained(earlier) && earlier.priority <= request.priority;
+               const bool isAhead = !isConstrained(earlier, targetCount) && earlier.priority <= request.priority;
                return isAhead && (!inTimeOnly || other.ticket.inTime);
            });
 }
@@ -337,7 +340,7 @@
         const auto &request = queued->request;
         auto &backlog = backlogOf(request);
         auto &ahead = backlog.work;
-        backlog.unplaced = backlog.unplaced || !isConstrained(request);
+        backlog.unplaced = backlog.unplaced || !isConstrained(request, m_context.targets.all().size());
         const bool inTime = canBeInTime(*queued, now);
         const auto verdict
             = inTime ? overload::Verdict::InTime : m_admission.decide(request, queued->ticket, ahead, now);
--- a/src/overload/admission.cpp
+++ b/src/overload/admission.cpp
@@ -14,12 +14,11 @@
 namespace
 {
 
-constexpr double AveragingSeconds = 2; ///< About the time in which the answers of all slots end once.
 /// Weight of the assumed drain rate, as if it had been measured for this long.
 constexpr double InitialSeconds = 0.5;
-/// The arrival rate is used only after this much measured time: a shorter measurement may consist of one group of
-/// arrivals, and prompts would be refused for it.
-constexpr double MinHistorySeconds = 1;
+/// The arrival rate is used only after this share of the averaging time: a shorter measurement may consist of one group
+/// of arrivals, and prompts would be refused for it.
+constexpr double MinHistoryShare = 0.5;
 /// A measurement is discarded after this long without waiting prompts; the engines and prompts may have changed.
 constexpr auto MaxIdle = absl::Seconds(10);
 constexpr double ExcessStep = 0.1; ///< Weight of one grant in the average of the excess.
@@ -28,9 +27,10 @@
 
 } // namespace
 
-Admission::Admission(double initialDrainPerSecond, double lateShare)
+Admission::Admission(double initialDrainPerSecond, double lateShare, core::Duration averagingTime)
     : m_initialDrainPerSecond(std::max(initialDrainPerSecond, 0.0))
     , m_lateShare(std::max(lateShare, MinLateShare))
+    , m_averagingSeconds(absl::ToDoubleSeconds(averagingTime))
     , m_measurement(initialMeasurement())
 { }
 
@@ -60,8 +60,8 @@
     }
     measurement.updatedAt = now;
     const auto seconds = absl::ToDoubleSeconds(elapsed);
-    const auto decay = std::exp(-seconds / AveragingSeconds);
-    measurement.seconds = measurement.seconds * decay + AveragingSeconds * (1 - decay);
+    const auto decay = std::exp(-seconds / m_averagingSeconds);
+    measurement.seconds = measurement.seconds * decay + m_averagingSeconds * (1 - decay);
     measurement.granted *= decay;
     measurement.arrived *= decay;
     measurement.history += seconds;
@@ -105,7 +105,7 @@
 double Admission::rateForLate(const Measurement &measurement) const
 {
     const auto drain = measurement.granted / measurement.seconds;
-    if (measurement.history < MinHistorySeconds) {
+    if (measurement.history < m_averagingSeconds * MinHistoryShare) {
         return drain;
     }
     return std::max(drain - measurement.arrived / measurement.seconds, drain * m_lateShare);
