--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -147,7 +147,7 @@
     /// Removes the queued requests that cannot be served before their callers leave, after a round of placements.
     /// \returns Pairs of a daemon's VM and its refusal.
     [[nodiscard]] std::vector<std::pair<std::string, PlacementReply>> refuseHopeless(core::Time now);
-    void applyOutcome(const TargetOutcome &outcome, const std::string &requesterDomain, core::Time now);
+    void applyOutcome(const TargetOutcome &outcome, const WorkReport &report, core::Time now);
     /// Records how an engine responded when another one asked it for help. An engine that refuses help may still answer
     /// its own requests well.
     void recordHelpOutcome(relay::Target &target, const TargetOutcome &outcome, core::Time now);
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -84,6 +84,8 @@
     EjectionsSpared, ///< Failures that did not eject a target because it answered others at that time.
     SpeedSamplesDropped, ///< Impossible ratios of observed to expected times.
     DomainRamps, ///< Times that the load of a failure domain began to move gradually.
+    EjectionsByReport, ///< Targets that this daemon's scheduler ejected because of another daemon's report.
+    GrantsExpired, ///< Grants of this daemon's scheduler that no report mentioned in time.
 };
 
 /// \brief Timers of the daemon; exported in seconds.
@@ -171,6 +173,8 @@
         EnumName<Counter>{Counter::EjectionsSpared, "ejections_spared"},
         EnumName<Counter>{Counter::SpeedSamplesDropped, "speed_samples_dropped"},
         EnumName<Counter>{Counter::DomainRamps, "domain_ramps"},
+        EnumName<Counter>{Counter::EjectionsByReport, "ejections_by_report"},
+        EnumName<Counter>{Counter::GrantsExpired, "grants_expired"},
     };
 };
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -87,7 +87,6 @@
     }
     state = {report.incarnation, report.sequence, now};
     m_admission.noteActivity(now);
-    const auto domain = domainOrOwn(report.failureDomain);
     m_context.targets.setPeerWork(report.vm, report.work, now);
     m_context.metrics.count(metrics::Counter::WorkReportsReceived);
     for (auto grant = m_grants.begin(); grant != m_grants.end();) {
@@ -101,7 +100,7 @@
     relay::applyDrainingReports(m_context, report.draining, report.vm);
     relay::applyRateReports(m_context, report.rates, report.vm, now);
     for (const auto &outcome : report.outcomes) {
-        applyOutcome(outcome, domain, now);
+        applyOutcome(outcome, report, now);
     }
 }
 
@@ -140,13 +139,14 @@
     }
 }
 
-void Scheduler::applyOutcome(const TargetOutcome &outcome, const std::string &requesterDomain, core::Time now)
+void Scheduler::applyOutcome(const TargetOutcome &outcome, const WorkReport &report, core::Time now)
 {
     const auto target = m_context.targets.findByHash(outcome.target);
     if (!target) {
         return;
     }
-    recordLinkOutcome(outcome, requesterDomain, now);
+    const bool wasEjected = target->health.isEjected(now);
+    recordLinkOutcome(outcome, domainOrOwn(report.failureDomain), now);
     relay::applySpeedSamples(m_context, *target, {outcome.firstRatio, outcome.gapRatio}, now);
     if (outcome.requestingEngine != 0) {
         recordHelpOutcome(*target, outcome, now);
@@ -166,6 +166,14 @@
     } else if (target->health.noteFailure(*outcome.fault, m_context.ejection, now)) {
         m_context.metrics.count(metrics::Counter::EjectionsSpared);
     }
+    if (!wasEjected && target->health.isEjected(now)) {
+        m_context.metrics.count(metrics::Counter::EjectionsByReport);
+        core::log(core::LogLevel::Info, "target_ejected",
+                  {{"target", target->entry.id},
+                   {"by", report.vm},
+                   {"domain", report.failureDomain},
+                   {"fault", core::nameOf(*outcome.fault)}});
+    }
 }
 
 Scheduler::Grants::iterator Scheduler::removeGrant(Grants::iterator grant)
@@ -668,7 +676,9 @@
                   [now](const QueuedRequest &waiting) { return now - waiting.lastReceivedAt > QueuedRequestTtl; });
     m_admission.removeExpired(now);
     for (auto grant = m_grants.begin(); grant != m_grants.end();) {
-        grant = now - grant->second.grantedAt > GrantTtl ? removeGrant(grant) : std::next(grant);
+        const bool expired = now - grant->second.grantedAt > GrantTtl;
+        m_context.metrics.count(metrics::Counter::GrantsExpired, expired ? 1 : 0);
+        grant = expired ? removeGrant(grant) : std::next(grant);
     }
     for (auto &[vm, heard] : m_reportStates) {
         if (now - heard.receivedAt > ReportTtl) {
