Connect to targets through one class

Attempts, reservations and checks each opened their own connections. TargetConnector opens all of them, and its function that dials can be replaced, so that a test can cut the links of one daemon to all targets. No decision changes.

--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -75,6 +75,12 @@
     std::shared_ptr<Impl> m_impl; ///< Shared with handlers that may run after this object is destroyed.
 };
 
+/// \brief Sends a request over an established connection and awaits the whole response.
+/// \param error Set to the error when there is no response; empty otherwise.
+/// \returns Nothing when the response did not arrive completely.
+[[nodiscard]] Task<std::optional<Response>> exchange(ClientConnection &connection, Request request, core::Time deadline,
+                                                     std::string &error);
+
 /// \brief Sends a request over a new connection and awaits the whole response.
 /// \param deadline Deadline of the whole exchange.
 /// \param error Set to the error when there is no response; empty otherwise.
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -8,6 +8,7 @@
 #include "spurlug/core/counted.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
+#include "spurlug/relay/target_connector.h"
 #include "spurlug/relay/target_set.h"
 
 #include <functional>
@@ -85,29 +86,30 @@
 {
 public:
     /// \param number Number of the attempt within the request, from 1; events contain it.
-    Attempt(net::Loop &loop, core::Ref<RequestInbox> inbox, int number);
+    Attempt(net::Loop &loop, TargetConnector &connector, core::Ref<RequestInbox> inbox, int number);
 
     /// \brief Whether the request may still be written.
     using MayWrite = std::function<bool()>;
 
     /// \brief Starts the attempt, which keeps itself alive until it ends.
     /// \param mayWrite Called once the connection is established.
-    void start(const core::Address &target, net::Request message, core::Duration connectTimeout, core::Time deadline,
+    void start(core::Ref<Target> target, net::Request message, core::Duration connectTimeout, core::Time deadline,
                MayWrite mayWrite);
 
     /// \brief Aborts the attempt: closes its connection, so that the target stops processing the request.
     void abort();
 
 private:
-    [[nodiscard]] net::Task<> run(core::Address target, net::Request message, core::Duration connectTimeout,
+    [[nodiscard]] net::Task<> run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
                                   core::Time deadline, MayWrite mayWrite);
     /// Posts AttemptEnded unless the attempt was aborted.
     void postEnd(AttemptStage stage, std::string detail);
 
     net::Loop &m_loop;
+    TargetConnector &m_connector;
     core::Ref<RequestInbox> m_inbox;
     const int m_number;
-    net::ClientConnection m_connection;
+    core::Ref<net::ClientConnection> m_connection; ///< Null until it is established.
     bool m_aborted = false;
 };
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -41,6 +41,8 @@
 namespace spurlug::relay
 {
 
+class TargetConnector;
+
 /// \brief State of the daemon. Used on the loop's thread only, so it needs no lock. Coroutines must not hold references
 /// into its tables across a suspension point, except reference-counted ones.
 struct RelayContext
@@ -77,6 +79,7 @@
     std::mt19937_64 random;
     control::Roster roster; ///< Live daemons.
     control::SchedulerClient *schedulerClient = nullptr; ///< Null: this daemon places requests without a scheduler.
+    TargetConnector *connector = nullptr; ///< Set by the daemon before it serves requests.
     control::CrashExchange *crashExchange = nullptr; ///< Null: `crashes` is not shared with other daemons.
     bool isolated = false; ///< Whether no daemon answers this one's questions.
     std::size_t daemonCount = 1; ///< Live daemons, including this one; at least the number of seeds.
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -15,6 +15,7 @@
 #include "spurlug/relay/peer_state.h"
 #include "spurlug/relay/request_handler.h"
 #include "spurlug/relay/simple_server.h"
+#include "spurlug/relay/target_connector.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <nlohmann/json.hpp>
@@ -42,6 +43,12 @@
     /// \brief Starts and runs the loop until the daemon has stopped.
     void run();
 
+    /// \brief Establishes this daemon's connections to targets.
+    [[nodiscard]] TargetConnector &targetConnector() noexcept
+    {
+        return m_connector;
+    }
+
 private:
     /// Minimum time of draining: the load balancer, which checks twice a second, must notice it.
     static constexpr auto MinDrainTime = absl::Milliseconds(2500);
@@ -72,6 +79,7 @@
     const std::string m_settingsPath;
     metrics::Metrics m_metrics;
     RelayContext m_context;
+    TargetConnector m_connector;
     Protocol m_protocol;
     ControlPlane<Source> m_controlPlane;
     net::Listener m_callerListener;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -21,6 +21,7 @@
     , m_settings(std::move(settings))
     , m_settingsPath(std::move(settingsPath))
     , m_context(loop, m_settings, m_metrics)
+    , m_connector(loop)
     , m_protocol(std::move(protocol))
     , m_controlPlane(m_context, source)
     , m_callerListener(loop, m_settings.callerAddress)
@@ -33,7 +34,9 @@
                           return textResponse(core::http_status::Ok, m_metrics.prometheusText(), "text/plain");
                       })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
-{ }
+{
+    m_context.connector = &m_connector;
+}
 
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::spawn(net::Task<> task)
--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -135,27 +135,25 @@
     if (m_progress.route().kind != config::RouteKind::Stream) {
         co_return true;
     }
-    net::ClientConnection connection(m_context.loop);
-    const auto problem = co_await connection.connect(target->entry.address, detail::ConnectTimeout);
-    if (connection.connectionRefused()) {
+    const auto checked = co_await m_context.connector->connect(target, detail::ConnectTimeout);
+    if (checked.refused) {
         m_progress.recordTargetCrash(target, core::now());
     }
-    if (problem.empty() && m_progress.usesEngine()) {
-        connection.startSend(m_codec.lifeCheck(target->entry.id));
-        const auto head = co_await connection.readHead(core::now() + detail::ConnectTimeout);
+    if (checked.connection && m_progress.usesEngine()) {
+        checked.connection->startSend(m_codec.lifeCheck(target->entry.id));
+        const auto head = co_await checked.connection->readHead(core::now() + detail::ConnectTimeout);
         if (head) {
             applyTargetNotice(m_context, *target, m_codec.readAnswer(*head), m_progress.facts().id, core::now());
         }
     }
-    co_return problem.empty();
+    co_return checked.connection != nullptr;
 }
 
 template<ProtocolCodec D>
 net::Task<> RequestHandler<D>::checkForCrash(core::Ref<Target> target)
 {
-    net::ClientConnection connection(m_context.loop);
-    const auto problem = co_await connection.connect(target->entry.address, detail::CrashCheckTimeout);
-    if (!problem.empty() && connection.connectionRefused()) {
+    const auto checked = co_await m_context.connector->connect(target, detail::CrashCheckTimeout);
+    if (checked.refused) {
         m_progress.recordTargetCrash(target, core::now());
     }
 }
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -220,7 +220,7 @@
                   applyTargetNotice(context, *helper, codec.readAnswer(head), id, core::now());
               };
         auto reservation
-            = core::makeRef<Reservation>(m_context.loop, chosen.helpers[i]->entry.address, id,
+            = core::makeRef<Reservation>(m_context.loop, *m_context.connector, chosen.helpers[i], id,
                                          m_codec.reserveOrder(target, id, chosen.reservedTokens[i], holdTime),
                                          m_codec.releaseOrder(target, id), holdTime, std::move(onAnswer));
         const bool granted = co_await reservation->acquire(m_progress.deadline());
@@ -288,13 +288,13 @@
     if (m_progress.facts().prompt) {
         facts.priority = m_progress.enginePriority();
     }
-    m_attempt = core::makeRef<Attempt>(m_context.loop, m_inbox, m_progress.attempts());
+    m_attempt = core::makeRef<Attempt>(m_context.loop, *m_context.connector, m_inbox, m_progress.attempts());
     // Whether a target accepts the request is checked again right before the write, not only when it is chosen.
     auto mayWrite = [target = chosen.target, helpers = chosen.helpers] {
         return !reasonToAvoid(*target, core::now())
             && std::none_of(helpers.begin(), helpers.end(), [](const auto &helper) { return helper->isEvacuated(); });
     };
-    m_attempt->start(chosen.target->entry.address, m_codec.attemptRequest(m_request, facts), detail::ConnectTimeout,
+    m_attempt->start(chosen.target, m_codec.attemptRequest(m_request, facts), detail::ConnectTimeout,
                      m_progress.deadline(), std::move(mayWrite));
 }
 
--- a/include/spurlug/relay/reservation.h
+++ b/include/spurlug/relay/reservation.h
@@ -4,11 +4,11 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
-#include "spurlug/core/address.h"
 #include "spurlug/core/counted.h"
 #include "spurlug/core/time.h"
 #include "spurlug/net/http_message.h"
 #include "spurlug/net/io.h"
+#include "spurlug/relay/target_connector.h"
 
 #include <functional>
 #include <optional>
@@ -27,8 +27,8 @@
 
     /// \param holdTime How long the engine keeps the memory after each reserve request.
     /// \param onAnswer May be called after the end of the relayed request, so it must not refer to that.
-    Reservation(net::Loop &loop, core::Address engine, std::string id, net::Request reserve, net::Request release,
-                core::Duration holdTime, AnswerHandler onAnswer);
+    Reservation(net::Loop &loop, TargetConnector &connector, core::Ref<Target> engine, std::string id,
+                net::Request reserve, net::Request release, core::Duration holdTime, AnswerHandler onAnswer);
 
     /// \brief Requests the memory and, if it is granted, starts to renew the reservation.
     /// \returns Whether it was granted. If there is no answer, the reservation is released, as the engine may have
@@ -51,7 +51,8 @@
     [[nodiscard]] net::Task<> sendRelease();
 
     net::Loop &m_loop;
-    const core::Address m_engine;
+    TargetConnector &m_connector;
+    const core::Ref<Target> m_engine;
     const std::string m_id;
     const net::Request m_reserve;
     const net::Request m_release;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -231,6 +231,12 @@
     if (!error.empty()) {
         co_return std::nullopt;
     }
+    co_return co_await exchange(connection, std::move(request), deadline, error);
+}
+
+Task<std::optional<Response>> exchange(ClientConnection &connection, Request request, core::Time deadline,
+                                       std::string &error)
+{
     connection.startSend(request);
     auto head = co_await connection.readHead(deadline);
     if (!head) {
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -17,29 +17,32 @@
 
 } // namespace
 
-Attempt::Attempt(net::Loop &loop, core::Ref<RequestInbox> inbox, int number)
+Attempt::Attempt(net::Loop &loop, TargetConnector &connector, core::Ref<RequestInbox> inbox, int number)
     : m_loop(loop)
+    , m_connector(connector)
     , m_inbox(std::move(inbox))
     , m_number(number)
-    , m_connection(loop)
 { }
 
-void Attempt::start(const core::Address &target, net::Request message, core::Duration connectTimeout,
-                    core::Time deadline, MayWrite mayWrite)
+void Attempt::start(core::Ref<Target> target, net::Request message, core::Duration connectTimeout, core::Time deadline,
+                    MayWrite mayWrite)
 {
     net::asio::co_spawn(
         m_loop,
-        [](core::Ref<Attempt> self, core::Address to, net::Request sent, core::Duration timeout, core::Time until,
+        [](core::Ref<Attempt> self, core::Ref<Target> to, net::Request sent, core::Duration timeout, core::Time until,
            MayWrite may) -> net::Task<> {
             co_await self->run(std::move(to), std::move(sent), timeout, until, std::move(may));
-        }(core::Ref<Attempt>(this), target, std::move(message), connectTimeout, deadline, std::move(mayWrite)),
+        }(core::Ref<Attempt>(this), std::move(target), std::move(message), connectTimeout, deadline,
+                         std::move(mayWrite)),
         net::asio::detached);
 }
 
 void Attempt::abort()
 {
     m_aborted = true;
-    m_connection.abort();
+    if (m_connection) {
+        m_connection->abort();
+    }
 }
 
 void Attempt::postEnd(AttemptStage stage, std::string detail)
@@ -49,29 +52,30 @@
     }
 }
 
-net::Task<> Attempt::run(core::Address target, net::Request message, core::Duration connectTimeout, core::Time deadline,
-                         MayWrite mayWrite)
+net::Task<> Attempt::run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
+                         core::Time deadline, MayWrite mayWrite)
 {
     if (m_aborted) {
         co_return;
     }
-    const auto problem = co_await m_connection.connect(target, connectTimeout);
+    auto connected = co_await m_connector.connect(std::move(target), connectTimeout);
     if (m_aborted) {
         co_return;
     }
-    if (!problem.empty()) {
-        postEnd(AttemptStage::NotConnected, problem);
+    if (!connected.connection) {
+        postEnd(AttemptStage::NotConnected, connected.error);
         co_return;
     }
+    m_connection = std::move(connected.connection);
     if (!mayWrite()) {
-        m_connection.abort();
+        m_connection->abort();
         postEnd(AttemptStage::Cancelled, {});
         co_return;
     }
-    m_connection.startSend(message);
-    auto head = co_await m_connection.readHead(deadline);
+    m_connection->startSend(message);
+    auto head = co_await m_connection->readHead(deadline);
     if (!head) {
-        postEnd(AttemptStage::Sent, m_connection.lastError());
+        postEnd(AttemptStage::Sent, m_connection->lastError());
         co_return;
     }
     m_inbox->events.post(HeadArrived{m_number, std::move(*head)});
@@ -82,7 +86,7 @@
         if (m_aborted) {
             co_return;
         }
-        auto piece = co_await m_connection.readBody(deadline);
+        auto piece = co_await m_connection->readBody(deadline);
         if (!piece.bytes.empty()) {
             m_inbox->events.post(BytesArrived{m_number, std::move(piece.bytes)});
         }
@@ -91,7 +95,7 @@
             co_return;
         }
         if (piece.state == net::BodyPiece::State::Failed) {
-            postEnd(AttemptStage::Sent, m_connection.lastError());
+            postEnd(AttemptStage::Sent, m_connection->lastError());
             co_return;
         }
     }
--- a/src/relay/reservation.cpp
+++ b/src/relay/reservation.cpp
@@ -7,7 +7,6 @@
 
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
-#include "spurlug/net/client_connection.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,9 +24,10 @@
 
 } // namespace
 
-Reservation::Reservation(net::Loop &loop, core::Address engine, std::string id, net::Request reserve,
-                         net::Request release, core::Duration holdTime, AnswerHandler onAnswer)
+Reservation::Reservation(net::Loop &loop, TargetConnector &connector, core::Ref<Target> engine, std::string id,
+                         net::Request reserve, net::Request release, core::Duration holdTime, AnswerHandler onAnswer)
     : m_loop(loop)
+    , m_connector(connector)
     , m_engine(std::move(engine))
     , m_id(std::move(id))
     , m_reserve(std::move(reserve))
@@ -38,7 +38,7 @@
 
 net::Task<std::optional<net::Response>> Reservation::order(net::Request order, core::Time until, std::string &problem)
 {
-    auto answer = co_await net::exchange(m_loop, m_engine, std::move(order), until, problem);
+    auto answer = co_await m_connector.exchange(m_engine, std::move(order), until, problem);
     if (answer) {
         m_onAnswer(answer->head);
     }
@@ -53,7 +53,10 @@
     const auto status = answer ? answer->head.status : 0;
     if (status != Granted) {
         core::log(core::LogLevel::Info, "reservation_refused",
-                  {{"reservation", m_id}, {"engine", m_engine.text()}, {"status", status}, {"error", problem}});
+                  {{"reservation", m_id},
+                   {"engine", m_engine->entry.address.text()},
+                   {"status", status},
+                   {"error", problem}});
         if (!answer) {
             release(); // The engine may have reserved the memory, or may still do so.
         }
@@ -91,7 +94,7 @@
         if (!answer || answer->head.status != Granted) {
             core::log(core::LogLevel::Warning, "reservation_not_renewed",
                       {{"reservation", m_id},
-                       {"engine", m_engine.text()},
+                       {"engine", m_engine->entry.address.text()},
                        {"status", answer ? answer->head.status : 0},
                        {"error", problem}});
         }
@@ -107,7 +110,7 @@
             co_return;
         }
         core::log(core::LogLevel::Warning, "release_unanswered",
-                  {{"reservation", m_id}, {"engine", m_engine.text()}, {"error", problem}});
+                  {{"reservation", m_id}, {"engine", m_engine->entry.address.text()}, {"error", problem}});
     }
 }
 
--- a/tests/platform/draining_and_cooldown_test.cpp
+++ b/tests/platform/draining_and_cooldown_test.cpp
@@ -346,10 +346,13 @@
     FakeTarget target(fleet.loop, "i-1");
     fleet.run([&]() -> net::Task<> {
         const auto inbox = core::makeRef<relay::RequestInbox>(fleet.loop);
-        auto attempt = core::makeRef<relay::Attempt>(fleet.loop, inbox, 1);
+        auto attempt = core::makeRef<relay::Attempt>(fleet.loop, fleet.targetConnector(), inbox, 1);
+        relay::TargetEntry entry;
+        entry.id = target.id();
+        entry.address = target.address();
         CallerRequest request;
-        attempt->start(target.address(), fleet.makeRequest(request), absl::Seconds(1), core::now() + absl::Seconds(3),
-                       [] { return false; });
+        attempt->start(core::makeRef<relay::Target>(entry), fleet.makeRequest(request), absl::Seconds(1),
+                       core::now() + absl::Seconds(3), [] { return false; });
         const auto event = co_await inbox->events.take(core::now() + absl::Seconds(3));
         BOOST_REQUIRE(event.has_value());
         const auto *end = std::get_if<relay::AttemptEnded>(&*event);
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -99,6 +99,29 @@
     }
 }
 
+void FakeTarget::resetConnections()
+{
+    for (const auto &connection : m_connections) {
+        connection->reset();
+    }
+}
+
+void FakeTarget::hangConnections()
+{
+    m_hungConnections.insert(m_connections.begin(), m_connections.end());
+}
+
+net::Task<> FakeTarget::awaitClose(core::Ref<net::ServerConnection> connection)
+{
+    bool closed = false;
+    connection->watch([&closed] { closed = true; });
+    while (!closed) {
+        co_await net::sleepFor(absl::Milliseconds(5));
+    }
+    connection->stopWatching();
+    ++m_abandonedRequests;
+}
+
 bool FakeTarget::hasCrashed() const noexcept
 {
     return m_crashed;
@@ -117,6 +140,7 @@
         }
     }
     m_connections.erase(connection);
+    m_hungConnections.erase(connection);
 }
 
 net::Response FakeTarget::applyMemoryRequest(const net::Request &request)
@@ -186,6 +210,10 @@
             connection->reset();
             co_return false;
         }
+        if (m_hungConnections.contains(connection)) {
+            co_await awaitClose(connection);
+            co_return false;
+        }
         const bool written = co_await connection->writeChunk(event, writeDeadline());
         if (!written) {
             ++m_abandonedRequests;
@@ -251,6 +279,10 @@
         ++m_abandonedRequests;
         co_return false;
     }
+    if (m_hungConnections.contains(connection)) {
+        co_await awaitClose(connection);
+        co_return false;
+    }
     if (responseBehaviour.fault == Fault::DropAnswer) {
         connection->close();
         co_return false;
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -88,6 +88,10 @@
     void stopListening();
     /// \brief Crashes the process: it stops listening and resets all connections.
     void crash();
+    /// \brief Resets all open connections; the target continues to listen.
+    void resetConnections();
+    /// \brief Sends nothing more over the connections that are open now, as behind a partition.
+    void hangConnections();
     /// \brief Replaces the incarnation silently: requests in progress are never answered and their connections stay
     /// open. The new incarnation listens at the same address and has no reservations.
     void replaceIncarnation(std::string id);
@@ -96,6 +100,8 @@
 private:
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
     [[nodiscard]] net::Task<bool> answer(core::Ref<net::ServerConnection> connection, net::Request request);
+    /// Waits until the other side closes a connection over which nothing may be sent.
+    [[nodiscard]] net::Task<> awaitClose(core::Ref<net::ServerConnection> connection);
     [[nodiscard]] net::Task<bool> stream(core::Ref<net::ServerConnection> connection, const net::Request &request,
                                          const Behaviour &responseBehaviour);
     [[nodiscard]] net::Response applyMemoryRequest(const net::Request &request);
@@ -112,6 +118,7 @@
     int m_misdirectedMemoryRequests = 0;
     bool m_crashed = false;
     std::set<core::Ref<net::ServerConnection>> m_connections; ///< Open connections.
+    std::set<core::Ref<net::ServerConnection>> m_hungConnections; ///< Nothing is sent over these.
     std::map<std::string, std::int64_t> m_reservations;
 };
 
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -75,6 +75,7 @@
     : store(loop)
     , configuration(initialConfiguration())
     , m_peers(peers)
+    , m_closedAddress{"127.0.0.1", freePort<net::asio::ip::tcp>(loop)}
 {
     writeConfiguration();
     for (int number = 1; number <= daemons; ++number) {
@@ -265,6 +266,34 @@
     m_daemons.at(daemon).daemon->stop();
 }
 
+relay::TargetConnector &RelayFleet::targetConnector(std::size_t daemon)
+{
+    return m_daemons.at(daemon).daemon->targetConnector();
+}
+
+void RelayFleet::cutLinks(std::size_t daemon, LinkCut cut)
+{
+    auto &connector = targetConnector(daemon);
+    if (cut == LinkCut::Refuse) {
+        connector.setDial([this](net::ClientConnection &connection, core::Address, core::Duration timeout) {
+            return connection.connect(m_closedAddress, timeout);
+        });
+    } else {
+        connector.setDial([](net::ClientConnection &, core::Address, core::Duration timeout) -> net::Task<std::string> {
+            co_await net::sleepFor(timeout);
+            co_return std::string("connect: Connection timed out");
+        });
+    }
+}
+
+void RelayFleet::restoreLinks(std::size_t daemon)
+{
+    targetConnector(daemon).setDial(
+        [](net::ClientConnection &connection, core::Address address, core::Duration timeout) {
+            return connection.connect(std::move(address), timeout);
+        });
+}
+
 net::Task<std::optional<net::Response>> RelayFleet::httpGet(core::Address address, std::string path)
 {
     net::Request request;
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -50,6 +50,13 @@
     Connected, ///< Each daemon has an address of its own and uses the first three as seeds.
 };
 
+/// \brief What happens to new connections over a link that is cut.
+enum class LinkCut
+{
+    Hang, ///< Nothing answers.
+    Refuse, ///< They are refused.
+};
+
 /// \brief A store, targets and daemons on one event loop; a test is a coroutine on this loop.
 class RelayFleet
 {
@@ -95,6 +102,12 @@
     void addDaemon();
     /// \brief Starts the graceful shutdown of a daemon.
     void startShutdown(std::size_t daemon = 0);
+    /// \brief Establishes the connections of a daemon to targets.
+    [[nodiscard]] relay::TargetConnector &targetConnector(std::size_t daemon = 0);
+    /// \brief Cuts the links of a daemon to all targets; open connections stay as they are.
+    void cutLinks(std::size_t daemon, LinkCut cut);
+    /// \brief Restores the links of a daemon to all targets.
+    void restoreLinks(std::size_t daemon);
     /// \brief Returns the HTTP status of a daemon's readiness check; 0: no answer.
     [[nodiscard]] net::Task<int> readinessStatus(std::size_t daemon = 0);
     /// \brief Returns the address at which a daemon accepts callers.
@@ -120,6 +133,7 @@
     std::vector<DaemonInstance> m_daemons;
     std::int64_t m_configurationVersion = 0;
     int m_requestCount = 0;
+    core::Address m_closedAddress; ///< Nothing listens here.
 };
 
 } // namespace spurlug::test
