Add failing tests of daemons that lose their links to targets

What callers saw: daemons without links to targets, but with links to callers, store and peers, served 13 of 95 and 0 of 74 requests at the first attempt; the others 153 of 154 and 173 of 175.

The tests cut the links of one daemon after the other, of three of four, and in the middle of streams; connections hang or are refused.

--- /dev/null
+++ b/tests/platform/target_links_test.cpp
@@ -0,0 +1,237 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of daemons without links to targets
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+//
+// The tests guard against daemons that lose their links to all targets while callers, the store and their peers still
+// reach them. They served 13 of 95 requests at the first attempt while their peers served 153 of 154, because each used
+// its own links only. They also reported the targets as failed, although these served all other daemons.
+//
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+constexpr std::size_t DaemonCount = 4;
+constexpr int TargetsPerService = 3;
+constexpr int EventCount = 12;
+/// Time after which a stream that takes 60 ms in all has begun and not ended.
+constexpr auto MidStream = absl::Milliseconds(25);
+
+/// Four daemons that know each other, three engines and three plain targets.
+struct LinkedFleet : RelayFleet
+{
+    LinkedFleet()
+        : RelayFleet(DaemonCount, Peers::Connected)
+    {
+        for (int i = 0; i < TargetsPerService; ++i) {
+            engines.push_back(&addTarget("model"));
+            engines.back()->behaviour.eventCount = EventCount;
+            addTarget("app");
+        }
+    }
+
+    net::Task<> waitUntilServing()
+    {
+        co_await waitUntilReady();
+        co_await waitUntilConnected();
+    }
+
+    /// Sends requests of each kind to a daemon and counts those that are not answered completely with 200.
+    net::Task<int> countFailures(std::size_t daemon, int rounds)
+    {
+        int failures = 0;
+        for (int i = 0; i < rounds; ++i) {
+            for (const std::string path : {"/plain/1", "/safe/1", "/chat/1"}) {
+                const auto answer = co_await send(makeCallerRequest(path, "the question"), daemon);
+                failures += answer.status == 200 && answer.isComplete ? 0 : 1;
+            }
+        }
+        co_return failures;
+    }
+
+    /// Sums a metric over all daemons.
+    net::Task<double> totalMetric(std::string name)
+    {
+        double total = 0;
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            total += co_await metric(name, daemon);
+        }
+        co_return total;
+    }
+
+    static CallerRequest makeCallerRequest(const std::string &path, std::string body)
+    {
+        CallerRequest request;
+        request.path = path;
+        request.body = std::move(body);
+        request.promptTokens = path.starts_with("/chat") ? 1000 : 0;
+        return request;
+    }
+
+    /// Sends copies of one chat request to a daemon at the same time.
+    void startCopies(std::size_t daemon, int copies, std::vector<CallerAnswer> &answers)
+    {
+        for (int i = 0; i < copies; ++i) {
+            net::asio::co_spawn(
+                loop,
+                [](LinkedFleet &fleet, std::size_t to, std::vector<CallerAnswer> &received) -> net::Task<> {
+                    auto answer = co_await fleet.send(makeCallerRequest("/chat/1", "the same question"), to);
+                    received.push_back(std::move(answer));
+                }(*this, daemon, answers),
+                net::asio::detached);
+        }
+    }
+
+    net::Task<> awaitAnswers(const std::vector<CallerAnswer> &answers, std::size_t count)
+    {
+        while (answers.size() < count) {
+            co_await net::sleepFor(absl::Milliseconds(10));
+        }
+    }
+
+    std::vector<FakeTarget *> engines;
+};
+
+/// The body of a complete stream.
+std::string allEvents()
+{
+    std::string body;
+    for (int id = 0; id < EventCount; ++id) {
+        body += core::cat("id: ", id, "\ndata: token ", id, "\n\n");
+    }
+    return body;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(target_links)
+
+// Guards against a daemon that serves nobody while its connections to targets hang.
+BOOST_AUTO_TEST_CASE(a_daemon_whose_connections_to_targets_hang_serves_through_its_peers)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) { // Each role is cut off once.
+            fleet.cutLinks(daemon, LinkCut::Hang);
+            const auto failures = co_await fleet.countFailures(daemon, 4);
+            BOOST_TEST(failures == 0);
+            fleet.restoreLinks(daemon);
+        }
+    });
+}
+
+// Guards against a daemon that serves nobody while its connections to targets are refused.
+BOOST_AUTO_TEST_CASE(a_daemon_whose_connections_to_targets_are_refused_serves_through_its_peers)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            fleet.cutLinks(daemon, LinkCut::Refuse);
+            const auto failures = co_await fleet.countFailures(daemon, 4);
+            BOOST_TEST(failures == 0);
+            fleet.restoreLinks(daemon);
+        }
+    });
+}
+
+// Guards against a daemon that gives up after it asked a peer which has no links either.
+BOOST_AUTO_TEST_CASE(one_daemon_with_links_is_enough_for_its_peers)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        for (std::size_t daemon = 0; daemon + 1 < DaemonCount; ++daemon) {
+            fleet.cutLinks(daemon, daemon == 1 ? LinkCut::Refuse : LinkCut::Hang);
+        }
+        int failures = 0;
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            failures += co_await fleet.countFailures(daemon, 3);
+        }
+        BOOST_TEST(failures == 0);
+    });
+}
+
+// Guards against targets that are ejected in the whole fleet because one daemon lost its links to them.
+BOOST_AUTO_TEST_CASE(a_daemon_without_links_does_not_have_targets_ejected)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            fleet.cutLinks(daemon, daemon % 2 == 0 ? LinkCut::Hang : LinkCut::Refuse);
+            std::vector<CallerAnswer> answers;
+            fleet.startCopies(daemon, 6, answers);
+            co_await fleet.awaitAnswers(answers, 6);
+            co_await net::sleepFor(absl::Milliseconds(100)); // Its reports arrive.
+            const auto failures = co_await fleet.countFailures((daemon + 1) % DaemonCount, 2);
+            BOOST_TEST(failures == 0);
+            fleet.restoreLinks(daemon);
+        }
+        const auto ejections = co_await fleet.totalMetric("ejections_by_report_total");
+        BOOST_TEST(ejections == 0);
+    });
+}
+
+// Guards against content that is quarantined because the links of the daemon that had sent it were reset.
+BOOST_AUTO_TEST_CASE(broken_links_do_not_count_as_crashes_of_targets)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        std::vector<CallerAnswer> answers;
+        fleet.startCopies(0, 9, answers);
+        co_await net::sleepFor(MidStream);
+        fleet.cutLinks(0, LinkCut::Refuse);
+        for (auto *engine : fleet.engines) {
+            engine->resetConnections();
+        }
+        co_await fleet.awaitAnswers(answers, 9);
+        for (const auto &answer : answers) {
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body == allEvents());
+        }
+        const auto crashes = co_await fleet.totalMetric("targets_ended_under_work_total");
+        BOOST_TEST(crashes == 0);
+        const auto other = co_await fleet.send(LinkedFleet::makeCallerRequest("/chat/1", "the same question"), 1);
+        BOOST_TEST(other.status == 200);
+    });
+}
+
+// Guards against a stream that waits on a dead connection although a peer reaches its target.
+BOOST_AUTO_TEST_CASE(a_stream_whose_connection_hangs_resumes_through_a_peer)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        std::vector<CallerAnswer> answers;
+        fleet.startCopies(0, 3, answers);
+        co_await net::sleepFor(MidStream);
+        fleet.cutLinks(0, LinkCut::Hang);
+        for (auto *engine : fleet.engines) {
+            engine->hangConnections();
+        }
+        co_await fleet.awaitAnswers(answers, 3);
+        for (const auto &answer : answers) {
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body == allEvents());
+        }
+        const auto ejections = co_await fleet.totalMetric("ejections_by_report_total");
+        BOOST_TEST(ejections == 0);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace spurlug::test
