Reach targets through peers when a daemon's own links fail

What callers saw: a daemon without links to targets served 13 of 95 and 0 of 74 requests at the first attempt, although callers, store and peers reached it. It connected to one target after the other, 150 ms each, and answered 503 after up to 1.4 s.

Cause: a failed connection was taken for a failed target. The daemon knew no other path, ejected targets that served everybody else, and reported them: the scheduler ejected them for all daemons, and refused connections counted as crashes of the content in progress (failing tests of: 3 engines ejected by report, 9 crashes counted).

Change: TargetConnector gives the own link 50 ms, then asks peers for a TCP tunnel (CONNECT at the control address) and uses the first connection. A link that a peer bypasses counts as down; once two targets of a service are concerned, all of its links do. It is tried again every 250 ms beside a tunnel, which delays nobody, and used again when it works. A target is at fault only if a peer that reaches other targets does not reach it, or if no peer has an opinion and the own link leads to other targets; only then is it ejected, reported, or taken for crashed. Peers check their own link the same way before they blame a target. A connection that hangs or breaks while a peer reaches its target is path_lost: the request is retried if it may be, within the retry budget, and nobody is blamed. If no path has led to any of three targets of a service, requests are refused at once (no_path), but for one every 250 ms.

A tunnel carries the bytes of one connection, so that deadlines, at most once, "not run" and the retry budget stay with the daemon that got the request. The target's bytes are framed: a peer that dies must not look like the end of an answer without a length.

tests/unit/core_test.cpp names the last reason; it is a new one now, the check is the same.

--- a/include/spurlug/core/reason.h
+++ b/include/spurlug/core/reason.h
@@ -55,6 +55,8 @@
     DomainsEvacuated, ///< The operator evacuated the failure domain of the target, or of all targets.
     IncarnationEnded, ///< The target, or an engine that its answer needs, was replaced by a later incarnation.
     PredictedLate, ///< The first event is expected after the caller leaves or its deadline.
+    NoPath, ///< No path leads to any target, neither over the daemon's own links nor through a peer.
+    PathLost, ///< The connection to the target hung or broke because of a link or a peer, not because of the target.
 };
 
 template<>
@@ -104,11 +106,13 @@
         EnumName<Reason>{Reason::DomainsEvacuated, "domains_evacuated"},
         EnumName<Reason>{Reason::IncarnationEnded, "life_over"},
         EnumName<Reason>{Reason::PredictedLate, "predicted_late"},
+        EnumName<Reason>{Reason::NoPath, "no_path"},
+        EnumName<Reason>{Reason::PathLost, "path_lost"},
     };
 };
 
 // Counters by reason are arrays of the table's size, indexed by enumerator.
-static_assert(static_cast<std::size_t>(Reason::PredictedLate) + 1 == EnumNames<Reason>::table.size(),
+static_assert(static_cast<std::size_t>(Reason::PathLost) + 1 == EnumNames<Reason>::table.size(),
               "every reason has a name, in the order of their declaration");
 
 /// \brief Whether an attempt or a whole request may have run.
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -85,6 +85,11 @@
     SpeedSamplesDropped, ///< Impossible ratios of observed to expected times.
     DomainRamps, ///< Times that the load of a failure domain began to move gradually.
     EjectionsByReport, ///< Targets that this daemon's scheduler ejected because of another daemon's report.
+    TunnelsOpened, ///< Connections to targets through a peer.
+    TunnelsServed, ///< Tunnels to targets that this daemon opened for peers.
+    TunnelsDeclined, ///< Tunnels that this daemon did not open: its link to the target fails too, or it is full.
+    ConnectionsUnproven, ///< Failed connections that leave open whether the target or the link is at fault.
+    LinkOutages, ///< Times that this daemon's links to all targets were found to be down.
     GrantsExpired, ///< Grants of this daemon's scheduler that no report mentioned in time.
 };
 
@@ -174,6 +179,11 @@
         EnumName<Counter>{Counter::SpeedSamplesDropped, "speed_samples_dropped"},
         EnumName<Counter>{Counter::DomainRamps, "domain_ramps"},
         EnumName<Counter>{Counter::EjectionsByReport, "ejections_by_report"},
+        EnumName<Counter>{Counter::TunnelsOpened, "tunnels_opened"},
+        EnumName<Counter>{Counter::TunnelsServed, "tunnels_served"},
+        EnumName<Counter>{Counter::TunnelsDeclined, "tunnels_declined"},
+        EnumName<Counter>{Counter::ConnectionsUnproven, "connections_unproven"},
+        EnumName<Counter>{Counter::LinkOutages, "link_outages"},
         EnumName<Counter>{Counter::GrantsExpired, "grants_expired"},
     };
 };
--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -9,6 +9,7 @@
 #include "spurlug/core/time.h"
 #include "spurlug/net/http_message.h"
 #include "spurlug/net/io.h"
+#include "spurlug/net/tunnel.h"
 
 #include <memory>
 #include <optional>
@@ -47,6 +48,11 @@
     /// \returns Empty on success, otherwise the error; nothing was sent in that case.
     [[nodiscard]] Task<std::string> connect(core::Address address, core::Duration timeout);
 
+    /// \brief Connects to a server through a proxy.
+    /// \param timeout For the connection to the proxy and the proxy's connection to the server.
+    /// \returns Open on success; nothing was sent to the server otherwise.
+    [[nodiscard]] Task<TunnelResult> connectThrough(TunnelRequest tunnel, core::Duration timeout);
+
     /// \brief Starts to send a request; `readHead` awaits its response.
     void startSend(const Request &request);
 
@@ -64,6 +70,12 @@
     /// \brief Whether the last `connect` was refused: the host is up, but nothing listens on the port.
     [[nodiscard]] bool connectionRefused() const noexcept;
 
+    /// \brief Whether the connection to the proxy failed, so that nothing is known about the server.
+    [[nodiscard]] bool tunnelLost() const noexcept;
+
+    /// \brief Gives up the connected socket. Nothing may have been sent over it or read from it.
+    [[nodiscard]] asio::ip::tcp::socket releaseSocket();
+
     /// \brief The last error, for logs.
     [[nodiscard]] const std::string &lastError() const noexcept;
 
--- a/include/spurlug/net/server_connection.h
+++ b/include/spurlug/net/server_connection.h
@@ -68,6 +68,8 @@
     [[nodiscard]] Task<bool> write(Response response, bool keepAlive, core::Time deadline);
     /// \brief Writes the head of a response with a chunked body.
     [[nodiscard]] Task<bool> writeHead(ResponseHead head, bool keepAlive, core::Time deadline);
+    /// \brief Writes the head of a response without a body and without a length, as for an open tunnel.
+    [[nodiscard]] Task<bool> writeHeadOnly(ResponseHead head, core::Time deadline);
     /// \brief Writes one chunk of the body.
     [[nodiscard]] Task<bool> writeChunk(std::string bytes, core::Time deadline);
     /// \brief Writes the last, empty chunk of the body.
@@ -86,6 +88,9 @@
     /// \brief Resets the connection: undelivered data is lost, and the caller sees an error.
     void reset();
 
+    /// \brief Gives up the socket after a request was read and answered. Nothing else may have arrived over it.
+    [[nodiscard]] asio::ip::tcp::socket releaseSocket();
+
     /// \brief The caller's address, for logs.
     [[nodiscard]] const std::string &peerAddress() const noexcept;
 
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -47,6 +47,17 @@
     int attempt = 0;
     AttemptStage stage = AttemptStage::Sent;
     std::string detail; ///< Description of the failure, for logs.
+    /// NotConnected: whether the target is at fault, not the link.
+    bool targetAtFault = false;
+    /// Sent: whether the peer failed through which the target was reached, so that nothing is known about the target.
+    bool peerLost = false;
+};
+
+/// \brief The attempt is connected to its target through a peer.
+struct TunnelOpened
+{
+    int attempt = 0;
+    std::string peer; ///< Name of its VM.
 };
 
 /// \brief The caller closed its connection.
@@ -67,8 +78,8 @@
 };
 
 /// \brief An event of a request.
-using RequestEvent
-    = std::variant<HeadArrived, BytesArrived, AttemptEnded, CallerDisconnected, PlacementArrived, IncarnationEnded>;
+using RequestEvent = std::variant<HeadArrived, BytesArrived, AttemptEnded, TunnelOpened, CallerDisconnected,
+                                  PlacementArrived, IncarnationEnded>;
 
 /// \brief The event queue of one request; outlives the request while an attempt still runs.
 struct RequestInbox : core::RefCounted<RequestInbox>
@@ -99,17 +110,25 @@
     /// \brief Aborts the attempt: closes its connection, so that the target stops processing the request.
     void abort();
 
+    /// \brief VM of the peer through which the target is reached; empty: over this daemon's own link.
+    [[nodiscard]] const std::string &peer() const noexcept
+    {
+        return m_connected.peer;
+    }
+
 private:
     [[nodiscard]] net::Task<> run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
                                   core::Time deadline, MayWrite mayWrite);
     /// Posts AttemptEnded unless the attempt was aborted.
     void postEnd(AttemptStage stage, std::string detail);
+    /// Posts AttemptEnded for a connection that failed after the request was sent.
+    void postBreak();
 
     net::Loop &m_loop;
     TargetConnector &m_connector;
     core::Ref<RequestInbox> m_inbox;
     const int m_number;
-    core::Ref<net::ClientConnection> m_connection; ///< Null until it is established.
+    TargetConnection m_connected; ///< Without a connection until it is established.
     bool m_aborted = false;
 };
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -97,6 +97,7 @@
     bool draining = false;
     core::Time drainingSince = absl::InfiniteFuture();
     std::int64_t requestsInProgress = 0; ///< Requests that have been read and not yet answered.
+    std::int64_t openTunnels = 0; ///< Tunnels to targets that this daemon serves for peers.
     std::uint64_t reservationCounter = 0; ///< Counter for reservation ids, from the start of this process.
     std::size_t directoryReaders = 1; ///< Estimated number of daemons that read the directory, including this one.
 
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -16,6 +16,7 @@
 #include "spurlug/relay/request_handler.h"
 #include "spurlug/relay/simple_server.h"
 #include "spurlug/relay/target_connector.h"
+#include "spurlug/relay/tunnel_server.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <nlohmann/json.hpp>
@@ -80,6 +81,7 @@
     metrics::Metrics m_metrics;
     RelayContext m_context;
     TargetConnector m_connector;
+    TunnelServer m_tunnelServer;
     Protocol m_protocol;
     ControlPlane<Source> m_controlPlane;
     net::Listener m_callerListener;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -21,7 +21,8 @@
     , m_settings(std::move(settings))
     , m_settingsPath(std::move(settingsPath))
     , m_context(loop, m_settings, m_metrics)
-    , m_connector(loop)
+    , m_connector(m_context)
+    , m_tunnelServer(m_context, m_connector)
     , m_protocol(std::move(protocol))
     , m_controlPlane(m_context, source)
     , m_callerListener(loop, m_settings.callerAddress)
@@ -36,6 +37,9 @@
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
 {
     m_context.connector = &m_connector;
+    m_controlServer.onTunnel([this](net::ServerConnection &client, net::Request request) {
+        return m_tunnelServer.serve(client, std::move(request));
+    });
 }
 
 template<ProtocolCodec Protocol, Directory Source>
@@ -223,7 +227,8 @@
     for (;;) {
         co_await net::sleepFor(DrainCheckInterval);
         const auto now = core::now();
-        const bool idle = m_context.requestsInProgress == 0 && now - drainStart >= MinDrainTime;
+        const bool idle
+            = m_context.requestsInProgress == 0 && m_context.openTunnels == 0 && now - drainStart >= MinDrainTime;
         if (idle || now >= drainDeadline) {
             break;
         }
--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -81,6 +81,14 @@
     void startAttempt(const ChosenTargets &chosen);
     /// Handles the events of the current attempt until it ends.
     [[nodiscard]] net::Task<NextStep> awaitAnswer(const ChosenTargets &chosen);
+    /// What a check of a silent target showed.
+    enum class TargetCheck
+    {
+        Reachable,
+        PathLost, ///< The target is reachable, but not over the path that the attempt uses.
+        Unreachable, ///< The target is at fault.
+        Unproven, ///< No path leads to the target, which may be due to the links.
+    };
     /// State of an attempt whose target sends nothing.
     struct SilenceState
     {
@@ -96,16 +104,23 @@
     /// other engines do not keep memory reserved for it, unless a stream without reservations has begun. Otherwise the
     /// relay keeps waiting.
     /// \returns What to do next if the attempt was aborted.
-    [[nodiscard]] std::optional<NextStep> abortOrWait(SilenceState &silence, core::Time now);
+    [[nodiscard]] std::optional<NextStep> abortOrWait(SilenceState &silence, TargetCheck check, core::Time now);
     /// Aborts the attempt if it depends on a target whose incarnation ended.
     /// \param aborted Set to whether the attempt was aborted.
     [[nodiscard]] NextStep handleIncarnationEnd(const Target &ended, bool &aborted);
-    /// Whether a target still accepts connections. An engine is also asked whether it is the expected target; if
+    /// Checks whether a target still accepts connections. An engine is also asked whether it is the expected target; if
     /// another one now uses the address, the incarnation of the expected target has ended.
-    [[nodiscard]] net::Task<bool> checkReachable(core::Ref<Target> target);
-    /// Checks whether the process of a target of the current attempt ended. A broken connection does not show that,
+    [[nodiscard]] net::Task<TargetCheck> checkTarget(core::Ref<Target> target);
+    /// Asks a connected engine whether it is the expected target.
+    [[nodiscard]] net::Task<> checkIncarnation(core::Ref<Target> target, core::Ref<net::ClientConnection> connection);
+    /// Checks whether the process of the target of the current attempt ended. A broken connection does not show that,
     /// a refused one does. The check delays the request by one round trip.
-    [[nodiscard]] net::Task<> checkForCrash(core::Ref<Target> target);
+    /// \returns Whether the link to the target broke, not the target.
+    [[nodiscard]] net::Task<bool> checkAfterBreak(core::Ref<Target> target);
+    /// Whether the connection of the current attempt may be dead although its target is alive.
+    [[nodiscard]] bool isPathSuspect(core::Time now) const;
+    /// What a silent target is blamed for.
+    [[nodiscard]] static std::optional<TargetFault> silenceFault(TargetCheck check, bool hasHelpers) noexcept;
     /// Handles one event. The `take` functions set \p ended if the attempt is over; only then is the result valid.
     [[nodiscard]] net::Task<NextStep> handleEvent(RequestEvent event, const ChosenTargets &chosen, bool &ended);
     [[nodiscard]] net::Task<NextStep> handleHead(net::ResponseHead head, bool &ended);
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -28,6 +28,10 @@
     if (auto *bytes = std::get_if<BytesArrived>(&event); bytes != nullptr && bytes->attempt == current) {
         co_return co_await handleBytes(bytes->bytes, ended);
     }
+    if (const auto *opened = std::get_if<TunnelOpened>(&event); opened != nullptr && opened->attempt == current) {
+        m_progress.recordTunnel(opened->peer);
+        co_return NextStep::Done;
+    }
     if (auto *end = std::get_if<AttemptEnded>(&event); end != nullptr && end->attempt == current) {
         ended = true;
         co_return co_await handleEnd(*end);
@@ -143,8 +147,8 @@
 net::Task<typename RequestHandler<D>::NextStep> RequestHandler<D>::handleEnd(const AttemptEnded &end)
 {
     if (end.stage == AttemptStage::NotConnected) {
-        co_return handleFailure(core::Outcome::NotRun, core::Reason::ConnectFailed, TargetFault::Unreachable,
-                                end.detail);
+        co_return handleFailure(core::Outcome::NotRun, core::Reason::ConnectFailed,
+                                end.targetAtFault ? std::optional(TargetFault::Unreachable) : std::nullopt, end.detail);
     }
     if (end.stage == AttemptStage::Cancelled) {
         const auto now = core::now();
@@ -153,7 +157,14 @@
         co_return NextStep::SendAgain; // Nothing was sent, so this does not count as a retry.
     }
     if (end.stage == AttemptStage::Sent) {
-        co_await checkForCrash(m_progress.target());
+        if (end.peerLost) {
+            m_context.connector->notePeerLost(m_attempt->peer(), core::now());
+            co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::PathLost, std::nullopt, end.detail);
+        }
+        const bool pathLost = co_await checkAfterBreak(m_progress.target());
+        if (pathLost) {
+            co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::PathLost, std::nullopt, end.detail);
+        }
         const auto reason = m_headForwarded ? core::Reason::StreamInterrupted : core::Reason::TargetFailed;
         co_return handleFailure(core::Outcome::MayHaveRun, reason, TargetFault::ConnectionLost, end.detail);
     }
@@ -161,7 +172,8 @@
         co_return co_await forwardAnswer();
     }
     if (m_events.hasPartialEvent()) {
-        co_await checkForCrash(m_progress.target());
+        // The stream is complete by its framing, so that its target ended it.
+        static_cast<void>(co_await checkAfterBreak(m_progress.target()));
         co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::ConnectionLost,
                                 "the stream ended inside an event");
     }
--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -15,9 +15,11 @@
 /// Consecutive failed connections after which a target counts as dead: a single failure may be due to a lost packet.
 /// Checks are at least 0.6 s apart.
 inline constexpr int DeadAfterFailedChecks = 2;
-/// A host whose process ended refuses a connection within one round trip, 1 to 3 ms; the request waits for that. During
-/// a network partition no connection is refused, so the target does not count as ended.
-inline constexpr auto CrashCheckTimeout = absl::Milliseconds(50);
+/// A host whose process ended refuses a connection within one round trip, 1 to 3 ms; the request waits for that. If the
+/// own link does not answer, there is time to reach the target through a peer.
+inline constexpr auto CrashCheckTimeout = absl::Milliseconds(100);
+/// Time after which a connection that only checks a target is not needed any more.
+inline constexpr auto CheckLifetime = absl::Seconds(1);
 
 } // namespace detail
 
@@ -66,39 +68,51 @@
 net::Task<std::optional<typename RequestHandler<D>::NextStep>>
 RequestHandler<D>::abortIfDead(const ChosenTargets &chosen, SilenceState &silence)
 {
-    if (m_progress.targetIsAlive(core::now())) {
+    if (m_progress.targetIsAlive(core::now()) && !isPathSuspect(core::now())) {
         co_return std::nullopt; // The target is slow, not dead: repeating the work elsewhere would slow everything
                                 // down.
     }
-    const bool reachable = co_await checkReachable(chosen.target);
+    const auto check = co_await checkTarget(chosen.target);
     const auto now = core::now();
     if (m_inbox->events.size() > 0) {
         co_return std::nullopt; // An event arrived in the meantime: the target answered, or its incarnation ended.
     }
+    const bool reachable = check == TargetCheck::Reachable;
     silence.failedChecks = reachable ? 0 : silence.failedChecks + 1;
     if (reachable && now - silence.lastActivityAt < m_progress.silenceTimeout(chosen, silence.bodyStarted)) {
         m_progress.recordActivity(now);
         co_return std::nullopt;
     }
-    if (!isRepeatable() || !m_progress.allowRetry(true, core::Reason::TargetUnresponsive, now)) {
-        co_return abortOrWait(silence, now);
+    const auto reason = check == TargetCheck::PathLost ? core::Reason::PathLost : core::Reason::TargetUnresponsive;
+    if (!isRepeatable() || !m_progress.allowRetry(true, reason, now)) {
+        co_return abortOrWait(silence, check, now);
     }
     m_attempt->abort();
-    m_failureReason = core::Reason::TargetUnresponsive;
-    // With helpers it is unknown which engine is at fault, unless the target accepts no connections.
-    auto fault = chosen.helpers.empty() ? std::optional(TargetFault::Timeout) : std::nullopt;
-    if (!reachable) {
-        fault = TargetFault::Unreachable;
-    }
+    m_failureReason = reason;
     m_incarnationWatches.clear();
-    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failureReason, fault,
+    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failureReason, silenceFault(check, !chosen.helpers.empty()),
                           reachable ? "silence" : "the target sent nothing and accepts no connections", now);
     co_return NextStep::SendAgain;
 }
 
+template<ProtocolCodec D>
+std::optional<TargetFault> RequestHandler<D>::silenceFault(TargetCheck check, bool hasHelpers) noexcept
+{
+    switch (check) {
+    case TargetCheck::Unreachable:
+        return TargetFault::Unreachable;
+    case TargetCheck::Reachable: // With helpers it is unknown which engine is at fault.
+        return hasHelpers ? std::nullopt : std::optional(TargetFault::Timeout);
+    case TargetCheck::PathLost:
+    case TargetCheck::Unproven:
+        break;
+    }
+    return std::nullopt;
+}
+
 template<ProtocolCodec D>
 std::optional<typename RequestHandler<D>::NextStep> RequestHandler<D>::abortOrWait(SilenceState &silence,
-                                                                                   core::Time now)
+                                                                                   TargetCheck check, core::Time now)
 {
     const bool dead = silence.failedChecks >= detail::DeadAfterFailedChecks;
     if (!dead) {
@@ -111,8 +125,8 @@
         return std::nullopt;
     }
     m_attempt->abort();
-    m_failureReason = core::Reason::TargetUnresponsive;
-    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failureReason, TargetFault::Unreachable,
+    m_failureReason = check == TargetCheck::PathLost ? core::Reason::PathLost : core::Reason::TargetUnresponsive;
+    m_progress.endAttempt(core::Outcome::MayHaveRun, m_failureReason, silenceFault(check, !m_reservations.empty()),
                           "the target sent nothing and accepts no connections; no other target can be tried", now);
     return NextStep::Fail;
 }
@@ -130,32 +144,58 @@
 }
 
 template<ProtocolCodec D>
-net::Task<bool> RequestHandler<D>::checkReachable(core::Ref<Target> target)
+bool RequestHandler<D>::isPathSuspect(core::Time now) const
+{
+    return !m_attempt->peer().empty() || m_context.connector->links().isDown(m_progress.target()->entry, now);
+}
+
+template<ProtocolCodec D>
+net::Task<typename RequestHandler<D>::TargetCheck> RequestHandler<D>::checkTarget(core::Ref<Target> target)
 {
+    auto &connector = *m_context.connector;
+    const auto peer = m_attempt->peer();
     if (m_progress.route().kind != config::RouteKind::Stream) {
-        co_return true;
+        const bool linkDown = peer.empty() && connector.links().isDown(target->entry, core::now());
+        co_return linkDown ? TargetCheck::PathLost : TargetCheck::Reachable;
+    }
+    TargetConnection checked;
+    if (!peer.empty()) {
+        checked = co_await connector.connectThrough(peer, target, detail::ConnectTimeout);
+    }
+    if (!checked.connection) {
+        checked = co_await connector.connect(target, detail::ConnectTimeout, core::now() + detail::CheckLifetime);
     }
-    const auto checked = co_await m_context.connector->connect(target, detail::ConnectTimeout);
     if (checked.refused) {
         m_progress.recordTargetCrash(target, core::now());
     }
-    if (checked.connection && m_progress.usesEngine()) {
-        checked.connection->startSend(m_codec.lifeCheck(target->entry.id));
-        const auto head = co_await checked.connection->readHead(core::now() + detail::ConnectTimeout);
-        if (head) {
-            applyTargetNotice(m_context, *target, m_codec.readAnswer(*head), m_progress.facts().id, core::now());
-        }
+    if (!checked.connection) {
+        co_return checked.targetAtFault ? TargetCheck::Unreachable : TargetCheck::Unproven;
+    }
+    if (m_progress.usesEngine()) {
+        co_await checkIncarnation(target, checked.connection);
+    }
+    co_return checked.peer == peer ? TargetCheck::Reachable : TargetCheck::PathLost;
+}
+
+template<ProtocolCodec D>
+net::Task<> RequestHandler<D>::checkIncarnation(core::Ref<Target> target, core::Ref<net::ClientConnection> connection)
+{
+    connection->startSend(m_codec.lifeCheck(target->entry.id));
+    const auto head = co_await connection->readHead(core::now() + detail::ConnectTimeout);
+    if (head) {
+        applyTargetNotice(m_context, *target, m_codec.readAnswer(*head), m_progress.facts().id, core::now());
     }
-    co_return checked.connection != nullptr;
 }
 
 template<ProtocolCodec D>
-net::Task<> RequestHandler<D>::checkForCrash(core::Ref<Target> target)
+net::Task<bool> RequestHandler<D>::checkAfterBreak(core::Ref<Target> target)
 {
-    const auto checked = co_await m_context.connector->connect(target, detail::CrashCheckTimeout);
+    const auto checked
+        = co_await m_context.connector->connect(target, detail::CrashCheckTimeout, core::now() + detail::CheckLifetime);
     if (checked.refused) {
         m_progress.recordTargetCrash(target, core::now());
     }
+    co_return checked.connection && m_attempt->peer().empty() && !checked.peer.empty();
 }
 
 } // namespace spurlug::relay
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -148,6 +148,11 @@
 {
     control::PlacementSession session(m_context, m_context.schedulerClient, m_inbox);
     m_grant = {};
+    const auto service = m_progress.query(core::now()).service;
+    if (!m_progress.mayHaveRun() && m_context.connector->links().refusesRequest(service, core::now())) {
+        m_failureReason = core::Reason::NoPath;
+        co_return std::nullopt;
+    }
     for (;;) {
         const auto now = core::now();
         if (now >= m_progress.deadline()) {
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -56,6 +56,8 @@
     /// \brief Starts an attempt at these targets; the request counts towards their load from now on.
     /// \param scheduler Name of the VM whose scheduler chose them; empty if this daemon chose them.
     void beginAttempt(const ChosenTargets &chosen, std::string_view scheduler, core::Time now);
+    /// \brief Records that the attempt reaches its target through a peer.
+    void recordTunnel(const std::string &peer);
     /// \brief Records that the target sent bytes or accepted a connection.
     void recordActivity(core::Time now) noexcept;
     /// \brief Records that a stream event or the complete answer arrived.
@@ -222,6 +224,7 @@
     std::vector<std::uint32_t> m_unreachableTargets; ///< Hashes of targets that could not be connected to.
     std::vector<std::uint32_t> m_refusingTargets; ///< Hashes of the targets in `m_sentTo` that refused the request.
     ChosenTargets m_chosen;
+    std::string m_peer; ///< VM of the peer through which the current attempt reaches its target; empty if none.
     bool m_anyHelpFailed = false; ///< Whether any helper of this request refused or failed to help.
     bool m_helperCausedFailure = false; ///< Whether the current target could not answer because a helper failed.
     core::Duration m_attemptTime = absl::ZeroDuration(); ///< Total duration of the ended attempts.
--- a/include/spurlug/relay/simple_server.h
+++ b/include/spurlug/relay/simple_server.h
@@ -7,6 +7,7 @@
 #include "spurlug/core/address.h"
 #include "spurlug/net/http_message.h"
 #include "spurlug/net/listener.h"
+#include "spurlug/net/server_connection.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +27,11 @@
     /// \throws NetworkError if the address cannot be bound.
     SimpleServer(net::Loop &loop, const core::Address &address, Handler handler);
 
+    /// \brief Serves a tunnel to its end; the connection is closed afterwards.
+    using TunnelHandler = std::function<net::Task<>(net::ServerConnection &, net::Request)>;
+    /// \brief Sets the handler of CONNECT requests; without one, they are answered like others.
+    void onTunnel(TunnelHandler handler);
+
     /// \brief Starts to accept connections. The object must outlive the run of the loop.
     void start();
 
@@ -38,6 +44,7 @@
     net::Loop &m_loop;
     net::Listener m_listener;
     Handler m_handler;
+    TunnelHandler m_tunnelHandler;
 };
 
 /// \brief The integer value of a parameter in a URL query (`name=number`, separated by `&`); nothing if it is missing
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -8,9 +8,11 @@
 #include "beast_convert.h"
 
 #include "spurlug/core/text.h"
+#include "spurlug/net/tunnel_stream.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -57,6 +59,7 @@
 {
     explicit Impl(Loop &loop)
         : socket(loop)
+        , tunnel(socket)
         , expiry(socket.get_executor(), [this] { close(); })
     { }
 
@@ -80,7 +83,42 @@
         co_return expiry.expired() ? error_code(asio::error::timed_out) : error;
     }
 
+    /// Connects the socket and sets its options.
+    Task<error_code> connect(const asio::ip::address &host, std::uint16_t port)
+    {
+        auto [error] = co_await socket.async_connect(tcp::endpoint(host, port), Awaited);
+        error_code ignored; // A failure only increases latency.
+        if (!error) {
+            socket.set_option(tcp::no_delay(true), ignored);
+        }
+        co_return error;
+    }
+
+    /// Reads the next bytes of a response through the tunnel, if there is one.
+    template<typename ResponseParser>
+    Task<error_code> readHeader(ResponseParser &parser)
+    {
+        if (isTunnelled) {
+            auto [error, bytes] = co_await http::async_read_header(tunnel, buffer, parser, Awaited);
+            co_return error;
+        }
+        auto [error, bytes] = co_await http::async_read_header(socket, buffer, parser, Awaited);
+        co_return error;
+    }
+
+    Task<error_code> readSome(Parser &parser)
+    {
+        if (isTunnelled) {
+            auto [error, bytes] = co_await http::async_read_some(tunnel, buffer, parser, Awaited);
+            co_return error;
+        }
+        auto [error, bytes] = co_await http::async_read_some(socket, buffer, parser, Awaited);
+        co_return error;
+    }
+
     tcp::socket socket;
+    TunnelStream tunnel;
+    bool isTunnelled = false; ///< Whether responses are read from `tunnel`.
     OperationTimeout expiry;
     beast::flat_buffer buffer;
     http::request<http::string_body> request;
@@ -109,21 +147,65 @@
         impl->lastError = core::cat(address.host, " is not an IP address");
         co_return impl->lastError;
     }
-    const auto error = co_await impl->awaitWithTimeout(timeout, [&]() -> Task<error_code> {
-        auto [failure] = co_await impl->socket.async_connect(tcp::endpoint(host, address.port), Awaited);
-        co_return failure;
-    });
+    const auto error = co_await impl->awaitWithTimeout(timeout, [&] { return impl->connect(host, address.port); });
     impl->refused = error == asio::error::connection_refused;
     if (error) {
         impl->lastError = core::cat("connect: ", error.message());
         impl->close();
         co_return impl->lastError;
     }
-    error_code ignored; // A failure only increases latency.
-    impl->socket.set_option(tcp::no_delay(true), ignored);
     co_return std::string();
 }
 
+Task<TunnelResult> ClientConnection::connectThrough(TunnelRequest tunnel, core::Duration timeout)
+{
+    constexpr auto ProxyMargin = absl::Milliseconds(10); // For the transit of the proxy's response.
+    const auto impl = m_impl;
+    error_code invalid;
+    const auto host = asio::ip::make_address(tunnel.proxy.host, invalid);
+    if (invalid) {
+        impl->lastError = core::cat(tunnel.proxy.host, " is not an IP address");
+        co_return TunnelResult::ProxyUnavailable;
+    }
+    const auto startedAt = core::now();
+    auto result = TunnelResult::ProxyUnavailable;
+    const auto error = co_await impl->awaitWithTimeout(timeout, [&]() -> Task<error_code> {
+        auto failure = co_await impl->connect(host, tunnel.proxy.port);
+        if (failure) {
+            co_return failure;
+        }
+        const auto timeLeft = startedAt + timeout - core::now() - ProxyMargin;
+        http::request<http::empty_body> message;
+        const auto request = writeTunnelRequest(tunnel, timeLeft);
+        message.version(HttpVersion);
+        message.method_string(request.method);
+        message.target(request.target);
+        toBeast(request.headers, message);
+        std::tie(failure, std::ignore) = co_await http::async_write(impl->socket, message, Awaited);
+        if (failure) {
+            co_return failure;
+        }
+        http::response_parser<http::empty_body> parser;
+        parser.skip(true); // What follows the head of an open tunnel are frames.
+        std::tie(failure, std::ignore)
+            = co_await http::async_read_header(impl->socket, impl->tunnel.received(), parser, Awaited);
+        if (!failure) {
+            const auto field = parser.get()[TunnelErrorField];
+            result = readTunnelResponse(static_cast<int>(parser.get().result_int()), {field.data(), field.size()});
+        }
+        co_return failure;
+    });
+    if (error) {
+        result = TunnelResult::ProxyUnavailable;
+    }
+    impl->isTunnelled = result == TunnelResult::Open;
+    if (!impl->isTunnelled) {
+        impl->lastError = core::cat("tunnel: ", core::nameOf(result), error ? " " + error.message() : "");
+        impl->close();
+    }
+    co_return result;
+}
+
 void ClientConnection::startSend(const Request &request)
 {
     auto &message = m_impl->request;
@@ -155,10 +237,8 @@
         parser.header_limit(MaxHeadBytes);
         parser.body_limit(MaxBodyBytes);
         parser.skip(impl->request.method() == http::verb::head);
-        const auto error = co_await impl->awaitWithTimeout(deadline - core::now(), [&]() -> Task<error_code> {
-            auto [failure, bytes] = co_await http::async_read_header(impl->socket, impl->buffer, parser, Awaited);
-            co_return failure;
-        });
+        const auto error
+            = co_await impl->awaitWithTimeout(deadline - core::now(), [&] { return impl->readHeader(parser); });
         if (error) {
             impl->lastError = core::cat("head: ", error.message());
             impl->close();
@@ -182,10 +262,7 @@
         body.data = bytes.data();
         body.size = bytes.size();
         body.more = true;
-        auto error = co_await impl->awaitWithTimeout(deadline - core::now(), [&]() -> Task<error_code> {
-            auto [failure, read] = co_await http::async_read_some(impl->socket, impl->buffer, parser, Awaited);
-            co_return failure;
-        });
+        auto error = co_await impl->awaitWithTimeout(deadline - core::now(), [&] { return impl->readSome(parser); });
         if (error == http::error::need_buffer) {
             error = {};
         }
@@ -213,6 +290,16 @@
     return m_impl->refused;
 }
 
+bool ClientConnection::tunnelLost() const noexcept
+{
+    return m_impl->isTunnelled && m_impl->tunnel.isLost();
+}
+
+tcp::socket ClientConnection::releaseSocket()
+{
+    return std::move(m_impl->socket);
+}
+
 const std::string &ClientConnection::lastError() const noexcept
 {
     return m_impl->lastError;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -239,6 +239,14 @@
     co_return !error;
 }
 
+Task<bool> ServerConnection::writeHeadOnly(ResponseHead head, core::Time deadline)
+{
+    const auto impl = m_impl;
+    http::response<http::empty_body> message;
+    fillHead(message, head, true);
+    co_return co_await impl->send(message, deadline - core::now());
+}
+
 Task<bool> ServerConnection::writeChunk(std::string bytes, core::Time deadline)
 {
     const auto impl = m_impl;
@@ -302,6 +310,11 @@
     m_impl->reset();
 }
 
+tcp::socket ServerConnection::releaseSocket()
+{
+    return std::move(m_impl->socket);
+}
+
 const std::string &ServerConnection::peerAddress() const noexcept
 {
     return m_impl->peer;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -40,8 +40,8 @@
 void Attempt::abort()
 {
     m_aborted = true;
-    if (m_connection) {
-        m_connection->abort();
+    if (m_connected.connection) {
+        m_connected.connection->abort();
     }
 }
 
@@ -52,30 +52,43 @@
     }
 }
 
+void Attempt::postBreak()
+{
+    if (!m_aborted) {
+        const auto &connection = *m_connected.connection;
+        m_inbox->events.post(
+            AttemptEnded{m_number, AttemptStage::Sent, connection.lastError(), false, connection.tunnelLost()});
+    }
+}
+
 net::Task<> Attempt::run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
                          core::Time deadline, MayWrite mayWrite)
 {
     if (m_aborted) {
         co_return;
     }
-    auto connected = co_await m_connector.connect(std::move(target), connectTimeout);
+    auto connected = co_await m_connector.connect(std::move(target), connectTimeout, deadline);
     if (m_aborted) {
         co_return;
     }
     if (!connected.connection) {
-        postEnd(AttemptStage::NotConnected, connected.error);
+        m_inbox->events.post(
+            AttemptEnded{m_number, AttemptStage::NotConnected, connected.error, connected.targetAtFault});
         co_return;
     }
-    m_connection = std::move(connected.connection);
+    m_connected = std::move(connected);
+    if (!m_connected.peer.empty()) {
+        m_inbox->events.post(TunnelOpened{m_number, m_connected.peer});
+    }
     if (!mayWrite()) {
-        m_connection->abort();
+        m_connected.connection->abort();
         postEnd(AttemptStage::Cancelled, {});
         co_return;
     }
-    m_connection->startSend(message);
-    auto head = co_await m_connection->readHead(deadline);
+    m_connected.connection->startSend(message);
+    auto head = co_await m_connected.connection->readHead(deadline);
     if (!head) {
-        postEnd(AttemptStage::Sent, m_connection->lastError());
+        postBreak();
         co_return;
     }
     m_inbox->events.post(HeadArrived{m_number, std::move(*head)});
@@ -86,7 +99,7 @@
         if (m_aborted) {
             co_return;
         }
-        auto piece = co_await m_connection->readBody(deadline);
+        auto piece = co_await m_connected.connection->readBody(deadline);
         if (!piece.bytes.empty()) {
             m_inbox->events.post(BytesArrived{m_number, std::move(piece.bytes)});
         }
@@ -95,7 +108,7 @@
             co_return;
         }
         if (piece.state == net::BodyPiece::State::Failed) {
-            postEnd(AttemptStage::Sent, m_connection->lastError());
+            postBreak();
             co_return;
         }
     }
--- a/src/relay/request_helpers.cpp
+++ b/src/relay/request_helpers.cpp
@@ -69,7 +69,9 @@
 {
     const auto &target = *m_chosen.target;
     const auto &targetDomain = target.entry.failureDomain;
-    m_context.links.noteSuccess(m_context.settings.failureDomain, targetDomain);
+    if (m_peer.empty()) {
+        m_context.links.noteSuccess(m_context.settings.failureDomain, targetDomain);
+    }
     std::set<std::string> reportedDomains{targetDomain};
     for (const auto &helper : m_chosen.helpers) {
         const auto &domain = helper->entry.failureDomain;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -245,6 +245,7 @@
 void RequestProgress::beginAttempt(const ChosenTargets &chosen, std::string_view scheduler, core::Time now)
 {
     m_chosen = chosen;
+    m_peer.clear();
     m_helperCausedFailure = false;
     m_sentAt = now;
     m_gaps = {};
@@ -290,6 +291,14 @@
     }
 }
 
+void RequestProgress::recordTunnel(const std::string &peer)
+{
+    m_peer = peer;
+    core::log(
+        core::LogLevel::Info, "attempt_tunnelled",
+        {{"request", m_facts.id}, {"attempt", m_attempts}, {"target", m_chosen.target->entry.id}, {"peer", peer}});
+}
+
 void RequestProgress::recordActivity(core::Time now) noexcept
 {
     m_chosen.target->lastResponseAt = now;
@@ -390,14 +399,15 @@
                {"reason", core::nameOf(reason)},
                {"fault", fault ? core::nameOf(*fault) : "none"},
                {"detail", detail},
+               {"peer", m_peer},
                {"afterMs", core::toMs(now - m_sentAt)},
                {"targetLeftOut", health.isEjected(now)}});
 }
 
 SpeedSamples RequestProgress::speedSamples(core::Time now)
 {
-    if (!m_context.features().targetFeedback) {
-        return {};
+    if (!m_context.features().targetFeedback || !m_peer.empty()) {
+        return {}; // The times of a tunnelled attempt contain those of the peer.
     }
     if (!usesEngine()) {
         return {std::nullopt, m_context.answerTimes[m_service].add(now - m_sentAt)};
--- a/src/relay/simple_server.cpp
+++ b/src/relay/simple_server.cpp
@@ -6,7 +6,6 @@
 #include "spurlug/relay/simple_server.h"
 
 #include "spurlug/core/text.h"
-#include "spurlug/net/server_connection.h"
 
 #include <algorithm>
 
@@ -27,6 +26,11 @@
     , m_handler(std::move(handler))
 { }
 
+void SimpleServer::onTunnel(TunnelHandler handler)
+{
+    m_tunnelHandler = std::move(handler);
+}
+
 void SimpleServer::start()
 {
     net::asio::co_spawn(m_loop, m_listener.run([this](net::asio::ip::tcp::socket socket) {
@@ -45,6 +49,10 @@
         if (!result.request) {
             co_return;
         }
+        if (m_tunnelHandler && result.request->method == "CONNECT") {
+            co_await m_tunnelHandler(connection, std::move(*result.request));
+            co_return;
+        }
         auto response = m_handler(*result.request);
         const bool keepAlive = result.request->keepAlive;
         const bool written
--- a/src/relay/wait_policy.cpp
+++ b/src/relay/wait_policy.cpp
@@ -90,6 +90,7 @@
     switch (reason) {
     case Reason::Stopping:
     case Reason::StaleConfiguration:
+    case Reason::NoPath:
         return RetryAfterOtherDaemon;
     case Reason::NotReady:
         return RetryAfterNotReady;
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -29,7 +29,7 @@
         names.insert(row.name);
         BOOST_TEST((core::enumFromName<core::Reason>(row.name) == row.value));
     }
-    BOOST_TEST(names.size() == static_cast<std::size_t>(core::Reason::PredictedLate) + 1);
+    BOOST_TEST(names.size() == static_cast<std::size_t>(core::Reason::PathLost) + 1);
 }
 
 BOOST_AUTO_TEST_CASE(addresses_are_parsed_and_formatted)
