Test the way back, refusals without any path, stops of peers and silent targets

Controls of the own link begin with targets of the own failure domain: in a partition between domains the others would hang and leave open who is at fault. Peers that do not answer while another one opens the tunnel are avoided for a while.

--- a/src/relay/target_connector.cpp
+++ b/src/relay/target_connector.cpp
@@ -92,11 +92,26 @@
         if (error.empty()) {
             error = path.error;
         }
-        if (!path.peer.empty() && path.result != PathResult::PeerUnavailable) {
-            failedPeers.push_back(path.peer);
+        if (!path.peer.empty()) {
+            auto &peers = path.result == PathResult::PeerUnavailable ? unavailablePeers : failedPeers;
+            peers.push_back(path.peer);
         }
     }
 
+    /// Peers that were asked and did not answer.
+    [[nodiscard]] std::vector<std::string> unansweredPeers() const
+    {
+        std::vector<std::string> peers;
+        for (const auto &vm : askedPeers) {
+            const auto isVm = [&vm](const std::string &other) { return other == vm; };
+            if (std::none_of(failedPeers.begin(), failedPeers.end(), isVm)
+                && std::none_of(unavailablePeers.begin(), unavailablePeers.end(), isVm)) {
+                peers.push_back(vm);
+            }
+        }
+        return peers;
+    }
+
     const core::Ref<Target> target;
     const bool usesPeers; ///< Whether peers are asked for tunnels.
     const core::Time startedAt;
@@ -109,6 +124,7 @@
     bool directTried = false;
     bool refused = false; ///< Whether any path was refused.
     std::vector<std::string> askedPeers;
+    std::vector<std::string> unavailablePeers; ///< Peers that declined or were not reached.
     std::vector<std::string> failedPeers; ///< Peers that reach other targets, but not this one.
     std::string error; ///< Of the first path that failed.
 };
@@ -236,6 +252,10 @@
         others = std::move(ofOtherServices);
     }
     std::shuffle(others.begin(), others.end(), m_context.random);
+    // In a partition between failure domains, only those of the own domain show that the link works.
+    std::stable_partition(others.begin(), others.end(), [this](const auto &other) {
+        return other->entry.failureDomain == m_context.settings.failureDomain;
+    });
     others.resize(std::min(others.size(), MaxControls));
     race->controlPending = true;
     spawn(m_context.loop,
@@ -332,8 +352,11 @@
         m_links.noteBypassed(race.entry(), now);
         logLinkChange(race.entry().service, now);
     }
-    for (const auto &vm : race.failedPeers) {
-        m_peers.noteFailed(vm, now); // Its links are down.
+    for (const auto &vm : race.askedPeers) {
+        if (vm == connected.peer) {
+            break;
+        }
+        m_peers.noteFailed(vm, now); // It was asked earlier, and its links are down or it does not answer.
     }
 }
 
@@ -349,6 +372,9 @@
 
 TargetConnection TargetConnector::recordFailure(const Race &race, core::Time now)
 {
+    for (const auto &vm : race.unansweredPeers()) {
+        m_peers.noteFailed(vm, now);
+    }
     TargetConnection result;
     result.targetAtFault = isTargetAtFault(race);
     result.refused = result.targetAtFault && race.refused;
--- a/tests/platform/target_links_test.cpp
+++ b/tests/platform/target_links_test.cpp
@@ -232,6 +232,123 @@
     });
 }
 
+// Guards against a daemon that goes on to use its peers after its own links are back.
+BOOST_AUTO_TEST_CASE(a_daemon_uses_its_own_links_again_once_they_work)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        fleet.cutLinks(0, LinkCut::Refuse);
+        const auto failures = co_await fleet.countFailures(0, 6);
+        BOOST_TEST(failures == 0);
+        const auto tunnels = co_await fleet.metric("tunnels_opened_total", 0);
+        BOOST_TEST(tunnels > 0);
+        fleet.restoreLinks(0);
+        co_await net::sleepFor(absl::Milliseconds(300)); // The next trials are due.
+        const auto failuresAfter = co_await fleet.countFailures(0, 12);
+        BOOST_TEST(failuresAfter == 0);
+        const auto tunnelsAtTrials = co_await fleet.metric("tunnels_opened_total", 0);
+        const auto failuresLater = co_await fleet.countFailures(0, 6);
+        const auto tunnelsLater = co_await fleet.metric("tunnels_opened_total", 0);
+        BOOST_TEST(failuresLater == 0);
+        BOOST_TEST(tunnelsLater == tunnelsAtTrials);
+    });
+}
+
+// Guards against requests that are held although no path leads to any target.
+BOOST_AUTO_TEST_CASE(requests_are_refused_at_once_while_no_daemon_has_links)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            fleet.cutLinks(daemon, LinkCut::Hang);
+        }
+        double refusals = 0;
+        for (int i = 0; i < 10 && refusals < 3; ++i) {
+            const auto answer = co_await fleet.send(LinkedFleet::makeCallerRequest("/chat/1", "the question"));
+            BOOST_TEST(answer.status == 503);
+            BOOST_TEST(!answer.head.headers.value("Retry-After").empty());
+            refusals = co_await fleet.metric("failures_total{reason=\"no_path\"}");
+        }
+        BOOST_TEST(refusals >= 3);
+        const auto ejections = co_await fleet.totalMetric("ejections_by_report_total");
+        BOOST_TEST(ejections == 0);
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            fleet.restoreLinks(daemon);
+        }
+        co_await net::sleepFor(absl::Milliseconds(300)); // The next request is let through.
+        const auto failures = co_await fleet.countFailures(0, 4);
+        BOOST_TEST(failures == 0);
+    });
+}
+
+// Guards against a dead target that is not ejected because its peers are asked for a second opinion.
+BOOST_AUTO_TEST_CASE(a_target_that_no_daemon_reaches_is_ejected)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        fleet.engines.front()->stopListening();
+        int failures = 0;
+        for (std::size_t daemon = 0; daemon < DaemonCount; ++daemon) {
+            failures += co_await fleet.countFailures(daemon, 3);
+        }
+        BOOST_TEST(failures == 0);
+        const auto unproven = co_await fleet.totalMetric("connections_unproven_total");
+        BOOST_TEST(unproven == 0);
+        const auto tunnels = co_await fleet.totalMetric("tunnels_opened_total");
+        BOOST_TEST(tunnels == 0);
+    });
+}
+
+// Guards against streams that end when the peer through which they run is stopped.
+BOOST_AUTO_TEST_CASE(a_daemon_that_stops_finishes_the_tunnels_of_its_peers)
+{
+    LinkedFleet fleet;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        fleet.cutLinks(0, LinkCut::Refuse);
+        const auto failures = co_await fleet.countFailures(0, 2);
+        BOOST_TEST(failures == 0);
+        std::vector<CallerAnswer> answers;
+        fleet.startCopies(0, 6, answers);
+        co_await net::sleepFor(MidStream);
+        fleet.startShutdown(1);
+        fleet.startShutdown(2);
+        co_await fleet.awaitAnswers(answers, 6);
+        for (const auto &answer : answers) {
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body == allEvents());
+        }
+        const auto failuresLater = co_await fleet.countFailures(0, 3); // Through the remaining peer.
+        BOOST_TEST(failuresLater == 0);
+    });
+}
+
+// Guards against a sound target that loses its streams because it sent nothing for a second.
+BOOST_AUTO_TEST_CASE(a_target_that_is_silent_for_a_second_keeps_its_requests)
+{
+    LinkedFleet fleet;
+    for (auto *engine : fleet.engines) {
+        engine->behaviour.eventCount = 2;
+        engine->behaviour.eventInterval = absl::Milliseconds(1100);
+    }
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        const auto answer = co_await fleet.send(LinkedFleet::makeCallerRequest("/chat/1", "the question"));
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.isComplete);
+        std::size_t started = 0;
+        for (const auto *engine : fleet.engines) {
+            started += engine->startedRequests().size();
+        }
+        BOOST_TEST(started == 1U);
+        const auto ejections = co_await fleet.totalMetric("ejections_by_report_total");
+        BOOST_TEST(ejections == 0);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
