Prove the own link after the doubt, not since the start of the connection

A connection now proves the link only if it was established after the failed one had been given up or had used its head start.

The suites target_links and crashing_requests pass.

--- a/include/spurlug/net/tunnel_stream.h
+++ b/include/spurlug/net/tunnel_stream.h
@@ -34,7 +34,8 @@
         : m_socket(socket)
     { }
 
-    [[nodiscard]] executor_type get_executor()
+    // Beast requires the names of the next two functions.
+    [[nodiscard]] executor_type get_executor() // NOLINT(readability-identifier-naming)
     {
         return m_socket.get_executor();
     }
@@ -53,7 +54,7 @@
 
     /// \brief Reads bytes of the target. The error is `eof` only if the target closed its connection.
     template<typename Buffers, typename Token>
-    auto async_read_some(const Buffers &buffers, Token &&token)
+    auto async_read_some(const Buffers &buffers, Token &&token) // NOLINT(readability-identifier-naming)
     {
         using boost::system::error_code;
         return asio::async_compose<Token, void(error_code, std::size_t)>(
--- a/src/relay/target_connector.cpp
+++ b/src/relay/target_connector.cpp
@@ -119,6 +119,9 @@
     const core::Time deadline;
     net::Mailbox<PathAttempt> results;
     int pending = 0; ///< Paths without a result.
+    /// When the link to the target failed or was given no more time. A connection to another target proves the link
+    /// only if it was established later: the link may have gone down since the start.
+    core::Time doubtedAt = absl::InfiniteFuture();
     bool controlPending = false;
     bool controlConnected = false; ///< Whether the own link led to another target.
     bool directTried = false;
@@ -237,8 +240,8 @@
 {
     const auto now = core::now();
     const auto &service = race->entry().service;
-    if (!m_peers.hasPeers() || m_links.lastConnectedAt(service) >= race->startedAt
-        || m_links.areAllDown(service, now)) {
+    race->doubtedAt = now;
+    if (!m_peers.hasPeers() || m_links.areAllDown(service, now)) {
         return;
     }
     std::vector<core::Ref<Target>> others;
@@ -366,7 +369,7 @@
         return true;
     }
     // Without peers this daemon is the only witness.
-    const bool linkWorks = race.controlConnected || m_links.lastConnectedAt(race.entry().service) >= race.startedAt;
+    const bool linkWorks = race.controlConnected || m_links.lastConnectedAt(race.entry().service) >= race.doubtedAt;
     return race.directTried && (linkWorks || !m_peers.hasPeers());
 }
 
