Keep requests on open connections that work while new ones fail

A daemon whose new connections to engines were refused took each silent connection for a dead one, because a peer reached the engine, and repeated its prompt there. Bytes that arrive over an own connection well after the link went down now show that open connections work; a silent one then counts as slow.

The test requests_in_progress_stay_on_connections_that_live_on passes.

--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -53,6 +53,9 @@
             m_progress.recordActivity(now);
             silence.lastActivityAt = now;
             silence.failedChecks = 0;
+            if (m_attempt->peer().empty()) {
+                m_context.connector->links().noteBytes(chosen.target->entry, now);
+            }
         }
         bool ended = false;
         const bool isBytes = std::holds_alternative<BytesArrived>(*event);
@@ -174,7 +177,8 @@
     if (m_progress.usesEngine()) {
         co_await checkIncarnation(target, checked.connection);
     }
-    co_return checked.peer == peer ? TargetCheck::Reachable : TargetCheck::PathLost;
+    const bool mayWork = peer.empty() && connector.links().openConnectionsWork(target->entry.service);
+    co_return checked.peer == peer || mayWork ? TargetCheck::Reachable : TargetCheck::PathLost;
 }
 
 template<ProtocolCodec D>
--- a/include/spurlug/relay/target_links.h
+++ b/include/spurlug/relay/target_links.h
@@ -27,6 +27,8 @@
 
     /// \brief Notes that this daemon connected to a target over its own link.
     void noteConnected(const TargetEntry &target, core::Time now);
+    /// \brief Notes that bytes of a target arrived over this daemon's own link.
+    void noteBytes(const TargetEntry &target, core::Time now);
     /// \brief Notes that a peer reached a target which this daemon did not reach over its own link.
     void noteBypassed(const TargetEntry &target, core::Time now);
     /// \brief Notes that a target was reached by no path, although nothing shows that the target is at fault.
@@ -47,6 +49,9 @@
     [[nodiscard]] bool isDown(const TargetEntry &target, core::Time now) const;
     /// \brief Whether the links to all targets of a service are assumed to be down.
     [[nodiscard]] bool areAllDown(const std::string &service, core::Time now) const;
+    /// \brief Whether connections that are open carry bytes although the links to targets of the service are down, so
+    /// that a silent connection is not a dead one.
+    [[nodiscard]] bool openConnectionsWork(const std::string &service) const;
     /// \brief Whether no path has led to any target of a service lately, peers included.
     [[nodiscard]] bool isNothingReachable(const std::string &service, core::Time now) const;
     /// \brief When this daemon last connected to any target of a service over its own link.
@@ -66,6 +71,8 @@
     {
         std::map<std::string, DownLink> downLinks; ///< By the target's address.
         core::Time lastConnectedAt = absl::InfinitePast();
+        core::Time lastBytesAt = absl::InfinitePast();
+        core::Time downSince = absl::InfiniteFuture(); ///< First failure since the last connection.
         core::Time triedAt = absl::InfinitePast(); ///< Last trial while all links are down.
         std::set<std::string> unreachedTargets; ///< Addresses, since any target was reached.
         core::Time unreachedAt = absl::InfinitePast(); ///< When a target was last not reached.
--- a/src/relay/target_links.cpp
+++ b/src/relay/target_links.cpp
@@ -21,6 +21,8 @@
 constexpr auto TrialInterval = absl::Milliseconds(250);
 /// Targets that must have been tried by all paths before requests are refused: fewer may have failed themselves.
 constexpr std::size_t MinUnreachedTargets = 3;
+/// Bytes that arrive so much later than a link went down were not in transit then.
+constexpr auto TransitTime = absl::Milliseconds(300);
 /// How long requests are refused without a further trial.
 constexpr auto UnreachedRetention = absl::Seconds(1);
 
@@ -30,16 +32,23 @@
 {
     auto &links = m_services[target.service];
     links.lastConnectedAt = std::max(links.lastConnectedAt, now);
+    links.downSince = absl::InfiniteFuture();
     links.downLinks.erase(target.address.text());
     links.unreachedTargets.clear();
 }
 
+void TargetLinks::noteBytes(const TargetEntry &target, core::Time now)
+{
+    m_services[target.service].lastBytesAt = now;
+}
+
 void TargetLinks::noteBypassed(const TargetEntry &target, core::Time now)
 {
     auto &links = m_services[target.service];
     std::erase_if(links.downLinks, [now](const auto &item) { return now - item.second.notedAt > DownLinkRetention; });
     links.downLinks[target.address.text()] = {now, now};
     links.triedAt = now;
+    links.downSince = std::min(links.downSince, now);
 }
 
 void TargetLinks::noteUnreached(const TargetEntry &target, core::Time now)
@@ -122,6 +131,12 @@
         && now - links->unreachedAt <= UnreachedRetention;
 }
 
+bool TargetLinks::openConnectionsWork(const std::string &service) const
+{
+    const auto *links = find(service);
+    return links != nullptr && links->lastBytesAt > links->downSince + TransitTime;
+}
+
 core::Time TargetLinks::lastConnectedAt(const std::string &service) const
 {
     const auto *links = find(service);
--- a/tests/platform/target_links_test.cpp
+++ b/tests/platform/target_links_test.cpp
@@ -232,6 +232,41 @@
     });
 }
 
+// Guards against prompts that are processed twice because new connections are refused while open ones live on.
+BOOST_AUTO_TEST_CASE(requests_in_progress_stay_on_connections_that_live_on)
+{
+    LinkedFleet fleet;
+    for (auto *engine : fleet.engines) {
+        engine->behaviour.eventCount = 15;
+        engine->behaviour.eventInterval = absl::Milliseconds(100);
+    }
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilServing();
+        std::vector<CallerAnswer> answers;
+        fleet.startCopies(0, 3, answers);
+        co_await net::sleepFor(MidStream);
+        for (auto *engine : fleet.engines) {
+            engine->behaviour.processingTime = absl::Milliseconds(1000);
+        }
+        fleet.startCopies(0, 3, answers);
+        co_await net::sleepFor(MidStream);
+        fleet.cutLinks(0, LinkCut::Refuse);
+        for (auto *engine : fleet.engines) {
+            engine->behaviour = {};
+        }
+        const auto failures = co_await fleet.countFailures(0, 1);
+        BOOST_TEST(failures == 0);
+        co_await fleet.awaitAnswers(answers, 6);
+        std::size_t started = 0;
+        for (const auto *engine : fleet.engines) {
+            for (const auto &request : engine->startedRequests()) {
+                started += request.body == "the same question" ? 1 : 0;
+            }
+        }
+        BOOST_TEST(started == 6U);
+    });
+}
+
 // Guards against a daemon that goes on to use its peers after its own links are back.
 BOOST_AUTO_TEST_CASE(a_daemon_uses_its_own_links_again_once_they_work)
 {
--- a/tests/unit/target_links_test.cpp
+++ b/tests/unit/target_links_test.cpp
@@ -80,6 +80,22 @@
     BOOST_TEST(!links.isDown(engine(1), at(11'000)));
 }
 
+// Guards against work that is repeated because new connections fail while open ones still carry their answers.
+BOOST_AUTO_TEST_CASE(bytes_that_arrive_while_a_link_is_down_show_that_open_connections_work)
+{
+    relay::TargetLinks links;
+    links.noteBytes(engine(1), at(0));
+    BOOST_TEST(!links.openConnectionsWork("model"));
+    links.noteBypassed(engine(1), at(100));
+    links.noteBytes(engine(2), at(200)); // Was in transit.
+    BOOST_TEST(!links.openConnectionsWork("model"));
+    links.noteBytes(engine(2), at(500));
+    BOOST_TEST(links.openConnectionsWork("model"));
+    links.noteConnected(engine(2), at(600));
+    links.noteBypassed(engine(2), at(700)); // Another outage.
+    BOOST_TEST(!links.openConnectionsWork("model"));
+}
+
 // Guards against requests that are refused while a few targets have failed, or for longer than no path is known.
 BOOST_AUTO_TEST_CASE(requests_are_refused_only_while_several_targets_cannot_be_reached)
 {
