Await tunnel requests in statements of their own

GCC 12 destroys temporaries of an expression that contains co_await twice (docs/FINDINGS.md); two assignments through std::tie and a cast had one. No failure was seen.

--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -173,7 +173,8 @@
     }
     if (m_events.hasPartialEvent()) {
         // The stream is complete by its framing, so that its target ended it.
-        static_cast<void>(co_await checkAfterBreak(m_progress.target()));
+        const bool pathLost = co_await checkAfterBreak(m_progress.target());
+        static_cast<void>(pathLost);
         co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::ConnectionLost,
                                 "the stream ended inside an event");
     }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -170,30 +170,30 @@
     const auto startedAt = core::now();
     auto result = TunnelResult::ProxyUnavailable;
     const auto error = co_await impl->awaitWithTimeout(timeout, [&]() -> Task<error_code> {
-        auto failure = co_await impl->connect(host, tunnel.proxy.port);
-        if (failure) {
-            co_return failure;
+        const auto connectError = co_await impl->connect(host, tunnel.proxy.port);
+        if (connectError) {
+            co_return connectError;
         }
         const auto timeLeft = startedAt + timeout - core::now() - ProxyMargin;
-        http::request<http::empty_body> message;
         const auto request = writeTunnelRequest(tunnel, timeLeft);
+        http::request<http::empty_body> message;
         message.version(HttpVersion);
         message.method_string(request.method);
         message.target(request.target);
         toBeast(request.headers, message);
-        std::tie(failure, std::ignore) = co_await http::async_write(impl->socket, message, Awaited);
-        if (failure) {
-            co_return failure;
+        auto [writeError, sent] = co_await http::async_write(impl->socket, message, Awaited);
+        if (writeError) {
+            co_return writeError;
         }
         http::response_parser<http::empty_body> parser;
         parser.skip(true); // What follows the head of an open tunnel are frames.
-        std::tie(failure, std::ignore)
+        auto [readError, received]
             = co_await http::async_read_header(impl->socket, impl->tunnel.received(), parser, Awaited);
-        if (!failure) {
+        if (!readError) {
             const auto field = parser.get()[TunnelErrorField];
             result = readTunnelResponse(static_cast<int>(parser.get().result_int()), {field.data(), field.size()});
         }
-        co_return failure;
+        co_return readError;
     });
     if (error) {
         result = TunnelResult::ProxyUnavailable;
