Let the stalled stream of a test outlast the search for its engine

Cause: the stream of 400 tokens lasts about 0.2 s; on a busy machine it had ended before the test asked which engine runs it, and the test then named no engine. The stream has 4,000 tokens now and the engine is required to be found; the test checks as much as before.

--- a/tests/integration/promises_test.cpp
+++ b/tests/integration/promises_test.cpp
@@ -106,12 +106,16 @@
     FleetOptions options;
     options.proxyEngines = true;
     Fleet fleet(options);
+    // The stream must outlast the search for its engine, which takes some 0.2 s on a busy machine.
+    constexpr int AnswerTokens = 10 * LongAnswerTokens;
     const auto prompt = Fleet::makePrompt(1000);
-    BackgroundCompletion running(fleet, "domain-a-1", prompt, LongAnswerTokens);
+    BackgroundCompletion running(fleet, "domain-a-1", prompt, AnswerTokens);
     BOOST_REQUIRE(eventually([&] { return fleet.metric("domain-a-1", "tokens_relayed_total") > 20; }));
-    fleet.setFaults(busyEngine(fleet), {{"stallAfter", 0}});
+    const auto engine = busyEngine(fleet);
+    BOOST_REQUIRE(!engine.empty());
+    fleet.setFaults(engine, {{"stallAfter", 0}});
     const auto &answer = running.wait();
-    BOOST_TEST(answer.text() == Fleet::expectedAnswer(prompt, LongAnswerTokens));
+    BOOST_TEST(answer.text() == Fleet::expectedAnswer(prompt, AnswerTokens));
     BOOST_TEST(answer.streamEnded());
 }
 
