Log the parts of prompts with sends and with crashes of targets

Callers saw engines crash one after another under requests that have one part of their prompts in common. The logs named no part, so they could not tell whether the crashes follow one part (hypothesis 1), retries (2) or neighbours on the same engine (3). No decision changes.

--- a/include/spurlug/relay/request_info.h
+++ b/include/spurlug/relay/request_info.h
@@ -39,6 +39,9 @@
     std::optional<std::string> key; ///< API key of the caller, if it sent one.
     core::Duration requestTimeout = absl::InfiniteDuration(); ///< How long the caller waits after its request arrived.
     std::optional<PromptInfo> prompt; ///< Set for requests that carry a prompt.
+    /// IDs of the parts of the prompt, in order. Requests share parts, but for the last one, which belongs to the
+    /// request or its session.
+    std::vector<std::string> promptParts;
     std::optional<std::int64_t> resumeAfter; ///< ID of the last stream event that the caller already has.
     core::Digest contentDigest; ///< Digest of the method, the path with its query, and the body.
 };
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -174,6 +174,8 @@
     [[nodiscard]] std::optional<Unavailability> unavailability(const Target &target, core::Time now) const;
     /// The permitted target that is available first; nothing if one is available now or if there is none.
     [[nodiscard]] std::optional<Unavailability> earliestAvailability(const TargetQuery &query, core::Time now) const;
+    /// The IDs of the shared parts of the prompt, as many as a log line holds.
+    [[nodiscard]] std::string partsForLog() const;
     /// Computes `m_digest`.
     void computeDigest();
     /// Records the first event of an attempt at an engine, which proves that the engine works.
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/control/scheduler_client.h"
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
+#include "spurlug/core/text.h"
 
 #include <algorithm>
 #include <cmath>
@@ -120,6 +121,16 @@
     m_digest = core::digestOf({m_organisation, m_facts.host, content});
 }
 
+std::string RequestProgress::partsForLog() const
+{
+    constexpr std::size_t MaxLoggedParts = 8;
+    std::string parts;
+    for (std::size_t i = 0; i + 1 < m_facts.promptParts.size() && i < MaxLoggedParts; ++i) {
+        core::append(parts, parts.empty() ? "" : ",", m_facts.promptParts[i]);
+    }
+    return parts;
+}
+
 const std::string &RequestProgress::chooseService()
 {
     const auto &shares = m_route->services;
@@ -277,6 +288,7 @@
                {"target", chosen.target->entry.id},
                {"helpers", targetIds(chosen.helpers)},
                {"promptTokens", m_facts.prompt ? m_facts.prompt->promptTokens : 0},
+               {"parts", partsForLog()},
                {"expectedMs", core::toMs(chosen.expectedTtft)},
                {"waitedMs", core::toMs(now - m_arrivedAt)},
                {"readMs", core::toMs(chosen.partPrefillTime) * static_cast<std::int64_t>(chosen.helpers.size() + 1)},
--- a/src/relay/request_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -48,13 +48,16 @@
     const bool wasQuarantined = crashes.isQuarantined(m_digest);
     const bool counts = crashes.noteCrash(m_digest, target->hash, now);
     m_context.metrics.count(metrics::Counter::TargetCrashesUnderWork);
-    core::log(core::LogLevel::Info, "target_ended_under_work",
-              {{"request", m_facts.id},
-               {"digest", core::toHex(m_digest)},
-               {"target", target->entry.id},
-               {"afterMs", core::toMs(now - m_sentAt)},
-               {"counts", counts},
-               {"ends", crashes.crashCount(m_digest)}});
+    core::log(
+        core::LogLevel::Info, "target_ended_under_work",
+        {{"request", m_facts.id},
+         {"digest", core::toHex(m_digest)},
+         {"target", target->entry.id},
+         {"parts", partsForLog()},
+         {"afterMs", core::toMs(now - m_sentAt)},
+         {"firstEventMs", m_attemptAnsweredAt == absl::InfinitePast() ? -1 : core::toMs(now - m_attemptAnsweredAt)},
+         {"counts", counts},
+         {"ends", crashes.crashCount(m_digest)}});
     if (!wasQuarantined && crashes.isQuarantined(m_digest)) {
         m_context.metrics.count(metrics::Counter::WorkQuarantined);
         core::log(core::LogLevel::Warning, "work_quarantined",
