--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/text.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace spurlug::test
@@ -58,6 +59,11 @@
     return m_startedRequests;
 }
 
+const std::vector<core::Time> &FakeTarget::startTimes() const noexcept
+{
+    return m_startTimes;
+}
+
 const std::vector<Arrival> &FakeTarget::arrivals() const noexcept
 {
     return m_arrivals;
@@ -122,6 +128,18 @@
     ++m_abandonedRequests;
 }
 
+bool FakeTarget::crashesProcess(const net::Request &request) const
+{
+    if (!crashingBody.empty() && request.body == crashingBody) {
+        return true;
+    }
+    const auto parts = request.headers.value("Prompt-Prefix");
+    const auto sharedParts = parts.substr(0, parts.rfind(',') == std::string_view::npos ? 0 : parts.rfind(','));
+    return std::any_of(crashingParts.begin(), crashingParts.end(), [&](const std::string &part) {
+        return core::cat(",", sharedParts).find(core::cat(",", part, ":")) != std::string::npos;
+    });
+}
+
 bool FakeTarget::hasCrashed() const noexcept
 {
     return m_crashed;
@@ -260,7 +278,8 @@
         co_return written;
     }
     m_startedRequests.push_back(request);
-    if (!crashingBody.empty() && request.body == crashingBody) {
+    m_startTimes.push_back(core::now());
+    if (crashesProcess(request)) {
         co_await net::sleepFor(crashDelay);
         crash();
         co_return false;
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -70,12 +70,16 @@
     std::string remainingWarmUp; ///< Remaining warm-up time header of all answers; empty: none.
     std::string rateLimit; ///< Rate limit header of all answers; empty: none.
     std::string crashingBody; ///< Body of a request that crashes the process when it runs; empty: none.
+    /// IDs of prompt parts that crash the process when it begins to answer a prompt with them.
+    std::set<std::string> crashingParts;
     core::Duration crashDelay = absl::Milliseconds(10); ///< Time from the start of such a request to the crash.
 
     [[nodiscard]] const std::string &id() const noexcept;
     [[nodiscard]] const core::Address &address() const noexcept;
     /// \brief Requests that the target started to run.
     [[nodiscard]] const std::vector<net::Request> &startedRequests() const noexcept;
+    /// \brief When the target started to run each of them.
+    [[nodiscard]] const std::vector<core::Time> &startTimes() const noexcept;
     /// \brief All requests that reached the target, including reserve and release requests. There are no health checks.
     [[nodiscard]] const std::vector<Arrival> &arrivals() const noexcept;
     /// \brief Number of reserve and release requests that named another incarnation than the one that got them.
@@ -104,6 +108,8 @@
     [[nodiscard]] net::Task<> awaitClose(core::Ref<net::ServerConnection> connection);
     [[nodiscard]] net::Task<bool> stream(core::Ref<net::ServerConnection> connection, const net::Request &request,
                                          const Behaviour &responseBehaviour);
+    /// Whether the request crashes the process.
+    [[nodiscard]] bool crashesProcess(const net::Request &request) const;
     [[nodiscard]] net::Response applyMemoryRequest(const net::Request &request);
     void addNoticeHeaders(net::ResponseHead &head) const;
     [[nodiscard]] net::ResponseHead makeHead(const net::Request &request, const Behaviour &responseBehaviour) const;
@@ -113,6 +119,7 @@
     int m_incarnation = 1; ///< Number of the incarnation, from 1.
     net::Listener m_listener;
     std::vector<net::Request> m_startedRequests;
+    std::vector<core::Time> m_startTimes;
     std::vector<Arrival> m_arrivals;
     int m_abandonedRequests = 0;
     int m_misdirectedMemoryRequests = 0;
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -220,7 +220,9 @@
     if (callerRequest.promptTokens > 0) {
         request.headers.add("Model", "m");
         request.headers.add("Token-Usage", core::cat(callerRequest.promptTokens, ",", callerRequest.answerTokens));
-        request.headers.add("Prompt-Prefix", core::cat("5c1e07a2:", callerRequest.promptTokens));
+        request.headers.add("Prompt-Prefix",
+                            callerRequest.promptParts.empty() ? core::cat("5c1e07a2:", callerRequest.promptTokens)
+                                                              : callerRequest.promptParts);
     }
     for (const auto &[name, value] : callerRequest.headers) {
         request.headers.add(name, value);
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -30,6 +30,7 @@
     std::string body = "the question";
     std::int64_t promptTokens = 0; ///< 0: the request has no prompt.
     std::int64_t answerTokens = 100;
+    std::string promptParts; ///< List of the parts of the prompt, for requests with a prompt; empty: a single part.
     std::vector<std::pair<std::string, std::string>> headers;
 };
 
