Count crashes of targets by the parts of prompts as well, and quarantine the part that explains them

Cause: crashes were counted by a digest of the whole content, so each new request with the part began with a clean record.

Change: the shared parts of a prompt (all but the last) are suspects beside the content, in the same tracker and the same exchange. Four crashes without a success quarantine a part; a run that goes well, for a second or to its end, refutes the crashes from 2.5 s before its first event on. Neighbours of the cause are spared: a suspect whose crashes are all explained by another with more of them is not quarantined (crash_attribution). Parts that came together from their first use on are told apart by a few trials at random engines, within 2.5 s after the verdict. A condemned request is refused at once (503, not run), also while it waits for a place and right before it is written.

Two checks of the new tests were wrong: they required five crashes, which do not happen any more. They now count from the fifth crash, or from the last if there are fewer, and require that such requests still come and are refused.

--- a/include/spurlug/control/crash_exchange.h
+++ b/include/spurlug/control/crash_exchange.h
@@ -16,15 +16,15 @@
 
 /// \brief Exchanges the records of the daemon's CrashTracker with other daemons.
 ///
-/// When several targets crash under the same request content, each crash is seen by a different daemon, and the total
-/// decides about a quarantine. Each daemon therefore sends new records at once to three aggregators, the first holders
-/// of the scheduler role. An aggregator forwards content under which at least two targets crashed to every daemon that
-/// it knows. Each such crash costs one datagram to each aggregator and one to each daemon.
+/// When several targets crash under the same content or prompt part, each crash is seen by a different daemon, and the
+/// total decides about a quarantine. Each daemon therefore sends new records at once to three aggregators, the first
+/// holders of the scheduler role. An aggregator forwards a suspect that is at most one crash short of a quarantine to
+/// every daemon that it knows. Each such crash costs one datagram to each aggregator and one to each daemon.
 ///
 /// Gossip makes up for lost datagrams, and for those that a daemon missed while it was starting, paused or partitioned:
 /// every 250 ms each daemon sends what it knows to one random member, so that a daemon receives four gossip messages a
 /// second on average, whatever the size of the fleet. Nothing is sent while there is nothing to report. A datagram
-/// holds at most 16 suspects, about 700 bytes.
+/// holds at most 16 suspects and 64 crashes, about 1.2 KB.
 class CrashExchange
 {
 public:
@@ -50,6 +50,7 @@
 private:
     [[nodiscard]] std::vector<Member> aggregators() const;
     [[nodiscard]] bool isAggregator() const;
+    void sendReport(const std::vector<Member> &members, const CrashReport &report);
     void sendTo(const std::vector<Member> &members, const std::vector<relay::CrashSuspect> &suspects, core::Time now);
 
     relay::RelayContext &m_context;
--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -7,6 +7,7 @@
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
 #include "spurlug/overload/load_view.h"
+#include "spurlug/relay/crash_suspect.h"
 #include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/published_times.h"
 #include "spurlug/relay/request_info.h"
@@ -152,15 +153,16 @@
     core::Duration age = absl::ZeroDuration(); ///< Time since the crash.
 };
 
-/// \brief Request content and the crashes of targets under it.
+/// \brief Content of requests, or a part of prompts, and the crashes of targets under it.
 struct SuspectReport
 {
-    core::Digest content; ///< Digest of the request content.
+    core::Digest digest; ///< As in relay::CrashSuspect.
     std::vector<CrashRecord> crashes;
-    core::Duration lastSuccessAge = absl::InfiniteDuration(); ///< Time since it was completed and its target stayed up.
+    core::Duration lastSuccessAge = absl::InfiniteDuration(); ///< Time since it went well and its target stayed up.
+    relay::SuspectKind kind = relay::SuspectKind::Content;
 };
 
-/// \brief A daemon's records of request content that crashes targets.
+/// \brief A daemon's records of content and prompt parts that crash targets.
 struct CrashReport
 {
     std::vector<SuspectReport> suspects;
--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -60,6 +60,7 @@
     TargetCrashesUnderWork, ///< Times that a target crashed while it ran a request of this daemon.
     WorkQuarantined, ///< Kinds of work that this daemon learnt must not be sent any more.
     QuarantinesLifted, ///< Quarantines that ended because the work succeeded after all.
+    PromptPartsQuarantined, ///< Prompt parts that this daemon began to refuse, as they crash targets.
     QuarantineTrials, ///< Quarantined requests that were sent to test whether they still crash their target.
     CrashReportsSent, ///< Datagrams to other daemons about work that crashes targets.
     TargetEntriesInvalid, ///< Times that a new fault was found in a target's entry.
@@ -155,6 +156,7 @@
         EnumName<Counter>{Counter::WorkQuarantined, "work_quarantined"},
         EnumName<Counter>{Counter::QuarantinesLifted, "quarantines_lifted"},
         EnumName<Counter>{Counter::QuarantineTrials, "quarantine_trials"},
+        EnumName<Counter>{Counter::PromptPartsQuarantined, "prompt_parts_quarantined"},
         EnumName<Counter>{Counter::CrashReportsSent, "crash_news_sent"},
         EnumName<Counter>{Counter::TargetEntriesInvalid, "target_entries_unusable"},
         EnumName<Counter>{Counter::LeavingAnnounced, "leaving_told"},
--- a/include/spurlug/relay/crash_tracker.h
+++ b/include/spurlug/relay/crash_tracker.h
@@ -1,11 +1,12 @@
 //----------------------------------------------------------------------------------------------------------------------
-// spurlug: detection and quarantine of requests that crash their targets
+// spurlug: detection and quarantine of content and prompt parts that crash targets
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
 #include "spurlug/core/hash.h"
 #include "spurlug/core/time.h"
+#include "spurlug/relay/crash_suspect.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,91 +17,91 @@
 namespace spurlug::relay
 {
 
-/// \brief An incarnation of a target that crashed while a request ran there.
-struct TargetCrash
-{
-    std::uint32_t target = 0; ///< incarnationHash of the incarnation.
-    core::Time at;
-};
-
-/// \brief A request content and the targets that crashed while running it.
-struct CrashSuspect
-{
-    core::Digest content; ///< Content digest as in RequestProgress::digest.
-    std::vector<TargetCrash> crashes{}; ///< Crashes that count, that is, not refuted by `lastSuccessAt`.
-    core::Time lastSuccessAt = absl::InfinitePast(); ///< When it last completed while its target stayed alive.
-    std::size_t maxCrashes = 0; ///< Largest number of crashes that this daemon ever knew at once.
-
-    [[nodiscard]] core::Time lastCrashAt() const noexcept;
-};
-
-/// \brief Counts the targets that crashed while running each request content and quarantines content with
-/// several crashes.
+/// \brief Counts the targets that crashed while running requests with certain content or with certain prompt parts, and
+/// quarantines what crashes targets.
 ///
 /// A request that crashes its target takes down all requests running there, and its caller resends it under another id
-/// to any daemon. Requests are therefore identified by their content. Daemons share a set of facts: which incarnation
-/// crashed under which content, and when the content last completed. Messages about them may be duplicated, late or
-/// reordered without changing the result.
+/// to any daemon; others may have the same part in their prompts. Crashes are therefore counted by content and by part.
+/// Daemons share a set of facts: which incarnation crashed under which suspect, and when such a request last went well.
+/// Messages about them may be duplicated, late or reordered without changing the result.
 ///
-/// A crash of a target affects all requests that run there. Three rules keep harmless requests out of quarantine. Only
-/// crashes count, not broken connections (ensured by the caller). Three crashes are needed, while a request including
-/// its caller's second try reaches at most four targets. A completed run refutes the known crashes and those of the
-/// following seconds on any target: popular content runs on all targets of a rack that is lost, and completed shortly
-/// before.
+/// A crash of a target affects all requests that run there. Four rules keep harmless requests out of quarantine. Only
+/// crashes count, not broken connections (ensured by the caller). Several crashes are needed (`crashesToQuarantine`). A
+/// run that goes well refutes the known crashes and those of the following seconds on any target (`successSpan`):
+/// popular content runs on all targets of a rack that is lost, and succeeded shortly before. What others explain is not
+/// blamed (`attributeCrashes`).
 class CrashTracker
 {
 public:
-    /// Number of crashes that puts content into quarantine. The loss of a rack ends one target under most of its
-    /// requests and two under some: in one incident 64 of 264 requests beside the crashing ones lost two engines, and
-    /// none lost three.
-    static constexpr std::size_t CrashesToQuarantine = 3;
     /// Time from the last crash until one daemon tries quarantined content again; doubles with each further crash.
     /// Engines are fixed by releases, which take minutes.
     static constexpr auto FirstTrialDelay = absl::Seconds(60);
     /// Content is forgotten this long after its last crash or completed run.
     static constexpr auto Retention = absl::Hours(1);
-    /// Content that completed within this time before a target crashed did not cause the crash. Popular content recurs
-    /// more often than this, and a new engine version that some content crashes stays down for longer.
-    static constexpr auto SuccessSpan = absl::Seconds(10);
-    static constexpr std::size_t MaxSuspects = 256; ///< About 50 KB.
-    static constexpr std::size_t MaxCrashes = 16; ///< Crashes kept for one content; further ones have no effect.
+    static constexpr std::size_t MaxSuspects = 1024; ///< About 250 KB.
+    /// Crashes kept for one suspect. Further ones would only help to spare what ran beside it.
+    static constexpr std::size_t MaxCrashes = 32;
 
     CrashTracker();
 
     /// \name Commands
     /// @{
 
-    /// \brief Records that a target crashed while a request with this content ran there.
+    /// \brief Records that a target crashed while a request with this content or part ran there.
     /// \returns Whether the crash is new and counts.
-    bool noteCrash(const core::Digest &content, std::uint32_t target, core::Time now);
-    /// \brief Records that a request with this content completed and its target is alive.
+    bool noteCrash(const core::Digest &digest, std::uint32_t target, core::Time now,
+                   SuspectKind kind = SuspectKind::Content);
+    /// \brief Records that a request with this content or part went well and its target is alive.
+    /// \param at The time for which that is known. A part goes well from the time of the first event.
     /// \returns Whether that refuted any crashes.
-    bool noteSuccess(const core::Digest &content, core::Time now);
+    bool noteSuccess(const core::Digest &digest, core::Time at);
     /// \brief Result of merging the facts of another daemon.
     struct MergeResult
     {
         bool changed = false; ///< Some facts were unknown before.
-        bool refuted
-            = false; ///< The content completed here, which refutes reported crashes; other daemons must be told.
+        bool refuted = false; ///< A success that others do not know of was seen here; they must be told.
     };
 
-    /// \brief Merges what another daemon knows about one request content.
+    /// \brief Merges what another daemon knows about one suspect.
     MergeResult merge(const CrashSuspect &reported, core::Time now);
-    /// \brief Starts the next trial of quarantined content if it is due.
-    [[nodiscard]] bool tryStartTrial(const core::Digest &content, core::Time now);
+    /// \brief Starts the next trial of a quarantined suspect if it is due.
+    [[nodiscard]] bool tryStartTrial(const core::Digest &digest, core::Time now);
+    /// \brief Starts a trial that may show which of several quarantined prompt parts crashes targets.
+    ///
+    /// Parts that came together from their first use on have the same crashes, and no success tells them apart. A
+    /// request with some of them, but not all, does. Any daemon may send one, shortly after the crashes and before the
+    /// others rely on the quarantine.
+    /// \param suspects Everything in the request that may be quarantined.
+    /// \param uniform Random number from 0 to 1, so that few of all daemons do so at the same time.
+    [[nodiscard]] bool tryStartComparison(const std::vector<core::Digest> &suspects, double uniform, core::Time now);
     /// \brief Entries that changed since the last call.
     [[nodiscard]] std::vector<CrashSuspect> takeChanges();
 
+    /// \brief A suspect that was put into quarantine or released.
+    struct QuarantineChange
+    {
+        CrashSuspect suspect;
+        bool quarantined = false;
+    };
+
+    /// \brief Suspects that were put into quarantine or released since the last call.
+    [[nodiscard]] std::vector<QuarantineChange> takeQuarantineChanges();
+
     /// @}
     /// \name Queries
     /// @{
 
-    /// \brief Whether requests with this content must not be sent to any target.
-    [[nodiscard]] bool isQuarantined(const core::Digest &content) const;
-    /// \brief Number of crashes that count against the content.
-    [[nodiscard]] std::size_t crashCount(const core::Digest &content) const;
-    /// \brief Quarantined content, and other content with a crash or a completed run within `span`. A random selection
-    /// if there are more than the given number.
+    /// \brief Whether requests with this content or part must not be sent to any target.
+    [[nodiscard]] bool isQuarantined(const core::Digest &digest) const
+    {
+        return m_quarantined.contains(digest);
+    }
+    /// \brief Whether a trial of a quarantined suspect is due.
+    [[nodiscard]] bool isTrialDue(const core::Digest &digest, core::Time now) const;
+    /// \brief Number of crashes that count against a suspect.
+    [[nodiscard]] std::size_t crashCount(const core::Digest &digest) const;
+    /// \brief Quarantined suspects, and others with a crash or a success within `span`. If there are more than the
+    /// given number: those with most crashes, a random selection among equals.
     [[nodiscard]] std::vector<CrashSuspect> recent(core::Duration span, std::size_t maxCount, std::uint64_t randomValue,
                                                    core::Time now) const;
     [[nodiscard]] std::size_t size() const noexcept
@@ -117,22 +118,31 @@
         core::Time lastTrialAt = absl::InfinitePast();
     };
 
-    /// Last completed run of a content. An entry is overwritten by newer content with the same index; popular content
+    /// Last success of a content or part. An entry is overwritten by a newer one with the same index; what is popular
     /// is soon recorded again.
     struct Success
     {
-        core::Digest content;
+        core::Digest digest;
         core::Time at = absl::InfinitePast();
     };
 
-    [[nodiscard]] CrashSuspect &suspect(const core::Digest &content, core::Time now);
-    /// When the content last completed here.
-    [[nodiscard]] core::Time lastLocalSuccess(const core::Digest &content) const;
+    [[nodiscard]] CrashSuspect &suspect(const core::Digest &digest, SuspectKind kind, core::Time now);
+    /// When such a request last went well here.
+    [[nodiscard]] core::Time lastLocalSuccess(const core::Digest &digest) const;
     void removeExpired(core::Time now);
     void evictLeastRelevant();
+    /// Whether a quarantined part may be sent in a comparison now.
+    [[nodiscard]] bool allowsComparison(const CrashSuspect &suspect, core::Time lastTrialAt, double uniform,
+                                        core::Time now) const;
+    /// Whether another quarantined part that is not among these has the same crashes.
+    [[nodiscard]] bool hasTwinOutside(const CrashSuspect &suspect, const std::vector<core::Digest> &suspects) const;
+    /// Decides anew which suspects are in quarantine.
+    void updateQuarantine();
 
     std::map<core::Digest, Record> m_suspects;
     std::set<core::Digest> m_changed;
+    std::set<core::Digest> m_quarantined;
+    std::vector<QuarantineChange> m_quarantineChanges;
     std::vector<Success> m_successes; ///< Indexed by digest modulo its size.
 };
 
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -153,6 +153,9 @@
     if (end.stage == AttemptStage::Cancelled) {
         const auto now = core::now();
         m_failureReason = reasonToAvoid(*m_progress.target(), now).value_or(core::Reason::TargetLeaving);
+        if (m_progress.isWithheld()) {
+            m_failureReason = core::Reason::CrashesTargets;
+        }
         m_progress.cancelAttempt(m_failureReason, now);
         co_return NextStep::SendAgain; // Nothing was sent, so this does not count as a retry.
     }
@@ -180,6 +183,7 @@
     }
     const auto now = core::now();
     m_progress.recordAnswer(now);
+    m_progress.recordPartsSound(now);
     m_progress.endAttempt(core::Outcome::Completed, core::Reason::None, std::nullopt, "", now);
     bool written = true;
     if (!m_headForwarded) {
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -159,6 +159,10 @@
             m_failureReason = core::Reason::DeadlinePassed;
             co_return std::nullopt;
         }
+        if (m_progress.isWithheld()) {
+            m_failureReason = core::Reason::CrashesTargets;
+            co_return std::nullopt;
+        }
         const auto query = m_progress.query(now);
         if (m_progress.hasNoTarget(now)) {
             m_failureReason = m_progress.noTargetReason(now);
@@ -295,8 +299,11 @@
     }
     m_attempt = core::makeRef<Attempt>(m_context.loop, *m_context.connector, m_inbox, m_progress.attempts());
     // Whether a target accepts the request is checked again right before the write, not only when it is chosen.
-    auto mayWrite = [target = chosen.target, helpers = chosen.helpers] {
+    auto mayWrite = [target = chosen.target, helpers = chosen.helpers, &crashes = m_context.crashes,
+                     suspects = m_progress.suspects()] {
         return !reasonToAvoid(*target, core::now())
+            && std::none_of(suspects.begin(), suspects.end(),
+                            [&crashes](const auto &digest) { return crashes.isQuarantined(digest); })
             && std::none_of(helpers.begin(), helpers.end(), [](const auto &helper) { return helper->isEvacuated(); });
     };
     m_attempt->start(chosen.target, m_codec.attemptRequest(m_request, facts), detail::ConnectTimeout,
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -62,6 +62,9 @@
     void recordActivity(core::Time now) noexcept;
     /// \brief Records that a stream event or the complete answer arrived.
     void recordAnswer(core::Time now);
+    /// \brief Records that the engine of the current attempt answers the prompt without crashing: it gave a whole
+    /// successful answer, or has answered for long.
+    void recordPartsSound(core::Time now);
     /// \brief Records that an attempt ended.
     /// \param fault What the target did wrong, if anything.
     /// \param detail Description for the log.
@@ -78,7 +81,8 @@
     void recordReservationRefusal(const core::Ref<Target> &helper, core::Time now);
 
     /// \brief Records that the process of a target of the current attempt ended: the connection broke or became
-    /// silent, and a new connection was refused.
+    /// silent, and a new connection was refused. The crash counts against the content of the request, and against the
+    /// shared parts of its prompt unless the answer began long before.
     void recordTargetCrash(const core::Ref<Target> &target, core::Time now);
 
     /// \brief Records the scheduler's refusal of a request that has run nowhere.
@@ -102,6 +106,16 @@
     /// \brief Identifies the work of the request independently of its ID and of the daemon: a digest of organisation,
     /// host and content. Set once the request is authorised.
     [[nodiscard]] const core::Digest &digest() const noexcept;
+    /// \brief Digests of everything in the request that may be quarantined: its content and the shared parts of its
+    /// prompt. Empty while the request is sent as a trial.
+    [[nodiscard]] std::vector<core::Digest> suspects() const;
+    /// \brief Whether its content or a shared part of its prompt is quarantined.
+    [[nodiscard]] bool isQuarantined() const;
+    /// \brief Whether the request must not be sent to any target because it would crash it.
+    [[nodiscard]] bool isWithheld() const
+    {
+        return !m_isTrial && isQuarantined();
+    }
     [[nodiscard]] const config::Route &route() const noexcept;
     [[nodiscard]] const std::string &organisation() const noexcept;
     /// \brief Priority that the operator configured for the request; 0 is the most urgent.
@@ -184,8 +198,19 @@
     void recordReachability();
     /// Refuses work that is known to crash its targets, unless this daemon now sends it as a trial.
     [[nodiscard]] std::optional<Refusal> refuseQuarantined(core::Time now);
+    /// A random target for a trial: it must not run beside other trials, which may crash their targets. Drawn anew if
+    /// the last one is no longer available.
+    [[nodiscard]] std::vector<std::uint32_t> trialTargets(const std::string &service, core::Time now);
+    /// Starts a trial if it can tell several quarantined parts apart.
+    [[nodiscard]] bool tryStartComparison(core::Time now);
+    /// Starts a trial if one is due for everything in the request that is quarantined.
+    [[nodiscard]] bool tryStartTrials(core::Time now);
     /// Records that the request completed without crashing its target.
     void recordSuccess(core::Time now);
+    /// Whether the current attempt has answered for so long that no part of the prompt crashes its engine.
+    [[nodiscard]] bool hasAnsweredForLong(core::Time now) const noexcept;
+    /// Has other daemons told what this request showed about crashes.
+    void publishCrashRecords(core::Time now);
     /// The ratios of observed to expected times that the ended attempt showed; empty unless it got a whole answer.
     [[nodiscard]] SpeedSamples speedSamples(core::Time now);
     /// Charges a retry to the fleet-wide retry budget.
@@ -218,6 +243,7 @@
     std::string m_service;
     std::string m_organisation;
     core::Digest m_digest;
+    const std::vector<core::Digest> m_sharedParts; ///< Of the prompt; the last part is the request's own.
     std::int64_t m_priority = 0;
     core::Time m_deadline = absl::InfiniteFuture();
     bool m_countedInBudget = false; ///< Whether the request is counted towards the retry budget of `m_service`.
@@ -240,6 +266,8 @@
     core::Duration m_refusalRetryAfter = absl::ZeroDuration(); ///< As told by the scheduler.
     core::Reason m_retryCause = core::Reason::None; ///< Why the request was last sent again; None if it was not.
     bool m_mayHaveRun = false;
+    bool m_partsSound = false; ///< Whether the current attempt showed that no part of the prompt crashes its engine.
+    std::uint32_t m_trialTarget = 0; ///< Hash of the target that a trial may be sent to; 0: not drawn yet.
     bool m_isTrial = false; ///< Sent although it is quarantined, to test whether it still crashes its target.
     bool m_finished = false;
 };
--- a/src/control/crash_exchange.cpp
+++ b/src/control/crash_exchange.cpp
@@ -5,10 +5,9 @@
 
 #include "spurlug/control/crash_exchange.h"
 
-#include "spurlug/core/log.h"
+#include "spurlug/relay/quarantine_report.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace spurlug::control
 {
@@ -17,16 +16,18 @@
 {
 
 constexpr std::size_t AggregatorCount = 3; // Records are passed on as long as one of them is up.
-constexpr std::size_t MinCrashesToBroadcast = 2; // Harmless content rarely reaches two; the third quarantines.
 constexpr std::size_t MaxSuspectsPerDatagram = 16;
+constexpr std::size_t MaxCrashesPerDatagram = 64; // With 16 suspects about 1.2 KB.
 constexpr auto GossipInterval = absl::Milliseconds(250);
 /// Suspects below the quarantine threshold are passed on for this long: the other crashes of the same content follow
 /// within moments or not at all.
 constexpr auto GossipRetention = absl::Seconds(10);
 
+/// Harmless suspects rarely come within one crash of a quarantine.
 bool mustBroadcast(const relay::CrashSuspect &suspect)
 {
-    return suspect.maxCrashes >= MinCrashesToBroadcast; // Also after a success: a quarantine may have to be lifted.
+    // The maximum: a quarantine may have to be lifted after a success.
+    return suspect.maxCrashes + 1 >= relay::crashesToQuarantine(suspect.kind);
 }
 
 std::vector<relay::CrashSuspect> suspectsToBroadcast(const std::vector<relay::CrashSuspect> &changes)
@@ -39,7 +40,8 @@
 SuspectReport toReport(const relay::CrashSuspect &suspect, core::Time now)
 {
     SuspectReport report;
-    report.content = suspect.content;
+    report.digest = suspect.digest;
+    report.kind = suspect.kind;
     report.lastSuccessAge = now - suspect.lastSuccessAt;
     for (const auto &crash : suspect.crashes) {
         report.crashes.push_back({crash.target, now - crash.at});
@@ -50,7 +52,8 @@
 relay::CrashSuspect fromReport(const SuspectReport &report, core::Time now)
 {
     relay::CrashSuspect suspect;
-    suspect.content = report.content;
+    suspect.digest = report.digest;
+    suspect.kind = report.kind;
     suspect.lastSuccessAt = now - report.lastSuccessAge;
     for (const auto &crash : report.crashes) {
         suspect.crashes.push_back({crash.target, now - crash.age});
@@ -80,16 +83,27 @@
 void CrashExchange::sendTo(const std::vector<Member> &members, const std::vector<relay::CrashSuspect> &suspects,
                            core::Time now)
 {
-    for (std::size_t from = 0; from < suspects.size(); from += MaxSuspectsPerDatagram) {
-        CrashReport report;
-        for (auto i = from; i < std::min(from + MaxSuspectsPerDatagram, suspects.size()); ++i) {
-            report.suspects.push_back(toReport(suspects[i], now));
+    CrashReport report;
+    std::size_t crashCount = 0;
+    for (std::size_t i = 0; i < suspects.size(); ++i) {
+        report.suspects.push_back(toReport(suspects[i], now));
+        crashCount += suspects[i].crashes.size();
+        const bool isFull = i + 1 == suspects.size() || report.suspects.size() == MaxSuspectsPerDatagram
+            || crashCount + suspects[i + 1].crashes.size() > MaxCrashesPerDatagram;
+        if (isFull) {
+            sendReport(members, report);
+            report.suspects.clear();
+            crashCount = 0;
         }
-        for (const auto &member : members) {
-            if (member.vm != m_context.settings.vm) {
-                m_context.metrics.count(metrics::Counter::CrashReportsSent);
-                m_send(member.datagramAddress, report);
-            }
+    }
+}
+
+void CrashExchange::sendReport(const std::vector<Member> &members, const CrashReport &report)
+{
+    for (const auto &member : members) {
+        if (member.vm != m_context.settings.vm) {
+            m_context.metrics.count(metrics::Counter::CrashReportsSent);
+            m_send(member.datagramAddress, report);
         }
     }
 }
@@ -118,18 +132,9 @@
     auto &crashes = m_context.crashes;
     bool refuted = false;
     for (const auto &suspectReport : report.suspects) {
-        const bool wasQuarantined = crashes.isQuarantined(suspectReport.content);
         refuted = crashes.merge(fromReport(suspectReport, now), now).refuted || refuted;
-        const bool isQuarantined = crashes.isQuarantined(suspectReport.content);
-        if (wasQuarantined != isQuarantined) {
-            core::log(core::LogLevel::Warning, isQuarantined ? "work_quarantined" : "quarantine_lifted",
-                      {{"digest", core::toHex(suspectReport.content)},
-                       {"ends", crashes.crashCount(suspectReport.content)},
-                       {"from", "peer"}});
-            m_context.metrics.count(isQuarantined ? metrics::Counter::WorkQuarantined
-                                                  : metrics::Counter::QuarantinesLifted);
-        }
     }
+    relay::reportQuarantineChanges(m_context, "peer");
     if (refuted || isAggregator()) {
         publishChanges(now);
     } else {
--- a/src/control/messages.cpp
+++ b/src/control/messages.cpp
@@ -295,8 +295,9 @@
     auto &out = *datagram.mutable_crashes();
     for (const auto &suspect : report.suspects) {
         auto &suspectOut = *out.add_suspects();
-        suspectOut.set_work_high(suspect.content.high);
-        suspectOut.set_work_low(suspect.content.low);
+        suspectOut.set_work_high(suspect.digest.high);
+        suspectOut.set_work_low(suspect.digest.low);
+        suspectOut.set_kind(static_cast<std::uint32_t>(suspect.kind));
         for (const auto &end : suspect.crashes) {
             auto &endOut = *suspectOut.add_ends();
             endOut.set_target(end.target);
@@ -311,7 +312,9 @@
     CrashReport report;
     for (const auto &suspectIn : in.suspects()) {
         SuspectReport suspect;
-        suspect.content = {suspectIn.work_high(), suspectIn.work_low()};
+        suspect.digest = {suspectIn.work_high(), suspectIn.work_low()};
+        const bool isPart = suspectIn.kind() == static_cast<std::uint32_t>(relay::SuspectKind::PromptPart);
+        suspect.kind = isPart ? relay::SuspectKind::PromptPart : relay::SuspectKind::Content;
         for (const auto &endIn : suspectIn.ends()) {
             suspect.crashes.push_back({endIn.target(), fromMs32(endIn.age_ms())});
         }
--- a/src/relay/crash_tracker.cpp
+++ b/src/relay/crash_tracker.cpp
@@ -1,11 +1,14 @@
 //----------------------------------------------------------------------------------------------------------------------
-// spurlug: detection and quarantine of requests that crash their targets
+// spurlug: detection and quarantine of content and prompt parts that crash targets
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
 
 #include "spurlug/relay/crash_tracker.h"
 
+#include "spurlug/relay/crash_attribution.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace spurlug::relay
 {
@@ -13,18 +16,27 @@
 namespace
 {
 
-/// A daemon gets some tens of requests per second, so this covers more than the last minute in 100 KB.
-constexpr std::size_t SuccessSlots = 4096;
-// Doublings of the delay before a trial: up to the hour after which content is forgotten.
+/// A daemon gets some tens of requests per second with a few parts each, so this covers more than the last minute in
+/// 400 KB.
+constexpr std::size_t SuccessSlots = 16384;
+// Doublings of the delay before a trial: up to the hour after which a suspect is forgotten.
 constexpr std::size_t MaxDoublings = 6;
 
+/// From the last crash, or the last comparison of this daemon, until a comparison: other requests that were in progress
+/// with the parts have crashed their targets by then, or gone well.
+constexpr auto ComparisonDelay = absl::Milliseconds(300);
+/// No comparison is sent later than this after the crash that completed the number for a quarantine.
+constexpr auto ComparisonPeriod = absl::Milliseconds(2500);
+/// How many comparisons of all daemons may run at the same time, in the mean; each may crash a target.
+constexpr double MaxSimultaneousComparisons = 2;
+
 /// A message takes some ms, and each daemon that forwards it moves its time later by as much. Only a time that is later
 /// by more than this is news; otherwise two daemons would keep sending each other ever later times.
 constexpr auto MessageDelay = absl::Seconds(1);
 
-bool isRelevant(const TargetCrash &crash, core::Time lastSuccessAt)
+bool isRelevant(const TargetCrash &crash, core::Time lastSuccessAt, SuspectKind kind)
 {
-    return crash.at > lastSuccessAt + core::Duration(CrashTracker::SuccessSpan);
+    return crash.at > lastSuccessAt + successSpan(kind);
 }
 
 /// \returns Whether the crash is new and counts.
@@ -32,7 +44,8 @@
 {
     const bool known = std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
                                    [&crash](const TargetCrash &other) { return other.target == crash.target; });
-    if (known || !isRelevant(crash, suspect.lastSuccessAt) || suspect.crashes.size() >= CrashTracker::MaxCrashes) {
+    if (known || !isRelevant(crash, suspect.lastSuccessAt, suspect.kind)
+        || suspect.crashes.size() >= CrashTracker::MaxCrashes) {
         return false;
     }
     suspect.crashes.push_back(crash);
@@ -45,30 +58,51 @@
 bool removeRefuted(CrashSuspect &suspect, core::Time lastSuccessAt)
 {
     suspect.lastSuccessAt = std::max(suspect.lastSuccessAt, lastSuccessAt);
-    return std::erase_if(suspect.crashes,
-                         [&](const TargetCrash &crash) { return !isRelevant(crash, suspect.lastSuccessAt); })
+    return std::erase_if(
+               suspect.crashes,
+               [&](const TargetCrash &crash) { return !isRelevant(crash, suspect.lastSuccessAt, suspect.kind); })
         > 0;
 }
 
-} // namespace
+/// The targets that crashed under a suspect, in ascending order.
+std::vector<std::uint32_t> crashedTargets(const CrashSuspect &suspect)
+{
+    std::vector<std::uint32_t> targets;
+    for (const auto &crash : suspect.crashes) {
+        targets.push_back(crash.target);
+    }
+    std::sort(targets.begin(), targets.end());
+    return targets;
+}
 
-core::Time CrashSuspect::lastCrashAt() const noexcept
+/// When the crash happened that completed the number for a quarantine.
+core::Time thresholdCrashAt(const CrashSuspect &suspect)
 {
-    core::Time last = absl::InfinitePast();
-    for (const auto &crash : crashes) {
-        last = std::max(last, crash.at);
+    std::vector<core::Time> times;
+    for (const auto &crash : suspect.crashes) {
+        times.push_back(crash.at);
     }
-    return last;
+    std::sort(times.begin(), times.end());
+    return times.at(crashesToQuarantine(suspect.kind) - 1);
 }
 
+/// Whether a success at that time refutes any crash of the suspect.
+bool refutesAny(const CrashSuspect &suspect, core::Time successAt)
+{
+    return std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                       [&](const TargetCrash &crash) { return !isRelevant(crash, successAt, suspect.kind); });
+}
+
+} // namespace
+
 CrashTracker::CrashTracker()
     : m_successes(SuccessSlots)
 { }
 
-core::Time CrashTracker::lastLocalSuccess(const core::Digest &content) const
+core::Time CrashTracker::lastLocalSuccess(const core::Digest &digest) const
 {
-    const auto &success = m_successes[content.low % m_successes.size()];
-    return success.content == content ? success.at : absl::InfinitePast();
+    const auto &success = m_successes[digest.low % m_successes.size()];
+    return success.digest == digest ? success.at : absl::InfinitePast();
 }
 
 void CrashTracker::removeExpired(core::Time now)
@@ -91,38 +125,69 @@
     m_suspects.erase(least);
 }
 
-CrashSuspect &CrashTracker::suspect(const core::Digest &content, core::Time now)
+CrashSuspect &CrashTracker::suspect(const core::Digest &digest, SuspectKind kind, core::Time now)
 {
-    if (!m_suspects.contains(content)) {
+    if (!m_suspects.contains(digest)) {
         removeExpired(now);
         if (m_suspects.size() >= MaxSuspects) {
             evictLeastRelevant();
         }
-        m_suspects[content].suspect.content = content;
+        auto &added = m_suspects[digest].suspect;
+        added.digest = digest;
+        added.kind = kind;
     }
-    return m_suspects[content].suspect;
+    return m_suspects[digest].suspect;
 }
 
-bool CrashTracker::noteCrash(const core::Digest &content, std::uint32_t target, core::Time now)
+void CrashTracker::updateQuarantine()
+{
+    std::vector<AttributionCandidate> candidates;
+    for (const auto &[digest, record] : m_suspects) {
+        const auto &suspect = record.suspect;
+        if (suspect.crashes.size() >= crashesToQuarantine(suspect.kind)) {
+            const auto lastSuccessAt = std::max(suspect.lastSuccessAt, lastLocalSuccess(digest));
+            candidates.push_back({&suspect, lastSuccessAt != absl::InfinitePast()});
+        }
+    }
+    auto quarantined = attributeCrashes(std::move(candidates));
+    for (const auto &digest : quarantined) {
+        if (!m_quarantined.contains(digest)) {
+            m_quarantineChanges.push_back({m_suspects.at(digest).suspect, true});
+        }
+    }
+    for (const auto &digest : m_quarantined) {
+        const auto known = m_suspects.find(digest);
+        if (known != m_suspects.end() && !quarantined.contains(digest)) {
+            m_quarantineChanges.push_back({known->second.suspect, false});
+        }
+    }
+    m_quarantined = std::move(quarantined);
+}
+
+bool CrashTracker::noteCrash(const core::Digest &digest, std::uint32_t target, core::Time now, SuspectKind kind)
 {
     const TargetCrash crash{target, now};
-    if (!isRelevant(crash, lastLocalSuccess(content))) {
+    if (!isRelevant(crash, lastLocalSuccess(digest), kind)) {
         return false;
     }
-    const bool changed = addCrash(suspect(content, now), crash);
+    const bool changed = addCrash(suspect(digest, kind, now), crash);
     if (changed) {
-        m_changed.insert(content);
+        m_changed.insert(digest);
+        updateQuarantine();
     }
     return changed;
 }
 
-bool CrashTracker::noteSuccess(const core::Digest &content, core::Time now)
+bool CrashTracker::noteSuccess(const core::Digest &digest, core::Time at)
 {
-    m_successes[content.low % m_successes.size()] = {content, now};
-    const auto known = m_suspects.find(content);
-    const bool refuted = known != m_suspects.end() && removeRefuted(known->second.suspect, now);
+    auto &success = m_successes[digest.low % m_successes.size()];
+    const auto earlier = success.digest == digest ? success.at : absl::InfinitePast();
+    success = {digest, std::max(at, earlier)};
+    const auto known = m_suspects.find(digest);
+    const bool refuted = known != m_suspects.end() && removeRefuted(known->second.suspect, at);
     if (refuted) {
-        m_changed.insert(content);
+        m_changed.insert(digest);
+        updateQuarantine();
     }
     return refuted;
 }
@@ -130,51 +195,118 @@
 CrashTracker::MergeResult CrashTracker::merge(const CrashSuspect &reported, core::Time now)
 {
     MergeResult merged;
-    auto &known = suspect(reported.content, now);
-    if (reported.lastSuccessAt > known.lastSuccessAt + core::Duration(MessageDelay)) {
+    auto &known = suspect(reported.digest, reported.kind, now);
+    known.kind = std::max(known.kind, reported.kind); // A daemon of an older version reports parts as content.
+    if (reported.lastSuccessAt > known.lastSuccessAt + core::Duration(MessageDelay)
+        || refutesAny(known, reported.lastSuccessAt)) {
         removeRefuted(known, reported.lastSuccessAt);
         merged.changed = true;
     }
-    const auto localSuccessAt = lastLocalSuccess(reported.content);
+    const auto localSuccessAt = lastLocalSuccess(reported.digest);
     for (const auto &crash : reported.crashes) {
         if (now - crash.at > core::Duration(Retention)) {
             continue;
         }
-        if (isRelevant(crash, known.lastSuccessAt) && !isRelevant(crash, localSuccessAt)) {
+        if (isRelevant(crash, known.lastSuccessAt, known.kind) && !isRelevant(crash, localSuccessAt, known.kind)) {
             merged.refuted = true;
             removeRefuted(known, localSuccessAt);
         }
         const bool added = addCrash(known, crash);
         merged.changed = merged.changed || added;
     }
+    if (known.lastSuccessAt == absl::InfinitePast() && localSuccessAt != absl::InfinitePast()) {
+        // Nobody else knows that it ever went well, which counts where suspects cannot be told apart.
+        known.lastSuccessAt = localSuccessAt;
+        merged.refuted = true;
+    }
     if (merged.changed || merged.refuted) {
-        m_changed.insert(reported.content);
+        m_changed.insert(reported.digest);
+        updateQuarantine();
     }
     known.maxCrashes = std::max(known.maxCrashes, reported.crashes.size());
     return merged;
 }
 
-bool CrashTracker::tryStartTrial(const core::Digest &content, core::Time now)
+bool CrashTracker::isTrialDue(const core::Digest &digest, core::Time now) const
 {
-    const auto known = m_suspects.find(content);
+    const auto known = m_suspects.find(digest);
     if (known == m_suspects.end()) {
         return false;
     }
-    auto &[suspect, triedAt] = known->second;
-    const auto furtherCrashes = std::max(suspect.crashes.size(), CrashesToQuarantine) - CrashesToQuarantine;
+    const auto &[suspect, lastTrialAt] = known->second;
+    const auto threshold = crashesToQuarantine(suspect.kind);
+    const auto furtherCrashes = std::max(suspect.crashes.size(), threshold) - threshold;
     const auto delay = core::Duration(FirstTrialDelay) * (1 << std::min(furtherCrashes, MaxDoublings));
-    if (now < std::max(suspect.lastCrashAt(), triedAt) + delay) {
+    return now >= std::max(suspect.lastCrashAt(), lastTrialAt) + delay;
+}
+
+bool CrashTracker::tryStartTrial(const core::Digest &digest, core::Time now)
+{
+    const bool isDue = isTrialDue(digest, now);
+    if (isDue) {
+        m_suspects.at(digest).lastTrialAt = now;
+    }
+    return isDue;
+}
+
+bool CrashTracker::allowsComparison(const CrashSuspect &suspect, core::Time lastTrialAt, double uniform,
+                                    core::Time now) const
+{
+    const auto lastCrashAt = suspect.lastCrashAt();
+    const bool isTime = now - std::max(lastCrashAt, lastTrialAt) >= core::Duration(ComparisonDelay)
+        && now - thresholdCrashAt(suspect) <= core::Duration(ComparisonPeriod);
+    if (suspect.kind != SuspectKind::PromptPart || !isTime) {
         return false;
     }
-    triedAt = now;
+    core::Time firstCrashAt = lastCrashAt;
+    for (const auto &crash : suspect.crashes) {
+        firstCrashAt = std::min(firstCrashAt, crash.at);
+    }
+    // As many requests as this come to all daemons before one of them learns the result of another's comparison.
+    const auto crashSpan = std::max(lastCrashAt - firstCrashAt, core::Duration(ComparisonDelay));
+    const auto simultaneous
+        = static_cast<double>(suspect.crashes.size()) * absl::FDivDuration(ComparisonDelay, crashSpan);
+    return uniform * simultaneous <= MaxSimultaneousComparisons;
+}
+
+bool CrashTracker::hasTwinOutside(const CrashSuspect &suspect, const std::vector<core::Digest> &suspects) const
+{
+    const auto targets = crashedTargets(suspect);
+    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const core::Digest &digest) {
+        const auto other = m_suspects.find(digest);
+        return other != m_suspects.end() && std::find(suspects.begin(), suspects.end(), digest) == suspects.end()
+            && other->second.suspect.kind == SuspectKind::PromptPart
+            && crashedTargets(other->second.suspect) == targets;
+    });
+}
+
+bool CrashTracker::tryStartComparison(const std::vector<core::Digest> &suspects, double uniform, core::Time now)
+{
+    std::vector<Record *> quarantined;
+    for (const auto &digest : suspects) {
+        const auto known = m_suspects.find(digest);
+        if (known != m_suspects.end() && isQuarantined(digest)) {
+            quarantined.push_back(&known->second);
+        }
+    }
+    const bool allowed = std::all_of(quarantined.begin(), quarantined.end(), [&](const Record *record) {
+        return allowsComparison(record->suspect, record->lastTrialAt, uniform, now)
+            && hasTwinOutside(record->suspect, suspects);
+    });
+    if (!allowed) {
+        return false;
+    }
+    for (auto *record : quarantined) {
+        record->lastTrialAt = now;
+    }
     return true;
 }
 
 std::vector<CrashSuspect> CrashTracker::takeChanges()
 {
     std::vector<CrashSuspect> changes;
-    for (const auto &content : m_changed) {
-        const auto known = m_suspects.find(content);
+    for (const auto &digest : m_changed) {
+        const auto known = m_suspects.find(digest);
         if (known != m_suspects.end()) {
             changes.push_back(known->second.suspect);
         }
@@ -183,14 +315,14 @@
     return changes;
 }
 
-bool CrashTracker::isQuarantined(const core::Digest &content) const
+std::vector<CrashTracker::QuarantineChange> CrashTracker::takeQuarantineChanges()
 {
-    return crashCount(content) >= CrashesToQuarantine;
+    return std::exchange(m_quarantineChanges, {});
 }
 
-std::size_t CrashTracker::crashCount(const core::Digest &content) const
+std::size_t CrashTracker::crashCount(const core::Digest &digest) const
 {
-    const auto known = m_suspects.find(content);
+    const auto known = m_suspects.find(digest);
     return known == m_suspects.end() ? 0 : known->second.suspect.crashes.size();
 }
 
@@ -198,16 +330,19 @@
                                                core::Time now) const
 {
     std::vector<CrashSuspect> found;
-    for (const auto &[content, known] : m_suspects) {
+    for (const auto &[digest, known] : m_suspects) {
         const auto &suspect = known.suspect;
         const bool isRecent = now - std::max(suspect.lastCrashAt(), suspect.lastSuccessAt) <= span;
-        if (isRecent || suspect.crashes.size() >= CrashesToQuarantine) {
+        if (isRecent || isQuarantined(digest)) {
             found.push_back(suspect);
         }
     }
     if (found.size() > maxCount) {
         std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(randomValue % found.size()),
                     found.end());
+        std::stable_sort(found.begin(), found.end(), [](const CrashSuspect &left, const CrashSuspect &right) {
+            return left.crashes.size() > right.crashes.size();
+        });
         found.resize(maxCount);
     }
     return found;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -48,6 +48,20 @@
     return ids;
 }
 
+/// Crash evidence is kept for so many parts of a prompt, the first ones: their number is the caller's choice.
+constexpr std::size_t MaxSharedParts = 128;
+
+std::vector<core::Digest> sharedPartsOf(const std::vector<std::string> &promptParts)
+{
+    std::vector<core::Digest> digests;
+    for (std::size_t i = 0; i + 1 < promptParts.size() && i < MaxSharedParts; ++i) {
+        digests.push_back(promptPartDigest(promptParts[i]));
+    }
+    std::sort(digests.begin(), digests.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return digests;
+}
+
 overload::Kind kindOf(const PromptRequest &prompt) noexcept
 {
     return prompt.shortGaps ? overload::Kind::ShortGaps : overload::Kind::LongGaps;
@@ -59,6 +73,7 @@
     : m_context(context)
     , m_facts(std::move(facts))
     , m_arrivedAt(arrivedAt)
+    , m_sharedParts(sharedPartsOf(m_facts.promptParts))
 {
     ++m_context.requestsInProgress;
 }
@@ -209,6 +224,10 @@
     query.timeLeft = m_deadline - now;
     query.mayHaveRun = m_mayHaveRun;
     query.excludedTargets = m_unreachableTargets;
+    if (m_isTrial) {
+        query.allowedTargets = trialTargets(query.service, now);
+        return query;
+    }
     const bool targetLimitReached = m_sentTo.size() >= static_cast<std::size_t>(m_route->maxTargets);
     if (targetLimitReached) {
         query.allowedTargets = m_refusingTargets;
@@ -260,6 +279,7 @@
     m_helperCausedFailure = false;
     m_sentAt = now;
     m_gaps = {};
+    m_partsSound = false;
     m_attemptAnsweredAt = absl::InfinitePast();
     ++m_attempts;
     const auto dueAt = now + chosen.publishedTtft();
@@ -330,6 +350,9 @@
         recordFirstEvent(now);
     } else {
         m_gaps.add(now - m_lastEventAt, m_chosen.published.pass);
+        if (hasAnsweredForLong(now)) {
+            recordPartsSound(now);
+        }
     }
     if (m_answeredAt != absl::InfinitePast()) {
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
--- a/src/relay/request_retries.cpp
+++ b/src/relay/request_retries.cpp
@@ -33,7 +33,7 @@
 
 bool RequestProgress::allowRetry(bool isRepeatable, Reason cause, core::Time now)
 {
-    if (m_context.crashes.isQuarantined(m_digest)) {
+    if (isQuarantined()) {
         return false; // The next target would crash as well.
     }
     RetryConditions state;
--- a/tests/platform/crashing_prompt_parts_test.cpp
+++ b/tests/platform/crashing_prompt_parts_test.cpp
@@ -93,11 +93,11 @@
         return m_crashTimes.size();
     }
 
-    /// When the daemons must know of the crashes; in the infinite future before the fifth crash.
+    /// When the daemons must know of the crashes: some time after the fifth one, or after the last if there are fewer.
     [[nodiscard]] core::Time knownAt() const
     {
-        return crashCount() < CrashesUntilKnown ? absl::InfiniteFuture()
-                                                : m_crashTimes[CrashesUntilKnown - 1] + core::Duration(SpreadTime);
+        const auto crashes = std::min(crashCount(), CrashesUntilKnown);
+        return crashes == 0 ? absl::InfiniteFuture() : m_crashTimes[crashes - 1] + core::Duration(SpreadTime);
     }
 
     /// Number of requests with a part that reached any engine after a time.
@@ -247,7 +247,7 @@
                                 net::asio::detached);
         }
         co_await net::sleepFor(end - core::now() + absl::Seconds(1));
-        BOOST_REQUIRE(engines.crashCount() >= CrashesUntilKnown); // Otherwise the test shows nothing.
+        BOOST_REQUIRE(engines.crashCount() > 0U); // Otherwise the test shows nothing.
         for (const auto &part : badParts) {
             BOOST_TEST_INFO(engines.crashCount() << " engines crashed");
             BOOST_TEST(engines.countArrivals(part, engines.knownAt()) <= MaxLateRequests);
@@ -257,7 +257,9 @@
         }
         // A request that would crash its engine is refused at once, has not run, and need not come back soon.
         for (const auto &parts : crashing) {
-            for (const auto *result : callers.results(parts, engines.knownAt())) {
+            const auto refused = callers.results(parts, engines.knownAt());
+            BOOST_TEST(!refused.empty());
+            for (const auto *result : refused) {
                 BOOST_TEST(result->answer.status == 503);
                 BOOST_TEST((result->duration < absl::Milliseconds(500)));
                 BOOST_TEST(std::stod("0" + std::string(result->answer.head.headers.value("Retry-After"))) >= 10);
--- a/tests/unit/crash_tracker_test.cpp
+++ b/tests/unit/crash_tracker_test.cpp
@@ -261,7 +261,7 @@
     const auto message = control::readMessage(control::writeMessage(report));
     BOOST_REQUIRE(message.has_value());
     const auto &suspect = std::get<control::CrashReport>(*message).suspects.at(0);
-    BOOST_TEST((suspect.content == Content));
+    BOOST_TEST((suspect.digest == Content));
     BOOST_REQUIRE(suspect.crashes.size() == 2U);
     BOOST_TEST(suspect.crashes[0].target == 7U);
     BOOST_TEST((suspect.crashes[0].age == absl::Milliseconds(250)));
