Resume streams without framing whose target crashes between two events

Callers would see a stream that lacks its last events and looks complete: without a length or chunks, the end of the connection ends the answer, and the end of a crashed process looks the same. Such an answer also counted as proof that its prompt crashes no engine. Now the target of a stream without framing is connected to once more at its end; if it refuses, the stream is resumed as one that was broken off, and the crash is recorded. A target that is known to shut down is exempt. Tests: the answer and the stream that end with their connection, the stream that ends inside an event (passed before), and the target that crashes between two events (fails without the check).

--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -89,6 +89,13 @@
         Unreachable, ///< The target is at fault.
         Unproven, ///< No path leads to the target, which may be due to the links.
     };
+    /// What a check of a target showed whose connection ended.
+    enum class EndCheck
+    {
+        PathLost, ///< The link to the target broke, not the target.
+        Crashed, ///< The process of the target ended.
+        Unknown, ///< It may be either, or neither.
+    };
     /// State of an attempt whose target sends nothing.
     struct SilenceState
     {
@@ -115,8 +122,10 @@
     [[nodiscard]] net::Task<> checkIncarnation(core::Ref<Target> target, core::Ref<net::ClientConnection> connection);
     /// Checks whether the process of the target of the current attempt ended. A broken connection does not show that,
     /// a refused one does. The check delays the request by one round trip.
-    /// \returns Whether the link to the target broke, not the target.
-    [[nodiscard]] net::Task<bool> checkAfterBreak(core::Ref<Target> target);
+    [[nodiscard]] net::Task<EndCheck> checkAfterEnd(core::Ref<Target> target);
+    /// Whether the connection ended because the process of the target did, although the answer looks complete: nothing
+    /// else marks the end of its body.
+    [[nodiscard]] net::Task<bool> endedByCrash();
     /// Whether the connection of the current attempt may be dead although its target is alive.
     [[nodiscard]] bool isPathSuspect(core::Time now) const;
     /// What a silent target is blamed for.
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -164,8 +164,8 @@
             m_context.connector->notePeerLost(m_attempt->peer(), core::now());
             co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::PathLost, std::nullopt, end.detail);
         }
-        const bool pathLost = co_await checkAfterBreak(m_progress.target());
-        if (pathLost) {
+        const auto check = co_await checkAfterEnd(m_progress.target());
+        if (check == EndCheck::PathLost) {
             co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::PathLost, std::nullopt, end.detail);
         }
         const auto reason = m_headForwarded ? core::Reason::StreamInterrupted : core::Reason::TargetFailed;
@@ -176,11 +176,16 @@
     }
     if (m_events.hasPartialEvent()) {
         // The stream is complete by its framing, so that its target ended it.
-        const bool pathLost = co_await checkAfterBreak(m_progress.target());
-        static_cast<void>(pathLost);
+        const auto check = co_await checkAfterEnd(m_progress.target());
+        static_cast<void>(check); // Only records a crash.
         co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::ConnectionLost,
                                 "the stream ended inside an event");
     }
+    const bool crashed = co_await endedByCrash();
+    if (crashed) {
+        co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::ConnectionLost,
+                                "the target ended, and with it a stream without framing");
+    }
     const auto now = core::now();
     m_progress.recordAnswer(now);
     m_progress.recordPartsSound(now);
--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -192,14 +192,28 @@
 }
 
 template<ProtocolCodec D>
-net::Task<bool> RequestHandler<D>::checkAfterBreak(core::Ref<Target> target)
+net::Task<typename RequestHandler<D>::EndCheck> RequestHandler<D>::checkAfterEnd(core::Ref<Target> target)
 {
     const auto checked
         = co_await m_context.connector->connect(target, detail::CrashCheckTimeout, core::now() + detail::CheckLifetime);
     if (checked.refused) {
         m_progress.recordTargetCrash(target, core::now());
+        co_return EndCheck::Crashed;
     }
-    co_return checked.connection && m_attempt->peer().empty() && !checked.peer.empty();
+    const bool pathLost = checked.connection && m_attempt->peer().empty() && !checked.peer.empty();
+    co_return pathLost ? EndCheck::PathLost : EndCheck::Unknown;
+}
+
+template<ProtocolCodec D>
+net::Task<bool> RequestHandler<D>::endedByCrash()
+{
+    const auto target = m_progress.target();
+    // A target that shuts down may refuse connections right after its last answer.
+    if (m_head.framing != net::BodyFraming::UntilClose || target->isDraining()) {
+        co_return false;
+    }
+    const auto check = co_await checkAfterEnd(target);
+    co_return check == EndCheck::Crashed;
 }
 
 } // namespace spurlug::relay
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -145,8 +145,40 @@
     return m_crashed;
 }
 
+net::Task<> FakeTarget::serveRaw(net::asio::ip::tcp::socket socket)
+{
+    std::string request(16 << 10, '\0');
+    const auto buffer = net::asio::buffer(request);
+    const auto [readError, size] = co_await socket.async_read_some(buffer, net::Awaited); // Requests are short.
+    request.resize(size);
+    constexpr std::string_view IdField = "Attempt-Id: ";
+    const auto idAt = request.find(IdField);
+    if (readError || idAt == std::string::npos) {
+        co_return; // Nothing was sent: a check of the target.
+    }
+    const auto idFrom = idAt + IdField.size();
+    const auto id = request.substr(idFrom, request.find('\r', idFrom) - idFrom);
+    auto raw = behaviour.rawAnswer;
+    raw.replace(raw.find("{id}"), 4, id);
+    const auto answerBuffer = net::asio::buffer(raw);
+    const auto [writeError, written] = co_await socket.async_write_some(answerBuffer, net::Awaited);
+    if (writeError) {
+        co_return;
+    }
+    co_await net::sleepFor(absl::Milliseconds(30)); // So that the bytes are read before the connection ends.
+    if (behaviour.crashesAfterRawAnswer) {
+        crash();
+    }
+    boost::system::error_code ignored; // The other side may have closed the connection.
+    socket.shutdown(net::asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 net::Task<> FakeTarget::serve(net::asio::ip::tcp::socket socket)
 {
+    if (!behaviour.rawAnswer.empty()) {
+        co_await serveRaw(std::move(socket));
+        co_return;
+    }
     const auto connection = core::makeRef<net::ServerConnection>(m_loop, std::move(socket));
     m_connections.insert(connection);
     bool keepsConnection = true;
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -46,7 +46,10 @@
     core::Duration eventInterval = absl::Milliseconds(5); ///< Interval between events.
     int resetAtEvent = -1; ///< Resets the connection within the first event whose id is at least this; -1: never.
     int omittedEvent = -1; ///< Id of an event that is omitted; -1: none.
-    bool unframed = false; ///< The end of the connection ends the body.
+    /// If not empty, the target answers with these bytes and then closes the connection; `{id}` stands for the
+    /// request's ID.
+    std::string rawAnswer;
+    bool crashesAfterRawAnswer = false; ///< The process ends instead of closing the connection.
     std::string retryAfter; ///< Retry-After header of a 503; empty: none.
 };
 
@@ -103,6 +106,7 @@
 
 private:
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
+    [[nodiscard]] net::Task<> serveRaw(net::asio::ip::tcp::socket socket);
     [[nodiscard]] net::Task<bool> answer(core::Ref<net::ServerConnection> connection, net::Request request);
     /// Waits until the other side closes a connection over which nothing may be sent.
     [[nodiscard]] net::Task<> awaitClose(core::Ref<net::ServerConnection> connection);
--- /dev/null
+++ b/tests/platform/unframed_answers_test.cpp
@@ -0,0 +1,102 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of answers that end with their connection
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+//
+// An answer with neither a length nor chunks ends with its connection. The tests guard against an answer that was
+// broken off and passed on as complete.
+//
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+const std::string RawHead = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed-raw\r\n";
+const std::string RawStreamHead = RawHead + "Content-Type: text/event-stream\r\n\r\n";
+const std::string FirstEvents = "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\n";
+const std::string LastEvent = "id: 2\ndata: token 2\n\n";
+
+CallerRequest chatRequest()
+{
+    CallerRequest request;
+    request.path = "/chat/1";
+    request.promptTokens = 1000;
+    return request;
+}
+
+/// Serves a prompt by a target that answers with raw bytes, and then by one that streams three events.
+CallerAnswer answerAfterRaw(const std::string &rawAnswer, bool crashes)
+{
+    RelayFleet fleet;
+    auto &raw = fleet.addTarget("model");
+    raw.behaviour.rawAnswer = rawAnswer;
+    raw.behaviour.crashesAfterRawAnswer = crashes;
+    CallerAnswer answer;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        net::asio::co_spawn(
+            fleet.loop,
+            [&]() -> net::Task<> {
+                co_await net::sleepFor(absl::Milliseconds(10)); // The first attempt has a single target.
+                fleet.addTarget("model").behaviour.eventCount = 3;
+            },
+            net::asio::detached);
+        answer = co_await fleet.send(chatRequest());
+    });
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(unframed_answers)
+
+BOOST_AUTO_TEST_CASE(a_plain_answer_that_ends_with_its_connection_is_relayed)
+{
+    RelayFleet fleet;
+    fleet.addTarget("app").behaviour.rawAnswer = RawHead + "\r\nthe answer";
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        const CallerRequest request;
+        const auto answer = co_await fleet.send(request);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.body == "the answer");
+        BOOST_TEST(answer.isComplete);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_with_its_connection_is_relayed)
+{
+    const auto answer = answerAfterRaw(RawStreamHead + FirstEvents + LastEvent, false);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == FirstEvents + LastEvent);
+    BOOST_TEST(answer.isComplete);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_is_resumed)
+{
+    const auto answer = answerAfterRaw(RawStreamHead + FirstEvents + LastEvent.substr(0, 12), false);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == FirstEvents + LastEvent);
+    BOOST_TEST(answer.isComplete);
+}
+
+// The end of the connection is then the end of the process, not that of the answer.
+BOOST_AUTO_TEST_CASE(a_stream_whose_target_crashes_between_two_events_is_resumed)
+{
+    const auto answer = answerAfterRaw(RawStreamHead + FirstEvents, true);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == FirstEvents + LastEvent);
+    BOOST_TEST(answer.isComplete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace spurlug::test
