Turn new connections away while the event loop cannot keep up

A load balancer may direct most new connections of a region to one daemon. Beyond its share of a processor everything that it has read becomes late, and cannot go elsewhere. Three timer delays in a row above 100 ms close the gate: new connections are closed unread, so that their callers try another daemon, until a delay is at most 40 ms. Counter connections_turned_away, log events connections_turned_away and connections_accepted.

--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -62,6 +62,7 @@
     QuarantinesLifted, ///< Quarantines that ended because the work succeeded after all.
     PromptPartsQuarantined, ///< Prompt parts that this daemon began to refuse, as they crash targets.
     QuarantineTrials, ///< Quarantined requests that were sent to test whether they still crash their target.
+    ConnectionsTurnedAway, ///< Connections of callers that were closed unread while the event loop was overloaded.
     CrashReportsSent, ///< Datagrams to other daemons about work that crashes targets.
     TargetEntriesInvalid, ///< Times that a new fault was found in a target's entry.
     LeavingAnnounced, ///< Answers in which a target announced that it is leaving.
@@ -157,6 +158,7 @@
         EnumName<Counter>{Counter::QuarantinesLifted, "quarantines_lifted"},
         EnumName<Counter>{Counter::QuarantineTrials, "quarantine_trials"},
         EnumName<Counter>{Counter::PromptPartsQuarantined, "prompt_parts_quarantined"},
+        EnumName<Counter>{Counter::ConnectionsTurnedAway, "connections_turned_away"},
         EnumName<Counter>{Counter::CrashReportsSent, "crash_news_sent"},
         EnumName<Counter>{Counter::TargetEntriesInvalid, "target_entries_unusable"},
         EnumName<Counter>{Counter::LeavingAnnounced, "leaving_told"},
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -10,6 +10,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/listener.h"
+#include "spurlug/relay/connection_gate.h"
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/control_plane.h"
 #include "spurlug/relay/peer_state.h"
@@ -59,6 +60,10 @@
     static constexpr double IdleTimeoutFactor = 1.25;
 
     void spawn(net::Task<> task);
+    /// Serves a new connection, or closes it unread while the event loop is overloaded.
+    void acceptCaller(net::asio::ip::tcp::socket socket);
+    /// Measures the delay of the event loop.
+    [[nodiscard]] net::Task<> watchLoop();
     [[nodiscard]] net::Task<> serveCaller(net::asio::ip::tcp::socket socket);
     /// Answers a request that could not be read or parsed, and closes the connection.
     [[nodiscard]] net::Task<> rejectUnreadable(core::Ref<net::ServerConnection> caller, net::ReadResult result);
@@ -85,6 +90,7 @@
     Protocol m_protocol;
     ControlPlane<Source> m_controlPlane;
     net::Listener m_callerListener;
+    ConnectionGate m_connectionGate;
     SimpleServer m_readinessServer;
     SimpleServer m_controlServer;
     SimpleServer m_metricsServer;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -60,7 +60,8 @@
                {"retryRatio", m_settings.bounds.retryRatio},
                {"retrySlack", m_settings.bounds.retrySlack},
                {"retryWindowMs", core::toMs(m_settings.bounds.retryWindow)}});
-    spawn(m_callerListener.run([this](net::asio::ip::tcp::socket socket) { spawn(serveCaller(std::move(socket))); }));
+    spawn(m_callerListener.run([this](net::asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); }));
+    spawn(watchLoop());
     m_readinessServer.start();
     m_controlServer.start();
     m_metricsServer.start();
@@ -133,6 +134,33 @@
     }
 }
 
+template<ProtocolCodec Protocol, Directory Source>
+void RelayDaemon<Protocol, Source>::acceptCaller(net::asio::ip::tcp::socket socket)
+{
+    if (m_connectionGate.isOpen()) {
+        spawn(serveCaller(std::move(socket)));
+        return;
+    }
+    m_metrics.count(metrics::Counter::ConnectionsTurnedAway);
+    boost::system::error_code ignored; // The caller may have closed the connection.
+    socket.close(ignored);
+}
+
+template<ProtocolCodec Protocol, Directory Source>
+net::Task<> RelayDaemon<Protocol, Source>::watchLoop()
+{
+    for (;;) {
+        const auto plannedAt = core::now() + core::Duration(ConnectionGate::TickInterval);
+        co_await net::sleepFor(ConnectionGate::TickInterval);
+        const auto delay = core::now() - plannedAt;
+        if (m_connectionGate.noteTick(delay)) {
+            core::log(core::LogLevel::Warning,
+                      m_connectionGate.isOpen() ? "connections_accepted" : "connections_turned_away",
+                      {{"loopDelayMs", core::toMs(delay)}, {"inProgress", m_context.requestsInProgress}});
+        }
+    }
+}
+
 template<ProtocolCodec Protocol, Directory Source>
 net::Task<> RelayDaemon<Protocol, Source>::serveCaller(net::asio::ip::tcp::socket socket)
 {
