Tell parts apart after an unrelated crash, and after few requests

(1) Few sound requests came in the 2.5 s in which parts that came together may be compared; the daemon that makes the fleet's trials may now go on afterwards, one comparison in 2 s. (2) An unrelated crash hit a comparison of the sound part; with one crash more than the cause it explained the cause, and was quarantined for good. A part with at most one crash more than another that never succeeded may now be compared as well.

--- a/include/spurlug/relay/crash_tracker.h
+++ b/include/spurlug/relay/crash_tracker.h
@@ -69,11 +69,12 @@
     /// \brief Starts a trial that may show which of several quarantined prompt parts crashes targets.
     ///
     /// Parts that came together from their first use on have the same crashes, and no success tells them apart. A
-    /// request with some of them, but not all, does. Any daemon may send one, shortly after the crashes and before the
-    /// others rely on the quarantine.
-    /// \param suspects Everything in the request that may be quarantined.
-    /// \param uniform Random number from 0 to 1, so that few of all daemons do so at the same time.
-    [[nodiscard]] bool tryStartComparison(const std::vector<core::Digest> &suspects, double uniform, core::Time now);
+    /// request with some of them, but not all, does. Any daemon may send one shortly after the crashes, before the
+    /// others rely on the quarantine; afterwards only one daemon may. \param suspects Everything in the request that
+    /// may be quarantined. \param uniform Random number from 0 to 1, so that few of all daemons do so at the same time.
+    /// \param sendsTrials Whether this daemon is the one that makes the trials of the fleet.
+    [[nodiscard]] bool tryStartComparison(const std::vector<core::Digest> &suspects, double uniform, bool sendsTrials,
+                                          core::Time now);
     /// \brief Entries that changed since the last call.
     [[nodiscard]] std::vector<CrashSuspect> takeChanges();
 
@@ -133,9 +134,12 @@
     void evictLeastRelevant();
     /// Whether a quarantined part may be sent in a comparison now.
     [[nodiscard]] bool allowsComparison(const CrashSuspect &suspect, core::Time lastTrialAt, double uniform,
-                                        core::Time now) const;
-    /// Whether another quarantined part that is not among these has the same crashes.
+                                        bool sendsTrials, core::Time now) const;
+    /// Whether a part that is not among these may be the cause instead: it never succeeded, and has the same crashes,
+    /// or all but one, which may have had another reason.
     [[nodiscard]] bool hasTwinOutside(const CrashSuspect &suspect, const std::vector<core::Digest> &suspects) const;
+    /// Whether such a request is known to have gone well at any time.
+    [[nodiscard]] bool everSucceeded(const CrashSuspect &suspect) const;
     /// Decides anew which suspects are in quarantine.
     void updateQuarantine();
 
--- a/src/relay/crash_tracker.cpp
+++ b/src/relay/crash_tracker.cpp
@@ -25,8 +25,10 @@
 /// From the last crash, or the last comparison of this daemon, until a comparison: other requests that were in progress
 /// with the parts have crashed their targets by then, or gone well.
 constexpr auto ComparisonDelay = absl::Milliseconds(300);
-/// No comparison is sent later than this after the crash that completed the number for a quarantine.
+/// How long after the crash that completed the number for a quarantine any daemon may send a comparison.
 constexpr auto ComparisonPeriod = absl::Milliseconds(2500);
+/// From one comparison to the next afterwards: an answer that goes on for long shows its result in that time.
+constexpr auto LateComparisonInterval = absl::Seconds(2);
 /// How many comparisons of all daemons may run at the same time, in the mean; each may crash a target.
 constexpr double MaxSimultaneousComparisons = 2;
 
@@ -139,14 +141,18 @@
     return m_suspects[digest].suspect;
 }
 
+bool CrashTracker::everSucceeded(const CrashSuspect &suspect) const
+{
+    return std::max(suspect.lastSuccessAt, lastLocalSuccess(suspect.digest)) != absl::InfinitePast();
+}
+
 void CrashTracker::updateQuarantine()
 {
     std::vector<AttributionCandidate> candidates;
     for (const auto &[digest, record] : m_suspects) {
         const auto &suspect = record.suspect;
         if (suspect.crashes.size() >= crashesToQuarantine(suspect.kind)) {
-            const auto lastSuccessAt = std::max(suspect.lastSuccessAt, lastLocalSuccess(digest));
-            candidates.push_back({&suspect, lastSuccessAt != absl::InfinitePast()});
+            candidates.push_back({&suspect, everSucceeded(suspect)});
         }
     }
     auto quarantined = attributeCrashes(std::move(candidates));
@@ -250,14 +256,16 @@
 }
 
 bool CrashTracker::allowsComparison(const CrashSuspect &suspect, core::Time lastTrialAt, double uniform,
-                                    core::Time now) const
+                                    bool sendsTrials, core::Time now) const
 {
     const auto lastCrashAt = suspect.lastCrashAt();
-    const bool isTime = now - std::max(lastCrashAt, lastTrialAt) >= core::Duration(ComparisonDelay)
-        && now - thresholdCrashAt(suspect) <= core::Duration(ComparisonPeriod);
-    if (suspect.kind != SuspectKind::PromptPart || !isTime) {
+    if (suspect.kind != SuspectKind::PromptPart
+        || now - std::max(lastCrashAt, lastTrialAt) < core::Duration(ComparisonDelay)) {
         return false;
     }
+    if (now - thresholdCrashAt(suspect) > core::Duration(ComparisonPeriod)) {
+        return sendsTrials && now - lastTrialAt >= core::Duration(LateComparisonInterval);
+    }
     core::Time firstCrashAt = lastCrashAt;
     for (const auto &crash : suspect.crashes) {
         firstCrashAt = std::min(firstCrashAt, crash.at);
@@ -272,15 +280,22 @@
 bool CrashTracker::hasTwinOutside(const CrashSuspect &suspect, const std::vector<core::Digest> &suspects) const
 {
     const auto targets = crashedTargets(suspect);
-    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const core::Digest &digest) {
-        const auto other = m_suspects.find(digest);
-        return other != m_suspects.end() && std::find(suspects.begin(), suspects.end(), digest) == suspects.end()
-            && other->second.suspect.kind == SuspectKind::PromptPart
-            && crashedTargets(other->second.suspect) == targets;
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &item) {
+        const auto &[digest, other] = item;
+        const auto crashCount = other.suspect.crashes.size();
+        const bool isCandidate = other.suspect.kind == SuspectKind::PromptPart
+            && crashCount >= crashesToQuarantine(SuspectKind::PromptPart) && crashCount + 1 >= targets.size()
+            && !everSucceeded(other.suspect);
+        if (!isCandidate || std::find(suspects.begin(), suspects.end(), digest) != suspects.end()) {
+            return false;
+        }
+        const auto otherTargets = crashedTargets(other.suspect);
+        return std::includes(targets.begin(), targets.end(), otherTargets.begin(), otherTargets.end());
     });
 }
 
-bool CrashTracker::tryStartComparison(const std::vector<core::Digest> &suspects, double uniform, core::Time now)
+bool CrashTracker::tryStartComparison(const std::vector<core::Digest> &suspects, double uniform, bool sendsTrials,
+                                      core::Time now)
 {
     std::vector<Record *> quarantined;
     for (const auto &digest : suspects) {
@@ -290,7 +305,7 @@
         }
     }
     const bool allowed = std::all_of(quarantined.begin(), quarantined.end(), [&](const Record *record) {
-        return allowsComparison(record->suspect, record->lastTrialAt, uniform, now)
+        return allowsComparison(record->suspect, record->lastTrialAt, uniform, sendsTrials, now)
             && hasTwinOutside(record->suspect, suspects);
     });
     if (!allowed) {
--- a/src/relay/request_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -69,7 +69,7 @@
 bool RequestProgress::tryStartComparison(core::Time now)
 {
     const auto uniform = std::uniform_real_distribution<double>(0, 1)(m_context.random);
-    return m_context.crashes.tryStartComparison(suspects(), uniform, now);
+    return m_context.crashes.tryStartComparison(suspects(), uniform, sendsTrials(m_context), now);
 }
 
 std::vector<std::uint32_t> RequestProgress::trialTargets(const std::string &service, core::Time now)
--- a/tests/property/crash_property.cpp
+++ b/tests/property/crash_property.cpp
@@ -97,6 +97,11 @@
         return *m_daemons[static_cast<std::size_t>(number)]->exchange;
     }
 
+    bool sendsTrials(int number)
+    {
+        return daemon(number).roster.holders(control::Role::Scheduler, 1).front().vm == core::cat("vm-", number);
+    }
+
     int randomDaemon()
     {
         return std::uniform_int_distribution<int>(0, m_scenario.daemons - 1)(m_random);
@@ -132,6 +137,19 @@
         exchange(number).publishChanges(timeOf(step));
     }
 
+    void crashPart(int number, const core::Digest &part, std::uint32_t target, int step)
+    {
+        daemon(number).crashes.noteCrash(part, target, timeOf(step), relay::SuspectKind::PromptPart);
+        exchange(number).publishChanges(timeOf(step));
+    }
+
+    /// \param at The step from which on the content or part is known to have gone well.
+    void succeed(int number, const core::Digest &content, int at, int step)
+    {
+        daemon(number).crashes.noteSuccess(content, timeOf(at));
+        exchange(number).publishChanges(timeOf(step));
+    }
+
     void succeed(int number, const core::Digest &content, int step)
     {
         daemon(number).crashes.noteSuccess(content, timeOf(step));
@@ -238,10 +256,257 @@
     return lateSendCount;
 }
 
+constexpr int ProofSteps = 1000 / StepMs; ///< An answer that goes on for this long shows that its parts are sound.
+constexpr int ReplacementSteps = 800 / StepMs; ///< From the crash of an engine to its replacement.
+constexpr std::uint32_t CrashesUntilKnown = 5;
+
+/// Traffic with one part that crashes engines, and with sound parts that all requests share.
+struct PartTraffic
+{
+    Scenario faults;
+    int engines = 1;
+    int soundParts = 1; ///< Requests that crash have all of them; sound ones have the first, and one of the others.
+    int badIntervalSteps = 1;
+    int soundPerStep = 1; ///< In hundredths of a request.
+    int soundRunSteps = 1; ///< Duration of a sound answer.
+    int headStartSteps = 0; ///< From the first sound request to the first that crashes.
+    int unrelatedCrashAt = 0;
+    int unrelatedCrashes = 0; ///< Engines that crash at that step for another reason.
+};
+
+std::ostream &operator<<(std::ostream &out, const PartTraffic &traffic)
+{
+    const auto &faults = traffic.faults;
+    return out << "daemons " << faults.daemons << ", loss " << faults.lossRate << ", delay " << faults.maxDelaySteps
+               << ", partition " << faults.partitionFrom << " to " << faults.partitionUntil << ", restart at "
+               << faults.restartAt << " of " << faults.restartedDaemons << ", seed " << faults.seed << ", engines "
+               << traffic.engines << ", sound parts " << traffic.soundParts << ", bad every "
+               << traffic.badIntervalSteps << ", sound per step " << traffic.soundPerStep << ", sound run "
+               << traffic.soundRunSteps << ", head start " << traffic.headStartSteps << ", unrelated "
+               << traffic.unrelatedCrashes << " at " << traffic.unrelatedCrashAt;
+}
+
+rc::Gen<PartTraffic> partTraffics()
+{
+    return rc::gen::exec([] {
+        PartTraffic traffic;
+        traffic.faults = *scenarios();
+        traffic.engines = *rc::gen::inRange(6, 40);
+        traffic.soundParts = *rc::gen::inRange(1, 5);
+        traffic.badIntervalSteps = *rc::gen::inRange(1, 40);
+        traffic.soundPerStep = *rc::gen::inRange(20, 300); // 4 to 60 a second.
+        traffic.soundRunSteps = *rc::gen::inRange(4, 60);
+        traffic.headStartSteps = *rc::gen::inRange(0, 100);
+        traffic.unrelatedCrashAt = *rc::gen::inRange(0, Steps);
+        traffic.unrelatedCrashes = *rc::gen::inRange(0, traffic.engines / 2);
+        return traffic;
+    });
+}
+
+/// Runs such traffic and counts what the users limit.
+class PartTrafficRun
+{
+public:
+    explicit PartTrafficRun(const PartTraffic &traffic)
+        : m_traffic(traffic)
+        , m_fleet(traffic.faults)
+        , m_random(traffic.faults.seed)
+        , m_engines(static_cast<std::size_t>(traffic.engines))
+    {
+        for (auto &engine : m_engines) {
+            engine.incarnation = ++m_incarnations;
+        }
+        for (int i = 0; i < traffic.soundParts; ++i) {
+            m_soundParts.push_back(relay::promptPartDigest(core::cat("sound ", i)));
+        }
+    }
+
+    void run()
+    {
+        for (int step = 0; step < Steps; ++step) {
+            m_fleet.runStep(step);
+            advanceRuns(step);
+            if (step == m_traffic.unrelatedCrashAt) {
+                for (int i = 0; i < m_traffic.unrelatedCrashes; ++i) {
+                    crashEngine(static_cast<std::size_t>(i), step);
+                }
+            }
+            for (int share = m_traffic.soundPerStep; share > 0; share -= 100) {
+                if (drawBelow(100) < std::min(share, 100)) {
+                    sendSound(step);
+                }
+            }
+            if (step >= m_traffic.headStartSteps && step % m_traffic.badIntervalSteps == 0) {
+                sendBad(step);
+            }
+        }
+    }
+
+    [[nodiscard]] int lateBadSends() const noexcept
+    {
+        return m_lateBadSends;
+    }
+
+    /// Whether too many sound requests were refused later than twice the time that reports need.
+    [[nodiscard]] bool refusedTooManySound() const noexcept
+    {
+        constexpr int MinRequests = 20;
+        return m_lateSound >= MinRequests && m_lateSoundRefused * 2 > m_lateSound;
+    }
+
+private:
+    struct Engine
+    {
+        std::uint32_t incarnation = 0;
+        int downUntil = 0;
+    };
+
+    struct Run
+    {
+        int daemon = 0;
+        std::size_t engine = 0;
+        int beganAt = 0;
+        int endsAt = 0;
+        bool isBad = false;
+        bool isOver = false;
+        std::vector<core::Digest> parts;
+    };
+
+    int drawBelow(int limit)
+    {
+        return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+    }
+
+    [[nodiscard]] bool isLate(int spreadFactor, int daemon, int step) const
+    {
+        return m_lastCountedCrashAt >= 0 && step > m_lastCountedCrashAt + spreadFactor * ReportSpreadSteps
+            && m_fleet.wasUndisturbed(daemon, step);
+    }
+
+    /// \returns Whether a daemon sends a request with these parts to an engine.
+    bool send(int daemon, std::vector<core::Digest> parts, bool isBad, int step)
+    {
+        auto &crashes = m_fleet.daemon(daemon).crashes;
+        const bool quarantined = std::any_of(parts.begin(), parts.end(),
+                                             [&](const core::Digest &part) { return crashes.isQuarantined(part); });
+        const auto uniform = std::uniform_real_distribution<double>(0, 1)(m_random);
+        const bool sendsTrials = m_fleet.sendsTrials(daemon);
+        if (quarantined && !crashes.tryStartComparison(parts, uniform, sendsTrials, timeOf(step))) {
+            return false;
+        }
+        const auto engine = static_cast<std::size_t>(drawBelow(m_traffic.engines));
+        if (m_engines[engine].downUntil <= step) {
+            const int duration = isBad ? 1 + drawBelow(4) : m_traffic.soundRunSteps;
+            m_runs.push_back({daemon, engine, step, step + duration, isBad, false, std::move(parts)});
+        }
+        return true;
+    }
+
+    void sendSound(int step)
+    {
+        const auto daemon = m_fleet.randomDaemon();
+        std::vector<core::Digest> parts{m_soundParts.front()};
+        const auto second = static_cast<std::size_t>(drawBelow(m_traffic.soundParts));
+        if (second > 0) {
+            parts.push_back(m_soundParts[second]);
+        }
+        const bool sent = send(daemon, std::move(parts), false, step);
+        if (isLate(2, daemon, step)) {
+            ++m_lateSound;
+            m_lateSoundRefused += sent ? 0 : 1;
+        }
+    }
+
+    void sendBad(int step)
+    {
+        const auto daemon = m_fleet.randomDaemon();
+        auto parts = m_soundParts;
+        parts.push_back(m_badPart);
+        const bool sent = send(daemon, std::move(parts), true, step);
+        m_lateBadSends += sent && m_badCrashes >= CrashesUntilKnown && isLate(1, daemon, step) ? 1 : 0;
+    }
+
+    void advanceRuns(int step)
+    {
+        for (std::size_t i = 0; i < m_runs.size(); ++i) {
+            const auto &run = m_runs[i];
+            const bool lasts = step - run.beganAt == ProofSteps;
+            if (!run.isOver && run.isBad && step == run.endsAt) {
+                crashEngine(run.engine, step);
+            } else if (!run.isOver && (step == run.endsAt || lasts)) {
+                for (const auto &part : run.parts) {
+                    m_fleet.succeed(run.daemon, part, run.beganAt, step);
+                }
+            }
+            m_runs[i].isOver = m_runs[i].isOver || step >= run.endsAt;
+        }
+        std::erase_if(m_runs, [](const Run &run) { return run.isOver; });
+    }
+
+    void crashEngine(std::size_t number, int step)
+    {
+        auto &engine = m_engines[number];
+        if (engine.downUntil > step) {
+            return;
+        }
+        bool isCounted = false;
+        for (auto &run : m_runs) {
+            if (run.engine != number || run.isOver) {
+                continue;
+            }
+            run.isOver = true;
+            isCounted = isCounted || run.isBad;
+            for (const auto &part : run.parts) {
+                if (step - run.beganAt < ProofSteps) {
+                    m_fleet.crashPart(run.daemon, part, engine.incarnation, step);
+                }
+            }
+        }
+        if (isCounted && m_badCrashes++ < CrashesUntilKnown) {
+            m_lastCountedCrashAt = step;
+        }
+        engine = {++m_incarnations, step + ReplacementSteps};
+    }
+
+    const PartTraffic m_traffic;
+    Fleet m_fleet;
+    std::mt19937 m_random;
+    std::vector<Engine> m_engines;
+    std::vector<Run> m_runs;
+    std::vector<core::Digest> m_soundParts;
+    const core::Digest m_badPart = relay::promptPartDigest("bad");
+    std::uint32_t m_incarnations = 0;
+    std::uint32_t m_badCrashes = 0; ///< Engines that crashed while they ran a request with the bad part.
+    int m_lastCountedCrashAt = -1; ///< Step of the fifth of them, or of the last one if there are fewer.
+    int m_lateBadSends = 0;
+    int m_lateSound = 0;
+    int m_lateSoundRefused = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(crash_properties)
 
+// A part of prompts that crashes engines, among requests that share all their other parts with it.
+BOOST_AUTO_TEST_CASE(a_part_that_crashes_engines_is_rarely_sent_after_the_fifth_crash_had_time_to_spread)
+{
+    BOOST_TEST(rc::check("the number of late sends is limited", [] {
+        PartTrafficRun run(*partTraffics());
+        run.run();
+        RC_ASSERT(run.lateBadSends() <= MaxLateSends);
+    }));
+}
+
+// Sound requests that share parts with those that crash engines must not stay refused.
+BOOST_AUTO_TEST_CASE(parts_beside_the_one_that_crashes_engines_are_not_quarantined_for_long)
+{
+    BOOST_TEST(rc::check("sound requests are sent", [] {
+        PartTrafficRun run(*partTraffics());
+        run.run();
+        RC_ASSERT(!run.refusedTooManySound());
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(content_that_crashes_targets_is_rarely_sent_after_the_third_crash_report_had_time_to_spread)
 {
     BOOST_TEST(rc::check("the number of late sends is limited", [] {
--- a/tests/unit/crash_tracker_test.cpp
+++ b/tests/unit/crash_tracker_test.cpp
@@ -22,6 +22,8 @@
 using namespace spurlug::test;
 
 const core::Digest Content = core::digestOf({"a question"});
+const core::Digest BadPart = promptPartDigest("bad");
+const core::Digest SoundPart = promptPartDigest("sound");
 
 core::Digest otherContent(int number)
 {
@@ -253,11 +255,175 @@
     BOOST_TEST(!quarantines.isQuarantined(Content));
 }
 
+// A part that crashes engines was never quarantined, as each request with it had other content.
+BOOST_AUTO_TEST_CASE(a_part_is_quarantined_after_crashes_of_four_incarnations)
+{
+    CrashTracker tracker;
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        BOOST_TEST(!tracker.isQuarantined(BadPart));
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+}
+
+// Parts that run beside the cause must not be blamed for its crashes.
+BOOST_AUTO_TEST_CASE(a_part_whose_crashes_another_part_explains_is_not_quarantined)
+{
+    CrashTracker tracker;
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(tracker.isQuarantined(SoundPart)); // Nothing tells them apart yet.
+    tracker.noteCrash(BadPart, 5, at(50), SuspectKind::PromptPart);
+    BOOST_TEST(!tracker.isQuarantined(SoundPart));
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+}
+
+// A part that went well at any time is less suspect than one that never did.
+BOOST_AUTO_TEST_CASE(of_two_parts_with_the_same_crashes_the_one_that_never_succeeded_is_quarantined)
+{
+    CrashTracker tracker;
+    tracker.noteSuccess(SoundPart, at(-60'000));
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(!tracker.isQuarantined(SoundPart));
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+}
+
+// A part that begins to crash engines, after a release say, must not be protected for long by its earlier successes.
+BOOST_AUTO_TEST_CASE(a_part_that_went_well_three_seconds_ago_is_quarantined)
+{
+    CrashTracker tracker;
+    tracker.noteSuccess(BadPart, at(0));
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(BadPart, target, at(3000), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+}
+
+BOOST_AUTO_TEST_CASE(a_popular_part_is_not_quarantined_when_a_rack_is_lost)
+{
+    CrashTracker tracker;
+    tracker.noteSuccess(SoundPart, at(0));
+    for (std::uint32_t target = 1; target <= 6; ++target) {
+        tracker.noteCrash(SoundPart, target, at(1000), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(!tracker.isQuarantined(SoundPart));
+}
+
+// Parts that came together from their first use on must not stay quarantined together.
+BOOST_AUTO_TEST_CASE(a_request_with_some_of_the_parts_that_cannot_be_told_apart_is_tried_soon)
+{
+    CrashTracker tracker;
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(!tracker.tryStartComparison({SoundPart}, 0, false, at(100))); // Requests in progress may decide it.
+    BOOST_TEST(!tracker.tryStartComparison({SoundPart, BadPart}, 0, false, at(400))); // It would tell nothing.
+    BOOST_TEST(tracker.tryStartComparison({SoundPart}, 0, false, at(400)));
+    BOOST_TEST(!tracker.tryStartComparison({SoundPart}, 0, false, at(500)));
+    BOOST_TEST(!tracker.tryStartComparison({BadPart}, 0, false, at(2600))); // Others rely on the quarantine by now.
+    BOOST_TEST(tracker.tryStartComparison({BadPart}, 1, true, at(2600))); // One daemon may still try.
+    BOOST_TEST(!tracker.tryStartComparison({BadPart}, 1, true, at(4000)));
+    tracker.noteSuccess(SoundPart, at(450));
+    BOOST_TEST(!tracker.isQuarantined(SoundPart));
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+}
+
+// An unrelated crash during a comparison must not get the sound part blamed for good.
+BOOST_AUTO_TEST_CASE(a_part_with_one_crash_more_than_another_is_tried_soon)
+{
+    CrashTracker tracker;
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    tracker.noteCrash(SoundPart, 5, at(400), SuspectKind::PromptPart);
+    BOOST_TEST(!tracker.isQuarantined(BadPart));
+    BOOST_TEST(tracker.tryStartComparison({SoundPart}, 0, false, at(800)));
+    tracker.noteSuccess(SoundPart, at(850));
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+    BOOST_TEST(!tracker.isQuarantined(SoundPart));
+}
+
+// A single part that crashes engines must not be tried again at once: each try costs an engine.
+BOOST_AUTO_TEST_CASE(a_part_without_an_alternative_is_not_tried_soon)
+{
+    CrashTracker tracker;
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(!tracker.tryStartComparison({BadPart}, 0, false, at(400)));
+    BOOST_TEST(!tracker.tryStartTrial(BadPart, at(59'000)));
+    BOOST_TEST(tracker.tryStartTrial(BadPart, at(61'000)));
+    tracker.noteSuccess(BadPart, at(61'500)); // The engines were mended: one trial releases all requests.
+    BOOST_TEST(!tracker.isQuarantined(BadPart));
+}
+
+// A caller chooses the number of parts, and must not displace what is known about others.
+BOOST_AUTO_TEST_CASE(many_parts_of_one_crash_do_not_evict_a_quarantined_part)
+{
+    CrashTracker tracker;
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
+    }
+    for (int i = 0; i < 3000; ++i) {
+        tracker.noteCrash(promptPartDigest(core::cat("part ", i)), 5, at(100), SuspectKind::PromptPart);
+    }
+    BOOST_TEST(tracker.size() <= CrashTracker::MaxSuspects);
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+}
+
+// Datagrams have to fit into one packet, however many crashes a suspect has.
+BOOST_AUTO_TEST_CASE(reports_of_many_suspects_with_many_crashes_are_split)
+{
+    ExchangeState daemon(daemonName(10, false), 10);
+    for (int suspect = 0; suspect < 20; ++suspect) {
+        for (std::uint32_t target = 1; target <= 40; ++target) {
+            daemon.context.crashes.noteCrash(promptPartDigest(core::cat("part ", suspect)), target, at(0),
+                                             SuspectKind::PromptPart);
+        }
+    }
+    daemon.exchange.publishChanges(at(0));
+    BOOST_TEST(daemon.sent.size() > 0U);
+    std::size_t suspects = 0;
+    for (const auto &[to, message] : daemon.sent) {
+        BOOST_TEST(control::writeMessage(message).size() <= 1400U);
+        suspects += std::get<control::CrashReport>(message).suspects.size();
+    }
+    BOOST_TEST(suspects == 3U * 20U); // Every aggregator gets all of them.
+}
+
+// The part shared by different requests decides, whichever organisation sends them.
+BOOST_AUTO_TEST_CASE(a_request_with_a_quarantined_part_is_refused_and_its_last_part_never_counts)
+{
+    RelayState state;
+    state.context.table = chatTable();
+    auto facts = longPrompt();
+    facts.promptParts = {"a1", "bad", "a2"};
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        state.context.crashes.noteCrash(promptPartDigest("bad"), target, at(0), SuspectKind::PromptPart);
+    }
+    RequestProgress inTheMiddle(state.context, facts, at(20));
+    const auto refusal = inTheMiddle.authorise(at(20));
+    BOOST_REQUIRE(refusal.has_value());
+    BOOST_TEST((refusal->reason == core::Reason::CrashesTargets));
+    BOOST_TEST(refusal->status == 503);
+    BOOST_TEST((refusal->retryAfter >= absl::Seconds(10)));
+    facts.promptParts = {"a1", "a2", "bad"};
+    RequestProgress atTheEnd(state.context, facts, at(20));
+    BOOST_TEST(!atTheEnd.authorise(at(20)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(crash_reports_are_decoded_as_encoded)
 {
     control::CrashReport report;
     report.suspects.push_back({Content, {{7, absl::Milliseconds(250)}, {8, absl::Seconds(2)}}, absl::Seconds(30)});
-    report.suspects.push_back({otherContent(1), {}});
+    report.suspects.push_back({BadPart, {}, absl::InfiniteDuration(), SuspectKind::PromptPart});
     const auto message = control::readMessage(control::writeMessage(report));
     BOOST_REQUIRE(message.has_value());
     const auto &suspect = std::get<control::CrashReport>(*message).suspects.at(0);
@@ -267,7 +433,10 @@
     BOOST_TEST((suspect.crashes[0].age == absl::Milliseconds(250)));
     BOOST_TEST(suspect.crashes[1].target == 8U);
     BOOST_TEST((suspect.lastSuccessAge == absl::Seconds(30)));
-    BOOST_TEST((std::get<control::CrashReport>(*message).suspects.at(1).lastSuccessAge == absl::InfiniteDuration()));
+    BOOST_TEST((suspect.kind == SuspectKind::Content));
+    const auto &part = std::get<control::CrashReport>(*message).suspects.at(1);
+    BOOST_TEST((part.lastSuccessAge == absl::InfiniteDuration()));
+    BOOST_TEST((part.kind == SuspectKind::PromptPart));
 }
 
 // Each engine crash affects a dozen requests. Their reports must not be broadcast to every daemon of a large fleet.
