Let a retry after a trial choose among all targets, and share a loop of the tracker's tests

A trial goes to one random target. If its quarantine was lifted while it ran, a retry was limited to the same target, which it had been sent to already.

--- a/include/spurlug/relay/crash_tracker.h
+++ b/include/spurlug/relay/crash_tracker.h
@@ -38,7 +38,7 @@
     static constexpr auto FirstTrialDelay = absl::Seconds(60);
     /// Content is forgotten this long after its last crash or completed run.
     static constexpr auto Retention = absl::Hours(1);
-    static constexpr std::size_t MaxSuspects = 1024; ///< About 250 KB.
+    static constexpr std::size_t MaxSuspects = 1024; ///< With their crashes at most 700 KB.
     /// Crashes kept for one suspect. Further ones would only help to spare what ran beside it.
     static constexpr std::size_t MaxCrashes = 32;
 
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -224,9 +224,8 @@
     query.timeLeft = m_deadline - now;
     query.mayHaveRun = m_mayHaveRun;
     query.excludedTargets = m_unreachableTargets;
-    if (m_isTrial) {
+    if (m_isTrial && m_attempts == 0) {
         query.allowedTargets = trialTargets(query.service, now);
-        return query;
     }
     const bool targetLimitReached = m_sentTo.size() >= static_cast<std::size_t>(m_route->maxTargets);
     if (targetLimitReached) {
--- a/tests/platform/crashing_prompt_parts_test.cpp
+++ b/tests/platform/crashing_prompt_parts_test.cpp
@@ -224,7 +224,9 @@
 };
 
 /// Sends sound requests and, beside them, requests with parts that crash engines, and checks both promises.
-/// \param crashing Shared parts of the requests that crash engines; the last one is the bad one.
+/// \param crashing Shared parts of the kinds of requests that crash engines; each has one of `badParts`.
+/// \param sound Shared parts of the kinds of sound requests.
+/// \param perSecond Requests that crash engines, of all kinds together.
 void checkCrashingParts(const std::vector<SharedParts> &crashing, const std::vector<SharedParts> &sound,
                         const std::vector<std::string> &badParts, double perSecond)
 {
--- a/tests/unit/crash_tracker_test.cpp
+++ b/tests/unit/crash_tracker_test.cpp
@@ -40,6 +40,16 @@
     return tracker;
 }
 
+/// Four targets crash at time 0 under requests with all these parts.
+void crashUnder(CrashTracker &tracker, std::initializer_list<core::Digest> parts)
+{
+    for (std::uint32_t target = 1; target <= 4; ++target) {
+        for (const auto &part : parts) {
+            tracker.noteCrash(part, target, at(0), SuspectKind::PromptPart);
+        }
+    }
+}
+
 /// A daemon of a fleet, with the messages that it sent.
 struct ExchangeState : RelayState
 {
@@ -270,10 +280,7 @@
 BOOST_AUTO_TEST_CASE(a_part_whose_crashes_another_part_explains_is_not_quarantined)
 {
     CrashTracker tracker;
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
-        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(tracker, {SoundPart, BadPart});
     BOOST_TEST(tracker.isQuarantined(SoundPart)); // Nothing tells them apart yet.
     tracker.noteCrash(BadPart, 5, at(50), SuspectKind::PromptPart);
     BOOST_TEST(!tracker.isQuarantined(SoundPart));
@@ -285,10 +292,7 @@
 {
     CrashTracker tracker;
     tracker.noteSuccess(SoundPart, at(-60'000));
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
-        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(tracker, {SoundPart, BadPart});
     BOOST_TEST(!tracker.isQuarantined(SoundPart));
     BOOST_TEST(tracker.isQuarantined(BadPart));
 }
@@ -318,10 +322,7 @@
 BOOST_AUTO_TEST_CASE(a_request_with_some_of_the_parts_that_cannot_be_told_apart_is_tried_soon)
 {
     CrashTracker tracker;
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
-        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(tracker, {SoundPart, BadPart});
     BOOST_TEST(!tracker.tryStartComparison({SoundPart}, 0, false, at(100))); // Requests in progress may decide it.
     BOOST_TEST(!tracker.tryStartComparison({SoundPart, BadPart}, 0, false, at(400))); // It would tell nothing.
     BOOST_TEST(tracker.tryStartComparison({SoundPart}, 0, false, at(400)));
@@ -338,10 +339,7 @@
 BOOST_AUTO_TEST_CASE(a_part_with_one_crash_more_than_another_is_tried_soon)
 {
     CrashTracker tracker;
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        tracker.noteCrash(SoundPart, target, at(0), SuspectKind::PromptPart);
-        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(tracker, {SoundPart, BadPart});
     tracker.noteCrash(SoundPart, 5, at(400), SuspectKind::PromptPart);
     BOOST_TEST(!tracker.isQuarantined(BadPart));
     BOOST_TEST(tracker.tryStartComparison({SoundPart}, 0, false, at(800)));
@@ -354,9 +352,7 @@
 BOOST_AUTO_TEST_CASE(a_part_without_an_alternative_is_not_tried_soon)
 {
     CrashTracker tracker;
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(tracker, {BadPart});
     BOOST_TEST(!tracker.tryStartComparison({BadPart}, 0, false, at(400)));
     BOOST_TEST(!tracker.tryStartTrial(BadPart, at(59'000)));
     BOOST_TEST(tracker.tryStartTrial(BadPart, at(61'000)));
@@ -368,9 +364,7 @@
 BOOST_AUTO_TEST_CASE(many_parts_of_one_crash_do_not_evict_a_quarantined_part)
 {
     CrashTracker tracker;
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        tracker.noteCrash(BadPart, target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(tracker, {BadPart});
     for (int i = 0; i < 3000; ++i) {
         tracker.noteCrash(promptPartDigest(core::cat("part ", i)), 5, at(100), SuspectKind::PromptPart);
     }
@@ -405,9 +399,7 @@
     state.context.table = chatTable();
     auto facts = longPrompt();
     facts.promptParts = {"a1", "bad", "a2"};
-    for (std::uint32_t target = 1; target <= 4; ++target) {
-        state.context.crashes.noteCrash(promptPartDigest("bad"), target, at(0), SuspectKind::PromptPart);
-    }
+    crashUnder(state.context.crashes, {promptPartDigest("bad")});
     RequestProgress inTheMiddle(state.context, facts, at(20));
     const auto refusal = inTheMiddle.authorise(at(20));
     BOOST_REQUIRE(refusal.has_value());
