Release suspects from quarantine when they expire, and judge a part as a part

Two faults seen by reading. A suspect that expired, or was evicted, while another one was reported stayed in quarantine without any crash; a request with it would have ended the process, as the time of a crash that does not exist was asked for. A part that a daemon of an older version had reported as content stayed quarantined after three crashes. Both tests fail before (an_expired_part_is_not_quarantined, a_part_that_was_reported_as_content_is_judged_as_a_part).

--- a/src/relay/crash_tracker.cpp
+++ b/src/relay/crash_tracker.cpp
@@ -109,9 +109,14 @@
 
 void CrashTracker::removeExpired(core::Time now)
 {
-    std::erase_if(m_suspects, [now](const auto &item) {
-        const auto &suspect = item.second.suspect;
-        return now - std::max(suspect.lastCrashAt(), suspect.lastSuccessAt) > core::Duration(Retention);
+    std::erase_if(m_suspects, [this, now](const auto &item) {
+        const auto &[digest, record] = item;
+        const auto lastChangeAt = std::max(record.suspect.lastCrashAt(), record.suspect.lastSuccessAt);
+        const bool isExpired = now - lastChangeAt > core::Duration(Retention);
+        if (isExpired) {
+            m_quarantined.erase(digest);
+        }
+        return isExpired;
     });
 }
 
@@ -124,6 +129,7 @@
         return weight(left) < weight(right);
     });
     m_changed.erase(least->first);
+    m_quarantined.erase(least->first);
     m_suspects.erase(least);
 }
 
@@ -202,7 +208,10 @@
 {
     MergeResult merged;
     auto &known = suspect(reported.digest, reported.kind, now);
-    known.kind = std::max(known.kind, reported.kind); // A daemon of an older version reports parts as content.
+    if (known.kind < reported.kind) { // A daemon of an older version reported a part as content.
+        known.kind = reported.kind;
+        merged.changed = true;
+    }
     if (reported.lastSuccessAt > known.lastSuccessAt + core::Duration(MessageDelay)
         || refutesAny(known, reported.lastSuccessAt)) {
         removeRefuted(known, reported.lastSuccessAt);
--- a/tests/unit/crash_tracker_test.cpp
+++ b/tests/unit/crash_tracker_test.cpp
@@ -360,6 +360,30 @@
     BOOST_TEST(!tracker.isQuarantined(BadPart));
 }
 
+// A suspect that expired while another one was reported stayed in quarantine without any crash.
+BOOST_AUTO_TEST_CASE(an_expired_part_is_not_quarantined)
+{
+    CrashTracker tracker;
+    crashUnder(tracker, {BadPart});
+    constexpr int AfterRetentionMs = 3'700'000;
+    tracker.merge({SoundPart, {}}, at(AfterRetentionMs));
+    BOOST_TEST(!tracker.isQuarantined(BadPart));
+    BOOST_TEST(
+        tracker.tryStartComparison({BadPart}, 0, true, at(AfterRetentionMs + 1000))); // Nothing speaks against it.
+}
+
+// A part that was first reported by a daemon that does not know parts was judged as content.
+BOOST_AUTO_TEST_CASE(a_part_that_was_reported_as_content_is_judged_as_a_part)
+{
+    CrashTracker tracker;
+    const std::vector<TargetCrash> crashes{{1, at(0)}, {2, at(0)}, {3, at(0)}};
+    tracker.merge({BadPart, crashes}, at(10));
+    BOOST_TEST(tracker.isQuarantined(BadPart));
+    tracker.merge({BadPart, crashes, absl::InfinitePast(), 0, SuspectKind::PromptPart}, at(20));
+    BOOST_TEST(!tracker.isQuarantined(BadPart));
+    BOOST_TEST(tracker.tryStartComparison({BadPart}, 0, true, at(30))); // Nothing speaks against it.
+}
+
 // A caller chooses the number of parts, and must not displace what is known about others.
 BOOST_AUTO_TEST_CASE(many_parts_of_one_crash_do_not_evict_a_quarantined_part)
 {
