Destroy what waits on the loop before the daemon that it refers to

Cause: the daemon is constructed after the loop and destroyed before it, and the loop's destructor destroys the coroutines that still wait. Those of requests, tunnels and orders refer to the daemon: ~PlacementSession called SchedulerClient::closeRequest of a destroyed client, ~OpenTunnel and ~RequestProgress wrote to a destroyed context.

Change: net::Loop can discard what waits, by the function that its base class has for this, and the destructor of the daemon does so while all its members live.

--- a/include/spurlug/net/io.h
+++ b/include/spurlug/net/io.h
@@ -27,7 +27,20 @@
 
 /// \brief The event loop that runs every coroutine of the daemon. It runs on one thread, so that state shared by
 /// coroutines needs no lock.
-using Loop = asio::io_context;
+class Loop : public asio::io_context
+{
+public:
+    using asio::io_context::io_context;
+
+    /// \brief Destroys all coroutines and handlers that still wait. Only for a loop that does not run any more.
+    ///
+    /// Objects that coroutines refer to must be destroyed after this call. They need the loop, so they are destroyed
+    /// before it, and its destructor would be too late.
+    void discardWaiting()
+    {
+        shutdown();
+    }
+};
 
 /// \brief Awaits an operation and returns its error code instead of throwing it.
 inline constexpr auto Awaited = asio::as_tuple(asio::use_awaitable);
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -37,6 +37,10 @@
     /// \throws NetworkError if an address cannot be bound.
     RelayDaemon(net::Loop &loop, settings::RelaySettings settings, std::string settingsPath, Protocol protocol,
                 Source &source);
+    /// \brief Destroys everything that still waits on the loop, which must not run any more.
+    ~RelayDaemon();
+    RelayDaemon(const RelayDaemon &) = delete;
+    RelayDaemon &operator=(const RelayDaemon &) = delete;
 
     /// \brief Starts to serve; the caller runs the loop.
     void start();
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -42,6 +42,12 @@
     });
 }
 
+template<ProtocolCodec Protocol, Directory Source>
+RelayDaemon<Protocol, Source>::~RelayDaemon()
+{
+    m_loop.discardWaiting(); // Waiting coroutines refer to the members of this object.
+}
+
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::spawn(net::Task<> task)
 {
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -88,7 +88,7 @@
     loop.stop();
 }
 
-void RelayFleet::addDaemon()
+settings::RelaySettings RelayFleet::makeSettings()
 {
     const auto number = m_daemons.size() + 1;
     const bool isConnected = m_peers == Peers::Connected;
@@ -111,7 +111,12 @@
     settings.store = store.address();
     settings.bounds.grace = absl::Seconds(5);
     settings.bounds.evacuate = absl::Seconds(5);
-    startDaemon(std::move(settings));
+    return settings;
+}
+
+void RelayFleet::addDaemon()
+{
+    startDaemon(makeSettings());
 }
 
 void RelayFleet::startDaemon(settings::RelaySettings settings)
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -101,6 +101,8 @@
     [[nodiscard]] net::Task<double> metric(std::string name, std::size_t daemon = 0);
     /// \brief Starts another daemon. If the daemons know each other, its seeds are the first three.
     void addDaemon();
+    /// \brief Returns settings for another daemon, with free addresses.
+    [[nodiscard]] settings::RelaySettings makeSettings();
     /// \brief Starts the graceful shutdown of a daemon.
     void startShutdown(std::size_t daemon = 0);
     /// \brief Establishes the connections of a daemon to targets.
