--- a/include/spurlug/metrics/metrics.h
+++ b/include/spurlug/metrics/metrics.h
@@ -62,6 +62,7 @@
     QuarantinesLifted, ///< Quarantines that ended because the work succeeded after all.
     PromptPartsQuarantined, ///< Prompt parts that this daemon began to refuse, as they crash targets.
     QuarantineTrials, ///< Quarantined requests that were sent to test whether they still crash their target.
+    RequestsCut, ///< Requests that ended without an answer because the daemon had to exit.
     ConnectionsTurnedAway, ///< Connections of callers that were closed unread while the event loop was overloaded.
     CrashReportsSent, ///< Datagrams to other daemons about work that crashes targets.
     TargetEntriesInvalid, ///< Times that a new fault was found in a target's entry.
@@ -158,6 +159,7 @@
         EnumName<Counter>{Counter::QuarantinesLifted, "quarantines_lifted"},
         EnumName<Counter>{Counter::QuarantineTrials, "quarantine_trials"},
         EnumName<Counter>{Counter::PromptPartsQuarantined, "prompt_parts_quarantined"},
+        EnumName<Counter>{Counter::RequestsCut, "requests_cut"},
         EnumName<Counter>{Counter::ConnectionsTurnedAway, "connections_turned_away"},
         EnumName<Counter>{Counter::CrashReportsSent, "crash_news_sent"},
         EnumName<Counter>{Counter::TargetEntriesInvalid, "target_entries_unusable"},
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -64,6 +64,10 @@
 struct CallerDisconnected
 { };
 
+/// \brief The daemon's shutdown began, or the time has come to end the request.
+struct ShutdownAdvanced
+{ };
+
 /// \brief The scheduler answered a placement request.
 struct PlacementArrived
 {
@@ -79,7 +83,7 @@
 
 /// \brief An event of a request.
 using RequestEvent = std::variant<HeadArrived, BytesArrived, AttemptEnded, TunnelOpened, CallerDisconnected,
-                                  PlacementArrived, IncarnationEnded>;
+                                  ShutdownAdvanced, PlacementArrived, IncarnationEnded>;
 
 /// \brief The event queue of one request; outlives the request while an attempt still runs.
 struct RequestInbox : core::RefCounted<RequestInbox>
@@ -116,6 +120,12 @@
         return m_connected.peer;
     }
 
+    /// \brief Whether any of the request may have been written.
+    [[nodiscard]] bool mayHaveSent() const noexcept
+    {
+        return m_sending;
+    }
+
 private:
     [[nodiscard]] net::Task<> run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
                                   core::Time deadline, MayWrite mayWrite);
@@ -129,6 +139,7 @@
     core::Ref<RequestInbox> m_inbox;
     const int m_number;
     TargetConnection m_connected; ///< Without a connection until it is established.
+    bool m_sending = false; ///< Whether writing the request has started.
     bool m_aborted = false;
 };
 
--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -15,12 +15,14 @@
 #include "spurlug/overload/features.h"
 #include "spurlug/overload/load_view_store.h"
 #include "spurlug/overload/local_admission.h"
+#include "spurlug/relay/active_request.h"
 #include "spurlug/relay/crash_tracker.h"
 #include "spurlug/relay/domain_links.h"
 #include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/fleet_retry_budget.h"
 #include "spurlug/relay/freshness.h"
 #include "spurlug/relay/placement.h"
+#include "spurlug/relay/shutdown.h"
 #include "spurlug/relay/target_change_log.h"
 #include "spurlug/relay/target_set.h"
 #include "spurlug/relay/target_speed.h"
@@ -94,9 +96,9 @@
     overload::LoadViewStore loadViews;
     overload::LocalAdmission localAdmission;
     const core::Time startedAt;
-    bool draining = false;
-    core::Time drainingSince = absl::InfiniteFuture();
+    Shutdown shutdown;
     std::int64_t requestsInProgress = 0; ///< Requests that have been read and not yet answered.
+    ActiveRequests activeRequests; ///< The same requests.
     std::int64_t openTunnels = 0; ///< Tunnels to targets that this daemon serves for peers.
     std::uint64_t reservationCounter = 0; ///< Counter for reservation ids, from the start of this process.
     std::size_t directoryReaders = 1; ///< Estimated number of daemons that read the directory, including this one.
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -71,7 +71,7 @@
     const auto reply = [&](const control::Message &answer) { m_transport.sendTo(from, control::writeMessage(answer)); };
     if (const auto *report = std::get_if<control::WorkReport>(&message)) {
         m_scheduler.applyReport(*report, now);
-        if (report->wantsAck && !m_context.draining && m_context.table) {
+        if (report->wantsAck && !m_context.shutdown.hasBegun() && m_context.table) {
             reply(control::ReportAck{m_context.settings.vm});
         }
     } else if (const auto *request = std::get_if<control::PlacementRequest>(&message)) {
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -20,6 +20,8 @@
 #include "spurlug/relay/tunnel_server.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/intrusive/list.hpp>
+#include <functional>
 #include <nlohmann/json.hpp>
 
 namespace spurlug::relay
@@ -44,8 +46,11 @@
 
     /// \brief Starts to serve; the caller runs the loop.
     void start();
-    /// \brief Shuts down gracefully: reports not ready, waits for requests in progress, then stops the loop.
+    /// \brief Shuts down gracefully: reports not ready, serves the requests that can end before it must exit, refuses
+    /// the others, then calls the handler of `onStopped`. Later calls do nothing.
     void stop();
+    /// \brief Sets what happens at the end of a shutdown; by default, the loop is stopped.
+    void onStopped(std::function<void()> handler);
     /// \brief Starts and runs the loop until the daemon has stopped.
     void run();
 
@@ -56,10 +61,14 @@
     }
 
 private:
-    /// Minimum time of draining: the load balancer, which checks twice a second, must notice it.
-    static constexpr auto MinDrainTime = absl::Milliseconds(2500);
+    /// A caller's connection from its accept to its close.
+    struct CallerLink : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+    {
+        core::Ref<net::ServerConnection> connection;
+        bool isClosing = false; ///< Whether the last answer was written and the caller may still read it.
+    };
+
     static constexpr auto DrainCheckInterval = absl::Milliseconds(50); ///< Interval between checks while draining.
-    static constexpr auto GraceMargin = absl::Milliseconds(500); ///< Part of the grace period that is left unused.
     /// Factor on the idle timeout: callers may use a connection until the timeout has passed.
     static constexpr double IdleTimeoutFactor = 1.25;
 
@@ -78,6 +87,10 @@
     [[nodiscard]] net::Response answerStateQuery(const net::Request &request) const;
     [[nodiscard]] net::Task<> handleSignals();
     [[nodiscard]] net::Task<> drain();
+    /// Whether any request is being received or served, for a caller or a peer.
+    [[nodiscard]] bool hasWork() const;
+    /// Resets the connections of callers whose answers are incomplete because this daemon exits.
+    void cutRequests(core::Time now);
     /// Reloads the settings when the content of the file changes.
     [[nodiscard]] net::Task<> watchSettings();
     /// Reads the settings file; invalid settings are logged and ignored.
@@ -99,6 +112,8 @@
     SimpleServer m_controlServer;
     SimpleServer m_metricsServer;
     net::asio::signal_set m_signals;
+    boost::intrusive::list<CallerLink, boost::intrusive::constant_time_size<false>> m_callers;
+    std::function<void()> m_onStopped;
     core::Duration m_maxIdleTimeout = absl::ZeroDuration(); ///< Longest idle timeout that has been configured so far.
 };
 
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -35,6 +35,7 @@
                           return textResponse(core::http_status::Ok, m_metrics.prometheusText(), "text/plain");
                       })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
+    , m_onStopped([&loop] { loop.stop(); })
 {
     m_context.connector = &m_connector;
     m_controlServer.onTunnel([this](net::ServerConnection &client, net::Request request) {
@@ -79,11 +80,17 @@
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::stop()
 {
-    if (!m_context.draining) {
+    if (m_context.shutdown.begin(core::now())) {
         spawn(drain());
     }
 }
 
+template<ProtocolCodec Protocol, Directory Source>
+void RelayDaemon<Protocol, Source>::onStopped(std::function<void()> handler)
+{
+    m_onStopped = std::move(handler);
+}
+
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::run()
 {
@@ -171,9 +178,13 @@
 net::Task<> RelayDaemon<Protocol, Source>::serveCaller(net::asio::ip::tcp::socket socket)
 {
     const auto caller = core::makeRef<net::ServerConnection>(m_loop, std::move(socket));
+    CallerLink link;
+    link.connection = caller;
+    m_callers.push_back(link);
     for (;;) {
         auto result = co_await caller->read(readLimits());
         if (!result.request) {
+            link.isClosing = true;
             co_await rejectUnreadable(caller, std::move(result));
             co_return;
         }
@@ -187,6 +198,7 @@
         }
         if (!parsed) {
             result.failure = net::ReadFailure::Malformed;
+            link.isClosing = true;
             co_await rejectUnreadable(caller, std::move(result));
             co_return;
         }
@@ -194,6 +206,7 @@
                                          result.firstByteAt);
         const bool keepOpen = co_await request.run();
         if (!keepOpen) {
+            link.isClosing = true;
             co_await caller->closeLingering();
             co_return;
         }
@@ -203,7 +216,7 @@
 template<ProtocolCodec Protocol, Directory Source>
 bool RelayDaemon<Protocol, Source>::ready(core::Time now) const
 {
-    return m_context.table && !m_context.draining && m_context.canCheckKeys(now);
+    return m_context.table && !m_context.shutdown.hasBegun() && m_context.canCheckKeys(now);
 }
 
 template<ProtocolCodec Protocol, Directory Source>
@@ -252,22 +265,44 @@
 template<ProtocolCodec Protocol, Directory Source>
 net::Task<> RelayDaemon<Protocol, Source>::drain()
 {
-    const auto drainStart = core::now();
-    m_context.draining = true;
-    m_context.drainingSince = drainStart;
+    auto &shutdown = m_context.shutdown;
     core::log(core::LogLevel::Info, "stopping", {{"vm", m_settings.vm}, {"inProgress", m_context.requestsInProgress}});
-    m_controlPlane.announceStop(drainStart);
-    const auto drainDeadline = drainStart + m_settings.bounds.grace - GraceMargin;
-    for (;;) {
+    m_controlPlane.announceStop(core::now());
+    bool answers = true;
+    for (auto now = core::now(); now < shutdown.exitAt() && (hasWork() || !shutdown.mayExitIdle(now));
+         now = core::now()) {
+        if (answers && now >= shutdown.answerBy()) {
+            answers = false;
+            shutdown.endRequests();
+        }
         co_await net::sleepFor(DrainCheckInterval);
-        const auto now = core::now();
-        const bool idle
-            = m_context.requestsInProgress == 0 && m_context.openTunnels == 0 && now - drainStart >= MinDrainTime;
-        if (idle || now >= drainDeadline) {
-            break;
+    }
+    cutRequests(core::now());
+    m_onStopped();
+}
+
+template<ProtocolCodec Protocol, Directory Source>
+bool RelayDaemon<Protocol, Source>::hasWork() const
+{
+    return m_context.requestsInProgress > 0 || m_context.openTunnels > 0
+        || std::any_of(m_callers.begin(), m_callers.end(), [](const CallerLink &link) { return link.isClosing; });
+}
+
+template<ProtocolCodec Protocol, Directory Source>
+void RelayDaemon<Protocol, Source>::cutRequests(core::Time now)
+{
+    for (const auto &request : m_context.activeRequests) {
+        m_metrics.count(metrics::Counter::RequestsCut);
+        core::log(core::LogLevel::Warning, "request_cut",
+                  {{"request", request.id},
+                   {"stage", core::nameOf(request.stage)},
+                   {"afterMs", core::toMs(now - request.arrivedAt)}});
+    }
+    for (const auto &link : m_callers) {
+        if (!link.isClosing) {
+            link.connection->reset(); // No caller may take a part of an answer for the whole.
         }
     }
-    m_loop.stop();
 }
 
 template<ProtocolCodec Protocol, Directory Source>
--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -71,6 +71,15 @@
     /// Reserves KV memory at the helpers that need it.
     /// \returns Whether all of them granted it.
     [[nodiscard]] net::Task<bool> reserveMemory(const ChosenTargets &chosen);
+    /// Waits before the request is tried again; ends early if the caller disconnects or the shutdown advances.
+    [[nodiscard]] net::Task<> delayRetry(core::Duration delay);
+    /// Whether an attempt that starts now can't end before this daemon exits; sets `m_failureReason` if so.
+    /// \param chosen The targets of the attempt; null if they are not chosen yet.
+    [[nodiscard]] bool missesExit(const ChosenTargets *chosen, core::Time now);
+    /// Until when the request may wait for something that it needs to start an attempt.
+    [[nodiscard]] core::Time waitUntil(core::Time earliest) const;
+    /// Ends an attempt that is still in progress when this daemon is about to exit.
+    void abortForExit(core::Time now);
     /// Releases all reservations.
     void releaseReservations();
     /// Whether the incarnation of an engine that holds memory for the prompt has ended.
@@ -134,7 +143,7 @@
     [[nodiscard]] net::Task<NextStep> handleEvent(RequestEvent event, const ChosenTargets &chosen, bool &ended);
     [[nodiscard]] net::Task<NextStep> handleHead(net::ResponseHead head, bool &ended);
     [[nodiscard]] net::Task<NextStep> handleBytes(const std::string &bytes, bool &ended);
-    [[nodiscard]] net::Task<NextStep> handleEnd(const AttemptEnded &end);
+    [[nodiscard]] net::Task<NextStep> handleEnd(const AttemptEnded &end, const ChosenTargets &chosen);
     /// Passes a complete non-stream answer on to the caller.
     [[nodiscard]] net::Task<NextStep> forwardAnswer();
     /// Passes the head of a stream on to the caller.
@@ -160,6 +169,7 @@
     const net::Request m_request;
     RequestProgress m_progress;
     core::Ref<RequestInbox> m_inbox;
+    ShutdownWatch m_shutdownWatch;
     core::Ref<Attempt> m_attempt;
     std::vector<core::Ref<Reservation>> m_reservations;
     std::vector<std::unique_ptr<IncarnationWatch>> m_incarnationWatches; ///< For the engines of the current attempt.
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -11,7 +11,7 @@
 
 template<ProtocolCodec D>
 net::Task<typename RequestHandler<D>::NextStep> RequestHandler<D>::handleEvent(RequestEvent event,
-                                                                               const ChosenTargets &, bool &ended)
+                                                                               const ChosenTargets &chosen, bool &ended)
 {
     if (std::holds_alternative<CallerDisconnected>(event)) {
         m_callerGone = true;
@@ -34,7 +34,7 @@
     }
     if (auto *end = std::get_if<AttemptEnded>(&event); end != nullptr && end->attempt == current) {
         ended = true;
-        co_return co_await handleEnd(*end);
+        co_return co_await handleEnd(*end, chosen);
     }
     if (const auto *incarnationEnd = std::get_if<IncarnationEnded>(&event);
         incarnationEnd != nullptr && incarnationEnd->attempt == current) {
@@ -122,6 +122,7 @@
 net::Task<bool> RequestHandler<D>::forwardHead()
 {
     m_headForwarded = true;
+    m_progress.setStage(RequestStage::Answering);
     auto head = m_codec.answerHead(m_head);
     const bool written = co_await m_caller->writeHead(std::move(head), keepsAlive(), m_progress.deadline());
     co_return written;
@@ -140,11 +141,15 @@
         m_lastEventId = event.id;
     }
     m_context.metrics.count(metrics::Counter::TokensRelayed);
-    co_return co_await m_caller->writeChunk(std::move(event.bytes), m_progress.deadline());
+    m_progress.setStage(RequestStage::Answering);
+    const bool written = co_await m_caller->writeChunk(std::move(event.bytes), m_progress.deadline());
+    m_progress.setStage(RequestStage::AtTarget);
+    co_return written;
 }
 
 template<ProtocolCodec D>
-net::Task<typename RequestHandler<D>::NextStep> RequestHandler<D>::handleEnd(const AttemptEnded &end)
+net::Task<typename RequestHandler<D>::NextStep> RequestHandler<D>::handleEnd(const AttemptEnded &end,
+                                                                             const ChosenTargets &chosen)
 {
     if (end.stage == AttemptStage::NotConnected) {
         co_return handleFailure(core::Outcome::NotRun, core::Reason::ConnectFailed,
@@ -156,8 +161,10 @@
         if (m_progress.isWithheld()) {
             m_failureReason = core::Reason::CrashesTargets;
         }
+        const bool stops = missesExit(&chosen, now);
         m_progress.cancelAttempt(m_failureReason, now);
-        co_return NextStep::SendAgain; // Nothing was sent, so this does not count as a retry.
+        // Nothing was sent, so another attempt does not count as a retry.
+        co_return stops ? NextStep::Fail : NextStep::SendAgain;
     }
     if (end.stage == AttemptStage::Sent) {
         if (end.peerLost) {
@@ -195,6 +202,7 @@
         written = co_await forwardHead();
     }
     if (written) {
+        m_progress.setStage(RequestStage::Answering);
         written = co_await m_caller->writeEnd(m_progress.deadline());
     }
     m_callerGone = !written;
@@ -210,6 +218,7 @@
     m_progress.recordAnswer(now);
     m_progress.endAttempt(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None,
                           failed ? std::optional(TargetFault::ErrorResponse) : std::nullopt, "", now);
+    m_progress.setStage(RequestStage::Answering);
     net::Response response{m_codec.answerHead(m_head), std::move(m_body)};
     const bool written = co_await m_caller->write(std::move(response), keepsAlive(), m_progress.deadline());
     m_callerGone = !written;
--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -49,6 +49,12 @@
             }
             continue;
         }
+        // A stream that has begun goes on until the exit; nothing is left to answer.
+        if (std::holds_alternative<ShutdownAdvanced>(*event) && now >= m_context.shutdown.answerBy()
+            && !m_headForwarded) {
+            abortForExit(now);
+            co_return NextStep::Fail;
+        }
         if (std::holds_alternative<HeadArrived>(*event) || std::holds_alternative<BytesArrived>(*event)) {
             m_progress.recordActivity(now);
             silence.lastActivityAt = now;
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -44,6 +44,7 @@
     , m_request(std::move(request))
     , m_progress(context, detail::withContentDigest(std::move(facts), m_request), arrivedAt)
     , m_inbox(core::makeRef<RequestInbox>(context.loop))
+    , m_shutdownWatch(context.shutdown, [this] { m_inbox->events.post(ShutdownAdvanced{}); })
     , m_lastEventId(m_progress.facts().resumeAfter)
 { }
 
@@ -100,7 +101,7 @@
             break;
         }
         if (m_failureReason == core::Reason::TargetRefused) {
-            co_await net::sleepFor(detail::RefusedRetryDelay);
+            co_await delayRetry(detail::RefusedRetryDelay);
         }
     }
     const auto outcome = m_progress.mayHaveRun() ? core::Outcome::MayHaveRun : core::Outcome::NotRun;
@@ -121,7 +122,7 @@
     if (!reserved) {
         // Other requests took the memory in the meantime.
         m_reserveDelay = std::min(m_reserveDelay * 2, core::Duration(detail::MaxReserveDelay));
-        co_await net::sleepFor(m_reserveDelay);
+        co_await delayRetry(m_reserveDelay);
         co_return NextStep::SendAgain;
     }
     // The configuration may have changed while the request waited.
@@ -139,6 +140,9 @@
         m_failureReason = *unwanted;
         co_return NextStep::SendAgain;
     }
+    if (missesExit(&chosen, core::now())) {
+        co_return NextStep::Fail;
+    }
     startAttempt(chosen);
     co_return co_await awaitAnswer(chosen);
 }
@@ -146,6 +150,7 @@
 template<ProtocolCodec D>
 net::Task<std::optional<ChosenTargets>> RequestHandler<D>::awaitPlacement()
 {
+    m_progress.setStage(RequestStage::AwaitingTarget);
     control::PlacementSession session(m_context, m_context.schedulerClient, m_inbox);
     m_grant = {};
     const auto service = m_progress.query(core::now()).service;
@@ -164,6 +169,9 @@
             co_return std::nullopt;
         }
         const auto query = m_progress.query(now);
+        if (missesExit(nullptr, now)) {
+            co_return std::nullopt;
+        }
         if (m_progress.hasNoTarget(now)) {
             m_failureReason = m_progress.noTargetReason(now);
             co_return std::nullopt;
@@ -174,7 +182,7 @@
             co_return std::nullopt;
         }
         if (availableAt) {
-            const auto event = co_await m_inbox->events.take(m_progress.continueAt(*availableAt));
+            const auto event = co_await m_inbox->events.take(waitUntil(m_progress.continueAt(*availableAt)));
             if (event && std::holds_alternative<CallerDisconnected>(*event)) {
                 m_callerGone = true;
                 co_return std::nullopt;
@@ -196,7 +204,7 @@
             co_return std::nullopt;
         }
         const auto nextCheckAt = asked ? session.nextDueAt() : now + detail::TargetCheckInterval;
-        const auto event = co_await m_inbox->events.take(std::min(m_progress.deadline(), nextCheckAt));
+        const auto event = co_await m_inbox->events.take(waitUntil(nextCheckAt));
         if (event && std::holds_alternative<CallerDisconnected>(*event)) {
             m_callerGone = true;
             co_return std::nullopt;
@@ -215,9 +223,47 @@
     }
 }
 
+template<ProtocolCodec D>
+net::Task<> RequestHandler<D>::delayRetry(core::Duration delay)
+{
+    m_progress.setStage(RequestStage::AwaitingTarget);
+    const auto until = waitUntil(core::now() + delay);
+    for (bool waits = true; waits;) {
+        const auto event = co_await m_inbox->events.take(until);
+        m_callerGone = m_callerGone || (event && std::holds_alternative<CallerDisconnected>(*event));
+        waits = event && !m_callerGone && !std::holds_alternative<ShutdownAdvanced>(*event);
+    }
+}
+
+template<ProtocolCodec D>
+bool RequestHandler<D>::missesExit(const ChosenTargets *chosen, core::Time now)
+{
+    if (now < m_progress.latestStart(chosen)) {
+        return false;
+    }
+    m_failureReason = core::Reason::Stopping;
+    return true;
+}
+
+template<ProtocolCodec D>
+core::Time RequestHandler<D>::waitUntil(core::Time earliest) const
+{
+    return std::min({earliest, m_progress.deadline(), m_progress.latestStart()});
+}
+
+template<ProtocolCodec D>
+void RequestHandler<D>::abortForExit(core::Time now)
+{
+    const auto outcome = m_attempt->mayHaveSent() ? core::Outcome::MayHaveRun : core::Outcome::NotRun;
+    m_attempt->abort();
+    m_failureReason = core::Reason::Stopping;
+    m_progress.endAttempt(outcome, m_failureReason, std::nullopt, "this daemon is about to exit", now);
+}
+
 template<ProtocolCodec D>
 net::Task<bool> RequestHandler<D>::reserveMemory(const ChosenTargets &chosen)
 {
+    m_progress.setStage(RequestStage::ReservingMemory);
     const auto holdTime
         = std::min(m_context.settings.bounds.freeAfter * detail::HoldTimeShare, m_context.settings.bounds.longestHold);
     for (std::size_t i = 0; i < chosen.reservedTokens.size(); ++i) {
@@ -232,7 +278,7 @@
             = core::makeRef<Reservation>(m_context.loop, *m_context.connector, chosen.helpers[i], id,
                                          m_codec.reserveOrder(target, id, chosen.reservedTokens[i], holdTime),
                                          m_codec.releaseOrder(target, id), holdTime, std::move(onAnswer));
-        const bool granted = co_await reservation->acquire(m_progress.deadline());
+        const bool granted = co_await reservation->acquire(waitUntil(absl::InfiniteFuture()));
         if (!granted) {
             m_failureReason = core::Reason::ReservationRefused;
             m_progress.recordReservationRefusal(chosen.helpers[i], core::now());
@@ -276,6 +322,7 @@
 void RequestHandler<D>::startAttempt(const ChosenTargets &chosen)
 {
     const auto now = core::now();
+    m_progress.setStage(RequestStage::AtTarget);
     m_progress.beginAttempt(chosen, m_grant ? m_grant->vm : "", now);
     if (m_grant) {
         m_context.schedulerClient->noteGrantUsed(*m_grant);
@@ -300,8 +347,10 @@
     m_attempt = core::makeRef<Attempt>(m_context.loop, *m_context.connector, m_inbox, m_progress.attempts());
     // Whether a target accepts the request is checked again right before the write, not only when it is chosen.
     auto mayWrite = [target = chosen.target, helpers = chosen.helpers, &crashes = m_context.crashes,
-                     suspects = m_progress.suspects()] {
-        return !reasonToAvoid(*target, core::now())
+                     suspects = m_progress.suspects(), &shutdown = m_context.shutdown,
+                     expectedDuration = m_progress.expectedDuration(&chosen)] {
+        const auto now = core::now();
+        return !reasonToAvoid(*target, now) && now < shutdown.latestStart(expectedDuration)
             && std::none_of(suspects.begin(), suspects.end(),
                             [&crashes](const auto &digest) { return crashes.isQuarantined(digest); })
             && std::none_of(helpers.begin(), helpers.end(), [](const auto &helper) { return helper->isEvacuated(); });
@@ -329,6 +378,7 @@
 net::Task<bool> RequestHandler<D>::sendRefusal(Refusal refusal)
 {
     constexpr auto WriteTimeout = absl::Seconds(2); // The answer is small, so a live caller reads it at once.
+    m_progress.setStage(RequestStage::Answering);
     auto response = m_codec.refusal(refusal, m_progress.facts());
     const bool written
         = co_await m_caller->write(std::move(response), keepsAlive(), core::now() + core::Duration(WriteTimeout));
@@ -345,7 +395,7 @@
 template<ProtocolCodec D>
 bool RequestHandler<D>::keepsAlive() const
 {
-    return m_request.keepAlive && !m_context.draining;
+    return m_request.keepAlive && !m_context.shutdown.hasBegun();
 }
 
 } // namespace spurlug::relay
--- a/include/spurlug/relay/request_progress.h
+++ b/include/spurlug/relay/request_progress.h
@@ -65,6 +65,8 @@
     /// \brief Records that the engine of the current attempt answers the prompt without crashing: it gave a whole
     /// successful answer, or has answered for long.
     void recordPartsSound(core::Time now);
+    /// \brief Records what the request waits for now.
+    void setStage(RequestStage stage) noexcept;
     /// \brief Records that an attempt ended.
     /// \param fault What the target did wrong, if anything.
     /// \param detail Description for the log.
@@ -121,6 +123,12 @@
     /// \brief Priority that the operator configured for the request; 0 is the most urgent.
     [[nodiscard]] int priority() const noexcept;
     [[nodiscard]] core::Time deadline() const noexcept;
+    /// \brief How long the request takes from the start of an attempt to the end of its answer.
+    /// \param chosen The targets of the attempt; null if they are not chosen yet.
+    [[nodiscard]] core::Duration expectedDuration(const ChosenTargets *chosen) const;
+    /// \brief Latest time to start an attempt so that it ends before this daemon exits; infinite unless it shuts down.
+    /// \param chosen The targets of the attempt; null if they are not chosen yet.
+    [[nodiscard]] core::Time latestStart(const ChosenTargets *chosen = nullptr) const;
     [[nodiscard]] int attempts() const noexcept;
     /// \brief Whether any ended attempt may have been processed by its target.
     [[nodiscard]] bool mayHaveRun() const noexcept;
@@ -238,6 +246,7 @@
     RelayContext &m_context;
     const RequestInfo m_facts;
     const core::Time m_arrivedAt;
+    ActiveRequest m_registration;
     config::RouteTableRef m_table; ///< Keeps `m_route` alive.
     const config::Route *m_route = nullptr;
     std::string m_service;
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -71,7 +71,7 @@
 
 bool Scheduler::canSchedule(const std::string &service) const
 {
-    if (m_context.draining || !m_context.table) {
+    if (m_context.shutdown.hasBegun() || !m_context.table) {
         return false;
     }
     const auto *spec = m_context.table->serviceNamed(service);
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -85,6 +85,7 @@
         postEnd(AttemptStage::Cancelled, {});
         co_return;
     }
+    m_sending = true;
     m_connected.connection->startSend(message);
     auto head = co_await m_connected.connection->readHead(deadline);
     if (!head) {
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -61,6 +61,7 @@
     , loadViews(settings.overload.viewMaxAge)
     , localAdmission(phaseOf(settings.vm))
     , startedAt(startedAt)
+    , shutdown(settings.bounds.grace)
 { }
 
 FleetView RelayContext::fleetView(core::Time now) const
--- a/src/relay/fleet_membership.cpp
+++ b/src/relay/fleet_membership.cpp
@@ -111,7 +111,7 @@
 
 membership::DaemonState FleetMembership::state(core::Time now) const
 {
-    if (m_context.draining) {
+    if (m_context.shutdown.hasBegun()) {
         return membership::DaemonState::Draining;
     }
     const bool isStarting = now - m_context.startedAt < StartupPeriod;
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -26,8 +26,6 @@
 /// Up to this age of the configuration, an unknown route or key is treated as nonexistent: a change takes effect
 /// within this time at every daemon that learns of it.
 constexpr auto MaxCertainAge = absl::Milliseconds(2500);
-/// New requests are refused from then on: they might not end before the process must exit.
-constexpr auto DrainRefusalDelay = absl::Seconds(3);
 
 constexpr int HighestEnginePriority = 0;
 constexpr int LowestEnginePriority = 9;
@@ -75,6 +73,9 @@
     , m_arrivedAt(arrivedAt)
     , m_sharedParts(sharedPartsOf(m_facts.promptParts))
 {
+    m_registration.id = m_facts.id;
+    m_registration.arrivedAt = arrivedAt;
+    m_context.activeRequests.push_back(m_registration);
     ++m_context.requestsInProgress;
 }
 
@@ -93,8 +94,7 @@
     if (!m_context.table) {
         return refuse(Reason::NotReady, now);
     }
-    // A request that was already sent continues: its stream may be resumed at another target until this process ends.
-    if (m_attempts == 0 && now - m_context.drainingSince > DrainRefusalDelay) {
+    if (m_context.shutdown.refusesArrival(m_arrivedAt)) {
         return refuse(Reason::Stopping, now);
     }
     m_table = m_context.table;
@@ -330,6 +330,11 @@
         {{"request", m_facts.id}, {"attempt", m_attempts}, {"target", m_chosen.target->entry.id}, {"peer", peer}});
 }
 
+void RequestProgress::setStage(RequestStage stage) noexcept
+{
+    m_registration.stage = stage;
+}
+
 void RequestProgress::recordActivity(core::Time now) noexcept
 {
     m_chosen.target->lastResponseAt = now;
--- a/src/relay/request_retries.cpp
+++ b/src/relay/request_retries.cpp
@@ -44,7 +44,7 @@
     state.anyRefused = !m_refusingTargets.empty();
     state.attempts = m_attempts;
     state.maxTargets = m_route->maxTargets;
-    state.deadline = m_deadline;
+    state.deadline = std::min(m_deadline, latestStart());
     if (!mayRetry(state, now)) {
         return false;
     }
--- a/src/relay/request_timeouts.cpp
+++ b/src/relay/request_timeouts.cpp
@@ -34,6 +34,8 @@
 constexpr double PlainServiceTimeoutFactor
     = 2; // Multiple of the latency objective; requests to plain services are short.
 constexpr auto MinPlainServiceTimeout = absl::Milliseconds(300);
+/// Requests that an engine starts meanwhile, and the prompts that it reads, make an answer take longer than published.
+constexpr double DecodeTimeFactor = 1.5;
 
 } // namespace
 
@@ -42,6 +44,36 @@
     return relay::callerTimeout(m_route->latencyObjective, m_route->gapObjective);
 }
 
+core::Duration RequestProgress::expectedDuration(const ChosenTargets *chosen) const
+{
+    const auto *spec = m_table->serviceNamed(m_service);
+    if (spec == nullptr || !spec->engine || !m_facts.prompt) {
+        return m_route->latencyObjective;
+    }
+    const auto &costs = *spec->engine;
+    const auto &prompt = *m_facts.prompt;
+    auto first = std::min(absl::Milliseconds(prefillPartMs(costs, prompt.promptTokens, 1)), m_route->latencyObjective);
+    auto pass = absl::ZeroDuration();
+    if (chosen != nullptr) {
+        first = chosen->expectedTtft;
+        pass = chosen->published.pass;
+    }
+    if (pass == absl::ZeroDuration()) {
+        Outstanding load;
+        load.decodingRequests = 1;
+        load.decodingContextTokens = prompt.promptTokens;
+        pass = absl::Milliseconds(decodePassMs(costs, load));
+    }
+    const auto usualTokens = costs.meanAnswerTokens > 0 ? costs.meanAnswerTokens : prompt.maxAnswerTokens;
+    const auto answerTokens = static_cast<double>(std::min(usualTokens, prompt.maxAnswerTokens));
+    return first + pass * (answerTokens / std::max(costs.stepsPerPass, 1) * DecodeTimeFactor);
+}
+
+core::Time RequestProgress::latestStart(const ChosenTargets *chosen) const
+{
+    return m_context.shutdown.latestStart(expectedDuration(chosen));
+}
+
 bool RequestProgress::hasNoTarget(core::Time now) const
 {
     const bool listRead = m_context.targetsPosition.isKnown();
--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -49,7 +49,7 @@
 
 core::Ref<Target> TunnelServer::acceptTunnel(const net::RequestedTunnel &requested, core::Time now)
 {
-    if (m_context.draining || m_context.openTunnels >= MaxOpenTunnels) {
+    if (m_context.shutdown.hasBegun() || m_context.openTunnels >= MaxOpenTunnels) {
         return nullptr;
     }
     const auto &targets = m_context.targets.all();
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -127,6 +127,7 @@
         = std::make_unique<platform::StoreDirectory>(loop, instance.settings.store, absl::Milliseconds(500));
     instance.daemon
         = std::make_unique<Daemon>(loop, instance.settings, "/dev/null", platform::RequestCodec(), *instance.directory);
+    instance.daemon->onStopped([this, index = m_daemons.size()] { m_daemons[index].hasStopped = true; });
     m_daemons.push_back(std::move(instance));
     m_daemons.back().daemon->start();
 }
@@ -236,11 +237,16 @@
 }
 
 net::Task<CallerAnswer> RelayFleet::send(CallerRequest ask, std::size_t daemon)
+{
+    return sendTo(callerAddress(daemon), std::move(ask));
+}
+
+net::Task<CallerAnswer> RelayFleet::sendTo(core::Address daemon, CallerRequest ask)
 {
     const auto startedAt = core::now();
     CallerAnswer answer;
     net::ClientConnection connection(loop);
-    const auto error = co_await connection.connect(callerAddress(daemon), absl::Seconds(1));
+    const auto error = co_await connection.connect(std::move(daemon), absl::Seconds(1));
     if (!error.empty()) {
         co_return answer;
     }
@@ -273,6 +279,11 @@
     m_daemons.at(daemon).daemon->stop();
 }
 
+bool RelayFleet::hasStopped(std::size_t daemon) const
+{
+    return m_daemons.at(daemon).hasStopped;
+}
+
 relay::TargetConnector &RelayFleet::targetConnector(std::size_t daemon)
 {
     return m_daemons.at(daemon).daemon->targetConnector();
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -91,6 +91,7 @@
 
     /// \brief Sends a request over a new connection and waits for the answer.
     [[nodiscard]] net::Task<CallerAnswer> send(CallerRequest ask, std::size_t daemon = 0);
+    [[nodiscard]] net::Task<CallerAnswer> sendTo(core::Address daemon, CallerRequest ask);
     /// \brief Returns the HTTP request that is sent for a caller's request, with a new id.
     [[nodiscard]] net::Request makeRequest(const CallerRequest &callerRequest);
     /// \brief Waits until every daemon reports that it is ready.
@@ -101,10 +102,12 @@
     [[nodiscard]] net::Task<double> metric(std::string name, std::size_t daemon = 0);
     /// \brief Starts another daemon. If the daemons know each other, its seeds are the first three.
     void addDaemon();
-    /// \brief Returns settings for another daemon, with free addresses.
-    [[nodiscard]] settings::RelaySettings makeSettings();
     /// \brief Starts the graceful shutdown of a daemon.
     void startShutdown(std::size_t daemon = 0);
+    /// \brief Whether a daemon has shut down; a process would have exited then.
+    [[nodiscard]] bool hasStopped(std::size_t daemon = 0) const;
+    /// \brief Returns settings for another daemon, with free addresses.
+    [[nodiscard]] settings::RelaySettings makeSettings();
     /// \brief Establishes the connections of a daemon to targets.
     [[nodiscard]] relay::TargetConnector &targetConnector(std::size_t daemon = 0);
     /// \brief Cuts the links of a daemon to all targets; open connections stay as they are.
@@ -130,6 +133,7 @@
         settings::RelaySettings settings;
         std::unique_ptr<platform::StoreDirectory> directory;
         std::unique_ptr<Daemon> daemon;
+        bool hasStopped = false;
     };
 
     const Peers m_peers;
--- /dev/null
+++ b/tests/platform/relay_process.cpp
@@ -0,0 +1,94 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: relay daemons in processes of their own, for tests of signals and exits
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_process.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+void writeSettings(const std::string &path, const settings::RelaySettings &settings)
+{
+    auto seeds = nlohmann::json::array();
+    for (const auto &seed : settings.seeds) {
+        seeds.push_back(seed.text());
+    }
+    const nlohmann::json document{{"vm", settings.vm},
+                                  {"failureDomain", settings.failureDomain},
+                                  {"failureDomains", {settings.failureDomain}},
+                                  {"callerAddress", settings.callerAddress.text()},
+                                  {"readinessAddress", settings.readinessAddress.text()},
+                                  {"controlAddress", settings.controlAddress.text()},
+                                  {"peerAddress", settings.peerAddress.text()},
+                                  {"metricsAddress", settings.metricsAddress.text()},
+                                  {"store", settings.store.text()},
+                                  {"seeds", seeds},
+                                  {"bounds", {{"graceMs", core::toMs(settings.bounds.grace)}}}};
+    std::ofstream(path) << document.dump();
+}
+
+} // namespace
+
+RelayProcess::RelayProcess(const support::TemporaryDirectory &directory, const settings::RelaySettings &settings)
+    : m_directory(directory)
+    , m_settings(settings)
+    , m_settingsFile(directory.file(settings.vm + ".json"))
+{
+    writeSettings(m_settingsFile, settings);
+    restart();
+}
+
+void RelayProcess::restart()
+{
+    m_exitCode = std::nullopt;
+    m_process = std::make_unique<support::Process>(
+        m_directory, m_settings.vm, std::vector<std::string>{"spurlugd", "--relay", "--settings", m_settingsFile});
+}
+
+void RelayProcess::signal(int number) const
+{
+    m_process->signal(number);
+}
+
+bool RelayProcess::hasExited()
+{
+    if (!m_exitCode) {
+        m_exitCode = m_process->poll();
+    }
+    return m_exitCode.has_value();
+}
+
+net::Task<int> RelayProcess::awaitExit()
+{
+    while (!hasExited()) {
+        co_await net::sleepFor(absl::Milliseconds(5));
+    }
+    co_return *m_exitCode;
+}
+
+const settings::RelaySettings &RelayProcess::settings() const noexcept
+{
+    return m_settings;
+}
+
+std::string RelayProcess::log() const
+{
+    return m_process->log();
+}
+
+std::string RelayProcess::lastEvent() const
+{
+    auto text = log();
+    text.resize(text.find_last_not_of('\n') + 1);
+    const auto line = nlohmann::json::parse(text.substr(text.rfind('\n') + 1), nullptr, false);
+    return line.value("event", "");
+}
+
+} // namespace spurlug::test
--- /dev/null
+++ b/tests/platform/relay_process.h
@@ -0,0 +1,48 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: relay daemons in processes of their own, for tests of signals and exits
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+#pragma once
+
+#include "process.h"
+
+#include "spurlug/net/io.h"
+#include "spurlug/settings/relay_settings.h"
+
+#include <memory>
+#include <string>
+
+namespace spurlug::test
+{
+
+/// \brief A relay daemon in its own process. The store, the targets and the callers run on the loop of the test.
+class RelayProcess
+{
+public:
+    /// \param settings Their addresses must be free.
+    RelayProcess(const support::TemporaryDirectory &directory, const settings::RelaySettings &settings);
+
+    /// \brief Sends a signal to the process.
+    void signal(int number) const;
+    /// \brief Waits until the process exits.
+    /// \returns The exit code, or the negated number of the signal that ended the process.
+    [[nodiscard]] net::Task<int> awaitExit();
+    /// \brief Whether the process has exited.
+    [[nodiscard]] bool hasExited();
+    /// \brief Starts the daemon again after its exit, with the same settings.
+    void restart();
+    [[nodiscard]] const settings::RelaySettings &settings() const noexcept;
+    /// \brief What the process has logged, over all restarts.
+    [[nodiscard]] std::string log() const;
+    /// \brief Event of the last line of the log.
+    [[nodiscard]] std::string lastEvent() const;
+
+private:
+    const support::TemporaryDirectory &m_directory;
+    const settings::RelaySettings m_settings;
+    const std::string m_settingsFile;
+    std::unique_ptr<support::Process> m_process;
+    std::optional<int> m_exitCode;
+};
+
+} // namespace spurlug::test
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -2,14 +2,119 @@
 // spurlug: tests of requests that are in progress while their daemon shuts down
 // SPDX-License-Identifier: MIT
 //----------------------------------------------------------------------------------------------------------------------
+//
+// The tests guard against requests that ended without an answer because their daemon exited while they waited. Nothing
+// but the end of the grace period ended their waits, the connections were closed without a byte, and the process ended
+// by SIGSEGV.
+//
+//----------------------------------------------------------------------------------------------------------------------
 
 #include "relay_fleet.h"
+#include "relay_process.h"
+
+#include "spurlug/core/text.h"
 
+#include <array>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <string>
 
 namespace spurlug::test
 {
 
+namespace
+{
+
+using Fault = Behaviour::Fault;
+
+/// Time within which a request has reached its target, or waits for one.
+constexpr auto SettleTime = absl::Milliseconds(300);
+
+/// A request for a stream that may start late and pause for long, so that it waits for several seconds.
+CallerRequest patientRequest()
+{
+    CallerRequest request;
+    request.path = "/chat/1";
+    request.promptTokens = 1000;
+    request.deadlineMs = 15'000;
+    return request;
+}
+
+CallerRequest plainRequest(std::string path)
+{
+    CallerRequest request;
+    request.path = std::move(path);
+    request.deadlineMs = 15'000;
+    return request;
+}
+
+/// Gives callers of all routes more time than a shutdown takes.
+void allowLongWaits(RelayFleet &fleet)
+{
+    for (auto &route : fleet.configuration["routes"]) {
+        route["timeout_ms"] = 15'000;
+        route["slo_ms"] = route["kind"] == "streaming" ? 6000 : 2000;
+        route["gap_aim_ms"] = 1000;
+    }
+    fleet.writeConfiguration();
+}
+
+/// An answer, and whether the daemon that gave it was still running.
+struct ObservedAnswer
+{
+    CallerAnswer answer;
+    bool beforeExit = false;
+    bool arrived = false;
+};
+
+/// Sends a request in the background.
+void startSending(RelayFleet &fleet, CallerRequest request, ObservedAnswer &observed, std::size_t daemon = 0)
+{
+    net::asio::co_spawn(
+        fleet.loop,
+        [](RelayFleet &fleet, CallerRequest request, ObservedAnswer &observed, std::size_t daemon) -> net::Task<> {
+            observed.answer = co_await fleet.send(std::move(request), daemon);
+            observed.beforeExit = !fleet.hasStopped(daemon);
+            observed.arrived = true;
+        }(fleet, std::move(request), observed, daemon),
+        net::asio::detached);
+}
+
+/// Shuts a daemon down and waits for its end, and for the answer.
+net::Task<> shutDown(RelayFleet &fleet, const ObservedAnswer &observed)
+{
+    fleet.startShutdown();
+    while (!fleet.hasStopped() || !observed.arrived) {
+        co_await net::sleepFor(absl::Milliseconds(5));
+    }
+}
+
+void checkRefusal(const ObservedAnswer &observed)
+{
+    BOOST_TEST(observed.beforeExit);
+    BOOST_TEST(observed.answer.status == 503);
+    BOOST_TEST(observed.answer.isComplete);
+    BOOST_TEST(!observed.answer.head.headers.value("Retry-After").empty());
+    BOOST_TEST(observed.answer.body.find("stopping") != std::string::npos);
+}
+
+/// Shuts a daemon down while a request waits for a target of its service, and checks that it is refused in time.
+void checkWaitIsRefused(RelayFleet &fleet, const CallerRequest &request)
+{
+    ObservedAnswer observed;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        startSending(fleet, request, observed);
+        co_await net::sleepFor(SettleTime);
+        co_await shutDown(fleet, observed);
+    });
+    checkRefusal(observed);
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(shutdown)
 
 // Guards against coroutines that outlive the daemon to which they refer, which made the process end by SIGSEGV.
@@ -46,6 +151,204 @@
     BOOST_TEST(destroyed);
 }
 
+// Guards against requests that wait for a busy engine until their daemon exits, and get no answer.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_an_engine_is_refused_before_the_exit)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model", 1);
+    engine.behaviour.fault = Fault::Hang;
+    ObservedAnswer running;
+    ObservedAnswer waiting;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        startSending(fleet, patientRequest(), running);
+        co_await net::sleepFor(SettleTime);
+        startSending(fleet, patientRequest(), waiting);
+        co_await net::sleepFor(SettleTime);
+        co_await shutDown(fleet, waiting);
+        while (!running.arrived) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+    });
+    BOOST_TEST(engine.startedRequests().size() == 1U);
+    checkRefusal(waiting);
+    // The request at the engine may have run, so its answer promises nothing.
+    BOOST_TEST(running.beforeExit);
+    BOOST_TEST(running.answer.status == 502);
+}
+
+// Guards against requests that wait for the end of a cooldown until their daemon exits, and get no answer.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_a_cooldown_is_refused_before_the_exit)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model");
+    engine.behaviour.fault = Fault::Shed;
+    engine.behaviour.retryAfter = "8";
+    checkWaitIsRefused(fleet, patientRequest());
+    BOOST_TEST(engine.startedRequests().empty());
+}
+
+// Guards against plain requests that wait for a busy target until their daemon exits, and get no answer.
+BOOST_AUTO_TEST_CASE(a_plain_request_that_waits_for_a_target_is_refused_before_the_exit)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    for (auto &route : fleet.configuration["routes"]) {
+        route["slo_ms"] = 12'000;
+    }
+    fleet.writeConfiguration();
+    auto &target = fleet.addTarget("app");
+    target.behaviour.fault = Fault::Shed;
+    target.behaviour.retryAfter = "10";
+    checkWaitIsRefused(fleet, plainRequest("/plain/1"));
+    BOOST_TEST(target.startedRequests().empty());
+}
+
+// Guards against requests at a silent target whose connection is closed without an answer when their daemon exits.
+BOOST_AUTO_TEST_CASE(a_request_at_a_silent_target_is_answered_before_the_exit)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &target = fleet.addTarget("app");
+    target.behaviour.fault = Fault::Hang;
+    ObservedAnswer observed;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        startSending(fleet, plainRequest("/plain/1"), observed);
+        co_await net::sleepFor(SettleTime);
+        co_await shutDown(fleet, observed);
+    });
+    BOOST_TEST(target.startedRequests().size() == 1U);
+    BOOST_TEST(observed.beforeExit);
+    BOOST_TEST(observed.answer.status == 502);
+    BOOST_TEST(observed.answer.head.headers.value("Retry-After").empty());
+}
+
+// Guards against streams whose resumption waits for a target until their daemon exits: their callers resume elsewhere.
+BOOST_AUTO_TEST_CASE(a_stream_that_waits_to_be_resumed_is_broken_off_before_the_exit)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model");
+    engine.behaviour.eventCount = 20;
+    engine.behaviour.resetAtEvent = 3;
+    ObservedAnswer observed;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        startSending(fleet, patientRequest(), observed);
+        co_await net::sleepFor(SettleTime);
+        co_await shutDown(fleet, observed);
+    });
+    BOOST_TEST(observed.answer.status == 200);
+    BOOST_TEST(!observed.answer.isComplete);
+    BOOST_TEST(observed.beforeExit);
+}
+
+// Guards against refusing what can still be served: a request that arrives during a shutdown and ends before the exit.
+BOOST_AUTO_TEST_CASE(a_request_that_can_end_before_the_exit_is_served)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model", 1);
+    engine.behaviour.eventCount = 20;
+    engine.behaviour.eventInterval = absl::Milliseconds(30);
+    ObservedAnswer first;
+    ObservedAnswer second;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        startSending(fleet, patientRequest(), first);
+        co_await net::sleepFor(absl::Milliseconds(50));
+        startSending(fleet, patientRequest(), second);
+        co_await shutDown(fleet, second);
+    });
+    BOOST_TEST(first.answer.status == 200);
+    BOOST_TEST(first.answer.isComplete);
+    BOOST_TEST(second.answer.status == 200);
+    BOOST_TEST(second.answer.isComplete);
+}
+
+// Guards against requests that a stopping scheduler keeps in its queue, or that are lost with it.
+BOOST_AUTO_TEST_CASE(a_request_queued_at_a_scheduler_that_stops_is_placed_by_another)
+{
+    RelayFleet fleet(2, Peers::Connected);
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model", 1);
+    engine.behaviour.eventCount = 20;
+    engine.behaviour.eventInterval = absl::Milliseconds(100);
+    ObservedAnswer first;
+    ObservedAnswer queued;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        co_await fleet.waitUntilConnected();
+        const auto grantedByFirst = co_await fleet.metric("placements_granted_total", 0);
+        startSending(fleet, patientRequest(), first, 1);
+        co_await net::sleepFor(SettleTime);
+        const auto grantedLater = co_await fleet.metric("placements_granted_total", 0);
+        const std::size_t scheduler = grantedLater > grantedByFirst ? 0 : 1;
+        startSending(fleet, patientRequest(), queued, 1 - scheduler);
+        co_await net::sleepFor(SettleTime);
+        BOOST_TEST(engine.startedRequests().size() == 1U);
+        fleet.startShutdown(scheduler);
+        while (!queued.arrived) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+    });
+    BOOST_TEST(queued.answer.status == 200);
+    BOOST_TEST(queued.answer.isComplete);
+    BOOST_TEST(engine.startedRequests().size() == 2U);
+}
+
+// Guards against a process that does not end with status 0, cuts its last log lines, or ends early by a second signal.
+BOOST_AUTO_TEST_CASE(a_process_with_waiting_requests_ends_in_order_despite_further_signals)
+{
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model", 1);
+    engine.behaviour.fault = Fault::Hang;
+    auto settings = fleet.makeSettings();
+    settings.bounds.grace = absl::Seconds(4);
+    RelayProcess daemon(directory, settings);
+    std::array<CallerAnswer, 3> answers;
+    std::size_t answered = 0;
+    int exitCode = -1;
+    fleet.run([&]() -> net::Task<> {
+        int status = 0;
+        while (status != 404) { // Until the daemon knows its configuration.
+            CallerRequest unknown;
+            unknown.path = "/unknown/1";
+            status = (co_await fleet.sendTo(settings.callerAddress, unknown)).status;
+            co_await net::sleepFor(absl::Milliseconds(20));
+        }
+        for (auto &answer : answers) {
+            net::asio::co_spawn(
+                fleet.loop,
+                [&fleet, &answer, &answered, address = settings.callerAddress]() -> net::Task<> {
+                    answer = co_await fleet.sendTo(address, patientRequest());
+                    ++answered;
+                },
+                net::asio::detached);
+            co_await net::sleepFor(SettleTime);
+        }
+        daemon.signal(SIGTERM);
+        daemon.signal(SIGHUP);
+        co_await net::sleepFor(SettleTime);
+        daemon.signal(SIGTERM);
+        daemon.signal(SIGHUP);
+        exitCode = co_await daemon.awaitExit();
+        while (answered < answers.size()) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+    });
+    BOOST_TEST(exitCode == 0);
+    BOOST_TEST(daemon.lastEvent() == "stopped");
+    BOOST_TEST(answers[0].status == 502); // It may have run.
+    BOOST_TEST(answers[1].status == 503);
+    BOOST_TEST(answers[2].status == 503);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -42,6 +42,11 @@
     return text.str();
 }
 
+int exitCode(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 std::vector<char *> toArgv(std::vector<std::string> &arguments)
 {
     std::vector<char *> argv;
@@ -80,9 +85,30 @@
 {
     const auto portsFile = directory.file(name + ".ports");
     std::filesystem::remove(portsFile);
-    std::vector<std::string> commandLine{programPath(program)};
+    std::vector<std::string> commandLine{program};
     commandLine.insert(commandLine.end(), arguments.begin(), arguments.end());
     commandLine.insert(commandLine.end(), {"--ports-file", portsFile});
+    start(std::move(commandLine));
+    const auto deadline = std::chrono::steady_clock::now() + StartTimeout;
+    while (!std::filesystem::exists(portsFile)) {
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid || std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error(name + " did not start: " + this->log());
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    m_addresses = nlohmann::json::parse(readFile(portsFile));
+}
+
+Process::Process(const TemporaryDirectory &directory, const std::string &name, std::vector<std::string> commandLine)
+    : m_logFile(directory.file(name + ".log"))
+{
+    start(std::move(commandLine));
+}
+
+void Process::start(std::vector<std::string> commandLine)
+{
+    commandLine.front() = programPath(commandLine.front());
     auto argv = toArgv(commandLine);
     const int log = open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     m_pid = fork();
@@ -94,15 +120,6 @@
         _exit(127);
     }
     close(log);
-    const auto deadline = std::chrono::steady_clock::now() + StartTimeout;
-    while (!std::filesystem::exists(portsFile)) {
-        int status = 0;
-        if (waitpid(m_pid, &status, WNOHANG) == m_pid || std::chrono::steady_clock::now() > deadline) {
-            throw std::runtime_error(name + " did not start: " + this->log());
-        }
-        std::this_thread::sleep_for(PollInterval);
-    }
-    m_addresses = nlohmann::json::parse(readFile(portsFile));
 }
 
 Process::~Process()
@@ -117,7 +134,9 @@
 
 void Process::signal(int number) const
 {
-    ::kill(m_pid, number);
+    if (m_pid > 0) { // kill(-1) would reach every process.
+        ::kill(m_pid, number);
+    }
 }
 
 void Process::kill()
@@ -133,7 +152,17 @@
     int status = 0;
     waitpid(m_pid, &status, 0);
     m_pid = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return exitCode(status);
+}
+
+std::optional<int> Process::poll()
+{
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) != m_pid) {
+        return std::nullopt;
+    }
+    m_pid = -1;
+    return exitCode(status);
 }
 
 int Process::pid() const noexcept
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     /// \throws std::runtime_error if it exits before or does not start within 30 s.
     Process(const TemporaryDirectory &directory, const std::string &name, const std::string &program,
             const std::vector<std::string> &arguments);
+    /// \brief Starts a program of the build that writes no ports file, and does not wait for it.
+    Process(const TemporaryDirectory &directory, const std::string &name, std::vector<std::string> commandLine);
     ~Process();
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
@@ -48,12 +51,16 @@
     void kill();
     /// \brief Waits for the exit of the process. \returns The exit code, or the negated signal number.
     int wait();
+    /// \brief The result of `wait` if the process has exited; nothing if it still runs.
+    std::optional<int> poll();
 
     [[nodiscard]] int pid() const noexcept;
     /// \brief What the program wrote to standard output and standard error.
     [[nodiscard]] std::string log() const;
 
 private:
+    void start(std::vector<std::string> commandLine);
+
     int m_pid = -1;
     std::string m_logFile;
     nlohmann::json m_addresses;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -663,7 +663,7 @@
 BOOST_AUTO_TEST_CASE(a_draining_scheduler_places_nothing)
 {
     SchedulerState state(2);
-    state.context.draining = true;
+    state.context.shutdown.begin(at(0));
     BOOST_TEST((state.scheduler.handleRequest(shortPromptRequest("a", 1), at(0)).kind == ReplyKind::Declined));
 }
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -107,8 +107,7 @@
     const auto chosen = stream.choose(at(0));
     BOOST_REQUIRE(chosen.has_value());
     stream.beginAttempt(*chosen, "", at(0));
-    state.context.draining = true;
-    state.context.drainingSince = at(0);
+    state.context.shutdown.begin(at(0));
     BOOST_TEST(!stream.authorise(at(3500)).has_value());
     RequestProgress late(state.context, longPrompt(), at(3500));
     const auto refusal = late.authorise(at(3500));
