Refuse requests that are not received completely while their daemon shuts down

Callers whose request was still on its way when their daemon exited got a closed connection instead of an answer, up to 30 s after they had begun to send it; the daemon did not even count it as work and could exit 2.5 s after the signal.

Cause: ServerConnection::read ends with the request, its time-out or the connection only, and RelayDaemon::drain counted a request from its last byte on.

Change: at half of the grace period, and again when requests are ended, reads in progress are interrupted; one with a part of a request gets 503, stopping, with a Retry-After (it has run nowhere), a connection without one is closed. A request that is being received, and a caller that still reads its last answer, count as work, so that the daemon does not exit under them before that.

--- a/include/spurlug/net/server_connection.h
+++ b/include/spurlug/net/server_connection.h
@@ -38,6 +38,7 @@
     HeadTooLarge,
     BodyTooLarge,
     TimedOut, ///< A head or body was not complete within its timeout.
+    Interrupted, ///< `interruptRead` was called while a part of a request had arrived.
 };
 
 /// \brief A request, or the reason why there is none.
@@ -63,6 +64,10 @@
 
     /// \brief Awaits the next request.
     [[nodiscard]] Task<ReadResult> read(ReadLimits limits);
+    /// \brief Whether a part of a request has arrived that is not complete yet.
+    [[nodiscard]] bool isReceiving() const noexcept;
+    /// \brief Ends a `read` in progress as Interrupted, or as Idle if nothing has arrived. The connection stays open.
+    void interruptRead();
 
     /// \brief Writes a complete response with its length.
     [[nodiscard]] Task<bool> write(Response response, bool keepAlive, core::Time deadline);
@@ -116,6 +121,7 @@
         EnumName<End>{End::HeadTooLarge, "head_too_large"},
         EnumName<End>{End::BodyTooLarge, "body_too_large"},
         EnumName<End>{End::TimedOut, "too_slow"},
+        EnumName<End>{End::Interrupted, "interrupted"},
     };
 };
 
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -89,6 +89,8 @@
     [[nodiscard]] net::Task<> drain();
     /// Whether any request is being received or served, for a caller or a peer.
     [[nodiscard]] bool hasWork() const;
+    /// Refuses the requests that have not been received completely, and closes connections without a request.
+    void interruptReads();
     /// Resets the connections of callers whose answers are incomplete because this daemon exits.
     void cutRequests(core::Time now);
     /// Reloads the settings when the content of the file changes.
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -133,6 +133,11 @@
         refusal.status = PayloadTooLarge;
         refusal.reason = core::Reason::BodyTooLarge;
         break;
+    case net::ReadFailure::Interrupted:
+        refusal.status = ServiceUnavailable;
+        refusal.reason = core::Reason::Stopping;
+        refusal.retryAfter = retryAfter(refusal.reason, std::nullopt, 0, core::now());
+        break;
     default:
         co_return; // The connection is closed.
     }
@@ -268,11 +273,17 @@
     auto &shutdown = m_context.shutdown;
     core::log(core::LogLevel::Info, "stopping", {{"vm", m_settings.vm}, {"inProgress", m_context.requestsInProgress}});
     m_controlPlane.announceStop(core::now());
+    bool receives = true;
     bool answers = true;
     for (auto now = core::now(); now < shutdown.exitAt() && (hasWork() || !shutdown.mayExitIdle(now));
          now = core::now()) {
+        if (receives && now >= shutdown.receiveBy()) {
+            receives = false;
+            interruptReads();
+        }
         if (answers && now >= shutdown.answerBy()) {
             answers = false;
+            interruptReads();
             shutdown.endRequests();
         }
         co_await net::sleepFor(DrainCheckInterval);
@@ -285,7 +296,16 @@
 bool RelayDaemon<Protocol, Source>::hasWork() const
 {
     return m_context.requestsInProgress > 0 || m_context.openTunnels > 0
-        || std::any_of(m_callers.begin(), m_callers.end(), [](const CallerLink &link) { return link.isClosing; });
+        || std::any_of(m_callers.begin(), m_callers.end(),
+                       [](const CallerLink &link) { return link.isClosing || link.connection->isReceiving(); });
+}
+
+template<ProtocolCodec Protocol, Directory Source>
+void RelayDaemon<Protocol, Source>::interruptReads()
+{
+    for (const auto &link : m_callers) {
+        link.connection->interruptRead();
+    }
 }
 
 template<ProtocolCodec Protocol, Directory Source>
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -31,8 +31,11 @@
 constexpr std::size_t MaxLingerBytes = 1 << 20; // Maximum number of bytes discarded while lingering.
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
-ReadFailure toReadFailure(const error_code &error, bool expired)
+ReadFailure toReadFailure(const error_code &error, bool expired, bool interrupted)
 {
+    if (interrupted) {
+        return ReadFailure::Interrupted;
+    }
     if (expired) {
         return ReadFailure::TimedOut;
     }
@@ -151,6 +154,14 @@
     tcp::socket socket;
     beast::flat_buffer buffer;
     OperationTimeout expiry;
+    enum class ReadState
+    {
+        None, ///< No `read` is in progress.
+        Idle, ///< Waits for the first byte of a request.
+        Receiving, ///< A part of a request has arrived.
+    };
+    ReadState readState = ReadState::None;
+    bool readInterrupted = false;
     asio::cancellation_signal watchCancellation;
     std::function<void()> onClosed;
     std::string peer;
@@ -174,16 +185,21 @@
 {
     const auto impl = m_impl;
     ReadResult result;
+    impl->readInterrupted = false;
+    impl->readState = Impl::ReadState::Idle;
     if (impl->buffer.size() == 0) {
         const auto error = co_await impl->awaitWithTimeout(limits.idleTimeout, [&]() -> Task<error_code> {
             auto [failure] = co_await impl->socket.async_wait(tcp::socket::wait_read, Awaited);
             co_return failure;
         });
         if (error) {
-            result.failure = impl->expiry.expired() ? ReadFailure::Idle : ReadFailure::Closed;
+            const bool idle = impl->expiry.expired() || impl->readInterrupted;
+            impl->readState = Impl::ReadState::None;
+            result.failure = idle ? ReadFailure::Idle : ReadFailure::Closed;
             co_return result;
         }
     }
+    impl->readState = Impl::ReadState::Receiving;
     result.firstByteAt = core::now();
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeadBytes));
@@ -195,7 +211,8 @@
     if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const bool sent = co_await impl->sendBytes(std::string(ContinueResponse), limits.headTimeout);
         if (!sent) {
-            result.failure = ReadFailure::Closed;
+            impl->readState = Impl::ReadState::None;
+            result.failure = impl->readInterrupted ? ReadFailure::Interrupted : ReadFailure::Closed;
             co_return result;
         }
     }
@@ -205,8 +222,9 @@
             co_return failure;
         });
     }
+    impl->readState = Impl::ReadState::None;
     if (error) {
-        result.failure = toReadFailure(error, impl->expiry.expired());
+        result.failure = toReadFailure(error, impl->expiry.expired(), impl->readInterrupted);
         result.detail = error.message();
         co_return result;
     }
@@ -215,6 +233,20 @@
     co_return result;
 }
 
+bool ServerConnection::isReceiving() const noexcept
+{
+    return m_impl->readState == Impl::ReadState::Receiving;
+}
+
+void ServerConnection::interruptRead()
+{
+    if (m_impl->readState != Impl::ReadState::None) {
+        m_impl->readInterrupted = true;
+        error_code ignored; // The caller may have closed the connection.
+        m_impl->socket.cancel(ignored);
+    }
+}
+
 Task<bool> ServerConnection::write(Response response, bool keepAlive, core::Time deadline)
 {
     const auto impl = m_impl;
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -113,6 +113,35 @@
     checkRefusal(observed);
 }
 
+/// Sends bytes to a daemon, shuts it down, and returns what it sent until it closed the connection. The result is empty
+/// if it closed the connection by its exit.
+std::string answerToBytes(const std::string &bytes)
+{
+    RelayFleet fleet;
+    fleet.addTarget("app");
+    fleet.configuration["limits"]["header_timeout_ms"] = 15'000;
+    fleet.writeConfiguration();
+    std::string received;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        net::asio::ip::tcp::socket socket(fleet.loop);
+        const auto &address = fleet.callerAddress();
+        const auto host = net::asio::ip::make_address(address.host);
+        co_await socket.async_connect({host, address.port}, net::asio::use_awaitable);
+        co_await net::asio::async_write(socket, net::asio::buffer(bytes), net::asio::use_awaitable);
+        co_await net::sleepFor(SettleTime);
+        fleet.startShutdown();
+        std::array<char, 4096> buffer{};
+        for (boost::system::error_code error; !error;) {
+            const auto [readError, size] = co_await socket.async_read_some(net::asio::buffer(buffer), net::Awaited);
+            received.append(buffer.data(), size);
+            error = readError;
+        }
+        BOOST_TEST(!fleet.hasStopped());
+    });
+    return received;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(shutdown)
@@ -246,6 +275,22 @@
     BOOST_TEST(observed.beforeExit);
 }
 
+// Guards against requests whose bodies are received slowly and are cut off without an answer when their daemon exits.
+BOOST_AUTO_TEST_CASE(a_request_whose_body_is_incomplete_is_refused_before_the_exit)
+{
+    const auto answer = answerToBytes("POST /plain/1 HTTP/1.1\r\nHost: ferry.example\r\nAttempt-Id: slow\r\n"
+                                      "Content-Length: 1000\r\n\r\nthe first bytes");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("Retry-After") != std::string::npos);
+    BOOST_TEST(answer.find("stopping") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_head_is_incomplete_is_refused_before_the_exit)
+{
+    const auto answer = answerToBytes("POST /plain/1 HTTP/1.1\r\nHost: ferry");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+}
+
 // Guards against refusing what can still be served: a request that arrives during a shutdown and ends before the exit.
 BOOST_AUTO_TEST_CASE(a_request_that_can_end_before_the_exit_is_served)
 {
