Open no tunnel for a peer once the own shutdown has begun

A peer's request could be cut at the exit of the daemon through which it reached its target, although that daemon had begun to shut down before the request was sent; one that may not be repeated was lost with it.

Cause: TunnelServer::acceptTunnel asks for the shutdown before it connects to the target, and not again when the connection is there.

--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -75,7 +75,9 @@
     TargetConnection connected;
     if (target) {
         connected = co_await m_connector.connectForPeer(target, requested->connectTimeout);
-        if (connected.connection) {
+        if (m_context.shutdown.hasBegun()) {
+            connected = {}; // The peer should choose a daemon that stays.
+        } else if (connected.connection) {
             result = net::TunnelResult::Open;
         } else if (connected.targetAtFault) {
             result = connected.refused ? net::TunnelResult::TargetRefused : net::TunnelResult::TargetUnreachable;
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -345,6 +345,33 @@
     BOOST_TEST(engine.startedRequests().size() == 2U);
 }
 
+// Guards against requests of a peer that are cut when the daemon exits through which they reach their target: it began
+// to shut down while it connected to the target.
+BOOST_AUTO_TEST_CASE(a_daemon_that_begins_to_shut_down_opens_no_tunnel)
+{
+    RelayFleet fleet(2, Peers::Connected);
+    allowLongWaits(fleet);
+    auto &target = fleet.addTarget("app");
+    target.behaviour.processingTime = absl::Seconds(6);
+    ObservedAnswer observed;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        co_await fleet.waitUntilConnected();
+        fleet.cutLinks(0, LinkCut::Hang);
+        fleet.targetConnector(1).setDial(
+            [&fleet](net::ClientConnection &connection, core::Address address, core::Duration timeout) {
+                fleet.startShutdown(1);
+                return connection.connect(std::move(address), timeout);
+            });
+        startSending(fleet, plainRequest("/plain/1"), observed);
+        while (!observed.arrived) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+    });
+    BOOST_TEST(observed.answer.status == 503);
+    BOOST_TEST(target.startedRequests().empty());
+}
+
 // Guards against a process that does not end with status 0, cuts its last log lines, or ends early by a second signal.
 BOOST_AUTO_TEST_CASE(a_process_with_waiting_requests_ends_in_order_despite_further_signals)
 {
