Take no answer without framing for complete whose target has ended, draining or not

Cause: only the end of the connection marks the end of such an answer, so the target is connected to once more; a refusal means that its process ended. A draining target was exempt, because it may end as planned right after its last answer. But it serves on for a time after it has announced that it drains, so a refusal means more often that it was killed, and a planned end in the middle of an answer looks the same. Plain answers were not checked at all, with the same result: a part of the body was passed on with a length of its own.

Change: every answer without framing is checked, and one whose target refuses connections then is repeated, resumed or failed like one that was broken off. The end of a draining target does not count against the content of the request. An answer that was whole, of a target that ended within a round trip of it, is repeated too, or fails with 502 if it may not be: completeness that can't be known is not claimed.

Tests: the draining target that crashes between two events, the draining target that goes on, the plain answer whose target crashes.

--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -102,7 +102,7 @@
     enum class EndCheck
     {
         PathLost, ///< The link to the target broke, not the target.
-        Crashed, ///< The process of the target ended.
+        Ended, ///< The process of the target ended.
         Unknown, ///< It may be either, or neither.
     };
     /// State of an attempt whose target sends nothing.
@@ -132,9 +132,9 @@
     /// Checks whether the process of the target of the current attempt ended. A broken connection does not show that,
     /// a refused one does. The check delays the request by one round trip.
     [[nodiscard]] net::Task<EndCheck> checkAfterEnd(core::Ref<Target> target);
-    /// Whether the connection ended because the process of the target did, although the answer looks complete: nothing
-    /// else marks the end of its body.
-    [[nodiscard]] net::Task<bool> endedByCrash();
+    /// Whether an answer that looks complete may lack its end: nothing but the end of the connection marks the end of
+    /// its body, and the process of the target ended too.
+    [[nodiscard]] net::Task<bool> endedWithTarget();
     /// Whether the connection of the current attempt may be dead although its target is alive.
     [[nodiscard]] bool isPathSuspect(core::Time now) const;
     /// What a silent target is blamed for.
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -178,20 +178,21 @@
         const auto reason = m_headForwarded ? core::Reason::StreamInterrupted : core::Reason::TargetFailed;
         co_return handleFailure(core::Outcome::MayHaveRun, reason, TargetFault::ConnectionLost, end.detail);
     }
-    if (!m_isStream) {
-        co_return co_await forwardAnswer();
-    }
-    if (m_events.hasPartialEvent()) {
+    if (m_isStream && m_events.hasPartialEvent()) {
         // The stream is complete by its framing, so that its target ended it.
         const auto check = co_await checkAfterEnd(m_progress.target());
         static_cast<void>(check); // Only records a crash.
         co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::ConnectionLost,
                                 "the stream ended inside an event");
     }
-    const bool crashed = co_await endedByCrash();
-    if (crashed) {
-        co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::ConnectionLost,
-                                "the target ended, and with it a stream without framing");
+    const bool mayLackEnd = co_await endedWithTarget();
+    if (mayLackEnd) {
+        const auto reason = m_isStream ? core::Reason::StreamInterrupted : core::Reason::TargetFailed;
+        co_return handleFailure(core::Outcome::MayHaveRun, reason, TargetFault::ConnectionLost,
+                                "the target ended, and with it an answer without framing");
+    }
+    if (!m_isStream) {
+        co_return co_await forwardAnswer();
     }
     const auto now = core::now();
     m_progress.recordAnswer(now);
--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -203,23 +203,24 @@
     const auto checked
         = co_await m_context.connector->connect(target, detail::CrashCheckTimeout, core::now() + detail::CheckLifetime);
     if (checked.refused) {
-        m_progress.recordTargetCrash(target, core::now());
-        co_return EndCheck::Crashed;
+        // A draining target may have ended as planned, which says nothing about the content of the request.
+        if (!target->isDraining()) {
+            m_progress.recordTargetCrash(target, core::now());
+        }
+        co_return EndCheck::Ended;
     }
     const bool pathLost = checked.connection && m_attempt->peer().empty() && !checked.peer.empty();
     co_return pathLost ? EndCheck::PathLost : EndCheck::Unknown;
 }
 
 template<ProtocolCodec D>
-net::Task<bool> RequestHandler<D>::endedByCrash()
+net::Task<bool> RequestHandler<D>::endedWithTarget()
 {
-    const auto target = m_progress.target();
-    // A target that shuts down may refuse connections right after its last answer.
-    if (m_head.framing != net::BodyFraming::UntilClose || target->isDraining()) {
+    if (m_head.framing != net::BodyFraming::UntilClose) {
         co_return false;
     }
-    const auto check = co_await checkAfterEnd(target);
-    co_return check == EndCheck::Crashed;
+    const auto check = co_await checkAfterEnd(m_progress.target());
+    co_return check == EndCheck::Ended;
 }
 
 } // namespace spurlug::relay
--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -21,6 +21,7 @@
 
 const std::string RawHead = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed-raw\r\n";
 const std::string RawStreamHead = RawHead + "Content-Type: text/event-stream\r\n\r\n";
+const std::string DrainingStreamHead = RawHead + "Server-Leaving: 1\r\nContent-Type: text/event-stream\r\n\r\n";
 const std::string FirstEvents = "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\n";
 const std::string LastEvent = "id: 2\ndata: token 2\n\n";
 
@@ -32,11 +33,13 @@
     return request;
 }
 
-/// Serves a prompt by a target that answers with raw bytes, and then by one that streams three events.
-CallerAnswer answerAfterRaw(const std::string &rawAnswer, bool crashes)
+/// Serves a request by a target that answers with raw bytes, and then by one that gives the whole answer. A target of
+/// the service "model" streams three events.
+CallerAnswer answerAfterRaw(const std::string &rawAnswer, bool crashes, const std::string &service = "model",
+                            const CallerRequest &request = chatRequest())
 {
     RelayFleet fleet;
-    auto &raw = fleet.addTarget("model");
+    auto &raw = fleet.addTarget(service);
     raw.behaviour.rawAnswer = rawAnswer;
     raw.behaviour.crashesAfterRawAnswer = crashes;
     CallerAnswer answer;
@@ -46,10 +49,10 @@
             fleet.loop,
             [&]() -> net::Task<> {
                 co_await net::sleepFor(absl::Milliseconds(10)); // The first attempt has a single target.
-                fleet.addTarget("model").behaviour.eventCount = 3;
+                fleet.addTarget(service).behaviour.eventCount = service == "model" ? 3 : 0;
             },
             net::asio::detached);
-        answer = co_await fleet.send(chatRequest());
+        answer = co_await fleet.send(request);
     });
     return answer;
 }
@@ -97,6 +100,35 @@
     BOOST_TEST(answer.isComplete);
 }
 
+// Guards against streams that look complete although the draining target that sent them was killed (review case 2).
+BOOST_AUTO_TEST_CASE(a_stream_whose_draining_target_crashes_between_two_events_is_resumed)
+{
+    const auto answer = answerAfterRaw(DrainingStreamHead + FirstEvents, true);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == FirstEvents + LastEvent);
+    BOOST_TEST(answer.isComplete);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_of_a_draining_target_that_goes_on_is_relayed)
+{
+    const auto answer = answerAfterRaw(DrainingStreamHead + FirstEvents + LastEvent, false);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == FirstEvents + LastEvent);
+    BOOST_TEST(answer.isComplete);
+}
+
+// Guards against a plain answer that looks complete although the target crashed while it sent the answer.
+BOOST_AUTO_TEST_CASE(a_plain_answer_whose_target_crashes_is_repeated_or_fails)
+{
+    CallerRequest repeatable;
+    repeatable.path = "/safe/1";
+    const auto repeated = answerAfterRaw(RawHead + "\r\nthe ans", true, "app", repeatable);
+    BOOST_TEST(repeated.status == 200);
+    BOOST_TEST(repeated.body == "the answer");
+    const auto failed = answerAfterRaw(RawHead + "\r\nthe ans", true, "app", CallerRequest());
+    BOOST_TEST(failed.status == 502); // It may have run, and may not be repeated.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
