Reject requests with a transfer coding that is not decoded

Cause: Beast's parser decodes chunked only and takes a request with any other coding, and no length, for one without a body. ServerConnection::read relied on it. With "gzip, chunked" the body was passed on without the field that says how it is coded.

Change: after the head, a request is malformed (400, and the connection is closed) unless it has no Transfer-Encoding or exactly one, chunked.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -50,6 +50,14 @@
     return isParserError && !isConnectionEnd ? ReadFailure::Malformed : ReadFailure::Closed;
 }
 
+/// Whether the end of the body is certain. A coding that is not decoded here may hide it, and what follows the head
+/// would be taken for the next request.
+bool hasKnownFraming(const http::fields &fields)
+{
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    return first == last || (std::next(first) == last && beast::iequals(first->value(), "chunked"));
+}
+
 Request toRequest(http::request<http::string_body> message, bool hasBody)
 {
     Request request;
@@ -208,6 +216,9 @@
         auto [failure, bytes] = co_await http::async_read_header(impl->socket, impl->buffer, parser, Awaited);
         co_return failure;
     });
+    if (!error && !hasKnownFraming(parser.get())) {
+        error = http::error::bad_transfer_encoding;
+    }
     if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const bool sent = co_await impl->sendBytes(std::string(ContinueResponse), limits.headTimeout);
         if (!sent) {
