Notice waits for targets on silent connections within half of drainMs and a time-out

Cause: a wait for changes of the targets lasts 4 s and has 1 s more for its answer, so a dead one was noticed after up to 5 s: longer than drainMs (2 to 4 s) and than the time after which daemons count as in contact again. Daemons that ask a reader learnt nothing either: a reader's answer allowed the targets 3.4 s more than the configuration.

Change: waits for targets and evacuations last half of drainMs, 0.6 to 4 s, and the additional age that readers are allowed follows. A dead wait is noticed after 2 s at drainMs 2,000, and one query of a reader later at all daemons. The price is three to four times as many waits for targets, by the readers only.

Test: two daemons, a target that drains 0.1 s after the silence; from 3 s after the silence on it gets nothing.

--- a/include/spurlug/relay/directory_watcher.h
+++ b/include/spurlug/relay/directory_watcher.h
@@ -151,7 +151,6 @@
     static constexpr auto ReaderConfigurationWatchTimeout = absl::Milliseconds(600);
     /// Between checks whether this daemon is to read the directory.
     static constexpr auto RoleCheckInterval = absl::Milliseconds(50);
-    static constexpr auto TargetsWatchTimeout = absl::Milliseconds(4000);
     static constexpr auto MinWatchTimeout = absl::Milliseconds(1);
     /// Changes that follow each other within `TargetsBatchWindow`, as in a release, are read as a batch after this
     /// pause; the first ones are read at once.
@@ -299,8 +298,8 @@
         if (!current.position.isKnown()) {
             answer = co_await m_directory.listEvacuations();
         } else {
-            const auto watchTimeout = m_evacuationsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout)
-                                                                                : core::Duration(TargetsWatchTimeout);
+            const auto watchTimeout
+                = m_evacuationsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout) : m_context.targetsWait();
             answer
                 = co_await m_directory.awaitEvacuations(current.position.revision, std::min(watchTimeout, untilRelist));
         }
@@ -376,8 +375,8 @@
         } else {
             // After a failure the wait is short, so that the answer shows when the directory recovered: targets that
             // are missing then may still return.
-            const auto watchTimeout = m_targetsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout)
-                                                                            : core::Duration(TargetsWatchTimeout);
+            const auto watchTimeout
+                = m_targetsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout) : m_context.targetsWait();
             answer = co_await m_directory.awaitTargets(knownPosition.revision, watchTimeout);
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -30,8 +30,11 @@
 /// 160 ms when 72 do. One that has none by then can't reach the directory, in most cases for seconds.
 constexpr auto FirstReadTimeout = absl::Milliseconds(200);
 
-/// How much longer the waits for targets are than the shortest wait for the configuration.
-constexpr auto TargetsExtraWait = absl::Milliseconds(3400);
+constexpr auto MaxTargetsWait = absl::Milliseconds(4000);
+/// Share of the time after which a draining target must get no new work. The rest covers the timeout of the directory's
+/// answer, a new list, and daemons that ask this one.
+constexpr double TargetsWaitShare = 0.5;
+constexpr auto MinConfigurationWait = absl::Milliseconds(600); ///< Shortest wait for the configuration.
 
 /// Fraction of a period by which this daemon is ahead of others; it differs between VMs.
 double phaseOf(const std::string &vm)
@@ -122,7 +125,13 @@
     const bool usesEvacuations = settings.bounds.evacuate > absl::ZeroDuration();
     const auto watchesAnsweredAt
         = usesEvacuations ? std::min(targetsAnsweredAt, evacuationsAnsweredAt) : targetsAnsweredAt;
-    return std::min(configurationAnsweredAt, watchesAnsweredAt + TargetsExtraWait);
+    return std::min(configurationAnsweredAt, watchesAnsweredAt + (targetsWait() - MinConfigurationWait));
+}
+
+core::Duration RelayContext::targetsWait() const noexcept
+{
+    return std::clamp(settings.bounds.drain * TargetsWaitShare, core::Duration(MinConfigurationWait),
+                      core::Duration(MaxTargetsWait));
 }
 
 void RelayContext::activateConfiguration(config::RouteTableRef newer, std::string sourceText, std::string_view from,
--- a/tests/platform/draining_and_cooldown_test.cpp
+++ b/tests/platform/draining_and_cooldown_test.cpp
@@ -364,5 +364,31 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+// Guards against requests to a draining target after open connections to the store fell silent (review case 3): the
+// wait for changes that carried the entry was noticed as dead only after 5 s.
+BOOST_AUTO_TEST_CASE(a_draining_target_gets_no_requests_after_connections_to_the_store_fell_silent)
+{
+    constexpr auto ContactTime = absl::Seconds(3); // Daemons count as in contact again this long after the silence.
+    constexpr std::size_t DaemonCount = 2;
+    constexpr int RequestCount = 20;
+    RelayFleet fleet(DaemonCount, Peers::Connected);
+    auto &draining = fleet.addTarget("app");
+    fleet.addTarget("app");
+    std::size_t arrivalsBefore = 0;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        co_await fleet.waitUntilConnected();
+        co_await net::sleepFor(PropagationTime);
+        fleet.store.silenceConnections();
+        co_await net::sleepFor(absl::Milliseconds(100));
+        fleet.writeEntry(draining, "app", "draining");
+        co_await net::sleepFor(ContactTime);
+        arrivalsBefore = draining.arrivals().size();
+        const auto statuses = co_await sendInTurn(fleet, CallerRequest(), RequestCount, DaemonCount);
+        BOOST_TEST(statuses.at(200) == RequestCount);
+    });
+    BOOST_TEST(draining.arrivals().size() == arrivalsBefore);
+}
+
 
 } // namespace spurlug::test
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -98,6 +98,11 @@
     ++m_era;
 }
 
+void FakeStore::silenceConnections()
+{
+    m_silentConnections = m_connectionCount;
+}
+
 void FakeStore::dropHistory()
 {
     m_history.clear();
@@ -169,6 +174,7 @@
 net::Task<> FakeStore::serve(net::asio::ip::tcp::socket socket)
 {
     net::ServerConnection connection(m_loop, std::move(socket));
+    const auto number = ++m_connectionCount;
     for (;;) {
         auto result = co_await connection.read({});
         if (!result.request) {
@@ -184,6 +190,9 @@
         while (failure == StoreFailure::Unresponsive) {
             co_await net::sleepFor(absl::Milliseconds(10));
         }
+        while (number <= m_silentConnections) {
+            co_await net::sleepFor(absl::Seconds(1));
+        }
         const bool written = co_await connection.write(std::move(response), true, core::now() + absl::Seconds(1));
         if (!written) {
             co_return;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -45,6 +45,8 @@
     /// \brief Restores the snapshot: later changes are lost, revisions continue from the snapshot's, and a new era
     /// begins.
     void restoreSnapshot();
+    /// \brief Sends nothing more over the connections that are open now, and does not close them. New ones work.
+    void silenceConnections();
     /// \brief Drops the history: watches from an earlier revision get 410.
     void dropHistory();
     StoreFailure failure = StoreFailure::None;
@@ -86,6 +88,8 @@
 
     net::Loop &m_loop;
     net::Listener m_listener;
+    std::int64_t m_connectionCount = 0; ///< Connections accepted so far.
+    std::int64_t m_silentConnections = 0; ///< The first of these are silent.
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Change> m_history;
     std::int64_t m_revision = 0;
