Hold each body of a request once, and limit their sum

Cause: a body was held by the request, by the coroutine of its attempt and by the connection to the target, and nothing limited the sum of all bodies.

Change: the three share one body. core::ByteBudget limits what all requests hold, those that are being received included: two fifths of the new setting memoryMb, which the platform's template fills in. A body with a length beyond it is refused before it is read, one in chunks as it grows: 503, body_memory_full, with a Retry-After.

Not covered: answers that callers read slowly are not counted.

--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -55,6 +55,8 @@
 
     /// \brief Starts to send a request; `readHead` awaits its response.
     void startSend(const Request &request);
+    /// \brief The same with a body that others hold too, in place of the request's own.
+    void startSend(const Request &request, SharedBody body);
 
     /// \brief Awaits the head of the response; interim responses (1xx) are skipped.
     /// \returns Nothing when the connection failed, the response is malformed, or the deadline passed.
--- a/include/spurlug/net/http_message.h
+++ b/include/spurlug/net/http_message.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -61,6 +62,9 @@
     bool keepAlive = true; ///< Whether the sender keeps the connection open for more requests.
 };
 
+/// \brief A body that is held once, however many send it.
+using SharedBody = std::shared_ptr<const std::string>;
+
 /// \brief How the end of a response's body is determined.
 enum class BodyFraming
 {
--- a/include/spurlug/net/server_connection.h
+++ b/include/spurlug/net/server_connection.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include "spurlug/core/byte_budget.h"
 #include "spurlug/core/counted.h"
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
@@ -26,6 +27,7 @@
     core::Duration headTimeout = absl::Seconds(5); ///< From a request's first byte to the end of its head.
     core::Duration bodyTimeout = absl::Seconds(30); ///< From the end of the head to the end of the body.
     core::Duration idleTimeout = absl::Seconds(60); ///< Between requests.
+    core::ByteBudget *bodyBudget = nullptr; ///< Limit for all bodies held at the same time; null: none.
 };
 
 /// \brief Why no request was read.
@@ -37,6 +39,7 @@
     Malformed,
     HeadTooLarge,
     BodyTooLarge,
+    BodyMemoryFull, ///< The body would exceed the budget.
     TimedOut, ///< A head or body was not complete within its timeout.
     Interrupted, ///< `interruptRead` was called while a part of a request had arrived.
 };
@@ -45,6 +48,7 @@
 struct ReadResult
 {
     std::optional<Request> request;
+    core::ByteReservation bodyMemory; ///< Of the request's body.
     ReadFailure failure = ReadFailure::None;
     std::string detail; ///< Error message of the parser, for logs.
     core::Time firstByteAt; ///< Arrival of the first byte of the request.
@@ -120,6 +124,7 @@
         EnumName<End>{End::Malformed, "malformed"},
         EnumName<End>{End::HeadTooLarge, "head_too_large"},
         EnumName<End>{End::BodyTooLarge, "body_too_large"},
+        EnumName<End>{End::BodyMemoryFull, "body_memory_full"},
         EnumName<End>{End::TimedOut, "too_slow"},
         EnumName<End>{End::Interrupted, "interrupted"},
     };
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -107,9 +107,10 @@
     using MayWrite = std::function<bool()>;
 
     /// \brief Starts the attempt, which keeps itself alive until it ends.
+    /// \param message The request without its body.
     /// \param mayWrite Called once the connection is established.
-    void start(core::Ref<Target> target, net::Request message, core::Duration connectTimeout, core::Time deadline,
-               MayWrite mayWrite);
+    void start(core::Ref<Target> target, net::Request message, net::SharedBody body, core::Duration connectTimeout,
+               core::Time deadline, MayWrite mayWrite);
 
     /// \brief Aborts the attempt: closes its connection, so that the target stops processing the request.
     void abort();
@@ -127,8 +128,8 @@
     }
 
 private:
-    [[nodiscard]] net::Task<> run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
-                                  core::Time deadline, MayWrite mayWrite);
+    [[nodiscard]] net::Task<> run(core::Ref<Target> target, net::Request message, net::SharedBody body,
+                                  core::Duration connectTimeout, core::Time deadline, MayWrite mayWrite);
     /// Posts AttemptEnded unless the attempt was aborted.
     void postEnd(AttemptStage stage, std::string detail);
     /// Posts AttemptEnded for a connection that failed after the request was sent.
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -68,6 +68,8 @@
         bool isClosing = false; ///< Whether the last answer was written and the caller may still read it.
     };
 
+    /// Share of the process's memory for bodies of requests. The rest is for state, answers and buffers of sockets.
+    static constexpr double BodyMemoryShare = 0.4;
     static constexpr auto DrainCheckInterval = absl::Milliseconds(50); ///< Interval between checks while draining.
     /// Factor on the idle timeout: callers may use a connection until the timeout has passed.
     static constexpr double IdleTimeoutFactor = 1.25;
@@ -103,6 +105,7 @@
     settings::RelaySettings m_settings;
     const std::string m_settingsPath;
     metrics::Metrics m_metrics;
+    core::ByteBudget m_bodyBudget;
     RelayContext m_context;
     TargetConnector m_connector;
     TunnelServer m_tunnelServer;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
 namespace spurlug::relay
@@ -20,6 +21,9 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_settingsPath(std::move(settingsPath))
+    , m_bodyBudget(m_settings.memory > 0
+                       ? static_cast<std::int64_t>(static_cast<double>(m_settings.memory) * BodyMemoryShare)
+                       : std::numeric_limits<std::int64_t>::max())
     , m_context(loop, m_settings, m_metrics)
     , m_connector(m_context)
     , m_tunnelServer(m_context, m_connector)
@@ -103,6 +107,7 @@
 net::ReadLimits RelayDaemon<Protocol, Source>::readLimits()
 {
     net::ReadLimits limits;
+    limits.bodyBudget = &m_bodyBudget;
     if (m_context.table) {
         const auto &configured = m_context.table->limits;
         limits.maxHeadBytes = static_cast<std::size_t>(configured.maxHeadBytes);
@@ -133,6 +138,11 @@
         refusal.status = PayloadTooLarge;
         refusal.reason = core::Reason::BodyTooLarge;
         break;
+    case net::ReadFailure::BodyMemoryFull:
+        refusal.status = ServiceUnavailable;
+        refusal.reason = core::Reason::BodyMemoryFull;
+        refusal.retryAfter = retryAfter(refusal.reason, std::nullopt, 0, core::now());
+        break;
     case net::ReadFailure::Interrupted:
         refusal.status = ServiceUnavailable;
         refusal.reason = core::Reason::Stopping;
@@ -207,8 +217,8 @@
             co_await rejectUnreadable(caller, std::move(result));
             co_return;
         }
-        RequestHandler<Protocol> request(m_context, m_protocol, caller, std::move(*result.request), std::move(facts),
-                                         result.firstByteAt);
+        RequestHandler<Protocol> request(m_context, m_protocol, caller, std::move(*result.request),
+                                         std::move(result.bodyMemory), std::move(facts), result.firstByteAt);
         const bool keepOpen = co_await request.run();
         if (!keepOpen) {
             link.isClosing = true;
--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -41,8 +41,9 @@
 class RequestHandler
 {
 public:
+    /// \param bodyMemory Memory of the request's body, which is held as long as this object.
     RequestHandler(RelayContext &context, const D &codec, core::Ref<net::ServerConnection> caller, net::Request request,
-                   RequestInfo facts, core::Time arrivedAt);
+                   core::ByteReservation bodyMemory, RequestInfo facts, core::Time arrivedAt);
 
     /// \brief Relays the request and answers the caller.
     /// \returns Whether the caller's connection can be used for another request.
@@ -166,7 +167,9 @@
     RelayContext &m_context;
     const D &m_codec;
     core::Ref<net::ServerConnection> m_caller;
-    const net::Request m_request;
+    const core::ByteReservation m_bodyMemory;
+    const net::SharedBody m_requestBody;
+    const net::Request m_request; ///< Without its body.
     RequestProgress m_progress;
     core::Ref<RequestInbox> m_inbox;
     ShutdownWatch m_shutdownWatch;
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -27,9 +27,9 @@
 inline constexpr auto RefusedRetryDelay = absl::Milliseconds(20);
 inline constexpr double HoldTimeShare = 0.85; ///< Share of the time after which unused memory must be free again.
 
-inline RequestInfo withContentDigest(RequestInfo facts, const net::Request &request)
+inline RequestInfo withContentDigest(RequestInfo facts, const net::Request &request, const std::string &body)
 {
-    facts.contentDigest = core::digestOf({request.method, request.target, request.body});
+    facts.contentDigest = core::digestOf({request.method, request.target, body});
     return facts;
 }
 
@@ -37,12 +37,15 @@
 
 template<ProtocolCodec D>
 RequestHandler<D>::RequestHandler(RelayContext &context, const D &codec, core::Ref<net::ServerConnection> caller,
-                                  net::Request request, RequestInfo facts, core::Time arrivedAt)
+                                  net::Request request, core::ByteReservation bodyMemory, RequestInfo facts,
+                                  core::Time arrivedAt)
     : m_context(context)
     , m_codec(codec)
     , m_caller(std::move(caller))
+    , m_bodyMemory(std::move(bodyMemory))
+    , m_requestBody(std::make_shared<const std::string>(std::exchange(request.body, {})))
     , m_request(std::move(request))
-    , m_progress(context, detail::withContentDigest(std::move(facts), m_request), arrivedAt)
+    , m_progress(context, detail::withContentDigest(std::move(facts), m_request, *m_requestBody), arrivedAt)
     , m_inbox(core::makeRef<RequestInbox>(context.loop))
     , m_shutdownWatch(context.shutdown, [this] { m_inbox->events.post(ShutdownAdvanced{}); })
     , m_lastEventId(m_progress.facts().resumeAfter)
@@ -355,7 +358,7 @@
                             [&crashes](const auto &digest) { return crashes.isQuarantined(digest); })
             && std::none_of(helpers.begin(), helpers.end(), [](const auto &helper) { return helper->isEvacuated(); });
     };
-    m_attempt->start(chosen.target, m_codec.attemptRequest(m_request, facts), detail::ConnectTimeout,
+    m_attempt->start(chosen.target, m_codec.attemptRequest(m_request, facts), m_requestBody, detail::ConnectTimeout,
                      m_progress.deadline(), std::move(mayWrite));
 }
 
--- a/include/spurlug/settings/relay_settings.h
+++ b/include/spurlug/settings/relay_settings.h
@@ -49,6 +49,7 @@
     core::Address store; ///< Holds the configuration and the targets.
     std::vector<core::Address> seeds; ///< Control addresses of some daemons.
     double processorShare = 1; ///< CPU cores of this VM, may be a fraction; larger VMs hold roles for the others.
+    std::int64_t memory = 0; ///< Memory that the process may use, bytes; 0: not limited.
     /// Number of daemons of a failure domain that read the store for it. Readers in other domains take over if one
     /// fails.
     int readersPerDomain = 1;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -121,7 +121,8 @@
     bool isTunnelled = false; ///< Whether responses are read from `tunnel`.
     OperationTimeout expiry;
     beast::flat_buffer buffer;
-    http::request<http::string_body> request;
+    http::request<http::span_body<const char>> request;
+    SharedBody body; ///< The bytes of the request's body.
     std::unique_ptr<Parser> parser;
     std::string lastError;
     bool refused = false;
@@ -207,16 +208,23 @@
 }
 
 void ClientConnection::startSend(const Request &request)
+{
+    startSend(request, std::make_shared<const std::string>(request.body));
+}
+
+void ClientConnection::startSend(const Request &request, SharedBody body)
 {
     auto &message = m_impl->request;
     message = {};
+    m_impl->body = std::move(body);
+    const auto &bytes = *m_impl->body;
     message.version(HttpVersion);
     message.method_string(request.method);
     message.target(request.target);
     toBeast(request.headers, message);
-    if (request.hasBody || !request.body.empty()) {
-        message.body() = request.body;
-        message.content_length(message.body().size());
+    if (request.hasBody || !bytes.empty()) {
+        message.body() = {bytes.data(), bytes.size()};
+        message.content_length(bytes.size());
     }
     m_impl->requestSent = false;
     m_impl->parser = nullptr;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -7,6 +7,7 @@
 
 #include "beast_convert.h"
 
+#include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/write.hpp>
@@ -28,7 +29,7 @@
 
 constexpr unsigned HttpVersion = 11;
 constexpr auto LingerTimeout = absl::Milliseconds(500); // For the caller to receive the last answer before the close.
-constexpr std::size_t MaxLingerBytes = 1 << 20; // Maximum number of bytes discarded while lingering.
+constexpr std::size_t MaxLingerBytes = 8 << 20; // Maximum number of bytes discarded while lingering.
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 ReadFailure toReadFailure(const error_code &error, bool expired, bool interrupted)
@@ -219,7 +220,13 @@
     if (!error && !hasKnownFraming(parser.get())) {
         error = http::error::bad_transfer_encoding;
     }
-    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    if (limits.bodyBudget != nullptr) {
+        result.bodyMemory = core::ByteReservation(*limits.bodyBudget);
+    }
+    // A body with a length is refused before it is read; one in chunks as it grows.
+    const auto length = error ? boost::optional<std::uint64_t>() : parser.content_length();
+    bool hasMemory = result.bodyMemory.resize(static_cast<std::int64_t>(length.value_or(0)));
+    if (!error && hasMemory && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const bool sent = co_await impl->sendBytes(std::string(ContinueResponse), limits.headTimeout);
         if (!sent) {
             impl->readState = Impl::ReadState::None;
@@ -227,13 +234,23 @@
             co_return result;
         }
     }
-    if (!error && !parser.is_done()) {
+    if (!error && hasMemory && !parser.is_done()) {
         error = co_await impl->awaitWithTimeout(limits.bodyTimeout, [&]() -> Task<error_code> {
-            auto [failure, bytes] = co_await http::async_read(impl->socket, impl->buffer, parser, Awaited);
+            error_code failure;
+            while (!failure && hasMemory && !parser.is_done()) {
+                auto [readError, bytes] = co_await http::async_read_some(impl->socket, impl->buffer, parser, Awaited);
+                failure = readError;
+                const auto held = std::max<std::uint64_t>(parser.get().body().size(), length.value_or(0));
+                hasMemory = result.bodyMemory.resize(static_cast<std::int64_t>(held));
+            }
             co_return failure;
         });
     }
     impl->readState = Impl::ReadState::None;
+    if (!error && !hasMemory) {
+        result.failure = ReadFailure::BodyMemoryFull;
+        co_return result;
+    }
     if (error) {
         result.failure = toReadFailure(error, impl->expiry.expired(), impl->readInterrupted);
         result.detail = error.message();
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -24,16 +24,16 @@
     , m_number(number)
 { }
 
-void Attempt::start(core::Ref<Target> target, net::Request message, core::Duration connectTimeout, core::Time deadline,
-                    MayWrite mayWrite)
+void Attempt::start(core::Ref<Target> target, net::Request message, net::SharedBody body, core::Duration connectTimeout,
+                    core::Time deadline, MayWrite mayWrite)
 {
     net::asio::co_spawn(
         m_loop,
-        [](core::Ref<Attempt> self, core::Ref<Target> to, net::Request sent, core::Duration timeout, core::Time until,
-           MayWrite may) -> net::Task<> {
-            co_await self->run(std::move(to), std::move(sent), timeout, until, std::move(may));
-        }(core::Ref<Attempt>(this), std::move(target), std::move(message), connectTimeout, deadline,
-                         std::move(mayWrite)),
+        [](core::Ref<Attempt> self, core::Ref<Target> to, net::Request sent, net::SharedBody sentBody,
+           core::Duration timeout, core::Time until, MayWrite may) -> net::Task<> {
+            co_await self->run(std::move(to), std::move(sent), std::move(sentBody), timeout, until, std::move(may));
+        }(core::Ref<Attempt>(this), std::move(target), std::move(message), std::move(body), connectTimeout, deadline,
+                                                                   std::move(mayWrite)),
         net::asio::detached);
 }
 
@@ -61,8 +61,8 @@
     }
 }
 
-net::Task<> Attempt::run(core::Ref<Target> target, net::Request message, core::Duration connectTimeout,
-                         core::Time deadline, MayWrite mayWrite)
+net::Task<> Attempt::run(core::Ref<Target> target, net::Request message, net::SharedBody body,
+                         core::Duration connectTimeout, core::Time deadline, MayWrite mayWrite)
 {
     if (m_aborted) {
         co_return;
@@ -86,7 +86,7 @@
         co_return;
     }
     m_sending = true;
-    m_connected.connection->startSend(message);
+    m_connected.connection->startSend(message, std::move(body));
     auto head = co_await m_connected.connection->readHead(deadline);
     if (!head) {
         postBreak();
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -16,6 +16,7 @@
 constexpr double MaxRatio = 1000;
 constexpr double MaxCores = 1024;
 constexpr std::int64_t MaxReaders = 1000;
+constexpr std::int64_t MaxMemoryMb = 1 << 20;
 
 void readBounds(core::ObjectReader &reader, RelayBounds &bounds)
 {
@@ -110,6 +111,7 @@
     settings.store = readAddress(reader, "store");
     settings.seeds = readAddresses(reader, "seeds");
     settings.processorShare = reader.number("processorShare", 0, MaxCores, settings.processorShare);
+    settings.memory = reader.integer("memoryMb", 0, MaxMemoryMb, 0) << 20U;
     settings.readersPerDomain
         = static_cast<int>(reader.integer("readersPerDomain", 1, MaxReaders, settings.readersPerDomain));
     settings.logLevel = readLogLevel(reader);
--- a/tests/platform/draining_and_cooldown_test.cpp
+++ b/tests/platform/draining_and_cooldown_test.cpp
@@ -351,7 +351,8 @@
         entry.id = target.id();
         entry.address = target.address();
         CallerRequest request;
-        attempt->start(core::makeRef<relay::Target>(entry), fleet.makeRequest(request), absl::Seconds(1),
+        attempt->start(core::makeRef<relay::Target>(entry), fleet.makeRequest(request),
+                       std::make_shared<const std::string>(request.body), absl::Seconds(1),
                        core::now() + absl::Seconds(3), [] { return false; });
         const auto event = co_await inbox->events.take(core::now() + absl::Seconds(3));
         BOOST_REQUIRE(event.has_value());
@@ -363,7 +364,6 @@
     });
 }
 
-BOOST_AUTO_TEST_SUITE_END()
 // Guards against requests to a draining target after open connections to the store fell silent (review case 3): the
 // wait for changes that carried the entry was noticed as dead only after 5 s.
 BOOST_AUTO_TEST_CASE(a_draining_target_gets_no_requests_after_connections_to_the_store_fell_silent)
@@ -390,5 +390,6 @@
     BOOST_TEST(draining.arrivals().size() == arrivalsBefore);
 }
 
+BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -116,10 +116,10 @@
 
 void RelayFleet::addDaemon()
 {
-    startDaemon(makeSettings());
+    addDaemon(makeSettings());
 }
 
-void RelayFleet::startDaemon(settings::RelaySettings settings)
+void RelayFleet::addDaemon(settings::RelaySettings settings)
 {
     DaemonInstance instance;
     instance.settings = std::move(settings);
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -102,6 +102,8 @@
     [[nodiscard]] net::Task<double> metric(std::string name, std::size_t daemon = 0);
     /// \brief Starts another daemon. If the daemons know each other, its seeds are the first three.
     void addDaemon();
+    /// \brief Starts a daemon with settings from `makeSettings`.
+    void addDaemon(settings::RelaySettings settings);
     /// \brief Starts the graceful shutdown of a daemon.
     void startShutdown(std::size_t daemon = 0);
     /// \brief Whether a daemon has shut down; a process would have exited then.
@@ -125,7 +127,6 @@
     std::vector<std::unique_ptr<FakeTarget>> targets;
 
 private:
-    void startDaemon(settings::RelaySettings settings);
     [[nodiscard]] net::Task<std::optional<net::Response>> httpGet(core::Address address, std::string path);
 
     struct DaemonInstance
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -35,6 +35,7 @@
             {"platform.address", "\"10.200.1.7:8223\""},
             {"seeds", "[\"10.1.0.40:8229\"]"},
             {"limits.cpu_share", "0.25"},
+            {"limits.memory_mb", "260"},
             {"bounds.drain_ms", "2000"},
             {"bounds.revoke_ms", "5000"},
             {"bounds.fail_closed", "true"},
