--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-constexpr auto MaxTestDuration = absl::Seconds(20);
-
 /// Returns a port that is free now and below the kernel's ephemeral ports. An ephemeral port may become the local port
 /// of a connection before the daemon binds it.
 template<typename Protocol>
@@ -188,7 +186,7 @@
     return entry;
 }
 
-void RelayFleet::run(std::function<net::Task<>()> test)
+void RelayFleet::run(std::function<net::Task<>()> test, core::Duration maxDuration)
 {
     std::exception_ptr failure;
     bool done = false;
@@ -197,7 +195,7 @@
         done = true;
         loop.stop();
     });
-    net::Timer timeout(loop, net::toTimerDuration(MaxTestDuration));
+    net::Timer timeout(loop, net::toTimerDuration(maxDuration));
     timeout.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             loop.stop();
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -67,8 +67,8 @@
     explicit RelayFleet(int daemons = 1, Peers peers = Peers::Isolated);
     ~RelayFleet();
 
-    /// \brief Runs a test to its end, for at most 20 s, and rethrows its exceptions.
-    void run(std::function<net::Task<>()> test);
+    /// \brief Runs a test to its end and rethrows its exceptions. It fails if it does not end in time.
+    void run(std::function<net::Task<>()> test, core::Duration maxDuration = absl::Seconds(20));
 
     /// \brief Adds a process of a service and its entry in the store.
     FakeTarget &addTarget(const std::string &service, int slots = 16);
