Detect silent waits for targets by the wait for the configuration, not by shorter waits

Change: the waits last 4 s again. The wait for the configuration is shorter (0.6 s at readers); when it gets no answer, the longer waits in progress are abandoned and start again over new connections from the revision that is known (Directory::abandonWaits). That is no failure of the store and keeps no expired entries; if the store is away, the new waits fail by themselves. It costs no call while all is well.

Left: if only the connection of the wait for targets goes silent, that is noticed after 5 s as before.

Tests: a_draining_target_gets_no_requests_after_connections_to_the_store_fell_silent fails on (6 requests from 3 s after the silence on) and passes here; the suites trust and restored_store pass.

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -128,10 +128,6 @@
     /// last one is old only because this process didn't run.
     [[nodiscard]] bool confirmationExpectedSoon(core::Time now) const;
 
-    /// \brief How long a wait for changes of targets or evacuations lasts. A connection to the directory that went
-    /// silent is noticed at its end, in time to learn which targets drain.
-    [[nodiscard]] core::Duration targetsWait() const noexcept;
-
     /// \brief When the directory last answered for everything that this daemon reads from it. Allows for the longer
     /// waits for targets and evacuations.
     [[nodiscard]] core::Time directoryAnsweredAt() const;
--- a/include/spurlug/relay/directory.h
+++ b/include/spurlug/relay/directory.h
@@ -28,6 +28,7 @@
     Busy, ///< The directory temporarily refused the call.
     Unreachable, ///< No answer.
     Malformed, ///< The answer could not be parsed.
+    Abandoned, ///< The wait was ended by `abandonWaits`.
 };
 
 /// \brief Answer to a read of, or a wait for, the configuration.
@@ -101,6 +102,8 @@
     {
         directory.awaitEvacuations(revision, wait)
         } -> std::same_as<net::Task<EvacuationsAnswer>>;
+    // Ends the waits in progress: their connections may have gone silent.
+    directory.abandonWaits();
 };
 
 } // namespace spurlug::relay
@@ -119,6 +122,7 @@
         EnumName<Status>{Status::Busy, "busy"},
         EnumName<Status>{Status::Unreachable, "unreachable"},
         EnumName<Status>{Status::Malformed, "malformed"},
+        EnumName<Status>{Status::Abandoned, "abandoned"},
     };
 };
 
--- a/include/spurlug/relay/directory_watcher.h
+++ b/include/spurlug/relay/directory_watcher.h
@@ -151,6 +151,7 @@
     static constexpr auto ReaderConfigurationWatchTimeout = absl::Milliseconds(600);
     /// Between checks whether this daemon is to read the directory.
     static constexpr auto RoleCheckInterval = absl::Milliseconds(50);
+    static constexpr auto TargetsWatchTimeout = absl::Milliseconds(4000);
     static constexpr auto MinWatchTimeout = absl::Milliseconds(1);
     /// Changes that follow each other within `TargetsBatchWindow`, as in a release, are read as a batch after this
     /// pause; the first ones are read at once.
@@ -235,6 +236,10 @@
             knownPosition = {};
             continue;
         }
+        if (answer.status == DirectoryStatus::Unreachable) {
+            // What cut or silenced this connection may have silenced the others, whose waits are longer.
+            m_directory.abandonWaits();
+        }
         const bool answered = answer.status == DirectoryStatus::Ok || answer.status == DirectoryStatus::Missing;
         if (answered) {
             m_context.configurationAnsweredAt = now;
@@ -298,12 +303,15 @@
         if (!current.position.isKnown()) {
             answer = co_await m_directory.listEvacuations();
         } else {
-            const auto watchTimeout
-                = m_evacuationsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout) : m_context.targetsWait();
+            const auto watchTimeout = m_evacuationsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout)
+                                                                                : core::Duration(TargetsWatchTimeout);
             answer
                 = co_await m_directory.awaitEvacuations(current.position.revision, std::min(watchTimeout, untilRelist));
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
+        if (answer.status == DirectoryStatus::Abandoned) {
+            continue;
+        }
         const auto now = core::now();
         const auto &previousPosition = m_context.evacuations.position;
         const bool restored = m_evacuationsAvailability.updateEra(answer.position.era, now)
@@ -375,11 +383,14 @@
         } else {
             // After a failure the wait is short, so that the answer shows when the directory recovered: targets that
             // are missing then may still return.
-            const auto watchTimeout
-                = m_targetsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout) : m_context.targetsWait();
+            const auto watchTimeout = m_targetsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout)
+                                                                            : core::Duration(TargetsWatchTimeout);
             answer = co_await m_directory.awaitTargets(knownPosition.revision, watchTimeout);
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
+        if (answer.status == DirectoryStatus::Abandoned) {
+            continue;
+        }
         const auto now = core::now();
         static_cast<void>(m_targetsAvailability.updateEra(answer.position.era, now));
         if (!isFullList && isOtherEra(answer, knownPosition)) {
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -30,11 +30,8 @@
 /// 160 ms when 72 do. One that has none by then can't reach the directory, in most cases for seconds.
 constexpr auto FirstReadTimeout = absl::Milliseconds(200);
 
-constexpr auto MaxTargetsWait = absl::Milliseconds(4000);
-/// Share of the time after which a draining target must get no new work. The rest covers the timeout of the directory's
-/// answer, a new list, and daemons that ask this one.
-constexpr double TargetsWaitShare = 0.5;
-constexpr auto MinConfigurationWait = absl::Milliseconds(600); ///< Shortest wait for the configuration.
+/// How much longer the waits for targets are than the shortest wait for the configuration.
+constexpr auto TargetsExtraWait = absl::Milliseconds(3400);
 
 /// Fraction of a period by which this daemon is ahead of others; it differs between VMs.
 double phaseOf(const std::string &vm)
@@ -125,13 +122,7 @@
     const bool usesEvacuations = settings.bounds.evacuate > absl::ZeroDuration();
     const auto watchesAnsweredAt
         = usesEvacuations ? std::min(targetsAnsweredAt, evacuationsAnsweredAt) : targetsAnsweredAt;
-    return std::min(configurationAnsweredAt, watchesAnsweredAt + (targetsWait() - MinConfigurationWait));
-}
-
-core::Duration RelayContext::targetsWait() const noexcept
-{
-    return std::clamp(settings.bounds.drain * TargetsWaitShare, core::Duration(MinConfigurationWait),
-                      core::Duration(MaxTargetsWait));
+    return std::min(configurationAnsweredAt, watchesAnsweredAt + TargetsExtraWait);
 }
 
 void RelayContext::activateConfiguration(config::RouteTableRef newer, std::string sourceText, std::string_view from,
