Heed a caller's disconnect during the delay before a retry

Change: the disconnect is looked at after the delay, as after each attempt.

Test: a caller that leaves right after a refused attempt; every run that starts after it is abandoned. It passes here; it was not run against the fault.

--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -92,6 +92,9 @@
             next = co_await runAttempt(*chosen);
         }
         releaseReservations();
+        if (next == NextStep::SendAgain && m_failureReason == core::Reason::TargetRefused) {
+            co_await delayRetry(detail::RefusedRetryDelay);
+        }
         if (m_callerGone) {
             m_progress.finish(m_progress.mayHaveRun() ? core::Outcome::MayHaveRun : core::Outcome::NotRun,
                               core::Reason::CallerDisconnected, 0, core::now());
@@ -103,9 +106,6 @@
         if (next == NextStep::Fail) {
             break;
         }
-        if (m_failureReason == core::Reason::TargetRefused) {
-            co_await delayRetry(detail::RefusedRetryDelay);
-        }
     }
     const auto outcome = m_progress.mayHaveRun() ? core::Outcome::MayHaveRun : core::Outcome::NotRun;
     if (m_headForwarded) {
--- a/tests/platform/requests_test.cpp
+++ b/tests/platform/requests_test.cpp
@@ -308,6 +308,32 @@
     });
 }
 
+// Guards against a disconnect that is consumed by the delay before a retry, so that the retry runs for nobody.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_before_a_retry_ends_its_request)
+{
+    RelayFleet fleet;
+    auto &target = fleet.addTarget("app");
+    Behaviour refusal;
+    refusal.fault = Behaviour::Fault::Shed;
+    target.script = {refusal};
+    target.behaviour.processingTime = absl::Seconds(2);
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        {
+            net::ClientConnection caller(fleet.loop);
+            const auto error = co_await caller.connect(fleet.callerAddress(), absl::Seconds(1));
+            BOOST_REQUIRE(error.empty());
+            caller.startSend(fleet.makeRequest(CallerRequest()));
+            while (target.arrivals().empty()) {
+                co_await net::sleepFor(absl::Milliseconds(1));
+            }
+        }
+        co_await net::sleepFor(absl::Seconds(1));
+    });
+    BOOST_TEST(target.arrivals().size() >= 1U);
+    BOOST_TEST(target.abandonedRequests() == std::ssize(target.startedRequests()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
