Abandon waits once an outage, so that an outage is still noticed by each wait

Cause: each failed wait for the configuration ended the waits for targets, also while the store was away. They were then never recorded as failed, so that entries which had expired meanwhile could be removed at its return, and daemons without the store called it more often.

Change: only the first failure after an answer abandons them.

--- a/include/spurlug/relay/directory_watcher.h
+++ b/include/spurlug/relay/directory_watcher.h
@@ -236,8 +236,9 @@
             knownPosition = {};
             continue;
         }
-        if (answer.status == DirectoryStatus::Unreachable) {
-            // What cut or silenced this connection may have silenced the others, whose waits are longer.
+        if (answer.status == DirectoryStatus::Unreachable && !m_configurationAvailability.isUnavailable()) {
+            // What cut or silenced this connection may have silenced the others, whose waits are longer. Later failures
+            // are an outage of the directory, which those waits must notice themselves.
             m_directory.abandonWaits();
         }
         const bool answered = answer.status == DirectoryStatus::Ok || answer.status == DirectoryStatus::Missing;
