End the process although the reader of its log has stopped reading

Callers' platform saw a daemon that outlived SIGTERM and had to be killed when nobody read the pipe of its log; one that could not start did not end either, and so was not restarted.

A daemon whose settings are invalid blocked in a write to standard error itself.

stopLog now reports whether all lines were written, and main skips the static destructors if not. Reasons for the end of a program are logged as start_failed once the log is started, which the relay does before it reads its settings. main also reports exceptions that are not of the project.

--- a/apps/spurlugd.cpp
+++ b/apps/spurlugd.cpp
@@ -14,8 +14,10 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace
 {
@@ -39,9 +41,18 @@
     return core::ExitOk;
 }
 
-} // namespace
+/// Reports why the program ends. The log's own thread writes the report, so that a reader that blocks does not keep the
+/// process alive.
+void reportFailure(std::string_view error)
+{
+    if (core::isLogStarted()) {
+        core::log(core::LogLevel::Error, "start_failed", {{"error", error}});
+    } else {
+        std::cerr << "spurlugd: " << error << "\n";
+    }
+}
 
-int main(int argc, char **argv)
+int runProgram(int argc, char **argv)
 {
     options::options_description description("spurlugd - serves prompts of very different lengths");
     description.add_options()("help,h", "show this text")("version", "show the version")(
@@ -84,13 +95,24 @@
         core::blockStopSignals();
         return run(settings, arguments["ports-file"].as<std::string>());
     } catch (const core::InvalidDocument &error) {
-        std::cerr << "spurlugd: " << error.what() << "\n";
+        reportFailure(error.what());
         return core::ExitUsage;
     } catch (const options::error &error) {
-        std::cerr << "spurlugd: " << error.what() << "\n";
+        reportFailure(error.what());
         return core::ExitUsage;
-    } catch (const core::Error &error) {
-        std::cerr << "spurlugd: " << error.what() << "\n";
+    } catch (const std::exception &error) {
+        reportFailure(error.what());
         return core::ExitFailure;
     }
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const int exitCode = runProgram(argc, argv);
+    if (!core::stopLog()) {
+        std::_Exit(exitCode);
+    }
+    return exitCode;
+}
--- a/include/spurlug/core/line_queue.h
+++ b/include/spurlug/core/line_queue.h
@@ -27,12 +27,16 @@
     /// \param maxBytes Maximum total size of the queued lines.
     LineQueue(std::function<void(const std::string &)> write, std::size_t maxBytes);
 
-    /// \brief Writes the queued lines, for at most `FlushTimeout`, so that a blocked reader cannot keep the process
-    /// alive.
+    /// \brief Calls `close`.
     ~LineQueue();
     LineQueue(const LineQueue &) = delete;
     LineQueue &operator=(const LineQueue &) = delete;
 
+    /// \brief Writes the queued lines, for at most `FlushTimeout`, so that a blocked reader cannot keep the process
+    /// alive. Call after the last line has been added; later calls do nothing.
+    /// \returns Whether the writer has ended. Otherwise it may still be in a write that blocks.
+    bool close() ABSL_LOCKS_EXCLUDED(m_state->mutex);
+
     /// \brief Queues a line.
     /// \returns False when the line was dropped.
     bool add(std::string line) ABSL_LOCKS_EXCLUDED(m_state->mutex);
@@ -56,6 +60,7 @@
     const std::size_t m_maxBytes;
     std::shared_ptr<State> m_state; ///< Shared with the thread, which may outlive this object in a blocked write.
     std::thread m_writer;
+    bool m_writerEnded = false;
 };
 
 } // namespace spurlug::core
--- a/include/spurlug/core/log.h
+++ b/include/spurlug/core/log.h
@@ -40,9 +40,14 @@
 /// \brief Changes the level below which lines are dropped.
 void setLogLevel(LogLevel minLevel);
 
-/// \brief Writes the queued lines, for a short time at most, and closes the log. Call once, after all other threads
-/// have ended.
-void stopLog();
+/// \brief Writes the queued lines, for a short time at most, and closes the log. Call after all other threads have
+/// ended; does nothing without `startLog`.
+/// \returns Whether all lines were written. Otherwise a write still blocks, and holds locks that static destructors
+/// wait for: end the process with `std::_Exit`.
+bool stopLog();
+
+/// \brief Whether `startLog` was called, and `stopLog` was not.
+[[nodiscard]] bool isLogStarted() noexcept;
 
 /// \brief Logs one line without waiting for the output: the log's own thread writes it.
 ///
--- a/src/core/line_queue.cpp
+++ b/src/core/line_queue.cpp
@@ -25,20 +25,28 @@
 
 LineQueue::~LineQueue()
 {
-    bool flushed = false;
+    close();
+}
+
+bool LineQueue::close()
+{
+    if (!m_writer.joinable()) {
+        return m_writerEnded;
+    }
     {
         absl::MutexLock lock(&m_state->mutex);
         m_state->stopping = true;
         const auto isFlushed = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_state->mutex) {
             return m_state->lines.empty() && !m_state->writing;
         };
-        flushed = m_state->mutex.AwaitWithTimeout(absl::Condition(&isFlushed), FlushTimeout);
+        m_writerEnded = m_state->mutex.AwaitWithTimeout(absl::Condition(&isFlushed), FlushTimeout);
     }
-    if (flushed) {
+    if (m_writerEnded) {
         m_writer.join();
     } else {
         m_writer.detach(); // The thread is in a write that may never return; it shares ownership of the state.
     }
+    return m_writerEnded;
 }
 
 bool LineQueue::add(std::string line)
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -85,9 +85,19 @@
     }
 }
 
-void stopLog()
+bool stopLog()
 {
+    if (!g_logger) {
+        return true;
+    }
+    const bool isComplete = g_logger->queue.close();
     g_logger = nullptr;
+    return isComplete;
+}
+
+bool isLogStarted() noexcept
+{
+    return g_logger != nullptr;
 }
 
 void log(LogLevel level, std::string_view event, const nlohmann::json &fields)
--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -11,10 +11,7 @@
 namespace spurlug::test
 {
 
-namespace
-{
-
-void writeSettings(const std::string &path, const settings::RelaySettings &settings)
+std::string settingsText(const settings::RelaySettings &settings)
 {
     auto seeds = nlohmann::json::array();
     for (const auto &seed : settings.seeds) {
@@ -31,17 +28,15 @@
                                   {"store", settings.store.text()},
                                   {"seeds", seeds},
                                   {"bounds", {{"graceMs", core::toMs(settings.bounds.grace)}}}};
-    std::ofstream(path) << document.dump();
+    return document.dump();
 }
 
-} // namespace
-
 RelayProcess::RelayProcess(const support::TemporaryDirectory &directory, const settings::RelaySettings &settings)
     : m_directory(directory)
     , m_settings(settings)
     , m_settingsFile(directory.file(settings.vm + ".json"))
 {
-    writeSettings(m_settingsFile, settings);
+    std::ofstream(m_settingsFile) << settingsText(settings);
     restart();
 }
 
--- a/tests/platform/relay_process.h
+++ b/tests/platform/relay_process.h
@@ -15,6 +15,9 @@
 namespace spurlug::test
 {
 
+/// \brief Returns the text of a settings file.
+[[nodiscard]] std::string settingsText(const settings::RelaySettings &settings);
+
 /// \brief A relay daemon in its own process. The store, the targets and the callers run on the loop of the test.
 class RelayProcess
 {
