Keep SIGHUP and SIGTERM pending while a daemon starts and is cleaned up

SIGHUP ended a daemon that had not installed its handlers yet, or had removed them: its settings may change at any time, and the platform counted a process that ended by itself. SIGTERM ended it by the signal instead of with exit code 0.

The handlers exist only while the RelayDaemon does. Before, from the start of the process to the constructor, and after its destruction, the default action applied; only SIGTERM and SIGINT were blocked at the end. A signal could also be delivered to the log's thread, where it interrupts a write and leaves the stream in its failed state.

main now blocks the signals first, and RelayDaemon::run unblocks them on its own thread while their handlers are installed. Signals that came before are handled then; the other threads inherit the mask. What remains is the time until main runs, which the dynamic loader takes.

The tests hold the start with a pipe in place of the settings file, and send SIGHUP at short intervals until the exit.

--- a/apps/spurlugd.cpp
+++ b/apps/spurlugd.cpp
@@ -13,7 +13,6 @@
 #include "spurlug/settings/settings.h"
 
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -83,7 +82,6 @@
                 std::cout << "settings are valid\n";
                 return core::ExitOk;
             }
-            std::signal(SIGPIPE, SIG_IGN);
             platform::runDaemon(path);
             return core::ExitOk;
         }
@@ -92,7 +90,6 @@
             std::cout << "settings are valid\n";
             return core::ExitOk;
         }
-        core::blockStopSignals();
         return run(settings, arguments["ports-file"].as<std::string>());
     } catch (const core::InvalidDocument &error) {
         reportFailure(error.what());
@@ -110,6 +107,7 @@
 
 int main(int argc, char **argv)
 {
+    core::blockDaemonSignals();
     const int exitCode = runProgram(argc, argv);
     if (!core::stopLog()) {
         std::_Exit(exitCode);
--- a/include/spurlug/core/program.h
+++ b/include/spurlug/core/program.h
@@ -20,6 +20,15 @@
 /// \brief Blocks SIGTERM and SIGINT, for `waitForStopSignal`, and ignores SIGPIPE. Call before any thread starts.
 void blockStopSignals();
 
+/// \brief Blocks SIGTERM, SIGINT and SIGHUP, which stay pending until `unblockDaemonSignals`, and ignores SIGPIPE.
+///
+/// Call first in `main`: none of them may end a daemon by its default action, whether it starts or is cleaned up.
+/// Threads inherit the mask, so that a signal interrupts no write of theirs.
+void blockDaemonSignals();
+
+/// \brief Lets the calling thread receive SIGTERM, SIGINT and SIGHUP. Call when their handlers are installed.
+void unblockDaemonSignals();
+
 /// \brief Blocks until SIGTERM or SIGINT arrives.
 void waitForStopSignal();
 
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -51,7 +51,8 @@
     void stop();
     /// \brief Sets what happens at the end of a shutdown; by default, the loop is stopped.
     void onStopped(std::function<void()> handler);
-    /// \brief Starts and runs the loop until the daemon has stopped.
+    /// \brief Starts and runs the loop until the daemon has stopped. Signals are handled from here on; they must be
+    /// blocked before, and are afterwards.
     void run();
 
     /// \brief Establishes this daemon's connections to targets.
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -6,6 +6,8 @@
 
 #include "spurlug/relay/relay_daemon.h" // Lets tools parse this file on its own.
 
+#include "spurlug/core/program.h"
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -99,7 +101,9 @@
 void RelayDaemon<Protocol, Source>::run()
 {
     start();
+    core::unblockDaemonSignals();
     m_loop.run();
+    core::blockDaemonSignals(); // The handlers are removed while the process is cleaned up.
     core::log(core::LogLevel::Info, "stopped", {{"vm", m_settings.vm}, {"cutOff", m_context.requestsInProgress}});
 }
 
--- a/src/core/program.cpp
+++ b/src/core/program.cpp
@@ -27,6 +27,13 @@
     return signals;
 }
 
+sigset_t daemonSignals()
+{
+    auto signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
 } // namespace
 
 void blockStopSignals()
@@ -36,6 +43,19 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+void blockDaemonSignals()
+{
+    const auto signals = daemonSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void unblockDaemonSignals()
+{
+    const auto signals = daemonSignals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 void waitForStopSignal()
 {
     const auto signals = stopSignals();
--- a/tests/platform/process_lifecycle_test.cpp
+++ b/tests/platform/process_lifecycle_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <optional>
 #include <string>
@@ -51,6 +52,39 @@
     int m_reader = -1;
 };
 
+/// A pipe in place of a daemon's settings file. The daemon waits for its settings until `provide` is called.
+class SettingsPipe
+{
+public:
+    explicit SettingsPipe(std::string path)
+        : m_path(std::move(path))
+    {
+        BOOST_REQUIRE(mkfifo(m_path.c_str(), S_IRUSR | S_IWUSR) == 0);
+    }
+
+    /// Waits until the daemon reads its settings.
+    net::Task<> awaitReader()
+    {
+        while (m_writer < 0) {
+            co_await net::sleepFor(absl::Milliseconds(1));
+            m_writer = open(m_path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        }
+    }
+
+    /// Sends the settings to the daemon, and replaces the pipe by a file that contains them.
+    void provide(const std::string &text)
+    {
+        std::ofstream(m_path + ".new") << text;
+        std::filesystem::rename(m_path + ".new", m_path);
+        BOOST_TEST(write(m_writer, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        close(m_writer);
+    }
+
+private:
+    const std::string m_path;
+    int m_writer = -1;
+};
+
 /// Waits until the daemon knows its configuration, or `timeout` has passed.
 net::Task<bool> servesWithin(core::Duration timeout, RelayFleet &fleet, core::Address callerAddress)
 {
@@ -130,6 +164,77 @@
     BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitUsage);
 }
 
+// Guards against a process that SIGHUP ends while it starts: its settings may change at any time.
+BOOST_AUTO_TEST_CASE(sighup_does_not_end_a_daemon_that_has_not_started_yet)
+{
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    const auto settings = fleet.makeSettings();
+    SettingsPipe pipe(directory.file("daemon.json"));
+    auto daemon = startDaemon(directory, "daemon");
+    bool serves = false;
+    std::optional<int> exitCode;
+    fleet.run([&]() -> net::Task<> {
+        co_await pipe.awaitReader();
+        daemon.signal(SIGHUP);
+        exitCode = co_await exitCodeWithin(absl::Milliseconds(100), daemon);
+        if (!exitCode) {
+            pipe.provide(settingsText(settings));
+            serves = co_await servesWithin(absl::Seconds(5), fleet, settings.callerAddress);
+        }
+    });
+    BOOST_TEST(!exitCode.has_value());
+    BOOST_TEST(serves);
+    BOOST_TEST(daemon.log().find("settings_reloaded") != std::string::npos);
+}
+
+// Guards against a process that SIGTERM ends by the signal instead of in order because it has not started yet.
+BOOST_AUTO_TEST_CASE(sigterm_ends_a_daemon_that_has_not_started_yet_in_order)
+{
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    const auto settings = fleet.makeSettings();
+    SettingsPipe pipe(directory.file("daemon.json"));
+    auto daemon = startDaemon(directory, "daemon");
+    std::optional<int> exitCode;
+    fleet.run([&]() -> net::Task<> {
+        co_await pipe.awaitReader();
+        daemon.signal(SIGTERM);
+        exitCode = co_await exitCodeWithin(absl::Milliseconds(100), daemon);
+        if (!exitCode) {
+            pipe.provide(settingsText(settings));
+            exitCode = co_await exitCodeWithin(settings.bounds.grace, daemon);
+        }
+    });
+    BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
+    BOOST_TEST(daemon.log().find("\"stopped\"") != std::string::npos);
+}
+
+// Guards against a process that SIGHUP ends while it is cleaned up, which a full pipe prolongs.
+BOOST_AUTO_TEST_CASE(sighup_does_not_end_a_daemon_that_stops)
+{
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    auto settings = fleet.makeSettings();
+    settings.bounds.grace = absl::Seconds(4);
+    const FullPipe log(directory.file("daemon.log"));
+    std::ofstream(directory.file("daemon.json")) << settingsText(settings);
+    auto daemon = startDaemon(directory, "daemon");
+    bool serves = false;
+    std::optional<int> exitCode;
+    fleet.run([&]() -> net::Task<> {
+        serves = co_await servesWithin(absl::Seconds(5), fleet, settings.callerAddress);
+        daemon.signal(SIGTERM);
+        for (const auto deadline = core::now() + settings.bounds.grace; !exitCode && core::now() < deadline;) {
+            daemon.signal(SIGHUP);
+            co_await net::sleepFor(absl::Microseconds(100));
+            exitCode = daemon.poll();
+        }
+    });
+    BOOST_TEST(serves);
+    BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
