Accept settings with fractions, without some bounds, and with numbers out of their range

No daemon started where a field of the deployment had another form than the template expected; each start ended with exit code 2. The template appended 000 to seconds, so that 8.0 became the fraction 8.0000, which was refused, and it wrote nothing for a bound that a deployment doesn't have, so that the file was no JSON. A hold time above an hour or memory of 112.5 MB were refused as well.

Durations take fractions, in milliseconds or seconds. Members that are null or empty count as missing, and numbers and flags may be written as strings, so that the template can write each field in the same way, whether it has a value or not; a section would drop values that are false or zero. Numbers out of their range are limited and logged; negative numbers, other text and wrong addresses are still refused.

It has not been compared with the platform's own.

--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -16,21 +16,43 @@
 constexpr double MaxRatio = 1000;
 constexpr double MaxCores = 1024;
 constexpr std::int64_t MaxReaders = 1000;
-constexpr std::int64_t MaxMemoryMb = 1 << 20;
+constexpr double MaxMemoryMb = 1 << 20;
+constexpr double BytesPerMb = 1 << 20;
 
 void readBounds(core::ObjectReader &reader, RelayBounds &bounds)
 {
-    bounds.drain = readMs(reader, "drainMs", bounds.drain);
-    bounds.targetHeartbeat = readMs(reader, "targetHeartbeatMs", bounds.targetHeartbeat);
-    bounds.grace = readMs(reader, "graceMs", bounds.grace);
-    bounds.revoke = readMs(reader, "revokeMs", bounds.revoke);
+    bounds.drain = readDuration(reader, "drain", bounds.drain);
+    bounds.targetHeartbeat = readDuration(reader, "targetHeartbeat", bounds.targetHeartbeat);
+    bounds.grace = readDuration(reader, "grace", bounds.grace);
+    bounds.revoke = readDuration(reader, "revoke", bounds.revoke);
     bounds.failClosed = reader.boolean("failClosed", bounds.failClosed);
-    bounds.retryRatio = reader.number("retryRatio", 0, MaxRatio, bounds.retryRatio);
-    bounds.retryWindow = readMs(reader, "retryWindowMs", bounds.retryWindow);
-    bounds.retrySlack = reader.number("retrySlack", 0, MaxEntries, bounds.retrySlack);
-    bounds.longestHold = readMs(reader, "longestHoldMs", bounds.longestHold);
-    bounds.evacuate = readMs(reader, "evacuateMs", bounds.evacuate);
-    bounds.freeAfter = readMs(reader, "freeAfterMs", bounds.freeAfter);
+    bounds.retryRatio = readLimited(reader, "retryRatio", 0, MaxRatio, bounds.retryRatio);
+    bounds.retryWindow = readDuration(reader, "retryWindow", bounds.retryWindow);
+    bounds.retrySlack = readLimited(reader, "retrySlack", 0, MaxEntries, bounds.retrySlack);
+    bounds.longestHold = readDuration(reader, "longestHold", bounds.longestHold);
+    bounds.evacuate = readDuration(reader, "evacuate", bounds.evacuate);
+    bounds.freeAfter = readDuration(reader, "freeAfter", bounds.freeAfter);
+}
+
+/// Numbers and flags may be written as strings, so that a template can leave out those without a value.
+void prepareDocument(nlohmann::json &document)
+{
+    removeEmptyMembers(document);
+    if (!document.is_object()) {
+        return;
+    }
+    for (const auto *key : {"processorShare", "memoryMb"}) {
+        if (document.contains(key)) {
+            parseText(document[key]);
+        }
+    }
+    if (document.contains("bounds")) {
+        auto &bounds = document["bounds"];
+        removeEmptyMembers(bounds);
+        for (auto &value : bounds) {
+            parseText(value);
+        }
+    }
 }
 
 void readPlacement(core::ObjectReader &reader, PlacementWeights &weights)
@@ -110,8 +132,8 @@
     settings.metricsAddress = readAddress(reader, "metricsAddress");
     settings.store = readAddress(reader, "store");
     settings.seeds = readAddresses(reader, "seeds");
-    settings.processorShare = reader.number("processorShare", 0, MaxCores, settings.processorShare);
-    settings.memory = reader.integer("memoryMb", 0, MaxMemoryMb, 0) << 20U;
+    settings.processorShare = readLimited(reader, "processorShare", 0, MaxCores, settings.processorShare);
+    settings.memory = static_cast<std::int64_t>(readLimited(reader, "memoryMb", 0, MaxMemoryMb, 0) * BytesPerMb);
     settings.readersPerDomain
         = static_cast<int>(reader.integer("readersPerDomain", 1, MaxReaders, settings.readersPerDomain));
     settings.logLevel = readLogLevel(reader);
@@ -126,7 +148,7 @@
 
 RelaySettings loadRelaySettings(const std::string &path)
 {
-    return loadChecked<RelaySettings>(path, readSettings);
+    return loadChecked<RelaySettings>(path, readSettings, prepareDocument);
 }
 
 } // namespace spurlug::settings
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -60,7 +60,7 @@
 
 DaemonSettings loadSettings(const std::string &path)
 {
-    return loadChecked<DaemonSettings>(path, readSettings);
+    return loadChecked<DaemonSettings>(path, readSettings, removeEmptyMembers);
 }
 
 } // namespace spurlug::settings
