Bound the nesting of JSON documents from other programs

Callers: an entry nested 120 KB deep among those of the targets (an unknown member, slots, the whole spec, the name) ended every daemon that read the list by SIGSEGV, and again after each restart, so that nothing was served.

Cause: nlohmann's parser and destructor are iterative, but copies and dumps of a document recurse. value("spec", ...) copied each spec, and the name.

core::parseJson measures the nesting before it parses and refuses documents deeper than 128 levels. All parsers of foreign documents use it: lists and changes of the store, configurations from peers, parts and claims of the object API, reports and answers of engines, settings, spurlugctl.

--- a/apps/spurlugctl.cpp
+++ b/apps/spurlugctl.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/config/apply.h"
 #include "spurlug/config/configuration.h"
 #include "spurlug/core/error.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/program.h"
 #include "spurlug/core/text.h"
 #include "spurlug/objects/object_api.h"
@@ -19,6 +20,7 @@
 #include <functional>
 #include <httplib.h>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
@@ -65,7 +67,7 @@
     if (!file) {
         throw core::InvalidDocument(path + ": cannot be read");
     }
-    auto document = nlohmann::json::parse(file, nullptr, false);
+    auto document = core::parseJson(std::string(std::istreambuf_iterator<char>(file), {}));
     if (document.is_discarded()) {
         throw core::InvalidDocument(path + ": expected a JSON document");
     }
@@ -94,7 +96,11 @@
     if (result->status != Ok) {
         throw core::NetworkError(core::cat(address.text(), ": status ", result->status, " ", result->body));
     }
-    return nlohmann::json::parse(result->body);
+    auto answer = core::parseJson(result->body);
+    if (answer.is_discarded()) {
+        throw core::NetworkError(core::cat(address.text(), ": the answer is not JSON"));
+    }
+    return answer;
 }
 
 nlohmann::json storedDocument(const objects::HttpObjectApi &api, const config::Root &root)
--- a/src/claims/claim_shard.cpp
+++ b/src/claims/claim_shard.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/error.h"
 #include "spurlug/core/hash.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/text.h"
 
 #include <nlohmann/json.hpp>
@@ -34,7 +35,10 @@
 {
     try {
         ClaimTable table;
-        const auto document = nlohmann::json::parse(text);
+        const auto document = core::parseJson(text);
+        if (document.is_discarded()) {
+            throw core::InvalidDocument("claims: not JSON");
+        }
         for (const auto &[name, value] : document.items()) {
             table[name] = Claim{value.at(0), value.at(1)};
         }
--- a/src/config/parts.cpp
+++ b/src/config/parts.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/error.h"
 #include "spurlug/core/hash.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/text.h"
 
 #include <absl/strings/str_format.h>
@@ -47,7 +48,7 @@
     if (core::sha256Hex(found->second) != hash) {
         throw core::InvalidDocument(core::cat("part ", name, " does not match its hash"));
     }
-    auto value = nlohmann::json::parse(found->second, nullptr, false);
+    auto value = core::parseJson(found->second);
     if (value.is_discarded()) {
         throw core::InvalidDocument(core::cat("part ", name, " is not JSON"));
     }
@@ -115,7 +116,10 @@
 Root parseRoot(std::string_view text)
 {
     try {
-        const auto value = nlohmann::json::parse(text);
+        const auto value = core::parseJson(text);
+        if (value.is_discarded()) {
+            throw core::InvalidDocument("root: not JSON");
+        }
         Root root;
         value.at("generation").get_to(root.generation);
         value.at("changeId").get_to(root.changeId);
--- a/src/core/json_document.cpp
+++ b/src/core/json_document.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/core/json_document.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace spurlug::core
 {
@@ -31,4 +32,12 @@
     return maxDepth;
 }
 
+nlohmann::json parseJson(std::string_view text)
+{
+    if (jsonDepth(text) > MaxJsonDepth) {
+        return nlohmann::json::value_t::discarded;
+    }
+    return nlohmann::json::parse(text, nullptr, false);
+}
+
 } // namespace spurlug::core
--- a/src/daemon/completion_writer.cpp
+++ b/src/daemon/completion_writer.cpp
@@ -5,6 +5,7 @@
 
 #include "spurlug/daemon/completion_writer.h"
 
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/text.h"
 #include "spurlug/dispatch/sse.h"
 
@@ -26,7 +27,7 @@
 FinishInfo readFinish(std::string_view payload)
 {
     FinishInfo info;
-    const auto value = nlohmann::json::parse(payload, nullptr, false);
+    const auto value = core::parseJson(payload);
     if (value.is_object()) {
         info.reason = value.value("finish_reason", nlohmann::json("stop"));
         info.usage = value.value("usage", nlohmann::json::object());
@@ -49,7 +50,7 @@
 
 void CompletionWriter::addChunk(std::string_view payload)
 {
-    const auto chunk = nlohmann::json::parse(payload, nullptr, false);
+    const auto chunk = core::parseJson(payload);
     if (!chunk.is_object() || !chunk.contains("choices") || chunk["choices"].empty()) {
         return;
     }
--- a/src/objects/object_api.cpp
+++ b/src/objects/object_api.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/objects/object_api.h"
 
 #include "spurlug/core/error.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/text.h"
 
 #include <httplib.h>
@@ -132,7 +133,7 @@
     const auto path = core::cat("/objects?prefix=", prefix);
     const auto result
         = callFirstAvailable(m_addresses, m_timeout, false, [&](auto &client) { return client.Get(path); });
-    const auto names = nlohmann::json::parse(result->body, nullptr, false);
+    const auto names = core::parseJson(result->body);
     if (!names.is_array()) {
         throw core::PlatformUnavailable("the list of objects is not an array");
     }
@@ -152,7 +153,7 @@
 {
     const auto result
         = callFirstAvailable(m_addresses, m_timeout, false, [](auto &client) { return client.Get("/vms"); });
-    const auto list = nlohmann::json::parse(result->body, nullptr, false);
+    const auto list = core::parseJson(result->body);
     if (result->status != Ok || !list.is_array()) {
         throw core::PlatformUnavailable("the VM list is not an array");
     }
--- a/src/report/log_line.cpp
+++ b/src/report/log_line.cpp
@@ -5,6 +5,8 @@
 
 #include "spurlug/report/log_line.h"
 
+#include "spurlug/core/json_document.h"
+
 #include <algorithm>
 #include <charconv>
 #include <string>
@@ -19,7 +21,7 @@
     if (begin == std::string_view::npos) {
         return std::nullopt;
     }
-    auto object = nlohmann::json::parse(line.substr(begin), nullptr, false);
+    auto object = core::parseJson(line.substr(begin));
     return object.is_object() ? std::optional(std::move(object)) : std::nullopt;
 }
 
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/core/address.h"
 #include "spurlug/core/error.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/json_reader.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -75,7 +77,7 @@
     if (!file) {
         throw core::InvalidDocument(core::cat(path, ": : expected a readable file"));
     }
-    const auto document = nlohmann::json::parse(file, nullptr, false);
+    const auto document = core::parseJson(std::string(std::istreambuf_iterator<char>(file), {}));
     if (document.is_discarded()) {
         throw core::InvalidDocument(core::cat(path, ": : expected a JSON document"));
     }
--- a/src/targets/engine_control.cpp
+++ b/src/targets/engine_control.cpp
@@ -5,6 +5,7 @@
 
 #include "spurlug/targets/engine_control.h"
 
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/text.h"
 
 #include <httplib.h>
@@ -83,7 +84,7 @@
     for (const auto &[name, text] : result->headers) {
         m_impl->lastBytes += static_cast<std::int64_t>(name.size() + text.size()) + 4;
     }
-    const auto value = nlohmann::json::parse(result->body, nullptr, false);
+    const auto value = core::parseJson(result->body);
     return value.is_object() ? std::optional(parseReport(value)) : std::nullopt;
 }
 
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/core/address.h"
 #include "spurlug/core/error.h"
 #include "spurlug/core/hash.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/json_reader.h"
 #include "spurlug/core/reason.h"
 #include "spurlug/core/rendezvous.h"
@@ -105,6 +106,27 @@
     BOOST_TEST(pointers == expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(nesting_is_measured_outside_strings)
+{
+    BOOST_TEST(core::jsonDepth("7") == 0);
+    BOOST_TEST(core::jsonDepth(R"({"a":[{}],"b":{}})") == 3);
+    BOOST_TEST(core::jsonDepth(R"({"[[[":"\"{{{","b":1})") == 1);
+}
+
+// Guards against documents whose copy or dump overflows the stack.
+BOOST_AUTO_TEST_CASE(documents_nested_too_deeply_are_not_parsed)
+{
+    const auto arrays = [](int depth) {
+        const auto count = static_cast<std::size_t>(depth);
+        return std::string(count, '[') + std::string(count, ']');
+    };
+    BOOST_TEST(core::parseJson(arrays(core::MaxJsonDepth)).is_array());
+    BOOST_TEST(core::parseJson(arrays(core::MaxJsonDepth + 1)).is_discarded());
+    BOOST_TEST(core::parseJson(arrays(1'000'000)).is_discarded());
+    BOOST_TEST(core::parseJson("[1e999]").is_discarded());
+    BOOST_TEST(core::parseJson("[").is_discarded());
+}
+
 BOOST_AUTO_TEST_CASE(a_pool_rejects_tasks_beyond_its_limits_and_runs_accepted_ones)
 {
     absl::Notification release;
