Refuse integers above the signed range where a minimum is negative

A value such as 2^64 - 1 was compared as a signed one, so that a priority of an organisation (minimum -1) was read as -1. Found by reading; no caller reported it. The test core_tests/integers_out_of_range_are_faults failed before ("check faults.size() == 2U has failed [1 != 2]") and passes now.

--- a/src/core/json_reader.cpp
+++ b/src/core/json_reader.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/text.h"
 
+#include <limits>
 #include <utility>
 
 namespace spurlug::core
@@ -64,7 +65,10 @@
     if (value == nullptr) {
         return min;
     }
-    if (!value->is_number_integer() || *value < min || *value > max) {
+    // Comparisons convert an unsigned value to a signed one, so that a large value becomes negative.
+    const bool isTooLarge = value->is_number_unsigned()
+        && value->get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    if (!value->is_number_integer() || isTooLarge || *value < min || *value > max) {
         addFault(key, cat("an integer from ", min, " to ", max));
         return min;
     }
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -127,6 +127,19 @@
     BOOST_TEST(core::parseJson("[").is_discarded());
 }
 
+// Guards against unsigned values above the signed range that are read as negative ones.
+BOOST_AUTO_TEST_CASE(integers_out_of_range_are_faults)
+{
+    const auto document = core::parseJson(R"({"large":18446744073709551615,"small":-2,"whole":9223372036854775807})");
+    std::vector<core::Fault> faults;
+    core::ObjectReader reader(document, "", faults);
+    BOOST_TEST(reader.integer("large", -1, 10) == -1);
+    BOOST_TEST(reader.integer("small", -1, 10) == -1);
+    BOOST_TEST(faults.size() == 2U);
+    BOOST_TEST(reader.integer("whole", 0, INT64_MAX) == INT64_MAX);
+    BOOST_TEST(faults.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_pool_rejects_tasks_beyond_its_limits_and_runs_accepted_ones)
 {
     absl::Notification release;
