--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/core/address.h"
 #include "spurlug/core/error.h"
+#include "spurlug/core/json_document.h"
 #include "spurlug/core/json_reader.h"
 #include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
@@ -131,7 +132,7 @@
     if (!file) {
         throw core::InvalidDocument(core::cat(path, ": : expected a readable file"));
     }
-    auto document = nlohmann::json::parse(file, nullptr, false);
+    auto document = core::parseJson(std::string(std::istreambuf_iterator<char>(file), {}));
     if (document.is_discarded()) {
         throw core::InvalidDocument(core::cat(path, ": : expected a JSON document"));
     }
