Show the bytes that a daemon holds for requests and answers

Nothing told how much memory a daemon used or for what, so that a process that was killed for its memory could not be told from one that ended otherwise.

The metrics have the gauges request_body_bytes, answer_bytes, caller_connections and resident_bytes. The lines of refused requests and of failed attempts say how many bytes were held at that moment. The budgets move into one structure of the daemon's state; the share for request bodies is unchanged.

--- a/include/spurlug/relay/context.h
+++ b/include/spurlug/relay/context.h
@@ -21,6 +21,7 @@
 #include "spurlug/relay/evacuations.h"
 #include "spurlug/relay/fleet_retry_budget.h"
 #include "spurlug/relay/freshness.h"
+#include "spurlug/relay/memory_budgets.h"
 #include "spurlug/relay/placement.h"
 #include "spurlug/relay/shutdown.h"
 #include "spurlug/relay/target_change_log.h"
@@ -55,6 +56,7 @@
     net::Loop &loop;
     const settings::RelaySettings &settings;
     metrics::Metrics &metrics;
+    MemoryBudgets memory;
     config::RouteTableRef table; ///< Null until the first configuration has been read.
     std::string document; ///< Source text of the table, for peers.
     std::unordered_map<std::string, config::GapObjectives> pauses; ///< By service, from the current table.
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -68,8 +68,6 @@
         bool isClosing = false; ///< Whether the last answer was written and the caller may still read it.
     };
 
-    /// Share of the process's memory for bodies of requests. The rest is for state, answers and buffers of sockets.
-    static constexpr double BodyMemoryShare = 0.4;
     static constexpr auto DrainCheckInterval = absl::Milliseconds(50); ///< Interval between checks while draining.
     /// Factor on the idle timeout: callers may use a connection until the timeout has passed.
     static constexpr double IdleTimeoutFactor = 1.25;
@@ -87,6 +85,8 @@
     [[nodiscard]] net::Response answerReadiness(const net::Request &request) const;
     /// Handler of state queries from peers.
     [[nodiscard]] net::Response answerStateQuery(const net::Request &request) const;
+    /// Sets the gauges of the bytes that this daemon holds.
+    void updateMemoryGauges();
     [[nodiscard]] net::Task<> handleSignals();
     [[nodiscard]] net::Task<> drain();
     /// Whether any request is being received or served, for a caller or a peer.
@@ -105,7 +105,6 @@
     settings::RelaySettings m_settings;
     const std::string m_settingsPath;
     metrics::Metrics m_metrics;
-    core::ByteBudget m_bodyBudget;
     RelayContext m_context;
     TargetConnector m_connector;
     TunnelServer m_tunnelServer;
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
-#include <limits>
 #include <sstream>
 
 namespace spurlug::relay
@@ -21,9 +20,6 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_settingsPath(std::move(settingsPath))
-    , m_bodyBudget(m_settings.memory > 0
-                       ? static_cast<std::int64_t>(static_cast<double>(m_settings.memory) * BodyMemoryShare)
-                       : std::numeric_limits<std::int64_t>::max())
     , m_context(loop, m_settings, m_metrics)
     , m_connector(m_context)
     , m_tunnelServer(m_context, m_connector)
@@ -36,6 +32,7 @@
                       [this](const net::Request &request) { return answerStateQuery(request); })
     , m_metricsServer(loop, m_settings.metricsAddress,
                       [this](const net::Request &) {
+                          updateMemoryGauges();
                           return textResponse(core::http_status::Ok, m_metrics.prometheusText(), "text/plain");
                       })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
@@ -107,7 +104,7 @@
 net::ReadLimits RelayDaemon<Protocol, Source>::readLimits()
 {
     net::ReadLimits limits;
-    limits.bodyBudget = &m_bodyBudget;
+    limits.bodyBudget = &m_context.memory.requestBodies;
     if (m_context.table) {
         const auto &configured = m_context.table->limits;
         limits.maxHeadBytes = static_cast<std::size_t>(configured.maxHeadBytes);
@@ -153,7 +150,11 @@
     }
     m_metrics.countRefusal(refusal.reason);
     core::log(core::LogLevel::Info, "request_unreadable",
-              {{"peer", caller->peerAddress()}, {"end", core::nameOf(result.failure)}, {"detail", result.detail}});
+              {{"peer", caller->peerAddress()},
+               {"end", core::nameOf(result.failure)},
+               {"detail", result.detail},
+               {"requestBodyBytes", m_context.memory.requestBodies.used()},
+               {"answerBytes", m_context.memory.answers.used()}});
     constexpr auto WriteTimeout = absl::Seconds(1);
     auto response = m_protocol.refusal(refusal, {});
     const bool written = co_await caller->write(std::move(response), false, core::now() + core::Duration(WriteTimeout));
@@ -261,6 +262,17 @@
     return textResponse(core::http_status::Ok, writePeerState(state), "application/x-protobuf");
 }
 
+template<ProtocolCodec Protocol, Directory Source>
+void RelayDaemon<Protocol, Source>::updateMemoryGauges()
+{
+    m_metrics.setGauge("request_body_bytes", static_cast<double>(m_context.memory.requestBodies.used()));
+    m_metrics.setGauge("answer_bytes", static_cast<double>(m_context.memory.answers.used()));
+    m_metrics.setGauge("caller_connections", static_cast<double>(m_callers.size()));
+    if (const auto resident = residentBytes()) {
+        m_metrics.setGauge("resident_bytes", static_cast<double>(*resident));
+    }
+}
+
 template<ProtocolCodec Protocol, Directory Source>
 net::Task<> RelayDaemon<Protocol, Source>::handleSignals()
 {
--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -184,6 +184,7 @@
     net::ResponseHead m_head; ///< Head of the current attempt's answer.
     bool m_isStream = false; ///< Whether the current attempt is answered with an event stream.
     std::string m_body; ///< Body of a non-stream answer, as received so far.
+    core::ByteReservation m_answerMemory; ///< Of `m_body` and `m_events`.
     EventSplitter m_events; ///< Stream events of the current attempt.
     bool m_headForwarded = false; ///< Whether the head of a stream was sent to the caller.
     std::optional<std::int64_t> m_lastEventId; ///< ID of the last stream event that the caller has.
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -92,6 +92,7 @@
 {
     if (!m_isStream) {
         m_body += bytes;
+        static_cast<void>(m_answerMemory.resize(static_cast<std::int64_t>(m_body.capacity())));
         co_return NextStep::Done;
     }
     m_events.append(bytes);
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -48,6 +48,7 @@
     , m_progress(context, detail::withContentDigest(std::move(facts), m_request, *m_requestBody), arrivedAt)
     , m_inbox(core::makeRef<RequestInbox>(context.loop))
     , m_shutdownWatch(context.shutdown, [this] { m_inbox->events.post(ShutdownAdvanced{}); })
+    , m_answerMemory(context.memory.answers)
     , m_lastEventId(m_progress.facts().resumeAfter)
 { }
 
@@ -332,8 +333,9 @@
     }
     watchIncarnations(chosen);
     m_isStream = false;
-    m_body.clear();
+    m_body = {};
     m_events = {};
+    m_answerMemory = core::ByteReservation(m_context.memory.answers);
     AttemptInfo facts;
     facts.targetId = chosen.target->entry.id;
     facts.target = chosen.target->entry.address;
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -55,6 +55,7 @@
     : loop(loop)
     , settings(settings)
     , metrics(metrics)
+    , memory(settings.memory)
     , retries(toRetryLimit(settings.bounds))
     , random(core::fastHash(core::cat(settings.vm, absl::ToUnixNanos(core::now()))))
     , roster(settings.vm)
--- a/src/relay/request_progress.cpp
+++ b/src/relay/request_progress.cpp
@@ -440,6 +440,7 @@
                {"detail", detail},
                {"peer", m_peer},
                {"afterMs", core::toMs(now - m_sentAt)},
+               {"answerBytes", m_context.memory.answers.used()},
                {"targetLeftOut", health.isEjected(now)}});
 }
 
