Bound the read buffers of connections

Callers of a target saw their daemon end: a chunk size line or a chunk extension that never ends was collected in the read buffer, which had no limit. The parser's limits cover heads, trailers and bodies, not the line before a chunk. The same held for callers' requests, and for all services of the daemon.

A read buffer is now as large as the largest head at most. What does not fit is malformed: 502 (or another target) for an answer, 400 for a request.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -120,7 +120,8 @@
     TunnelStream tunnel;
     bool isTunnelled = false; ///< Whether responses are read from `tunnel`.
     OperationTimeout expiry;
-    beast::flat_buffer buffer;
+    /// Its limit bounds what no limit of the parser covers, such as the size line of a chunk.
+    beast::flat_buffer buffer{MaxHeadBytes};
     http::request<http::span_body<const char>> request;
     SharedBody body; ///< The bytes of the request's body.
     std::unique_ptr<Parser> parser;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned HttpVersion = 11;
 constexpr auto LingerTimeout = absl::Milliseconds(500); // For the caller to receive the last answer before the close.
 constexpr std::size_t MaxLingerBytes = 8 << 20; // Maximum number of bytes discarded while lingering.
+constexpr std::size_t MinBufferBytes = 4 << 10;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 ReadFailure toReadFailure(const error_code &error, bool expired, bool interrupted)
@@ -208,6 +209,8 @@
             co_return result;
         }
     }
+    // Bounds what no limit of the parser covers, such as the size line of a chunk.
+    impl->buffer.max_size(std::max({limits.maxHeadBytes, MinBufferBytes, impl->buffer.size()}));
     impl->readState = Impl::ReadState::Receiving;
     result.firstByteAt = core::now();
     http::request_parser<http::string_body> parser;
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -8,6 +8,7 @@
 #include "spurlug/core/text.h"
 
 #include <algorithm>
+#include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 
 namespace spurlug::test
@@ -161,10 +162,18 @@
     auto raw = behaviour.rawAnswer;
     raw.replace(raw.find("{id}"), 4, id);
     const auto answerBuffer = net::asio::buffer(raw);
-    const auto [writeError, written] = co_await socket.async_write_some(answerBuffer, net::Awaited);
+    const auto [writeError, written] = co_await net::asio::async_write(socket, answerBuffer, net::Awaited);
     if (writeError) {
         co_return;
     }
+    const auto endlessPart = behaviour.endlessPart;
+    while (!endlessPart.empty()) {
+        const auto partBuffer = net::asio::buffer(endlessPart);
+        const auto [error, size] = co_await net::asio::async_write(socket, partBuffer, net::Awaited);
+        if (error) {
+            co_return;
+        }
+    }
     co_await net::sleepFor(absl::Milliseconds(30)); // So that the bytes are read before the connection ends.
     if (behaviour.crashesAfterRawAnswer) {
         crash();
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -49,6 +49,7 @@
     /// If not empty, the target answers with these bytes and then closes the connection; `{id}` stands for the
     /// request's ID.
     std::string rawAnswer;
+    std::string endlessPart; ///< Sent again and again after `rawAnswer`, until the other side closes; empty: none.
     bool crashesAfterRawAnswer = false; ///< The process ends instead of closing the connection.
     std::string retryAfter; ///< Retry-After header of a 503; empty: none.
 };
--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -5,8 +5,11 @@
 
 #include "relay_process.h"
 
+#include "spurlug/core/text.h"
+
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace spurlug::test
 {
@@ -14,6 +17,8 @@
 namespace
 {
 
+constexpr int MegabyteShift = 20;
+
 void writeSettings(const std::string &path, const settings::RelaySettings &settings)
 {
     auto seeds = nlohmann::json::array();
@@ -30,6 +35,7 @@
                                   {"metricsAddress", settings.metricsAddress.text()},
                                   {"store", settings.store.text()},
                                   {"seeds", seeds},
+                                  {"memoryMb", settings.memory >> MegabyteShift},
                                   {"bounds", {{"graceMs", core::toMs(settings.bounds.grace)}}}};
     std::ofstream(path) << document.dump();
 }
@@ -83,6 +89,19 @@
     return m_process->log();
 }
 
+std::int64_t RelayProcess::peakResidentBytes() const
+{
+    constexpr std::int64_t KilobyteShift = 10;
+    constexpr std::string_view Field = "VmHWM:";
+    std::ifstream status(core::cat("/proc/", m_process->pid(), "/status"));
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Field)) {
+            return std::stoll(line.substr(Field.size())) << KilobyteShift;
+        }
+    }
+    return 0;
+}
+
 std::string RelayProcess::lastEvent() const
 {
     auto text = log();
--- a/tests/platform/relay_process.h
+++ b/tests/platform/relay_process.h
@@ -9,6 +9,7 @@
 #include "spurlug/net/io.h"
 #include "spurlug/settings/relay_settings.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -34,6 +35,8 @@
     [[nodiscard]] const settings::RelaySettings &settings() const noexcept;
     /// \brief What the process has logged, over all restarts.
     [[nodiscard]] std::string log() const;
+    /// \brief Largest resident size of the process so far, bytes.
+    [[nodiscard]] std::int64_t peakResidentBytes() const;
     /// \brief Event of the last line of the log.
     [[nodiscard]] std::string lastEvent() const;
 
