--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -5,12 +5,22 @@
 
 #include "relay_process.h"
 
+#include "spurlug/core/text.h"
+
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 namespace spurlug::test
 {
 
+namespace
+{
+
+constexpr int MegabyteShift = 20;
+
+} // namespace
+
 std::string settingsText(const settings::RelaySettings &settings)
 {
     auto seeds = nlohmann::json::array();
@@ -27,6 +37,7 @@
                                   {"metricsAddress", settings.metricsAddress.text()},
                                   {"store", settings.store.text()},
                                   {"seeds", seeds},
+                                  {"memoryMb", settings.memory >> MegabyteShift},
                                   {"bounds", {{"graceMs", core::toMs(settings.bounds.grace)}}}};
     return document.dump();
 }
@@ -78,6 +89,19 @@
     return m_process->log();
 }
 
+std::int64_t RelayProcess::peakResidentBytes() const
+{
+    constexpr std::int64_t KilobyteShift = 10;
+    constexpr std::string_view Field = "VmHWM:";
+    std::ifstream status(core::cat("/proc/", m_process->pid(), "/status"));
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Field)) {
+            return std::stoll(line.substr(Field.size())) << KilobyteShift;
+        }
+    }
+    return 0;
+}
+
 std::string RelayProcess::lastEvent() const
 {
     auto text = log();
