Keep a caller's connection open when its answer announced so

A stream that was in progress when a shutdown began had a head without "Connection: close", and its connection was closed when the stream ended. Callers that sent their next request over it at once lost it: the daemon read it while it lingered before the close, discarded it and answered nothing. An unsafe request that was read is not repeated by its caller.

Cause: whether the connection stays open was decided a second time after the answer, with the state of that moment. The same could happen to a refusal or a plain answer if the shutdown began while it was written.

The decision is now made once, when the head is written, and kept. The connection carries the next request, whose answer says that it is closed, or is closed while idle as before.

On the test fails: shutdown/a_connection_that_was_announced_as_kept_carries_the_next_request: check answers[1].status == 200 has failed [0 != 200] and passes after, with the 12 other cases of the suite (arm64, one run).

--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -157,12 +157,12 @@
     [[nodiscard]] NextStep handleFailure(core::Outcome outcome, core::Reason reason, std::optional<TargetFault> fault,
                                          const std::string &detail);
     /// Writes an error answer of the relay.
-    /// \returns Whether the caller's connection can be used for another request.
+    /// \returns Whether it was written.
     [[nodiscard]] net::Task<bool> sendRefusal(Refusal refusal);
     /// Whether the request may be processed again after what the caller has already received.
     [[nodiscard]] bool isRepeatable() const;
-    /// Whether the caller's connection stays open after the answer.
-    [[nodiscard]] bool keepsAlive() const;
+    /// Decides whether the answer whose head is about to be written announces that the connection stays open.
+    [[nodiscard]] bool announceKeepAlive();
 
     RelayContext &m_context;
     const D &m_codec;
@@ -186,6 +186,9 @@
     std::string m_body; ///< Body of a non-stream answer, as received so far.
     EventSplitter m_events; ///< Stream events of the current attempt.
     bool m_headForwarded = false; ///< Whether the head of a stream was sent to the caller.
+    /// Whether the answer announced that the connection stays open. The caller may send its next request at once, so
+    /// that a shutdown that begins later does not close the connection after this answer.
+    bool m_announcedKeepAlive = false;
     std::optional<std::int64_t> m_lastEventId; ///< ID of the last stream event that the caller has.
 };
 
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -124,7 +124,7 @@
     m_headForwarded = true;
     m_progress.setStage(RequestStage::Answering);
     auto head = m_codec.answerHead(m_head);
-    const bool written = co_await m_caller->writeHead(std::move(head), keepsAlive(), m_progress.deadline());
+    const bool written = co_await m_caller->writeHead(std::move(head), announceKeepAlive(), m_progress.deadline());
     co_return written;
 }
 
@@ -221,7 +221,7 @@
                           failed ? std::optional(TargetFault::ErrorResponse) : std::nullopt, "", now);
     m_progress.setStage(RequestStage::Answering);
     net::Response response{m_codec.answerHead(m_head), std::move(m_body)};
-    const bool written = co_await m_caller->write(std::move(response), keepsAlive(), m_progress.deadline());
+    const bool written = co_await m_caller->write(std::move(response), announceKeepAlive(), m_progress.deadline());
     m_callerGone = !written;
     m_progress.finish(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None, m_head.status,
                       core::now());
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -73,13 +73,14 @@
     if (refusal) {
         m_progress.finish(core::Outcome::NotRun, refusal->reason, refusal->status, core::now());
         m_context.metrics.countRefusal(refusal->reason);
-        co_return co_await sendRefusal(*refusal);
+        const bool refused = co_await sendRefusal(*refusal);
+        co_return refused &&m_announcedKeepAlive;
     }
     m_caller->watch([inbox = m_inbox] { inbox->events.post(CallerDisconnected{}); });
     const bool answered = co_await runAttempts();
     m_caller->stopWatching();
     releaseReservations();
-    co_return answered && !m_callerGone && keepsAlive();
+    co_return answered && !m_callerGone && m_announcedKeepAlive;
 }
 
 template<ProtocolCodec D>
@@ -383,9 +384,8 @@
     constexpr auto WriteTimeout = absl::Seconds(2); // The answer is small, so a live caller reads it at once.
     m_progress.setStage(RequestStage::Answering);
     auto response = m_codec.refusal(refusal, m_progress.facts());
-    const bool written
-        = co_await m_caller->write(std::move(response), keepsAlive(), core::now() + core::Duration(WriteTimeout));
-    co_return written &&keepsAlive();
+    co_return co_await m_caller->write(std::move(response), announceKeepAlive(),
+                                       core::now() + core::Duration(WriteTimeout));
 }
 
 template<ProtocolCodec D>
@@ -396,9 +396,10 @@
 }
 
 template<ProtocolCodec D>
-bool RequestHandler<D>::keepsAlive() const
+bool RequestHandler<D>::announceKeepAlive()
 {
-    return m_request.keepAlive && !m_context.shutdown.hasBegun();
+    m_announcedKeepAlive = m_request.keepAlive && !m_context.shutdown.hasBegun();
+    return m_announcedKeepAlive;
 }
 
 } // namespace spurlug::relay
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -242,14 +242,23 @@
 net::Task<CallerAnswer> RelayFleet::sendTo(core::Address daemon, CallerRequest ask)
 {
     const auto startedAt = core::now();
-    CallerAnswer answer;
     net::ClientConnection connection(loop);
     const auto error = co_await connection.connect(std::move(daemon), absl::Seconds(1));
     if (!error.empty()) {
-        co_return answer;
+        co_return CallerAnswer();
     }
     connection.startSend(makeRequest(ask));
+    const auto sentAt = core::now();
+    auto answer = co_await readAnswer(connection);
+    answer.timeToHead += sentAt - startedAt;
+    co_return answer;
+}
+
+net::Task<CallerAnswer> RelayFleet::readAnswer(net::ClientConnection &connection)
+{
+    const auto startedAt = core::now();
     const auto deadline = startedAt + absl::Seconds(15);
+    CallerAnswer answer;
     auto head = co_await connection.readHead(deadline);
     answer.timeToHead = core::now() - startedAt;
     if (!head) {
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -92,6 +92,8 @@
     /// \brief Sends a request over a new connection and waits for the answer.
     [[nodiscard]] net::Task<CallerAnswer> send(CallerRequest ask, std::size_t daemon = 0);
     [[nodiscard]] net::Task<CallerAnswer> sendTo(core::Address daemon, CallerRequest ask);
+    /// \brief Reads the answer to a request that was sent over an open connection.
+    [[nodiscard]] net::Task<CallerAnswer> readAnswer(net::ClientConnection &connection);
     /// \brief Returns the HTTP request that is sent for a caller's request, with a new id.
     [[nodiscard]] net::Request makeRequest(const CallerRequest &callerRequest);
     /// \brief Waits until every daemon reports that it is ready.
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -314,6 +314,44 @@
     BOOST_TEST(second.answer.isComplete);
 }
 
+// Guards against requests on a connection whose last answer announced that it stays open: the daemon closed it when
+// that stream ended during the shutdown, and discarded the next request.
+BOOST_AUTO_TEST_CASE(a_connection_that_was_announced_as_kept_carries_the_next_request)
+{
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model");
+    engine.behaviour.eventCount = 20;
+    engine.behaviour.eventInterval = absl::Milliseconds(50);
+    fleet.addTarget("app");
+    std::array<CallerAnswer, 2> answers;
+    std::array<bool, 2> reusable{};
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        net::ClientConnection connection(fleet.loop);
+        const auto error = co_await connection.connect(fleet.callerAddress(), absl::Seconds(1));
+        BOOST_TEST(error == "");
+        std::size_t next = 0;
+        for (const auto &request : {patientRequest(), plainRequest("/plain/1")}) {
+            connection.startSend(fleet.makeRequest(request));
+            if (next == 0) {
+                co_await net::sleepFor(SettleTime);
+                fleet.startShutdown();
+            }
+            answers.at(next) = co_await fleet.readAnswer(connection);
+            reusable.at(next) = connection.isReusable();
+            co_await net::sleepFor(absl::Milliseconds(100));
+            ++next;
+        }
+    });
+    BOOST_TEST(answers[0].status == 200);
+    BOOST_TEST(answers[0].isComplete);
+    BOOST_TEST(reusable[0]);
+    BOOST_TEST(answers[1].status == 200);
+    BOOST_TEST(answers[1].isComplete);
+    BOOST_TEST(!reusable[1]); // It says that the connection is closed.
+}
+
 // Guards against requests that a stopping scheduler keeps in its queue, or that are lost with it.
 BOOST_AUTO_TEST_CASE(a_request_queued_at_a_scheduler_that_stops_is_placed_by_another)
 {
