--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -5,8 +5,11 @@
 
 #include "relay_process.h"
 
+#include "spurlug/core/text.h"
+
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 namespace spurlug::test
 {
@@ -14,6 +17,8 @@
 namespace
 {
 
+constexpr rlim_t MaxDescriptors = 4200;
+
 void writeSettings(const std::string &path, const settings::RelaySettings &settings)
 {
     auto seeds = nlohmann::json::array();
@@ -50,6 +55,8 @@
     m_exitCode = std::nullopt;
     m_process = std::make_unique<support::Process>(
         m_directory, m_settings.vm, std::vector<std::string>{"spurlugd", "--relay", "--settings", m_settingsFile});
+    const rlimit limit{MaxDescriptors, MaxDescriptors};
+    prlimit(m_process->pid(), RLIMIT_NOFILE, &limit, nullptr);
 }
 
 void RelayProcess::signal(int number) const
@@ -65,6 +72,18 @@
     return m_exitCode.has_value();
 }
 
+std::int64_t RelayProcess::peakMemory() const
+{
+    constexpr std::string_view Field = "VmHWM:";
+    std::ifstream status(core::cat("/proc/", m_process->pid(), "/status"));
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Field)) {
+            return std::stoll(line.substr(Field.size())) << 10U; // It is given in kB.
+        }
+    }
+    return 0;
+}
+
 net::Task<int> RelayProcess::awaitExit()
 {
     while (!hasExited()) {
--- a/tests/platform/relay_process.h
+++ b/tests/platform/relay_process.h
@@ -29,6 +29,8 @@
     [[nodiscard]] net::Task<int> awaitExit();
     /// \brief Whether the process has exited.
     [[nodiscard]] bool hasExited();
+    /// \brief Largest resident size of the running process so far, in bytes; 0 if it has exited.
+    [[nodiscard]] std::int64_t peakMemory() const;
     /// \brief Starts the daemon again after its exit, with the same settings.
     void restart();
     [[nodiscard]] const settings::RelaySettings &settings() const noexcept;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -29,9 +29,11 @@
 constexpr auto StartTimeout = std::chrono::seconds(30);
 constexpr auto PollInterval = std::chrono::milliseconds(10);
 
+/// Tests run the programs of their own build, or those in SPURLUG_PROGRAMS, for example of another version.
 std::string programPath(const std::string &program)
 {
-    return std::string(SPURLUG_BINARY_DIR) + "/" + program;
+    const auto *folder = std::getenv("SPURLUG_PROGRAMS");
+    return std::string(folder == nullptr ? SPURLUG_BINARY_DIR : folder) + "/" + program;
 }
 
 std::string readFile(const std::string &path)
