--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <string_view>
+#include <sys/resource.h>
 
 namespace spurlug::test
 {
@@ -18,6 +19,7 @@
 {
 
 constexpr int MegabyteShift = 20;
+constexpr rlim_t MaxDescriptors = 4200;
 
 } // namespace
 
@@ -56,6 +58,8 @@
     m_exitCode = std::nullopt;
     m_process = std::make_unique<support::Process>(
         m_directory, m_settings.vm, std::vector<std::string>{"spurlugd", "--relay", "--settings", m_settingsFile});
+    const rlimit limit{MaxDescriptors, MaxDescriptors};
+    prlimit(m_process->pid(), RLIMIT_NOFILE, &limit, nullptr);
 }
 
 void RelayProcess::signal(int number) const
--- a/tests/platform/relay_process.h
+++ b/tests/platform/relay_process.h
@@ -38,7 +38,7 @@
     [[nodiscard]] const settings::RelaySettings &settings() const noexcept;
     /// \brief What the process has logged, over all restarts.
     [[nodiscard]] std::string log() const;
-    /// \brief Largest resident size of the process so far, bytes.
+    /// \brief Largest resident size of the running process so far, in bytes; 0 if it has exited.
     [[nodiscard]] std::int64_t peakResidentBytes() const;
     /// \brief Event of the last line of the log.
     [[nodiscard]] std::string lastEvent() const;
