Log and count exceptions that end tasks, and start the daemon's services again

A coroutine of the relay that ended by an exception ended without a trace: it was started with a handler that ignores the exception. If it accepted callers, followed the list of targets, sent heartbeats or handled signals, the daemon lived on without that, and did not even end on SIGTERM.

No input that triggers this is known: blocked and closed logs, 32 descriptors, an address space of 112 MB and addresses in use gave no exception. It is mended as a class. All coroutines of the relay are started by net::spawn, which logs task_failed and counts it in the gauge tasks_failed, or by net::spawnService, which also starts them again.

The tests throw from a task and from a service; on the earlier code there is nothing to call.

--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -14,6 +14,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
+#include "spurlug/net/spawn.h"
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/directory_watcher.h"
 #include "spurlug/relay/peer_state.h"
@@ -57,7 +58,6 @@
     /// fetch from the same reader.
     static constexpr auto FetchTimeout = absl::Milliseconds(2000);
 
-    void spawn(net::Task<> task);
     void handleMessage(control::Message message, const core::Address &from, core::Time now);
     void handleFreshnessReply(const control::FreshnessReply &proof, core::Time now);
     void setIsolated(bool isolated);
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -37,26 +37,21 @@
     });
 }
 
-template<Directory Source>
-void ControlPlane<Source>::spawn(net::Task<> task)
-{
-    net::asio::co_spawn(m_context.loop, std::move(task), net::asio::detached);
-}
-
 template<Directory Source>
 void ControlPlane<Source>::start()
 {
-    spawn(m_directoryWatcher.watchConfiguration());
-    spawn(m_directoryWatcher.watchTargets());
+    auto &loop = m_context.loop;
+    net::spawnService(loop, "watch_configuration", [this] { return m_directoryWatcher.watchConfiguration(); });
+    net::spawnService(loop, "watch_targets", [this] { return m_directoryWatcher.watchTargets(); });
     if (m_context.settings.bounds.evacuate > absl::ZeroDuration()) {
-        spawn(m_directoryWatcher.watchEvacuations());
+        net::spawnService(loop, "watch_evacuations", [this] { return m_directoryWatcher.watchEvacuations(); });
     }
-    spawn(m_transport.sendHeartbeats());
-    spawn(m_transport.receiveDatagrams());
-    spawn(m_schedulerClient.reportWork());
-    spawn(servePlacementRequests());
-    spawn(querySources());
-    spawn(trackRoles());
+    net::spawnService(loop, "send_heartbeats", [this] { return m_transport.sendHeartbeats(); });
+    net::spawnService(loop, "receive_datagrams", [this] { return m_transport.receiveDatagrams(); });
+    net::spawnService(loop, "report_work", [this] { return m_schedulerClient.reportWork(); });
+    net::spawnService(loop, "serve_placements", [this] { return servePlacementRequests(); });
+    net::spawnService(loop, "query_sources", [this] { return querySources(); });
+    net::spawnService(loop, "track_roles", [this] { return trackRoles(); });
 }
 
 template<Directory Source>
@@ -202,7 +197,7 @@
     const auto *source = m_context.roster.find(proof.vm);
     if ((lacksConfiguration || lacksTargets) && source != nullptr && now >= m_fetchingUntil) {
         m_fetchingUntil = now + FetchTimeout;
-        spawn(fetchMissing(fetchCandidates(*source)));
+        net::spawn(m_context.loop, "fetch_state", fetchMissing(fetchCandidates(*source)));
     }
 }
 
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -10,6 +10,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/listener.h"
+#include "spurlug/net/spawn.h"
 #include "spurlug/relay/connection_gate.h"
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/control_plane.h"
@@ -75,7 +76,6 @@
     /// Factor on the idle timeout: callers may use a connection until the timeout has passed.
     static constexpr double IdleTimeoutFactor = 1.25;
 
-    void spawn(net::Task<> task);
     /// Serves a new connection, or closes it unread while the event loop is overloaded.
     void acceptCaller(net::asio::ip::tcp::socket socket);
     /// Measures the delay of the event loop.
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -38,6 +38,7 @@
                       [this](const net::Request &request) { return answerStateQuery(request); })
     , m_metricsServer(loop, m_settings.metricsAddress,
                       [this](const net::Request &) {
+                          m_metrics.setGauge("tasks_failed", static_cast<double>(net::failedTasks()));
                           return textResponse(core::http_status::Ok, m_metrics.prometheusText(), "text/plain");
                       })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
@@ -55,12 +56,6 @@
     m_loop.discardWaiting(); // Waiting coroutines refer to the members of this object.
 }
 
-template<ProtocolCodec Protocol, Directory Source>
-void RelayDaemon<Protocol, Source>::spawn(net::Task<> task)
-{
-    net::asio::co_spawn(m_loop, std::move(task), net::asio::detached);
-}
-
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::start()
 {
@@ -73,21 +68,23 @@
                {"retryRatio", m_settings.bounds.retryRatio},
                {"retrySlack", m_settings.bounds.retrySlack},
                {"retryWindowMs", core::toMs(m_settings.bounds.retryWindow)}});
-    spawn(m_callerListener.run([this](net::asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); }));
-    spawn(watchLoop());
+    net::spawnService(m_loop, "accept_callers", [this] {
+        return m_callerListener.run([this](net::asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); });
+    });
+    net::spawnService(m_loop, "watch_loop", [this] { return watchLoop(); });
     m_readinessServer.start();
     m_controlServer.start();
     m_metricsServer.start();
     m_controlPlane.start();
-    spawn(handleSignals());
-    spawn(watchSettings());
+    net::spawnService(m_loop, "handle_signals", [this] { return handleSignals(); });
+    net::spawnService(m_loop, "watch_settings", [this] { return watchSettings(); });
 }
 
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::stop()
 {
     if (m_context.shutdown.begin(core::now())) {
-        spawn(drain());
+        net::spawnService(m_loop, "drain", [this] { return drain(); });
     }
 }
 
@@ -102,7 +99,14 @@
 {
     start();
     core::unblockDaemonSignals();
-    m_loop.run();
+    for (bool hasEnded = false; !hasEnded;) {
+        try {
+            m_loop.run();
+            hasEnded = true;
+        } catch (const std::exception &) {
+            net::reportTaskFailure("loop", std::current_exception());
+        }
+    }
     core::blockDaemonSignals(); // The handlers are removed while the process is cleaned up.
     core::log(core::LogLevel::Info, "stopped", {{"vm", m_settings.vm}, {"cutOff", m_context.requestsInProgress}});
 }
@@ -170,7 +174,7 @@
 void RelayDaemon<Protocol, Source>::acceptCaller(net::asio::ip::tcp::socket socket)
 {
     if (m_connectionGate.isOpen()) {
-        spawn(serveCaller(std::move(socket)));
+        net::spawn(m_loop, "serve_caller", serveCaller(std::move(socket)));
         return;
     }
     m_metrics.count(metrics::Counter::ConnectionsTurnedAway);
@@ -235,7 +239,8 @@
 template<ProtocolCodec Protocol, Directory Source>
 bool RelayDaemon<Protocol, Source>::ready(core::Time now) const
 {
-    return m_context.table && !m_context.shutdown.hasBegun() && m_context.canCheckKeys(now);
+    return m_context.table && !m_context.shutdown.hasBegun()
+        && m_context.canCheckKeys(now);
 }
 
 template<ProtocolCodec Protocol, Directory Source>
--- a/src/net/tunnel.cpp
+++ b/src/net/tunnel.cpp
@@ -9,6 +9,7 @@
 #include "spurlug/core/error.h"
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/text.h"
+#include "spurlug/net/spawn.h"
 #include "spurlug/net/tunnel_stream.h"
 
 #include <algorithm>
@@ -189,7 +190,7 @@
 {
     auto tunnel = core::makeRef<Tunnel>(std::move(client), std::move(target));
     tunnel->expireAfter(lifetime);
-    asio::co_spawn(tunnel->client.get_executor(), forwardAnswer(tunnel), asio::detached);
+    spawn(tunnel->client.get_executor(), "tunnel", forwardAnswer(tunnel));
     co_await forwardRequest(tunnel);
 }
 
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -5,6 +5,8 @@
 
 #include "spurlug/relay/attempt.h"
 
+#include "spurlug/net/spawn.h"
+
 namespace spurlug::relay
 {
 
@@ -27,14 +29,13 @@
 void Attempt::start(core::Ref<Target> target, net::Request message, net::SharedBody body, core::Duration connectTimeout,
                     core::Time deadline, MayWrite mayWrite)
 {
-    net::asio::co_spawn(
-        m_loop,
-        [](core::Ref<Attempt> self, core::Ref<Target> to, net::Request sent, net::SharedBody sentBody,
-           core::Duration timeout, core::Time until, MayWrite may) -> net::Task<> {
-            co_await self->run(std::move(to), std::move(sent), std::move(sentBody), timeout, until, std::move(may));
-        }(core::Ref<Attempt>(this), std::move(target), std::move(message), std::move(body), connectTimeout, deadline,
-                                                                   std::move(mayWrite)),
-        net::asio::detached);
+    net::spawn(m_loop, "attempt",
+               [](core::Ref<Attempt> self, core::Ref<Target> to, net::Request sent, net::SharedBody sentBody,
+                  core::Duration timeout, core::Time until, MayWrite may) -> net::Task<> {
+                   co_await self->run(std::move(to), std::move(sent), std::move(sentBody), timeout, until,
+                                      std::move(may));
+               }(core::Ref<Attempt>(this), std::move(target), std::move(message), std::move(body), connectTimeout,
+                                                                          deadline, std::move(mayWrite)));
 }
 
 void Attempt::abort()
--- a/src/relay/reservation.cpp
+++ b/src/relay/reservation.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/http_status.h"
 #include "spurlug/core/log.h"
+#include "spurlug/net/spawn.h"
 
 #include <nlohmann/json.hpp>
 
@@ -63,10 +64,9 @@
         m_released = true;
         co_return false;
     }
-    net::asio::co_spawn(
-        m_loop,
-        [](core::Ref<Reservation> self) -> net::Task<> { co_await self->renew(); }(core::Ref<Reservation>(this)),
-        net::asio::detached);
+    net::spawn(m_loop, "reservation_renewal", [](core::Ref<Reservation> self) -> net::Task<> {
+        co_await self->renew();
+    }(core::Ref<Reservation>(this)));
     co_return true;
 }
 
@@ -76,10 +76,9 @@
         return;
     }
     m_released = true;
-    net::asio::co_spawn(
-        m_loop,
-        [](core::Ref<Reservation> self) -> net::Task<> { co_await self->sendRelease(); }(core::Ref<Reservation>(this)),
-        net::asio::detached);
+    net::spawn(m_loop, "reservation_release", [](core::Ref<Reservation> self) -> net::Task<> {
+        co_await self->sendRelease();
+    }(core::Ref<Reservation>(this)));
 }
 
 net::Task<> Reservation::renew()
--- a/src/relay/simple_server.cpp
+++ b/src/relay/simple_server.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/relay/simple_server.h"
 
 #include "spurlug/core/text.h"
+#include "spurlug/net/spawn.h"
 
 #include <algorithm>
 
@@ -33,10 +34,11 @@
 
 void SimpleServer::start()
 {
-    net::asio::co_spawn(m_loop, m_listener.run([this](net::asio::ip::tcp::socket socket) {
-        net::asio::co_spawn(m_loop, serve(std::move(socket)), net::asio::detached);
-    }),
-                        net::asio::detached);
+    net::spawnService(m_loop, "accept", [this] {
+        return m_listener.run([this](net::asio::ip::tcp::socket socket) {
+            net::spawn(m_loop, "internal_request", serve(std::move(socket)));
+        });
+    });
 }
 
 net::Task<> SimpleServer::serve(net::asio::ip::tcp::socket socket)
--- a/src/relay/target_connector.cpp
+++ b/src/relay/target_connector.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/log.h"
 #include "spurlug/net/mailbox.h"
+#include "spurlug/net/spawn.h"
 #include "spurlug/relay/context.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
 
 void spawn(net::Loop &loop, net::Task<> task)
 {
-    net::asio::co_spawn(loop, std::move(task), net::asio::detached);
+    net::spawn(loop, "connect", std::move(task));
 }
 
 } // namespace
--- a/tests/platform/process_lifecycle_test.cpp
+++ b/tests/platform/process_lifecycle_test.cpp
@@ -7,6 +7,7 @@
 #include "relay_process.h"
 
 #include "spurlug/core/program.h"
+#include "spurlug/net/spawn.h"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
@@ -15,6 +16,7 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -235,6 +237,37 @@
     BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
 }
 
+// Guards against a task that ends by an exception without a trace.
+BOOST_AUTO_TEST_CASE(an_exception_that_ends_a_task_is_counted)
+{
+    net::Loop loop;
+    const auto before = net::failedTasks();
+    net::spawn(loop, "test", []() -> net::Task<> {
+        co_await net::sleepFor(absl::Milliseconds(1));
+        throw std::runtime_error("for the test");
+    }());
+    loop.run();
+    BOOST_TEST(net::failedTasks() == before + 1);
+}
+
+// Guards against a loop of the daemon, such as one that accepts callers, that an exception ends for good.
+BOOST_AUTO_TEST_CASE(a_service_that_throws_is_started_again)
+{
+    net::Loop loop;
+    const auto before = net::failedTasks();
+    int starts = 0;
+    net::spawnService(loop, "test", [&starts]() -> net::Task<> {
+        ++starts;
+        co_await net::sleepFor(absl::Milliseconds(1));
+        if (starts < 3) {
+            throw std::runtime_error("for the test");
+        }
+    });
+    loop.run();
+    BOOST_TEST(starts == 3);
+    BOOST_TEST(net::failedTasks() == before + 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
