Wait for addresses that are in use when a daemon starts

A daemon whose address was still in use when it started ended at once with exit code 1, and a VM without its port for some seconds ended its daemon again and again. Another process that has not exited yet, or the local port of an outgoing connection, is enough; so was the address of the metrics alone.

Each address was bound once, in the constructors. Listeners and the socket for datagrams now try again every 200 ms while the address is in use or not configured yet, and log address_unavailable and address_bound. The daemon is not ready before it can accept callers, ends in order on SIGTERM, and gives up after 30 s with exit code 1 unless only the metrics are missing. Addresses that cannot be bound for other reasons are refused at once, as before.

The tests on the earlier daemon:

a_daemon_serves_once_its_addresses_are_released: check !exitCode.has_value() has failed a_daemon_serves_although_its_metrics_address_is_in_use: check !exitCode.has_value() has failed sigterm_ends_a_daemon_that_waits_for_an_address: check exitCode.value_or(StillRunning) == core::ExitOk has failed [1 != 0]

an_address_that_is_invalid_ends_the_start passes before and after. All pass now.

--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -35,13 +35,15 @@
 class ControlPlane
 {
 public:
-    /// \throws NetworkError if the address for datagrams cannot be bound.
+    /// \throws NetworkError if the address for datagrams is invalid.
     ControlPlane(RelayContext &context, Source &source);
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
 
     /// \brief Starts the coroutines on the loop.
     void start();
+    /// \brief Whether the address for datagrams is bound.
+    [[nodiscard]] bool isBound() const noexcept;
     /// \brief Notifies all peers that this daemon begins to stop.
     void announceStop(core::Time now);
 
--- a/include/spurlug/relay/control_plane_impl.h
+++ b/include/spurlug/relay/control_plane_impl.h
@@ -54,6 +54,12 @@
     net::spawnService(loop, "track_roles", [this] { return trackRoles(); });
 }
 
+template<Directory Source>
+bool ControlPlane<Source>::isBound() const noexcept
+{
+    return m_transport.isBound();
+}
+
 template<Directory Source>
 void ControlPlane<Source>::announceStop(core::Time now)
 {
--- a/include/spurlug/relay/peer_transport.h
+++ b/include/spurlug/relay/peer_transport.h
@@ -23,7 +23,8 @@
     /// \brief Handles a control-plane message from an address.
     using MessageHandler = std::function<void(control::Message, const core::Address &)>;
 
-    /// \throws NetworkError if the address cannot be bound.
+    /// If the address is in use, `receiveDatagrams` binds it when it is free.
+    /// \throws NetworkError if the address cannot be bound for another reason.
     explicit PeerTransport(RelayContext &context);
 
     /// \brief Sets the handler for control-plane messages.
@@ -40,10 +41,16 @@
     /// \brief Sends this daemon's state to the other daemons at once, as when it begins to stop.
     void announceState(core::Time now);
 
+    /// \brief Whether the address is bound.
+    [[nodiscard]] bool isBound() const noexcept;
+
     /// \brief Sends a datagram. It may be lost; errors are ignored.
     void sendTo(const core::Address &peer, const std::string &datagram);
 
 private:
+    void bind();
+
+    bool m_awaitsAddress = false; ///< Whether the address was not available.
     void sendHeartbeat(const core::Address &to, const std::string &datagram);
     void handleDatagram(const std::string &datagram, const core::Address &from, core::Time now);
 
--- a/include/spurlug/relay/relay_daemon.h
+++ b/include/spurlug/relay/relay_daemon.h
@@ -37,7 +37,7 @@
 {
 public:
     /// \param settingsPath Settings file, read again on SIGHUP or when its content has changed.
-    /// \throws NetworkError if an address cannot be bound.
+    /// \throws NetworkError if an address is invalid.
     RelayDaemon(net::Loop &loop, settings::RelaySettings settings, std::string settingsPath, Protocol protocol,
                 Source &source);
     /// \brief Destroys everything that still waits on the loop, which must not run any more.
@@ -54,6 +54,7 @@
     void onStopped(std::function<void()> handler);
     /// \brief Starts and runs the loop until the daemon has stopped. Signals are handled from here on; they must be
     /// blocked before, and are afterwards.
+    /// \throws NetworkError if an address has been in use for `BindTimeout`.
     void run();
 
     /// \brief Establishes this daemon's connections to targets.
@@ -72,10 +73,14 @@
 
     /// Share of the process's memory for bodies of requests. The rest is for state, answers and buffers of sockets.
     static constexpr double BodyMemoryShare = 0.4;
+    /// Time in which a process that still has an address must release it.
+    static constexpr auto BindTimeout = absl::Seconds(30);
     static constexpr auto DrainCheckInterval = absl::Milliseconds(50); ///< Interval between checks while draining.
     /// Factor on the idle timeout: callers may use a connection until the timeout has passed.
     static constexpr double IdleTimeoutFactor = 1.25;
 
+    /// Ends the process if an address that callers or other daemons need is not free in time.
+    [[nodiscard]] net::Task<> awaitAddresses();
     /// Serves a new connection, or closes it unread while the event loop is overloaded.
     void acceptCaller(net::asio::ip::tcp::socket socket);
     /// Measures the delay of the event loop.
@@ -120,6 +125,7 @@
     net::asio::signal_set m_signals;
     boost::intrusive::list<CallerLink, boost::intrusive::constant_time_size<false>> m_callers;
     std::function<void()> m_onStopped;
+    std::string m_unavailableAddress; ///< Not empty if the daemon ends because of it.
     core::Duration m_maxIdleTimeout = absl::ZeroDuration(); ///< Longest idle timeout that has been configured so far.
 };
 
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -78,6 +78,7 @@
     m_controlPlane.start();
     net::spawnService(m_loop, "handle_signals", [this] { return handleSignals(); });
     net::spawnService(m_loop, "watch_settings", [this] { return watchSettings(); });
+    net::spawn(m_loop, "await_addresses", awaitAddresses());
 }
 
 template<ProtocolCodec Protocol, Directory Source>
@@ -108,6 +109,9 @@
         }
     }
     core::blockDaemonSignals(); // The handlers are removed while the process is cleaned up.
+    if (!m_unavailableAddress.empty()) {
+        throw core::NetworkError(core::cat(m_unavailableAddress, ": the address is in use"));
+    }
     core::log(core::LogLevel::Info, "stopped", {{"vm", m_settings.vm}, {"cutOff", m_context.requestsInProgress}});
 }
 
@@ -239,7 +243,7 @@
 template<ProtocolCodec Protocol, Directory Source>
 bool RelayDaemon<Protocol, Source>::ready(core::Time now) const
 {
-    return m_context.table && !m_context.shutdown.hasBegun()
+    return m_callerListener.isListening() && m_context.table && !m_context.shutdown.hasBegun()
         && m_context.canCheckKeys(now);
 }
 
@@ -270,6 +274,33 @@
     return textResponse(core::http_status::Ok, writePeerState(state), "application/x-protobuf");
 }
 
+template<ProtocolCodec Protocol, Directory Source>
+net::Task<> RelayDaemon<Protocol, Source>::awaitAddresses()
+{
+    constexpr auto CheckInterval = absl::Milliseconds(200);
+    const auto unavailable = [this]() -> std::string {
+        if (!m_callerListener.isListening()) {
+            return m_settings.callerAddress.text();
+        }
+        if (!m_readinessServer.isListening()) {
+            return m_settings.readinessAddress.text();
+        }
+        if (!m_controlServer.isListening()) {
+            return m_settings.controlAddress.text();
+        }
+        return m_controlPlane.isBound() ? "" : m_settings.peerAddress.text();
+    };
+    const auto deadline = core::now() + BindTimeout;
+    while (!unavailable().empty() && !m_context.shutdown.hasBegun()) {
+        if (core::now() >= deadline) {
+            m_unavailableAddress = unavailable();
+            stop();
+            co_return;
+        }
+        co_await net::sleepFor(CheckInterval);
+    }
+}
+
 template<ProtocolCodec Protocol, Directory Source>
 net::Task<> RelayDaemon<Protocol, Source>::handleSignals()
 {
--- a/include/spurlug/relay/simple_server.h
+++ b/include/spurlug/relay/simple_server.h
@@ -37,6 +37,8 @@
 
     /// \brief The address that the server listens on.
     [[nodiscard]] const core::Address &address() const noexcept;
+    /// \brief Whether the address is bound.
+    [[nodiscard]] bool isListening() const noexcept;
 
 private:
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
--- a/src/relay/peer_transport.cpp
+++ b/src/relay/peer_transport.cpp
@@ -6,8 +6,11 @@
 #include "spurlug/relay/peer_transport.h"
 
 #include "spurlug/core/error.h"
+#include "spurlug/core/log.h"
 #include "spurlug/core/text.h"
+#include "spurlug/net/listener.h"
 
+#include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
@@ -35,17 +38,38 @@
     , m_membership(context,
                    [this](const core::Address &to, const std::string &datagram) { sendHeartbeat(to, datagram); })
 {
-    const auto &address = context.settings.peerAddress;
+    bind();
+}
+
+void PeerTransport::bind()
+{
+    const auto &address = m_context.settings.peerAddress;
     try {
         const udp::endpoint endpoint(net::asio::ip::make_address(address.host), address.port);
-        m_socket.open(endpoint.protocol());
-        m_socket.bind(endpoint);
-        m_socket.non_blocking(true);
+        udp::socket socket(m_context.loop);
+        socket.open(endpoint.protocol());
+        socket.bind(endpoint);
+        socket.non_blocking(true);
+        m_socket = std::move(socket);
+        if (m_awaitsAddress) {
+            core::log(core::LogLevel::Info, "address_bound", {{"address", address.text()}});
+        }
     } catch (const boost::system::system_error &error) {
-        throw core::NetworkError(core::cat(address.text(), ": cannot bind: ", error.code().message()));
+        if (!net::isTransientBindError(error.code())) {
+            throw core::NetworkError(core::cat(address.text(), ": cannot bind: ", error.code().message()));
+        }
+        if (!std::exchange(m_awaitsAddress, true)) {
+            core::log(core::LogLevel::Warning, "address_unavailable",
+                      {{"address", address.text()}, {"error", error.code().message()}});
+        }
     }
 }
 
+bool PeerTransport::isBound() const noexcept
+{
+    return m_socket.is_open();
+}
+
 void PeerTransport::onMessage(MessageHandler handler)
 {
     m_messageHandler = std::move(handler);
@@ -91,6 +115,10 @@
 
 net::Task<> PeerTransport::receiveDatagrams()
 {
+    while (!m_socket.is_open()) {
+        co_await net::sleepFor(net::BindRetryInterval);
+        bind();
+    }
     std::string buffer(MaxDatagramBytes, '\0');
     for (;;) {
         udp::endpoint sender;
--- a/src/relay/simple_server.cpp
+++ b/src/relay/simple_server.cpp
@@ -70,6 +70,11 @@
     return m_listener.address();
 }
 
+bool SimpleServer::isListening() const noexcept
+{
+    return m_listener.isListening();
+}
+
 std::optional<std::int64_t> queryInteger(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
--- a/tests/platform/process_lifecycle_test.cpp
+++ b/tests/platform/process_lifecycle_test.cpp
@@ -10,6 +10,8 @@
 #include "spurlug/net/spawn.h"
 
 #include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fcntl.h>
@@ -20,6 +22,7 @@
 #include <string>
 #include <sys/stat.h>
 #include <unistd.h>
+#include <vector>
 
 namespace spurlug::test
 {
@@ -115,6 +118,13 @@
     co_return std::nullopt;
 }
 
+/// Keeps child processes from inheriting a socket, which would stay open with them.
+template<typename Socket>
+void closeOnExec(Socket &socket)
+{
+    BOOST_REQUIRE(fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC) == 0);
+}
+
 /// A relay daemon whose files a test has replaced. Unlike RelayProcess, it writes no settings.
 support::Process startDaemon(const support::TemporaryDirectory &directory, const std::string &name)
 {
@@ -237,6 +247,101 @@
     BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
 }
 
+// Guards against a daemon that ends at its start because another process has not released its addresses yet.
+BOOST_AUTO_TEST_CASE(a_daemon_serves_once_its_addresses_are_released)
+{
+    using net::asio::ip::tcp;
+    using net::asio::ip::udp;
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    const auto settings = fleet.makeSettings();
+    const auto host = net::asio::ip::make_address("127.0.0.1");
+    std::vector<tcp::acceptor> acceptors;
+    for (const auto &address : {settings.callerAddress, settings.readinessAddress, settings.controlAddress}) {
+        acceptors.emplace_back(fleet.loop, tcp::endpoint(host, address.port));
+        closeOnExec(acceptors.back());
+    }
+    udp::socket peer(fleet.loop, udp::endpoint(host, settings.peerAddress.port));
+    closeOnExec(peer);
+    std::ofstream(directory.file("daemon.json")) << settingsText(settings);
+    auto daemon = startDaemon(directory, "daemon");
+    std::optional<int> exitCode;
+    bool serves = false;
+    fleet.run([&]() -> net::Task<> {
+        exitCode = co_await exitCodeWithin(absl::Seconds(1), daemon);
+        acceptors.clear();
+        peer.close();
+        if (!exitCode) {
+            serves = co_await servesWithin(absl::Seconds(5), fleet, settings.callerAddress);
+        }
+    });
+    BOOST_TEST(!exitCode.has_value());
+    BOOST_TEST(serves);
+    BOOST_TEST(daemon.log().find("address_unavailable") != std::string::npos);
+}
+
+// Guards against a daemon that serves nobody because its metrics cannot be read.
+BOOST_AUTO_TEST_CASE(a_daemon_serves_although_its_metrics_address_is_in_use)
+{
+    using net::asio::ip::tcp;
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    const auto settings = fleet.makeSettings();
+    const auto host = net::asio::ip::make_address("127.0.0.1");
+    tcp::acceptor acceptor(fleet.loop, tcp::endpoint(host, settings.metricsAddress.port));
+    closeOnExec(acceptor);
+    std::ofstream(directory.file("daemon.json")) << settingsText(settings);
+    auto daemon = startDaemon(directory, "daemon");
+    std::optional<int> exitCode;
+    bool serves = false;
+    fleet.run([&]() -> net::Task<> {
+        exitCode = co_await exitCodeWithin(absl::Seconds(1), daemon);
+        if (!exitCode) {
+            serves = co_await servesWithin(absl::Seconds(5), fleet, settings.callerAddress);
+        }
+    });
+    BOOST_TEST(!exitCode.has_value());
+    BOOST_TEST(serves);
+}
+
+// Guards against a daemon that does not end on SIGTERM while it waits for an address.
+BOOST_AUTO_TEST_CASE(sigterm_ends_a_daemon_that_waits_for_an_address)
+{
+    using net::asio::ip::tcp;
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    auto settings = fleet.makeSettings();
+    settings.bounds.grace = absl::Seconds(4);
+    const auto host = net::asio::ip::make_address("127.0.0.1");
+    tcp::acceptor acceptor(fleet.loop, tcp::endpoint(host, settings.callerAddress.port));
+    closeOnExec(acceptor);
+    std::ofstream(directory.file("daemon.json")) << settingsText(settings);
+    auto daemon = startDaemon(directory, "daemon");
+    std::optional<int> exitCode;
+    fleet.run([&]() -> net::Task<> {
+        exitCode = co_await exitCodeWithin(absl::Milliseconds(500), daemon);
+        if (!exitCode) {
+            daemon.signal(SIGTERM);
+            exitCode = co_await exitCodeWithin(settings.bounds.grace, daemon);
+        }
+    });
+    BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
+}
+
+// Guards against a daemon that waits for an address that it can never have.
+BOOST_AUTO_TEST_CASE(an_address_that_is_invalid_ends_the_start)
+{
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    auto settings = fleet.makeSettings();
+    settings.callerAddress.host = "nowhere";
+    std::ofstream(directory.file("daemon.json")) << settingsText(settings);
+    auto daemon = startDaemon(directory, "daemon");
+    std::optional<int> exitCode;
+    fleet.run([&]() -> net::Task<> { exitCode = co_await exitCodeWithin(absl::Seconds(4), daemon); });
+    BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitFailure);
+}
+
 // Guards against a task that ends by an exception without a trace.
 BOOST_AUTO_TEST_CASE(an_exception_that_ends_a_task_is_counted)
 {
