--- a/include/spurlug/relay/control_plane.h
+++ b/include/spurlug/relay/control_plane.h
@@ -14,6 +14,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
+#include "spurlug/net/spawn.h"
 #include "spurlug/relay/context.h"
 #include "spurlug/relay/directory_watcher.h"
 #include "spurlug/relay/peer_state.h"
@@ -34,13 +35,15 @@
 class ControlPlane
 {
 public:
-    /// \throws NetworkError if the address for datagrams cannot be bound.
+    /// \throws NetworkError if the address for datagrams is invalid.
     ControlPlane(RelayContext &context, Source &source);
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
 
     /// \brief Starts the coroutines on the loop.
     void start();
+    /// \brief Whether the address for datagrams is bound.
+    [[nodiscard]] bool isBound() const noexcept;
     /// \brief Notifies all peers that this daemon begins to stop.
     void announceStop(core::Time now);
 
@@ -57,7 +60,6 @@
     /// fetch from the same reader.
     static constexpr auto FetchTimeout = absl::Milliseconds(2000);
 
-    void spawn(net::Task<> task);
     void handleMessage(control::Message message, const core::Address &from, core::Time now);
     void handleFreshnessReply(const control::FreshnessReply &proof, core::Time now);
     void setIsolated(bool isolated);
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -35,6 +35,7 @@
     , m_metricsServer(loop, m_settings.metricsAddress,
                       [this](const net::Request &) {
                           updateMemoryGauges();
+                          m_metrics.setGauge("tasks_failed", static_cast<double>(net::failedTasks()));
                           return textResponse(core::http_status::Ok, m_metrics.prometheusText(), "text/plain");
                       })
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
@@ -52,12 +53,6 @@
     m_loop.discardWaiting(); // Waiting coroutines refer to the members of this object.
 }
 
-template<ProtocolCodec Protocol, Directory Source>
-void RelayDaemon<Protocol, Source>::spawn(net::Task<> task)
-{
-    net::asio::co_spawn(m_loop, std::move(task), net::asio::detached);
-}
-
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::start()
 {
@@ -70,21 +65,24 @@
                {"retryRatio", m_settings.bounds.retryRatio},
                {"retrySlack", m_settings.bounds.retrySlack},
                {"retryWindowMs", core::toMs(m_settings.bounds.retryWindow)}});
-    spawn(m_callerListener.run([this](net::asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); }));
-    spawn(watchLoop());
+    net::spawnService(m_loop, "accept_callers", [this] {
+        return m_callerListener.run([this](net::asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); });
+    });
+    net::spawnService(m_loop, "watch_loop", [this] { return watchLoop(); });
     m_readinessServer.start();
     m_controlServer.start();
     m_metricsServer.start();
     m_controlPlane.start();
-    spawn(handleSignals());
-    spawn(watchSettings());
+    net::spawnService(m_loop, "handle_signals", [this] { return handleSignals(); });
+    net::spawnService(m_loop, "watch_settings", [this] { return watchSettings(); });
+    net::spawn(m_loop, "await_addresses", awaitAddresses());
 }
 
 template<ProtocolCodec Protocol, Directory Source>
 void RelayDaemon<Protocol, Source>::stop()
 {
     if (m_context.shutdown.begin(core::now())) {
-        spawn(drain());
+        net::spawnService(m_loop, "drain", [this] { return drain(); });
     }
 }
 
@@ -99,8 +97,18 @@
 {
     start();
     core::unblockDaemonSignals();
-    m_loop.run();
+    for (bool hasEnded = false; !hasEnded;) {
+        try {
+            m_loop.run();
+            hasEnded = true;
+        } catch (const std::exception &) {
+            net::reportTaskFailure("loop", std::current_exception());
+        }
+    }
     core::blockDaemonSignals(); // The handlers are removed while the process is cleaned up.
+    if (!m_unavailableAddress.empty()) {
+        throw core::NetworkError(core::cat(m_unavailableAddress, ": the address is in use"));
+    }
     core::log(core::LogLevel::Info, "stopped", {{"vm", m_settings.vm}, {"cutOff", m_context.requestsInProgress}});
 }
 
@@ -171,7 +179,7 @@
 void RelayDaemon<Protocol, Source>::acceptCaller(net::asio::ip::tcp::socket socket)
 {
     if (m_connectionGate.isOpen()) {
-        spawn(serveCaller(std::move(socket)));
+        net::spawn(m_loop, "serve_caller", serveCaller(std::move(socket)));
         return;
     }
     m_metrics.count(metrics::Counter::ConnectionsTurnedAway);
@@ -236,7 +244,8 @@
 template<ProtocolCodec Protocol, Directory Source>
 bool RelayDaemon<Protocol, Source>::ready(core::Time now) const
 {
-    return m_context.table && !m_context.shutdown.hasBegun() && m_context.canCheckKeys(now);
+    return m_callerListener.isListening() && m_context.table && !m_context.shutdown.hasBegun()
+        && m_context.canCheckKeys(now);
 }
 
 template<ProtocolCodec Protocol, Directory Source>
@@ -277,6 +286,33 @@
     }
 }
 
+template<ProtocolCodec Protocol, Directory Source>
+net::Task<> RelayDaemon<Protocol, Source>::awaitAddresses()
+{
+    constexpr auto CheckInterval = absl::Milliseconds(200);
+    const auto unavailable = [this]() -> std::string {
+        if (!m_callerListener.isListening()) {
+            return m_settings.callerAddress.text();
+        }
+        if (!m_readinessServer.isListening()) {
+            return m_settings.readinessAddress.text();
+        }
+        if (!m_controlServer.isListening()) {
+            return m_settings.controlAddress.text();
+        }
+        return m_controlPlane.isBound() ? "" : m_settings.peerAddress.text();
+    };
+    const auto deadline = core::now() + BindTimeout;
+    while (!unavailable().empty() && !m_context.shutdown.hasBegun()) {
+        if (core::now() >= deadline) {
+            m_unavailableAddress = unavailable();
+            stop();
+            co_return;
+        }
+        co_await net::sleepFor(CheckInterval);
+    }
+}
+
 template<ProtocolCodec Protocol, Directory Source>
 net::Task<> RelayDaemon<Protocol, Source>::handleSignals()
 {
