--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -22,6 +22,23 @@
     return at == std::string::npos ? -1 : std::stoll(query.substr(at + key.size() + 1));
 }
 
+std::string queryText(const std::string &query, const std::string &key)
+{
+    const auto at = query.find(key + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + key.size() + 1;
+    const auto escaped = query.substr(begin, query.find('&', begin) - begin);
+    std::string text;
+    for (std::size_t i = 0; i < escaped.size(); ++i) {
+        const bool isEscape = escaped[i] == '%' && i + 2 < escaped.size();
+        text += isEscape ? static_cast<char>(std::stoi(escaped.substr(i + 1, 2), nullptr, 16)) : escaped[i];
+        i += isEscape ? 2 : 0;
+    }
+    return text;
+}
+
 net::Response jsonResponse(int status, const nlohmann::json &body)
 {
     net::Response response;
@@ -119,15 +136,31 @@
     return m_callCounts;
 }
 
-net::Response FakeStore::list(const std::string &kind) const
+net::Response FakeStore::answerWith(nlohmann::json body) const
+{
+    if (editAnswer) {
+        editAnswer(body);
+    }
+    return jsonResponse(200, body);
+}
+
+net::Response FakeStore::list(const std::string &kind, const std::string &afterName) const
 {
     auto items = nlohmann::json::array();
+    bool hasMore = false;
     if (const auto found = m_objects.find(kind); found != m_objects.end()) {
         for (const auto &[name, object] : found->second) {
+            if (name <= afterName) {
+                continue;
+            }
+            hasMore = items.size() >= pageItems;
+            if (hasMore) {
+                break;
+            }
             items.push_back(objectJson(name, object));
         }
     }
-    return jsonResponse(200, {{"items", std::move(items)}, {"more", false}, {"at", m_revision}});
+    return answerWith({{"items", std::move(items)}, {"more", hasMore}, {"at", m_revision}});
 }
 
 net::Task<net::Response> FakeStore::watch(std::string kind, std::int64_t fromRevision, core::Duration wait)
@@ -144,7 +177,7 @@
             }
         }
         if (!events.empty() || core::now() >= until) {
-            co_return jsonResponse(200, {{"events", std::move(events)}, {"at", m_revision}});
+            co_return answerWith({{"events", std::move(events)}, {"at", m_revision}});
         }
         co_await net::sleepFor(absl::Milliseconds(2));
     }
@@ -165,7 +198,7 @@
     const auto kind = path.substr(std::min(path.size(), ObjectsPath.size()));
     const auto watchedRevision = queryParameter(query, "watch");
     if (watchedRevision < 0) {
-        co_return list(kind);
+        co_return list(kind, queryText(query, "since_rev"));
     }
     auto response = co_await watch(kind, watchedRevision, absl::Milliseconds(queryParameter(query, "wait_ms")));
     co_return response;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -9,6 +9,7 @@
 #include "spurlug/net/io.h"
 #include "spurlug/net/listener.h"
 
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -50,6 +51,9 @@
     /// \brief Drops the history: watches from an earlier revision get 410.
     void dropHistory();
     StoreFailure failure = StoreFailure::None;
+    std::size_t pageItems = 500; ///< Maximum number of objects in one answer to a list call.
+    /// If set, it changes the bodies of answers to lists and watches before they are sent.
+    std::function<void(nlohmann::json &body)> editAnswer;
     /// @}
 
     [[nodiscard]] const core::Address &address() const noexcept;
@@ -81,7 +85,9 @@
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
     [[nodiscard]] net::Task<net::Response> answer(net::Request request);
     [[nodiscard]] net::Task<net::Response> watch(std::string kind, std::int64_t fromRevision, core::Duration wait);
-    [[nodiscard]] net::Response list(const std::string &kind) const;
+    /// \param afterName Name after which the page starts; empty: the first page.
+    [[nodiscard]] net::Response list(const std::string &kind, const std::string &afterName) const;
+    [[nodiscard]] net::Response answerWith(nlohmann::json body) const;
     [[nodiscard]] nlohmann::json objectJson(const std::string &name, const Object &object) const;
     /// Replaces the placeholders in \a body by the bytes given to `putRaw`.
     [[nodiscard]] std::string insertRawObjects(std::string body) const;
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -188,6 +188,91 @@
     });
 }
 
+// Guards against lists that end, or are never read, at an object that cannot be read or has an unusual name: targets on
+// later pages were unknown.
+BOOST_AUTO_TEST_CASE(lists_continue_after_pages_of_odd_objects)
+{
+    const std::vector<std::pair<std::string, std::string>> oddObjects{
+        {"a-deep", makeObjectText("a-deep", deepArray())},
+        {"a-number", makeObjectText("a-number", "1e999")},
+        {"a b", makeObjectText("a b", "{}")},
+        {"a&since_rev=z", makeObjectText("a&since_rev=z", "{}")},
+        {"a%41", makeObjectText("a%41", "{}")},
+        {"a\r\nX: y", makeObjectText("a\\r\\nX: y", "{}")},
+        {"a\xC3\xA9", makeObjectText("a\xC3\xA9", "{}")},
+    };
+    for (const auto &[name, object] : oddObjects) {
+        RelayFleet fleet;
+        fleet.store.pageItems = 1;
+        auto &target = fleet.addTarget("app");
+        for (const auto *kind : {"servers", "evacuations", "config"}) {
+            fleet.store.putRaw(kind, name, object); // Before all others in the order of names.
+        }
+        fleet.evacuate("hall-z");
+        const CallerRequest request;
+        CallerAnswer answer;
+        double evacuated = 0;
+        fleet.run([&]() -> net::Task<> {
+            const auto until = core::now() + MaxPropagationTime;
+            while (core::now() < until && (answer.status != 200 || evacuated < 2)) {
+                answer = co_await fleet.send(request);
+                evacuated = co_await fleet.metric("evacuations_heard_total");
+                co_await net::sleepFor(absl::Milliseconds(20));
+            }
+        });
+        BOOST_TEST(answer.status == 200, "a list with the name " << name);
+        BOOST_TEST(evacuated == 2, "evacuations after the name " << name);
+        BOOST_TEST(target.startedRequests().size() >= 1U);
+    }
+}
+
+// Guards against daemons that never follow the store again after an answer with members of unexpected types.
+BOOST_AUTO_TEST_CASE(answers_with_odd_members_do_not_stop_the_following)
+{
+    const std::vector<std::pair<std::string, nlohmann::json>> oddMembers{
+        {"more", 1},        {"more", "no"}, {"more", nullptr}, {"at", nullptr}, {"at", -7},          {"at", 1e30},
+        {"at", UINT64_MAX}, {"at", "9"},    {"gone", "no"},    {"gone", 0},     {"events", nullptr}, {"items", 7},
+    };
+    for (const auto &[member, value] : oddMembers) {
+        // Flags stay odd, as in events that are sent again and again; other answers are odd for some time only.
+        const bool isFlag = member == "more" || member == "gone";
+        RelayFleet fleet;
+        fleet.addTarget("app");
+        const CallerRequest request;
+        bool followed = false;
+        const auto edit = [&](nlohmann::json &body) {
+            if (member != "gone" && body.contains(member)) {
+                body[member] = value;
+            }
+            for (auto &event : member == "gone" && body.contains("events") ? body["events"] : body["none"]) {
+                event["gone"] = event["gone"] == true ? event["gone"] : value;
+            }
+            body.erase("none");
+        };
+        fleet.run([&]() -> net::Task<> {
+            if (isFlag) {
+                fleet.store.editAnswer = edit;
+            }
+            co_await fleet.waitUntilReady();
+            fleet.store.editAnswer = edit;
+            fleet.addTarget("app");
+            co_await net::sleepFor(PropagationTime);
+            if (!isFlag) {
+                fleet.store.editAnswer = nullptr;
+            }
+            fleet.store.remove("servers", fleet.targets.front()->id());
+            const auto &added = *fleet.targets.back();
+            const auto until = core::now() + MaxPropagationTime;
+            while (core::now() < until && !followed) {
+                const auto answer = co_await fleet.send(request);
+                followed = answer.status == 200 && !added.startedRequests().empty();
+                co_await net::sleepFor(absl::Milliseconds(20));
+            }
+        });
+        BOOST_TEST(followed, member << ": " << value);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
