Pass on large answers as they arrive instead of collecting them

Callers of other targets saw their daemon end: a plain answer was collected whole, up to 256 MiB for each request, before any of it was passed on. One answer of endless chunks, or without a length, exceeded a VM's memory.

An answer is now collected up to 256 KiB, within one fifth of the process's memory for all answers together. Up to that size nothing changes: one write, and an answer that breaks is repeated or becomes an error. Beyond it, or beyond the budget, what has arrived is passed on and the rest follows at the caller's pace, with the answer's length if it is known and in chunks otherwise. If the target then fails, the connection is reset, so that the part does not look complete, and the request is not repeated. What waits for a slow caller is bounded by its size; the reader is woken when there is room, in place of a check every 5 ms.

--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -11,6 +11,7 @@
 #include "spurlug/net/io.h"
 #include "spurlug/net/tunnel.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
 namespace spurlug::net
 {
 
+inline constexpr std::size_t MaxBodyPieceBytes = 8 << 10; ///< Maximum size of a piece of a body.
+
 /// \brief A piece of a body.
 struct BodyPiece
 {
--- a/include/spurlug/net/server_connection.h
+++ b/include/spurlug/net/server_connection.h
@@ -75,13 +75,15 @@
 
     /// \brief Writes a complete response with its length.
     [[nodiscard]] Task<bool> write(Response response, bool keepAlive, core::Time deadline);
-    /// \brief Writes the head of a response with a chunked body.
-    [[nodiscard]] Task<bool> writeHead(ResponseHead head, bool keepAlive, core::Time deadline);
+    /// \brief Writes the head of a response whose body follows.
+    /// \param length Length of the body in bytes, if it is known; otherwise the body is sent in chunks.
+    [[nodiscard]] Task<bool> writeHead(ResponseHead head, bool keepAlive, core::Time deadline,
+                                       std::optional<std::uint64_t> length = std::nullopt);
     /// \brief Writes the head of a response without a body and without a length, as for an open tunnel.
     [[nodiscard]] Task<bool> writeHeadOnly(ResponseHead head, core::Time deadline);
-    /// \brief Writes one chunk of the body.
-    [[nodiscard]] Task<bool> writeChunk(std::string bytes, core::Time deadline);
-    /// \brief Writes the last, empty chunk of the body.
+    /// \brief Writes a part of the body that is not empty; a chunk unless the head had a length.
+    [[nodiscard]] Task<bool> writePart(std::string bytes, core::Time deadline);
+    /// \brief Marks the end of the body, if the head had no length.
     [[nodiscard]] Task<bool> writeEnd(core::Time deadline);
 
     /// \brief Calls `gone` once if the caller closes the connection before `stopWatching`.
--- a/include/spurlug/relay/attempt.h
+++ b/include/spurlug/relay/attempt.h
@@ -5,12 +5,14 @@
 #pragma once
 
 #include "spurlug/control/messages.h"
+#include "spurlug/core/byte_budget.h"
 #include "spurlug/core/counted.h"
 #include "spurlug/net/client_connection.h"
 #include "spurlug/net/mailbox.h"
 #include "spurlug/relay/target_connector.h"
 #include "spurlug/relay/target_set.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <variant>
@@ -100,8 +102,10 @@
 class Attempt : public core::RefCounted<Attempt>
 {
 public:
+    /// \param budget Limit for the bytes of all answers that wait to be handled.
     /// \param number Number of the attempt within the request, from 1; events contain it.
-    Attempt(net::Loop &loop, TargetConnector &connector, core::Ref<RequestInbox> inbox, int number);
+    Attempt(net::Loop &loop, TargetConnector &connector, core::Ref<RequestInbox> inbox, core::ByteBudget &budget,
+            int number);
 
     /// \brief Whether the request may still be written.
     using MayWrite = std::function<bool()>;
@@ -115,6 +119,9 @@
     /// \brief Aborts the attempt: closes its connection, so that the target stops processing the request.
     void abort();
 
+    /// \brief Notes that bytes of a BytesArrived were handled, so that the next ones may be read.
+    void noteHandled(std::size_t bytes);
+
     /// \brief VM of the peer through which the target is reached; empty: over this daemon's own link.
     [[nodiscard]] const std::string &peer() const noexcept
     {
@@ -130,6 +137,9 @@
 private:
     [[nodiscard]] net::Task<> run(core::Ref<Target> target, net::Request message, net::SharedBody body,
                                   core::Duration connectTimeout, core::Time deadline, MayWrite mayWrite);
+    /// Waits until the request has handled enough of the bytes that were posted.
+    [[nodiscard]] net::Task<> awaitRoom();
+    void postBytes(std::string bytes);
     /// Posts AttemptEnded unless the attempt was aborted.
     void postEnd(AttemptStage stage, std::string detail);
     /// Posts AttemptEnded for a connection that failed after the request was sent.
@@ -139,6 +149,9 @@
     TargetConnector &m_connector;
     core::Ref<RequestInbox> m_inbox;
     const int m_number;
+    std::int64_t m_queuedBytes = 0; ///< Memory of the events that wait to be handled.
+    core::ByteReservation m_queueMemory; ///< The same, and the next piece.
+    net::Timer m_roomTimer; ///< Cancelled when bytes were handled.
     TargetConnection m_connected; ///< Without a connection until it is established.
     bool m_sending = false; ///< Whether writing the request has started.
     bool m_aborted = false;
--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -144,12 +144,18 @@
     [[nodiscard]] net::Task<NextStep> handleEvent(RequestEvent event, const ChosenTargets &chosen, bool &ended);
     [[nodiscard]] net::Task<NextStep> handleHead(net::ResponseHead head, bool &ended);
     [[nodiscard]] net::Task<NextStep> handleBytes(const std::string &bytes, bool &ended);
+    /// Collects a part of a non-stream answer, or passes it on if no more is collected.
+    /// \returns Whether the caller can still receive the answer.
+    [[nodiscard]] net::Task<bool> handlePart(const std::string &bytes);
+    /// Ends the attempt because the caller cannot receive the answer.
+    void abortForLostCaller();
     [[nodiscard]] net::Task<NextStep> handleEnd(const AttemptEnded &end, const ChosenTargets &chosen);
     /// Passes a complete non-stream answer on to the caller.
     [[nodiscard]] net::Task<NextStep> forwardAnswer();
-    /// Passes the head of a stream on to the caller.
+    /// Passes the head of an answer on to the caller before its body is complete.
+    /// \param length Length of the body, if it is known.
     /// \returns Whether it was written.
-    [[nodiscard]] net::Task<bool> forwardHead();
+    [[nodiscard]] net::Task<bool> forwardHead(std::optional<std::uint64_t> length);
     /// Passes a stream event on to the caller, after the head if that is not written yet.
     /// \returns Whether it was written.
     [[nodiscard]] net::Task<bool> forwardEvent(StreamEvent event);
@@ -183,10 +189,11 @@
     bool m_callerGone = false;
     net::ResponseHead m_head; ///< Head of the current attempt's answer.
     bool m_isStream = false; ///< Whether the current attempt is answered with an event stream.
-    std::string m_body; ///< Body of a non-stream answer, as received so far.
+    std::string m_body; ///< Body of a non-stream answer, as received and not passed on so far.
     core::ByteReservation m_answerMemory; ///< Of `m_body` and `m_events`.
     EventSplitter m_events; ///< Stream events of the current attempt.
-    bool m_headForwarded = false; ///< Whether the head of a stream was sent to the caller.
+    bool m_headForwarded = false; ///< Whether the head of the answer was sent to the caller before its end arrived.
+    bool m_forwardsBody = false; ///< Whether the body of a non-stream answer is passed on as it arrives.
     std::optional<std::int64_t> m_lastEventId; ///< ID of the last stream event that the caller has.
 };
 
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -9,6 +9,15 @@
 namespace spurlug::relay
 {
 
+namespace detail
+{
+
+/// Size up to which a non-stream answer is collected before it is passed on. If its target fails until then, the caller
+/// gets a complete answer: that of another target, or an error.
+inline constexpr std::size_t MaxCollectedBytes = 256 << 10;
+
+} // namespace detail
+
 template<ProtocolCodec D>
 net::Task<typename RequestHandler<D>::NextStep> RequestHandler<D>::handleEvent(RequestEvent event,
                                                                                const ChosenTargets &chosen, bool &ended)
@@ -26,7 +35,9 @@
         co_return co_await handleHead(std::move(head->head), ended);
     }
     if (auto *bytes = std::get_if<BytesArrived>(&event); bytes != nullptr && bytes->attempt == current) {
-        co_return co_await handleBytes(bytes->bytes, ended);
+        const auto next = co_await handleBytes(bytes->bytes, ended);
+        m_attempt->noteHandled(bytes->bytes.size());
+        co_return next;
     }
     if (const auto *opened = std::get_if<TunnelOpened>(&event); opened != nullptr && opened->attempt == current) {
         m_progress.recordTunnel(opened->peer);
@@ -91,8 +102,11 @@
 net::Task<typename RequestHandler<D>::NextStep> RequestHandler<D>::handleBytes(const std::string &bytes, bool &ended)
 {
     if (!m_isStream) {
-        m_body += bytes;
-        static_cast<void>(m_answerMemory.resize(static_cast<std::int64_t>(m_body.capacity())));
+        const bool mayReceive = co_await handlePart(bytes);
+        if (!mayReceive) {
+            abortForLostCaller();
+            ended = true;
+        }
         co_return NextStep::Done;
     }
     m_events.append(bytes);
@@ -108,10 +122,7 @@
         m_progress.recordAnswer(core::now());
         const bool forwarded = co_await forwardEvent(std::move(*event));
         if (!forwarded) {
-            m_callerGone = true;
-            m_attempt->abort();
-            m_progress.endAttempt(core::Outcome::MayHaveRun, core::Reason::CallerDisconnected, std::nullopt,
-                                  "writing the answer to the caller failed", core::now());
+            abortForLostCaller();
             ended = true;
             co_return NextStep::Done;
         }
@@ -120,12 +131,45 @@
 }
 
 template<ProtocolCodec D>
-net::Task<bool> RequestHandler<D>::forwardHead()
+net::Task<bool> RequestHandler<D>::handlePart(const std::string &bytes)
+{
+    m_body += bytes;
+    const bool collects = !m_forwardsBody && m_body.size() <= detail::MaxCollectedBytes
+        && (m_answerMemory.resize(static_cast<std::int64_t>(m_body.capacity()))
+            || m_body.size() <= net::MaxBodyPieceBytes);
+    if (collects) {
+        co_return true;
+    }
+    if (!m_forwardsBody) {
+        m_forwardsBody = true;
+        const bool headWritten = co_await forwardHead(m_head.length);
+        if (!headWritten) {
+            co_return false;
+        }
+    }
+    m_progress.setStage(RequestStage::Answering);
+    const bool written = co_await m_caller->writePart(std::exchange(m_body, {}), m_progress.deadline());
+    m_answerMemory = core::ByteReservation(m_context.memory.answers);
+    m_progress.setStage(RequestStage::AtTarget);
+    co_return written;
+}
+
+template<ProtocolCodec D>
+void RequestHandler<D>::abortForLostCaller()
+{
+    m_callerGone = true;
+    m_attempt->abort();
+    m_progress.endAttempt(core::Outcome::MayHaveRun, core::Reason::CallerDisconnected, std::nullopt,
+                          "writing the answer to the caller failed", core::now());
+}
+
+template<ProtocolCodec D>
+net::Task<bool> RequestHandler<D>::forwardHead(std::optional<std::uint64_t> length)
 {
     m_headForwarded = true;
     m_progress.setStage(RequestStage::Answering);
     auto head = m_codec.answerHead(m_head);
-    const bool written = co_await m_caller->writeHead(std::move(head), keepsAlive(), m_progress.deadline());
+    const bool written = co_await m_caller->writeHead(std::move(head), keepsAlive(), m_progress.deadline(), length);
     co_return written;
 }
 
@@ -133,7 +177,7 @@
 net::Task<bool> RequestHandler<D>::forwardEvent(StreamEvent event)
 {
     if (!m_headForwarded) {
-        const bool headWritten = co_await forwardHead();
+        const bool headWritten = co_await forwardHead(std::nullopt);
         if (!headWritten) {
             co_return false;
         }
@@ -143,7 +187,7 @@
     }
     m_context.metrics.count(metrics::Counter::TokensRelayed);
     m_progress.setStage(RequestStage::Answering);
-    const bool written = co_await m_caller->writeChunk(std::move(event.bytes), m_progress.deadline());
+    const bool written = co_await m_caller->writePart(std::move(event.bytes), m_progress.deadline());
     m_progress.setStage(RequestStage::AtTarget);
     co_return written;
 }
@@ -176,7 +220,8 @@
         if (check == EndCheck::PathLost) {
             co_return handleFailure(core::Outcome::MayHaveRun, core::Reason::PathLost, std::nullopt, end.detail);
         }
-        const auto reason = m_headForwarded ? core::Reason::StreamInterrupted : core::Reason::TargetFailed;
+        const bool isStreamCut = m_headForwarded && !m_forwardsBody;
+        const auto reason = isStreamCut ? core::Reason::StreamInterrupted : core::Reason::TargetFailed;
         co_return handleFailure(core::Outcome::MayHaveRun, reason, TargetFault::ConnectionLost, end.detail);
     }
     if (m_isStream && m_events.hasPartialEvent()) {
@@ -201,7 +246,7 @@
     m_progress.endAttempt(core::Outcome::Completed, core::Reason::None, std::nullopt, "", now);
     bool written = true;
     if (!m_headForwarded) {
-        written = co_await forwardHead();
+        written = co_await forwardHead(std::nullopt);
     }
     if (written) {
         m_progress.setStage(RequestStage::Answering);
@@ -221,8 +266,13 @@
     m_progress.endAttempt(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None,
                           failed ? std::optional(TargetFault::ErrorResponse) : std::nullopt, "", now);
     m_progress.setStage(RequestStage::Answering);
-    net::Response response{m_codec.answerHead(m_head), std::move(m_body)};
-    const bool written = co_await m_caller->write(std::move(response), keepsAlive(), m_progress.deadline());
+    bool written = false;
+    if (m_forwardsBody) {
+        written = co_await m_caller->writeEnd(m_progress.deadline());
+    } else {
+        net::Response response{m_codec.answerHead(m_head), std::move(m_body)};
+        written = co_await m_caller->write(std::move(response), keepsAlive(), m_progress.deadline());
+    }
     m_callerGone = !written;
     m_progress.finish(core::Outcome::Completed, failed ? core::Reason::TargetFailed : core::Reason::None, m_head.status,
                       core::now());
--- a/include/spurlug/relay/request_handler_impl.h
+++ b/include/spurlug/relay/request_handler_impl.h
@@ -349,7 +349,8 @@
     if (m_progress.facts().prompt) {
         facts.priority = m_progress.enginePriority();
     }
-    m_attempt = core::makeRef<Attempt>(m_context.loop, *m_context.connector, m_inbox, m_progress.attempts());
+    m_attempt = core::makeRef<Attempt>(m_context.loop, *m_context.connector, m_inbox, m_context.memory.answers,
+                                       m_progress.attempts());
     // Whether a target accepts the request is checked again right before the write, not only when it is chosen.
     auto mayWrite = [target = chosen.target, helpers = chosen.helpers, &crashes = m_context.crashes,
                      suspects = m_progress.suspects(), &shutdown = m_context.shutdown,
@@ -394,7 +395,7 @@
 bool RequestHandler<D>::isRepeatable() const
 {
     const auto &route = m_progress.route();
-    return route.repeatable() && (!m_headForwarded || m_lastEventId.has_value());
+    return route.repeatable() && !m_forwardsBody && (!m_headForwarded || m_lastEventId.has_value());
 }
 
 template<ProtocolCodec D>
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -28,7 +28,6 @@
 using boost::system::error_code;
 
 constexpr unsigned HttpVersion = 11;
-constexpr std::size_t MaxBodyPieceBytes = 16 << 10;
 constexpr std::uint32_t MaxHeadBytes = 64 << 10;
 constexpr int FirstFinalStatus = 200;
 constexpr std::uint64_t MaxBodyBytes = 256 << 20; // Limit for targets' answers; real ones are far smaller.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -172,6 +172,7 @@
     };
     ReadState readState = ReadState::None;
     bool readInterrupted = false;
+    bool writesChunks = true; ///< Whether the body of the current response is sent in chunks.
     asio::cancellation_signal watchCancellation;
     std::function<void()> onClosed;
     std::string peer;
@@ -288,12 +289,18 @@
     co_return co_await impl->send(message, deadline - core::now());
 }
 
-Task<bool> ServerConnection::writeHead(ResponseHead head, bool keepAlive, core::Time deadline)
+Task<bool> ServerConnection::writeHead(ResponseHead head, bool keepAlive, core::Time deadline,
+                                       std::optional<std::uint64_t> length)
 {
     const auto impl = m_impl;
     http::response<http::empty_body> message;
     fillHead(message, head, keepAlive);
-    message.chunked(true);
+    impl->writesChunks = !length;
+    if (length) {
+        message.content_length(*length);
+    } else {
+        message.chunked(true);
+    }
     http::response_serializer<http::empty_body> serializer(message);
     const auto error = co_await impl->awaitWithTimeout(deadline - core::now(), [&]() -> Task<error_code> {
         auto [failure, bytes] = co_await http::async_write_header(impl->socket, serializer, Awaited);
@@ -310,9 +317,12 @@
     co_return co_await impl->send(message, deadline - core::now());
 }
 
-Task<bool> ServerConnection::writeChunk(std::string bytes, core::Time deadline)
+Task<bool> ServerConnection::writePart(std::string bytes, core::Time deadline)
 {
     const auto impl = m_impl;
+    if (!impl->writesChunks) {
+        co_return co_await impl->sendBytes(std::move(bytes), deadline - core::now());
+    }
     const auto error = co_await impl->awaitWithTimeout(deadline - core::now(), [&]() -> Task<error_code> {
         auto [failure, sent] = co_await asio::async_write(impl->socket, http::make_chunk(asio::buffer(bytes)), Awaited);
         co_return failure;
@@ -323,6 +333,9 @@
 Task<bool> ServerConnection::writeEnd(core::Time deadline)
 {
     const auto impl = m_impl;
+    if (!impl->writesChunks) {
+        co_return true;
+    }
     const auto error = co_await impl->awaitWithTimeout(deadline - core::now(), [&]() -> Task<error_code> {
         auto [failure, sent] = co_await asio::async_write(impl->socket, http::make_chunk_last(), Awaited);
         co_return failure;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -11,17 +11,25 @@
 namespace
 {
 
-/// Maximum number of queued events for a slow caller before reading from the target pauses.
-constexpr std::size_t MaxQueuedEvents = 64;
-constexpr auto QueueCheckInterval = absl::Milliseconds(5); ///< Interval between checks of the queue during that pause.
+/// Reading from the target pauses while more bytes wait for a slow caller.
+constexpr std::int64_t MaxQueuedBytes = 64 << 10;
+
+/// Memory of a BytesArrived in the queue.
+std::int64_t queuedSize(std::size_t bytes) noexcept
+{
+    return static_cast<std::int64_t>(bytes + sizeof(RequestEvent));
+}
 
 } // namespace
 
-Attempt::Attempt(net::Loop &loop, TargetConnector &connector, core::Ref<RequestInbox> inbox, int number)
+Attempt::Attempt(net::Loop &loop, TargetConnector &connector, core::Ref<RequestInbox> inbox, core::ByteBudget &budget,
+                 int number)
     : m_loop(loop)
     , m_connector(connector)
     , m_inbox(std::move(inbox))
     , m_number(number)
+    , m_queueMemory(budget)
+    , m_roomTimer(loop)
 { }
 
 void Attempt::start(core::Ref<Target> target, net::Request message, net::SharedBody body, core::Duration connectTimeout,
@@ -40,11 +48,36 @@
 void Attempt::abort()
 {
     m_aborted = true;
+    m_roomTimer.cancel();
     if (m_connected.connection) {
         m_connected.connection->abort();
     }
 }
 
+void Attempt::noteHandled(std::size_t bytes)
+{
+    m_queuedBytes -= queuedSize(bytes);
+    m_roomTimer.cancel();
+}
+
+net::Task<> Attempt::awaitRoom()
+{
+    const auto hasRoom = [this] {
+        // Without a place in the budget, one piece at a time is read.
+        return m_queueMemory.resize(m_queuedBytes + queuedSize(net::MaxBodyPieceBytes)) || m_queuedBytes == 0;
+    };
+    while (!m_aborted && (m_queuedBytes > MaxQueuedBytes || !hasRoom())) {
+        m_roomTimer.expires_after(net::toTimerDuration(absl::InfiniteDuration()));
+        co_await m_roomTimer.async_wait(net::Awaited);
+    }
+}
+
+void Attempt::postBytes(std::string bytes)
+{
+    m_queuedBytes += queuedSize(bytes.size());
+    m_inbox->events.post(BytesArrived{m_number, std::move(bytes)});
+}
+
 void Attempt::postEnd(AttemptStage stage, std::string detail)
 {
     if (!m_aborted) {
@@ -94,15 +127,13 @@
     }
     m_inbox->events.post(HeadArrived{m_number, std::move(*head)});
     for (;;) {
-        while (m_inbox->events.size() > MaxQueuedEvents && !m_aborted) {
-            co_await net::sleepFor(QueueCheckInterval);
-        }
+        co_await awaitRoom();
         if (m_aborted) {
             co_return;
         }
         auto piece = co_await m_connected.connection->readBody(deadline);
         if (!piece.bytes.empty()) {
-            m_inbox->events.post(BytesArrived{m_number, std::move(piece.bytes)});
+            postBytes(std::move(piece.bytes));
         }
         if (piece.state == net::BodyPiece::State::Complete) {
             postEnd(AttemptStage::Answered, {});
--- a/src/relay/memory_budgets.cpp
+++ b/src/relay/memory_budgets.cpp
@@ -17,6 +17,7 @@
 
 /// Share of the process's memory for bodies of requests. The rest is for state, answers and buffers of sockets.
 constexpr double BodyMemoryShare = 0.4;
+constexpr double AnswerMemoryShare = 0.2;
 
 std::int64_t shareOf(std::int64_t memory, double share) noexcept
 {
@@ -28,6 +29,7 @@
 
 MemoryBudgets::MemoryBudgets(std::int64_t memory) noexcept
     : requestBodies(shareOf(memory, BodyMemoryShare))
+    , answers(shareOf(memory, AnswerMemoryShare))
 { }
 
 std::optional<std::int64_t> residentBytes()
--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -16,7 +16,9 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <sstream>
 #include <string>
+#include <vector>
 
 namespace spurlug::test
 {
@@ -55,10 +57,15 @@
         co_await net::sleepFor(absl::Milliseconds(100)); // A separate call reads the target list.
     }
 
-    net::Task<net::asio::ip::tcp::socket> connect()
+    /// \param receiveBufferBytes Size of the kernel's buffer for received bytes; 0: its default.
+    net::Task<net::asio::ip::tcp::socket> connect(int receiveBufferBytes = 0)
     {
         net::asio::ip::tcp::socket socket(fleet.loop);
         const auto host = net::asio::ip::make_address(settings.callerAddress.host);
+        socket.open(net::asio::ip::tcp::v4());
+        if (receiveBufferBytes > 0) {
+            socket.set_option(net::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        }
         co_await socket.async_connect({host, settings.callerAddress.port}, net::asio::use_awaitable);
         co_return socket;
     }
@@ -94,6 +101,12 @@
     bool isComplete = false;
 };
 
+/// Whether a caller takes an answer for a success of the target.
+bool isWholeSuccess(const ObservedAnswer &answer)
+{
+    return answer.status == core::http_status::Ok && answer.isComplete;
+}
+
 /// Sends a request to a target that answers with \a rawAnswer and then \a endlessPart without end, and checks that the
 /// daemon stays within its memory.
 /// \param pause Pause of the caller after each piece of the body.
@@ -126,6 +139,87 @@
     return observed;
 }
 
+CallerRequest chatRequest()
+{
+    CallerRequest request;
+    request.path = "/chat/1";
+    request.promptTokens = 1000;
+    return request;
+}
+
+/// The bytes of a request on the wire.
+std::string wireText(const net::Request &request)
+{
+    auto text = core::cat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    for (const auto &field : request.headers.fields()) {
+        core::append(text, field.name, ": ", field.value, "\r\n");
+    }
+    return core::cat(text, "Content-Length: ", request.body.size(), "\r\n\r\n", request.body);
+}
+
+/// Opens \a count requests at targets that answer without end, whose callers read nothing, and checks that the daemon
+/// stays within its memory.
+void playIdleCallers(const std::string &service, const CallerRequest &request, const std::string &rawAnswer,
+                     const std::string &endlessPart, int count)
+{
+    SmallVm vm;
+    constexpr int Slots = 16;
+    for (int i = 0; i < count; i += Slots) {
+        auto &target = vm.fleet.addTarget(service, Slots);
+        target.behaviour.rawAnswer = rawAnswer;
+        target.behaviour.endlessPart = endlessPart;
+    }
+    constexpr int ReceiveBufferBytes = 4096; // What the kernel buffers does not reach the daemon's memory.
+    std::vector<net::asio::ip::tcp::socket> callers;
+    vm.fleet.run([&]() -> net::Task<> {
+        co_await vm.waitUntilReady();
+        for (int i = 0; i < count; ++i) {
+            callers.push_back(co_await vm.connect(ReceiveBufferBytes));
+            const auto bytes = wireText(vm.fleet.makeRequest(request));
+            co_await net::asio::async_write(callers.back(), net::asio::buffer(bytes), net::asio::use_awaitable);
+        }
+        co_await net::sleepFor(absl::Seconds(3));
+    });
+    vm.checkMemory();
+}
+
+/// A plain answer that a target sends as \a framedBytes after its head.
+CallerAnswer answerOf(const std::string &framedBytes, const std::string &path = "/plain/1")
+{
+    RelayFleet fleet;
+    fleet.addTarget("app").behaviour.rawAnswer = RawHead + framedBytes;
+    CallerAnswer answer;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        CallerRequest request;
+        request.path = path;
+        answer = co_await fleet.send(request);
+    });
+    return answer;
+}
+
+std::string largeBody()
+{
+    constexpr std::size_t Bytes = 3'000'000;
+    std::string body(Bytes, '\0');
+    for (std::size_t i = 0; i < body.size(); ++i) {
+        body[i] = static_cast<char>('a' + i % 23);
+    }
+    return body;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+std::string sized(std::size_t length)
+{
+    return core::cat("Content-Length: ", length, "\r\n\r\n");
+}
+
 /// Sends a head and then \a endlessPart without end to a daemon, and checks that it refuses the request and stays
 /// within its memory.
 /// \returns What it sent until it closed the connection, or until two seconds had passed.
@@ -187,6 +281,86 @@
     BOOST_TEST(answer.starts_with("HTTP/1.1 400 "));
 }
 
+// Guards against answers that are collected whole, whatever their size.
+BOOST_AUTO_TEST_CASE(an_answer_of_endless_chunks_is_not_collected)
+{
+    const auto answer = playEndless("app", {}, ChunkedHead, chunk(std::string(PartBytes, 'x')));
+    BOOST_TEST(!isWholeSuccess(answer));
+}
+
+BOOST_AUTO_TEST_CASE(an_endless_answer_without_framing_is_not_collected)
+{
+    const auto answer = playEndless("app", {}, RawHead + "\r\n", std::string(PartBytes, 'x'));
+    BOOST_TEST(!isWholeSuccess(answer));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_a_huge_length_is_not_collected)
+{
+    const auto answer = playEndless("app", {}, RawHead + sized(250'000'000), std::string(PartBytes, 'x'));
+    BOOST_TEST(answer.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(an_endless_answer_for_a_slow_caller_is_read_as_slowly)
+{
+    const auto answer = playEndless("app", {}, ChunkedHead, chunk(std::string(PartBytes, 'x')), absl::Milliseconds(5));
+    BOOST_TEST(!isWholeSuccess(answer));
+}
+
+BOOST_AUTO_TEST_CASE(endless_answers_for_callers_that_read_nothing_are_bounded)
+{
+    playIdleCallers("app", {}, ChunkedHead, chunk(std::string(PartBytes, 'x')), 60);
+}
+
+// What waits for a slow caller is bounded by its size, not by the number of pieces.
+BOOST_AUTO_TEST_CASE(endless_streams_for_callers_that_read_nothing_are_bounded)
+{
+    const auto event = core::cat("data: ", std::string(16'000, 'x'), "\n\n");
+    playIdleCallers("model", chatRequest(), StreamHead, event, 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_large_answer_with_a_length_is_relayed_whole)
+{
+    const auto body = largeBody();
+    const auto answer = answerOf(sized(body.size()) + body);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST((answer.head.length && *answer.head.length == body.size()));
+    BOOST_TEST(answer.head.headers.value("Server-Signature") == "signed-raw");
+    BOOST_TEST(answer.isComplete);
+    BOOST_TEST((answer.body == body));
+}
+
+BOOST_AUTO_TEST_CASE(a_large_answer_in_chunks_is_relayed_whole)
+{
+    const auto body = largeBody();
+    const auto answer = answerOf("Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n");
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.isComplete);
+    BOOST_TEST((answer.body == body));
+}
+
+BOOST_AUTO_TEST_CASE(a_large_answer_without_framing_is_relayed_whole)
+{
+    const auto body = largeBody();
+    const auto answer = answerOf("\r\n" + body);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.isComplete);
+    BOOST_TEST((answer.body == body));
+}
+
+// Guards against an answer that breaks after a part of it was passed on, and then looks complete.
+BOOST_AUTO_TEST_CASE(a_large_answer_that_breaks_does_not_look_complete)
+{
+    const auto body = largeBody();
+    for (const auto *path : {"/plain/1", "/safe/1"}) {
+        const auto shortBody = answerOf(sized(body.size() + 1) + body, path);
+        BOOST_TEST(shortBody.status == 200);
+        BOOST_TEST(!shortBody.isComplete);
+        const auto openChunks = answerOf("Transfer-Encoding: chunked\r\n\r\n" + chunk(body), path);
+        BOOST_TEST(openChunks.status == 200);
+        BOOST_TEST(!openChunks.isComplete);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
--- a/tests/platform/draining_and_cooldown_test.cpp
+++ b/tests/platform/draining_and_cooldown_test.cpp
@@ -342,11 +342,12 @@
 
 BOOST_AUTO_TEST_CASE(an_attempt_that_is_withheld_after_connecting_writes_no_request)
 {
+    core::ByteBudget budget;
     RelayFleet fleet;
     FakeTarget target(fleet.loop, "i-1");
     fleet.run([&]() -> net::Task<> {
         const auto inbox = core::makeRef<relay::RequestInbox>(fleet.loop);
-        auto attempt = core::makeRef<relay::Attempt>(fleet.loop, fleet.targetConnector(), inbox, 1);
+        auto attempt = core::makeRef<relay::Attempt>(fleet.loop, fleet.targetConnector(), inbox, budget, 1);
         relay::TargetEntry entry;
         entry.id = target.id();
         entry.address = target.address();
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -263,7 +263,7 @@
         }
         const auto event = core::cat("id: ", id, "\ndata: token ", id, "\n\n");
         if (responseBehaviour.resetAtEvent >= 0 && id >= responseBehaviour.resetAtEvent) {
-            const bool half = co_await connection->writeChunk(event.substr(0, event.size() / 2), writeDeadline());
+            const bool half = co_await connection->writePart(event.substr(0, event.size() / 2), writeDeadline());
             static_cast<void>(half); // The connection ends here either way.
             co_await net::sleepFor(absl::Milliseconds(5));
             connection->reset();
@@ -273,7 +273,7 @@
             co_await awaitClose(connection);
             co_return false;
         }
-        const bool written = co_await connection->writeChunk(event, writeDeadline());
+        const bool written = co_await connection->writePart(event, writeDeadline());
         if (!written) {
             ++m_abandonedRequests;
             co_return false;
@@ -360,8 +360,8 @@
             = co_await connection->writeHead(makeHead(request, responseBehaviour), true, writeDeadline());
         bool half = headWritten;
         if (headWritten) {
-            half = co_await connection->writeChunk(responseBehaviour.body.substr(0, responseBehaviour.body.size() / 2),
-                                                   writeDeadline());
+            half = co_await connection->writePart(responseBehaviour.body.substr(0, responseBehaviour.body.size() / 2),
+                                                  writeDeadline());
         }
         static_cast<void>(half); // The connection ends here either way.
         co_await net::sleepFor(absl::Milliseconds(5));
