Bound stream events and search each byte of them once

Callers whose stream reached a target that sends an event without an end waited until their deadline, although another target could have gone on: the event was collected without a limit, and each new piece of it was searched from the start of the event, which took the processor of all other requests.

An event of more than 256 KiB is now a malformed answer of its target, and the stream is resumed elsewhere if it may be. Incomplete events count as memory of answers. The splitter remembers how far it has searched.

The unit test compares the events of a stream that arrives in pieces of each size.

--- a/include/spurlug/relay/event_splitter.h
+++ b/include/spurlug/relay/event_splitter.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -36,7 +37,12 @@
     [[nodiscard]] std::size_t bufferedBytes() const noexcept;
 
 private:
+    /// Length of the first event including its blank line; nothing if it is incomplete.
+    [[nodiscard]] std::optional<std::size_t> findEventEnd();
+
     std::string m_buffer;
+    std::size_t m_lineStart = 0; ///< Start of the first line that is not known to be complete.
+    std::size_t m_searchFrom = 0; ///< No line ends between `m_lineStart` and this position.
 };
 
 } // namespace spurlug::relay
--- a/include/spurlug/relay/request_handler.h
+++ b/include/spurlug/relay/request_handler.h
@@ -147,6 +147,9 @@
     /// Collects a part of a non-stream answer, or passes it on if no more is collected.
     /// \returns Whether the caller can still receive the answer.
     [[nodiscard]] net::Task<bool> handlePart(const std::string &bytes);
+    /// Ends the attempt if its incomplete stream event is too large to be collected further.
+    /// \param ended Set to whether the attempt was ended.
+    [[nodiscard]] NextStep limitPartialEvent(bool &ended);
     /// Ends the attempt because the caller cannot receive the answer.
     void abortForLostCaller();
     [[nodiscard]] net::Task<NextStep> handleEnd(const AttemptEnded &end, const ChosenTargets &chosen);
--- a/include/spurlug/relay/request_handler_answer_impl.h
+++ b/include/spurlug/relay/request_handler_answer_impl.h
@@ -12,8 +12,8 @@
 namespace detail
 {
 
-/// Size up to which a non-stream answer is collected before it is passed on. If its target fails until then, the caller
-/// gets a complete answer: that of another target, or an error.
+/// Size up to which a non-stream answer is collected before it is passed on, and limit of a stream event. If the target
+/// of a smaller answer fails, the caller gets a complete answer: that of another target, or an error.
 inline constexpr std::size_t MaxCollectedBytes = 256 << 10;
 
 } // namespace detail
@@ -127,7 +127,26 @@
             co_return NextStep::Done;
         }
     }
-    co_return NextStep::Done;
+    co_return limitPartialEvent(ended);
+}
+
+template<ProtocolCodec D>
+typename RequestHandler<D>::NextStep RequestHandler<D>::limitPartialEvent(bool &ended)
+{
+    const auto bytes = m_events.bufferedBytes();
+    const bool tooLarge = bytes > detail::MaxCollectedBytes;
+    const bool hasMemory = m_answerMemory.resize(static_cast<std::int64_t>(bytes)) || bytes <= net::MaxBodyPieceBytes;
+    if (!tooLarge && hasMemory) {
+        return NextStep::Done;
+    }
+    m_attempt->abort();
+    ended = true;
+    if (tooLarge) {
+        return handleFailure(core::Outcome::MayHaveRun, core::Reason::StreamInterrupted, TargetFault::MalformedResponse,
+                             core::cat("a stream event exceeds ", detail::MaxCollectedBytes, " bytes"));
+    }
+    return handleFailure(core::Outcome::MayHaveRun, core::Reason::BodyMemoryFull, std::nullopt,
+                         core::cat("no memory for a stream event of more than ", bytes, " bytes"));
 }
 
 template<ProtocolCodec D>
--- a/src/relay/event_splitter.cpp
+++ b/src/relay/event_splitter.cpp
@@ -16,23 +16,6 @@
 namespace
 {
 
-/// Length of the first event including its blank line; npos if it is incomplete.
-std::size_t eventLength(const std::string &buffer)
-{
-    std::size_t lineStart = 0;
-    for (;;) {
-        const auto lineEnd = buffer.find('\n', lineStart);
-        if (lineEnd == std::string::npos) {
-            return std::string::npos;
-        }
-        const bool blank = lineEnd == lineStart || (lineEnd == lineStart + 1 && buffer[lineStart] == '\r');
-        if (blank) {
-            return lineEnd + 1;
-        }
-        lineStart = lineEnd + 1;
-    }
-}
-
 std::optional<std::int64_t> eventId(const std::string &event)
 {
     constexpr std::string_view Field = "id:";
@@ -54,16 +37,35 @@
     m_buffer.append(bytes);
 }
 
+std::optional<std::size_t> EventSplitter::findEventEnd()
+{
+    for (;;) {
+        const auto lineEnd = m_buffer.find('\n', m_searchFrom);
+        if (lineEnd == std::string::npos) {
+            m_searchFrom = m_buffer.size();
+            return std::nullopt;
+        }
+        const bool blank = lineEnd == m_lineStart || (lineEnd == m_lineStart + 1 && m_buffer[m_lineStart] == '\r');
+        m_lineStart = lineEnd + 1;
+        m_searchFrom = m_lineStart;
+        if (blank) {
+            return m_lineStart;
+        }
+    }
+}
+
 std::optional<StreamEvent> EventSplitter::next()
 {
-    const auto length = eventLength(m_buffer);
-    if (length == std::string::npos) {
+    const auto length = findEventEnd();
+    if (!length) {
         return std::nullopt;
     }
     StreamEvent event;
-    event.bytes = m_buffer.substr(0, length);
+    event.bytes = m_buffer.substr(0, *length);
     event.id = eventId(event.bytes);
-    m_buffer.erase(0, length);
+    m_buffer.erase(0, *length);
+    m_lineStart = 0;
+    m_searchFrom = 0;
     return event;
 }
 
--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -318,6 +318,32 @@
     playIdleCallers("model", chatRequest(), StreamHead, event, 200);
 }
 
+// Guards against a stream event without an end, of which each new piece was searched from its beginning.
+BOOST_AUTO_TEST_CASE(a_stream_whose_event_never_ends_is_resumed_elsewhere)
+{
+    SmallVm vm;
+    auto &endless = vm.fleet.addTarget("model");
+    endless.behaviour.rawAnswer = StreamHead + "id: 0\ndata: token 0\n\nid: 1\ndata: ";
+    endless.behaviour.endlessPart = std::string(PartBytes, 'x');
+    CallerAnswer answer;
+    vm.fleet.run([&]() -> net::Task<> {
+        co_await vm.waitUntilReady();
+        net::asio::co_spawn(
+            vm.fleet.loop,
+            [&]() -> net::Task<> {
+                co_await net::sleepFor(absl::Milliseconds(10)); // The first attempt has a single target.
+                vm.fleet.addTarget("model").behaviour.eventCount = 3;
+            },
+            net::asio::detached);
+        answer = co_await vm.fleet.sendTo(vm.settings.callerAddress, chatRequest());
+    });
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.isComplete);
+    BOOST_TEST(answer.body == "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n");
+    BOOST_TEST(vm.daemon.log().find("a stream event exceeds") != std::string::npos);
+    vm.checkMemory();
+}
+
 BOOST_AUTO_TEST_CASE(a_large_answer_with_a_length_is_relayed_whole)
 {
     const auto body = largeBody();
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -226,6 +226,29 @@
     BOOST_TEST(splitter.hasPartialEvent());
 }
 
+// Guards against an event that is missed because its blank line arrives in several pieces.
+BOOST_AUTO_TEST_CASE(events_are_split_the_same_however_their_bytes_arrive)
+{
+    constexpr std::string_view Stream = "id: 7\ndata: a\n\nid: 8\r\ndata: b\r\ndata:\r\n\r\n\n\r\ndata: c\n\r\nid: 9";
+    const auto split = [&](std::size_t pieceBytes) {
+        EventSplitter splitter;
+        std::vector<std::string> events;
+        for (std::size_t at = 0; at < Stream.size(); at += pieceBytes) {
+            splitter.append(Stream.substr(at, pieceBytes));
+            for (auto event = splitter.next(); event; event = splitter.next()) {
+                events.push_back(std::move(event->bytes));
+            }
+        }
+        BOOST_TEST(splitter.bufferedBytes() == 5U);
+        return events;
+    };
+    const auto whole = split(Stream.size());
+    BOOST_TEST(whole.size() == 5U);
+    for (std::size_t pieceBytes = 1; pieceBytes < Stream.size(); ++pieceBytes) {
+        BOOST_TEST(split(pieceBytes) == whole);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_the_target_itself_can_report_that_a_request_did_not_run)
 {
     AnswerInfo answer;
