Limit the size of collected responses of the store, peers and targets

A daemon whose store, peer or target answered a call without an end collected up to 256 MiB: more than a VM has, so that the process would be killed with all that it serves.

Responses that are collected whole are limited: 4 MiB from the store (a page of 1 MB and one value of 1 MiB fit) and from peers, 64 KiB to orders.

--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -12,6 +12,7 @@
 #include "spurlug/net/tunnel.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,6 +57,11 @@
     /// \returns Open on success; nothing was sent to the server otherwise.
     [[nodiscard]] Task<TunnelResult> connectThrough(TunnelRequest tunnel, core::Duration timeout);
 
+    /// \brief Limits the bodies of the following responses, in bytes; a larger one is a failed response.
+    void limitBodies(std::uint64_t maxBytes) noexcept;
+    /// \brief Whether the last response failed because its body exceeds the limit.
+    [[nodiscard]] bool bodyTooLarge() const noexcept;
+
     /// \brief Starts to send a request; `readHead` awaits its response.
     void startSend(const Request &request);
     /// \brief The same with a body that others hold too, in place of the request's own.
@@ -92,16 +98,19 @@
     std::shared_ptr<Impl> m_impl; ///< Shared with handlers that may run after this object is destroyed.
 };
 
+inline constexpr std::uint64_t MaxExchangeBytes = 4 << 20; ///< Default limit for the body of a collected response.
+
 /// \brief Sends a request over an established connection and awaits the whole response.
 /// \param error Set to the error when there is no response; empty otherwise.
+/// \param maxBodyBytes Limit for the body of the response.
 /// \returns Nothing when the response did not arrive completely.
 [[nodiscard]] Task<std::optional<Response>> exchange(ClientConnection &connection, Request request, core::Time deadline,
-                                                     std::string &error);
+                                                     std::string &error, std::uint64_t maxBodyBytes = MaxExchangeBytes);
 
 /// \brief Sends a request over a new connection and awaits the whole response.
 /// \param deadline Deadline of the whole exchange.
 /// \param error Set to the error when there is no response; empty otherwise.
-/// \returns Nothing when the response did not arrive completely.
+/// \returns Nothing when the response did not arrive completely, or its body exceeds `MaxExchangeBytes`.
 [[nodiscard]] Task<std::optional<Response>> exchange(Loop &loop, core::Address address, Request request,
                                                      core::Time deadline, std::string &error);
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -125,6 +125,8 @@
     SharedBody body; ///< The bytes of the request's body.
     std::unique_ptr<Parser> parser;
     std::string lastError;
+    std::uint64_t maxBodyBytes = MaxBodyBytes;
+    bool bodyTooLarge = false;
     bool refused = false;
     bool requestSent = false;
     bool serverKeepsAlive = false; ///< Whether the server keeps the connection open after this response.
@@ -207,6 +209,16 @@
     co_return result;
 }
 
+void ClientConnection::limitBodies(std::uint64_t maxBytes) noexcept
+{
+    m_impl->maxBodyBytes = maxBytes;
+}
+
+bool ClientConnection::bodyTooLarge() const noexcept
+{
+    return m_impl->bodyTooLarge;
+}
+
 void ClientConnection::startSend(const Request &request)
 {
     startSend(request, std::make_shared<const std::string>(request.body));
@@ -243,11 +255,12 @@
         impl->parser = std::make_unique<Parser>();
         auto &parser = *impl->parser;
         parser.header_limit(MaxHeadBytes);
-        parser.body_limit(MaxBodyBytes);
+        parser.body_limit(impl->maxBodyBytes);
         parser.skip(impl->request.method() == http::verb::head);
         const auto error
             = co_await impl->awaitWithTimeout(deadline - core::now(), [&] { return impl->readHeader(parser); });
         if (error) {
+            impl->bodyTooLarge = error == http::error::body_limit;
             impl->lastError = core::cat("head: ", error.message());
             impl->close();
             co_return std::nullopt;
@@ -276,6 +289,7 @@
         }
         piece.bytes.assign(bytes.data(), bytes.size() - parser.get().body().size);
         if (error) {
+            impl->bodyTooLarge = error == http::error::body_limit;
             impl->lastError = core::cat("body: ", error.message());
             impl->close();
             piece.state = BodyPiece::State::Failed;
@@ -330,8 +344,9 @@
 }
 
 Task<std::optional<Response>> exchange(ClientConnection &connection, Request request, core::Time deadline,
-                                       std::string &error)
+                                       std::string &error, std::uint64_t maxBodyBytes)
 {
+    connection.limitBodies(maxBodyBytes);
     connection.startSend(request);
     auto head = co_await connection.readHead(deadline);
     if (!head) {
--- a/src/relay/target_connector.cpp
+++ b/src/relay/target_connector.cpp
@@ -35,6 +35,8 @@
 /// peer had failed.
 constexpr auto LifetimeMargin = absl::Seconds(1);
 
+constexpr std::uint64_t MaxOrderAnswerBytes = 64 << 10; ///< Limit for a target's answer to an order.
+
 /// What one path to a target yielded.
 enum class PathResult
 {
@@ -412,7 +414,7 @@
     if (!connected.connection) {
         co_return std::nullopt;
     }
-    co_return co_await net::exchange(*connected.connection, std::move(request), deadline, error);
+    co_return co_await net::exchange(*connected.connection, std::move(request), deadline, error, MaxOrderAnswerBytes);
 }
 
 } // namespace spurlug::relay
--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -12,6 +12,7 @@
 #include "relay_process.h"
 
 #include "spurlug/core/text.h"
+#include "spurlug/net/listener.h"
 
 #include <array>
 #include <boost/asio/write.hpp>
@@ -344,6 +345,39 @@
     vm.checkMemory();
 }
 
+// Guards against answers of the store that are collected up to 256 MiB.
+BOOST_AUTO_TEST_CASE(an_endless_answer_of_the_store_is_bounded)
+{
+    RelayFleet fleet(0);
+    net::Listener listener(fleet.loop, {"127.0.0.1", 0});
+    int calls = 0;
+    const auto serve = [&](net::asio::ip::tcp::socket socket) -> net::Task<> {
+        ++calls;
+        std::string bytes(PartBytes, 'x');
+        const auto requestBuffer = net::asio::buffer(bytes);
+        auto [error, size] = co_await socket.async_read_some(requestBuffer, net::Awaited);
+        bytes = "HTTP/1.1 200 OK\r\n\r\n{\"items\":[" + std::string(PartBytes, ' ');
+        while (!error) {
+            const auto buffer = net::asio::buffer(bytes);
+            const auto [writeError, written] = co_await net::asio::async_write(socket, buffer, net::Awaited);
+            error = writeError;
+        }
+    };
+    net::asio::co_spawn(fleet.loop, listener.run([&](net::asio::ip::tcp::socket socket) {
+        net::asio::co_spawn(fleet.loop, serve(std::move(socket)), net::asio::detached);
+    }),
+                        net::asio::detached);
+    auto settings = fleet.makeSettings();
+    settings.memory = VmMemory;
+    settings.store = listener.address();
+    const support::TemporaryDirectory directory;
+    RelayProcess daemon(directory, settings);
+    fleet.run([&]() -> net::Task<> { co_await net::sleepFor(absl::Seconds(3)); });
+    BOOST_TEST(calls > 0);
+    BOOST_TEST(!daemon.hasExited());
+    BOOST_TEST(daemon.peakResidentBytes() < VmMemory);
+}
+
 BOOST_AUTO_TEST_CASE(a_large_answer_with_a_length_is_relayed_whole)
 {
     const auto body = largeBody();
