Take a wait that the store cut once for no outage of the store

A target whose entry went within 2 s after the store had cut the wait for changes of the targets was used for 1.6 s more: the cut counted as an outage, in which entries expire that are written again. With the batch of changes, the query of the other daemons and their fetch, this can pass the drain bound of 2 s at daemons that don't read the store.

DirectoryAvailability took each failed call for an outage. A wait that ends without an answer before its time is now repeated at once with the shortest wait, and is an outage only if that call fails too. A wait that times out stays an outage, as the store may have been down meanwhile.

store_watches/a_target_that_leaves_after_its_watch_was_cut_is_dropped_at_once failed before: check removed.arrivals().empty() has failed and passes now. a_target_whose_entry_expires_in_an_outage_is_kept_until_it_can_be_written_again holds before and after.

--- a/include/spurlug/relay/directory_watcher.h
+++ b/include/spurlug/relay/directory_watcher.h
@@ -31,6 +31,10 @@
     /// \returns Time to wait before the next call.
     [[nodiscard]] core::Duration recordResult(DirectoryStatus status, const std::string &detail, core::Time now);
 
+    /// \brief Records that a wait for changes was cut before it ended. This is an outage only if the next call fails
+    /// too.
+    void noteCutWait(const std::string &detail);
+
     /// \brief Records the era given in an answer.
     /// \returns Whether the directory has lost a part of its history since the last answer. This counts as a recovery
     /// of the directory at `now`.
@@ -45,7 +49,7 @@
     /// \brief Whether the last call failed, other than with `HistoryGone`.
     [[nodiscard]] bool isUnavailable() const noexcept
     {
-        return m_status != DirectoryStatus::Ok;
+        return m_status != DirectoryStatus::Ok || m_waitWasCut;
     }
 
     /// \brief When the directory last recovered; in the infinite past if it never failed.
@@ -59,6 +63,7 @@
     const std::string m_dataName;
     Backoff m_backoff;
     DirectoryStatus m_status = DirectoryStatus::Ok; ///< Result of the last call; Ok also after `HistoryGone`.
+    bool m_waitWasCut = false; ///< Whether the last call was a wait that was cut.
     std::int64_t m_era = 0; ///< 0: no era received yet.
     core::Time m_unavailableSince = absl::InfinitePast();
     core::Time m_recoveredAt = absl::InfinitePast();
@@ -378,14 +383,15 @@
             continue;
         }
         const bool isFullList = !knownPosition.isKnown();
+        const bool wasUnavailable = m_targetsAvailability.isUnavailable();
         TargetsAnswer answer;
         if (isFullList) {
             answer = co_await m_directory.listTargets();
         } else {
             // After a failure the wait is short, so that the answer shows when the directory recovered: targets that
             // are missing then may still return.
-            const auto watchTimeout = m_targetsAvailability.isUnavailable() ? core::Duration(MinWatchTimeout)
-                                                                            : core::Duration(TargetsWatchTimeout);
+            const auto watchTimeout
+                = wasUnavailable ? core::Duration(MinWatchTimeout) : core::Duration(TargetsWatchTimeout);
             answer = co_await m_directory.awaitTargets(knownPosition.revision, watchTimeout);
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
@@ -398,6 +404,11 @@
             knownPosition = {};
             continue;
         }
+        const bool wasCut = answer.status == DirectoryStatus::Unreachable && now - askedAt < TargetsWatchTimeout;
+        if (wasCut && !isFullList && !wasUnavailable) {
+            m_targetsAvailability.noteCutWait(answer.detail);
+            continue;
+        }
         auto delay = m_targetsAvailability.recordResult(answer.status, answer.detail, now);
         if (answer.status == DirectoryStatus::Ok) {
             if (!isFullList && !answer.changes.empty()) {
--- a/src/relay/directory_watcher.cpp
+++ b/src/relay/directory_watcher.cpp
@@ -52,6 +52,7 @@
 
 core::Duration DirectoryAvailability::recordResult(DirectoryStatus status, const std::string &detail, core::Time now)
 {
+    m_waitWasCut = false;
     const bool answered = status == DirectoryStatus::Ok || status == DirectoryStatus::HistoryGone;
     if (answered) {
         m_backoff.reset();
@@ -75,6 +76,13 @@
     return std::max(retryDelay, spreadDelay(m_context.directoryReaders, uniform(m_context.random)));
 }
 
+void DirectoryAvailability::noteCutWait(const std::string &detail)
+{
+    m_waitWasCut = true;
+    m_context.metrics.count(metrics::Counter::PlatformFailures);
+    core::log(core::LogLevel::Info, "directory_wait_cut", {{"what", m_dataName}, {"detail", detail}});
+}
+
 bool DirectoryAvailability::updateEra(std::int64_t era, core::Time now)
 {
     if (era <= m_era) {
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -103,6 +103,16 @@
     m_silentConnections = m_connectionCount;
 }
 
+void FakeStore::silenceWatches(const std::string &kind)
+{
+    m_silentWatches[kind] = m_connectionCount;
+}
+
+void FakeStore::cutWatches(const std::string &kind)
+{
+    m_cutWatches[kind] = m_connectionCount;
+}
+
 void FakeStore::dropHistory()
 {
     m_history.clear();
@@ -119,6 +129,11 @@
     return m_callCounts;
 }
 
+std::int64_t FakeStore::connectionCount() const noexcept
+{
+    return m_connectionCount;
+}
+
 net::Response FakeStore::list(const std::string &kind) const
 {
     auto items = nlohmann::json::array();
@@ -130,10 +145,18 @@
     return jsonResponse(200, {{"items", std::move(items)}, {"more", false}, {"at", m_revision}});
 }
 
-net::Task<net::Response> FakeStore::watch(std::string kind, std::int64_t fromRevision, core::Duration wait)
+net::Task<std::optional<net::Response>> FakeStore::watch(std::string kind, std::int64_t fromRevision,
+                                                         core::Duration wait, std::int64_t connection)
 {
     const auto until = core::now() + wait;
     for (;;) {
+        if (connection <= m_cutWatches[kind]) {
+            co_return std::nullopt;
+        }
+        if (connection <= m_silentWatches[kind]) {
+            co_await net::sleepFor(absl::Seconds(1));
+            continue;
+        }
         if (fromRevision < m_oldestRevision || fromRevision > m_revision) {
             co_return jsonResponse(410, {{"error", "history is gone"}});
         }
@@ -150,7 +173,7 @@
     }
 }
 
-net::Task<net::Response> FakeStore::answer(net::Request request)
+net::Task<std::optional<net::Response>> FakeStore::answer(net::Request request, std::int64_t connection)
 {
     const auto queryStart = request.target.find('?');
     const auto path = request.target.substr(0, queryStart);
@@ -167,7 +190,8 @@
     if (watchedRevision < 0) {
         co_return list(kind);
     }
-    auto response = co_await watch(kind, watchedRevision, absl::Milliseconds(queryParameter(query, "wait_ms")));
+    const auto wait = absl::Milliseconds(queryParameter(query, "wait_ms"));
+    auto response = co_await watch(kind, watchedRevision, wait, connection);
     co_return response;
 }
 
@@ -184,7 +208,12 @@
             connection.reset();
             co_return;
         }
-        auto response = co_await answer(std::move(*result.request));
+        auto answered = co_await answer(std::move(*result.request), number);
+        if (!answered) {
+            connection.reset();
+            co_return;
+        }
+        auto &response = *answered;
         response.body = insertRawObjects(std::move(response.body));
         response.head.headers.add("Store-Era", core::cat(m_era));
         while (failure == StoreFailure::Unresponsive) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,10 @@
     void restoreSnapshot();
     /// \brief Sends nothing more over the connections that are open now, and does not close them. New ones work.
     void silenceConnections();
+    /// \brief Never answers the watches of a kind that are open now, and does not close them. New ones work.
+    void silenceWatches(const std::string &kind);
+    /// \brief Resets the connections of the watches of a kind that are open now.
+    void cutWatches(const std::string &kind);
     /// \brief Drops the history: watches from an earlier revision get 410.
     void dropHistory();
     StoreFailure failure = StoreFailure::None;
@@ -55,6 +60,8 @@
     [[nodiscard]] const core::Address &address() const noexcept;
     /// \brief Number of calls per path, without the query.
     [[nodiscard]] const std::map<std::string, int> &callCounts() const noexcept;
+    /// \brief Number of connections accepted so far.
+    [[nodiscard]] std::int64_t connectionCount() const noexcept;
 
 private:
     struct Object
@@ -79,8 +86,11 @@
     };
 
     [[nodiscard]] net::Task<> serve(net::asio::ip::tcp::socket socket);
-    [[nodiscard]] net::Task<net::Response> answer(net::Request request);
-    [[nodiscard]] net::Task<net::Response> watch(std::string kind, std::int64_t fromRevision, core::Duration wait);
+    /// \param connection Number of the connection.
+    /// \returns Nothing if the connection is to be reset.
+    [[nodiscard]] net::Task<std::optional<net::Response>> answer(net::Request request, std::int64_t connection);
+    [[nodiscard]] net::Task<std::optional<net::Response>> watch(std::string kind, std::int64_t fromRevision,
+                                                                core::Duration wait, std::int64_t connection);
     [[nodiscard]] net::Response list(const std::string &kind) const;
     [[nodiscard]] nlohmann::json objectJson(const std::string &name, const Object &object) const;
     /// Replaces the placeholders in \a body by the bytes given to `putRaw`.
@@ -90,6 +100,8 @@
     net::Listener m_listener;
     std::int64_t m_connectionCount = 0; ///< Connections accepted so far.
     std::int64_t m_silentConnections = 0; ///< The first of these are silent.
+    std::map<std::string, std::int64_t> m_silentWatches; ///< By kind: those on the first of the connections are silent.
+    std::map<std::string, std::int64_t> m_cutWatches; ///< By kind: those on the first of the connections are reset.
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Change> m_history;
     std::int64_t m_revision = 0;
--- /dev/null
+++ b/tests/platform/store_watches_test.cpp
@@ -0,0 +1,81 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of waits for changes in the store that are cut or fall silent
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+constexpr auto PropagationTime
+    = absl::Milliseconds(250); // Time within which a daemon that reads the store knows of a change.
+
+CallerRequest safeRequest()
+{
+    CallerRequest request;
+    request.path = "/safe/1";
+    return request;
+}
+
+/// Sends requests to the daemons in turn.
+/// \returns Number of requests that got 200.
+net::Task<int> countServed(RelayFleet &fleet, std::size_t daemonCount, int requestCount = 20)
+{
+    int served = 0;
+    for (int i = 0; i < requestCount; ++i) {
+        const auto answer = co_await fleet.send(safeRequest(), static_cast<std::size_t>(i) % daemonCount);
+        served += answer.status == 200 ? 1 : 0;
+    }
+    co_return served;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(store_watches)
+
+// Guards against taking a wait that the store cut once for an outage: targets that left then were used for 1.6 s more.
+BOOST_AUTO_TEST_CASE(a_target_that_leaves_after_its_watch_was_cut_is_dropped_at_once)
+{
+    RelayFleet fleet;
+    auto &removed = fleet.addTarget("app");
+    fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        fleet.store.cutWatches("servers");
+        co_await net::sleepFor(PropagationTime);
+        fleet.store.remove("servers", removed.id());
+        co_await net::sleepFor(PropagationTime);
+        const auto served = co_await countServed(fleet, 1);
+        BOOST_TEST(served == 20);
+        BOOST_TEST(removed.arrivals().empty());
+    });
+}
+
+// Guards against taking an outage that begins with a cut wait for a cut wait only: entries that expire in it are
+// written again.
+BOOST_AUTO_TEST_CASE(a_target_whose_entry_expires_in_an_outage_is_kept_until_it_can_be_written_again)
+{
+    RelayFleet fleet;
+    auto &expired = fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        fleet.store.failure = StoreFailure::ConnectionReset;
+        fleet.store.cutWatches("servers");
+        co_await net::sleepFor(absl::Milliseconds(500));
+        fleet.store.remove("servers", expired.id());
+        fleet.store.failure = StoreFailure::None;
+        co_await net::sleepFor(absl::Milliseconds(800)); // All watches have been repeated by then.
+        const auto served = co_await countServed(fleet, 1);
+        BOOST_TEST(served == 20);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace spurlug::test
