Refuse settings that can be opened but not read

SIGHUP at a time when the settings file could be opened but not read, such as a directory in its place or an error of the disk, made the daemon deaf: it never handled a signal again, so that SIGTERM did not end it. As the file was read within the task that handles signals, the exception of the stream ended that task without a trace; at the start it would have ended the process by SIGABRT.

It is reported as invalid settings now, which change nothing.

--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <fstream>
+#include <ios>
 #include <iterator>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -129,10 +130,16 @@
 Settings loadChecked(const std::string &path, Read read, Prepare prepare)
 {
     std::ifstream file(path);
+    const auto unreadable = core::cat(path, ": : expected a readable file");
     if (!file) {
-        throw core::InvalidDocument(core::cat(path, ": : expected a readable file"));
+        throw core::InvalidDocument(unreadable);
+    }
+    nlohmann::json document;
+    try {
+        document = core::parseJson(std::string(std::istreambuf_iterator<char>(file), {}));
+    } catch (const std::ios_base::failure &) { // The file can be opened, but not read.
+        throw core::InvalidDocument(unreadable);
     }
-    auto document = core::parseJson(std::string(std::istreambuf_iterator<char>(file), {}));
     if (document.is_discarded()) {
         throw core::InvalidDocument(core::cat(path, ": : expected a JSON document"));
     }
--- a/tests/platform/process_lifecycle_test.cpp
+++ b/tests/platform/process_lifecycle_test.cpp
@@ -247,6 +247,32 @@
     BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
 }
 
+// Guards against a daemon that handles no signals any more after its settings could not be read: it outlived SIGTERM.
+BOOST_AUTO_TEST_CASE(settings_that_cannot_be_read_are_refused_and_the_daemon_ends_on_sigterm)
+{
+    RelayFleet fleet(0);
+    const support::TemporaryDirectory directory;
+    auto settings = fleet.makeSettings();
+    settings.bounds.grace = absl::Seconds(4);
+    const auto settingsFile = directory.file("daemon.json");
+    std::ofstream(settingsFile) << settingsText(settings);
+    auto daemon = startDaemon(directory, "daemon");
+    std::optional<int> exitCode;
+    bool serves = false;
+    fleet.run([&]() -> net::Task<> {
+        serves = co_await servesWithin(absl::Seconds(5), fleet, settings.callerAddress);
+        std::filesystem::remove(settingsFile);
+        std::filesystem::create_directory(settingsFile); // It can be opened, but reading it fails.
+        daemon.signal(SIGHUP);
+        co_await net::sleepFor(absl::Milliseconds(200));
+        daemon.signal(SIGTERM);
+        exitCode = co_await exitCodeWithin(settings.bounds.grace, daemon);
+    });
+    BOOST_TEST(serves);
+    BOOST_TEST(exitCode.value_or(StillRunning) == core::ExitOk);
+    BOOST_TEST(daemon.log().find("settings_refused") != std::string::npos);
+}
+
 // Guards against a daemon that ends at its start because another process has not released its addresses yet.
 BOOST_AUTO_TEST_CASE(a_daemon_serves_once_its_addresses_are_released)
 {
