--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -91,7 +91,12 @@
     }
     entry.service = nameAt(in, news.service());
     entry.failureDomain = nameAt(in, news.failure_domain());
-    entry.address = core::parseAddress(news.address());
+    try {
+        entry.address = core::parseAddress(news.address());
+    } catch (const core::InvalidDocument &error) {
+        change.fault = error.what(); // One invalid entry does not affect the others.
+        return change;
+    }
     entry.slots = static_cast<int>(std::max<std::uint32_t>(news.slots(), 1));
     entry.draining = news.draining();
     entry.remainingWarmUp = core::fromMs(news.cold_ms());
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -188,6 +188,45 @@
     });
 }
 
+// Guards against daemons that end, or no longer follow the store, over numbers, addresses and members out of range.
+BOOST_AUTO_TEST_CASE(objects_with_values_out_of_range_do_not_stop_the_following)
+{
+    const std::vector<std::pair<std::string, std::string>> oddMembers{
+        {"slots", "1e999"},
+        {"slots", "99999999999999999999999999"},
+        {"cold_remaining_ms", "-0.0"},
+        {"call_seq", "18446744073709551615"},
+        {"address", "\"127.0.0.1:0\""},
+        {"address", "\"127.0.0.1:4294967377\""},
+        {"address", "\"engine\\u0000-1:80\""},
+    };
+    for (const auto &[member, value] : oddMembers) {
+        checkOddObject("servers", "i-foreign", foreignObject(member, value));
+    }
+    checkOddObject("servers", "i-foreign", R"({"metadata":{"name":["i"]},"spec":null})");
+    checkOddObject("servers", "i-foreign", R"({"metadata":{"name":""},"spec":[]})");
+    checkOddObject("servers", "i-foreign", makeObjectText(std::string(900'000, 'x'), "{}"));
+}
+
+// Guards against a name that adds header fields to the requests of callers.
+BOOST_AUTO_TEST_CASE(a_name_with_line_breaks_adds_no_header_fields)
+{
+    RelayFleet fleet;
+    auto &target = fleet.addTarget("app");
+    fleet.store.remove("servers", target.id());
+    const CallerRequest request;
+    const auto entry = RelayFleet::makeEntry(target, "app").dump();
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        fleet.store.putRaw("servers", "i-odd", makeObjectText(target.id() + "\\r\\nX-Injected: yes", entry));
+        co_await net::sleepFor(PropagationTime);
+        static_cast<void>(co_await fleet.send(request));
+    });
+    for (const auto &started : target.startedRequests()) {
+        BOOST_TEST(started.headers.find("X-Injected") == nullptr);
+    }
+}
+
 // Guards against lists that end, or are never read, at an object that cannot be read or has an unusual name: targets on
 // later pages were unknown.
 BOOST_AUTO_TEST_CASE(lists_continue_after_pages_of_odd_objects)
--- a/tests/property/decoder_fuzz.cpp
+++ b/tests/property/decoder_fuzz.cpp
@@ -149,6 +149,53 @@
     });
 }
 
+// Guards against entries that name no target: port 0, or a host that is no IP address, cannot be connected to.
+BOOST_AUTO_TEST_CASE(an_entry_whose_address_names_no_target_is_invalid)
+{
+    const std::string withNul{"10.0.0.1\0:80", 12};
+    const std::vector<std::string> invalidAddresses{"10.0.0.1:0",    "10.0.0.1:99999",  "10.0.0.1:4294967377",
+                                                    "10.0.0.1:-80",  "10.0.0.1",        "10.0.0.1:",
+                                                    ":80",           "engine-1:80",     "10.0.0:80",
+                                                    "10.0.0.256:80", "0.0.0.0:80",      "224.0.0.1:80",
+                                                    withNul,         "10.0.0.1\r\n:80", std::string(100'000, 'x')};
+    for (const auto &address : invalidAddresses) {
+        auto entry = makeValidEntry();
+        entry["address"] = address;
+        BOOST_CHECK_THROW(static_cast<void>(platform::parseTarget("i", entry)), core::InvalidDocument);
+    }
+}
+
+// Guards against names that add header fields to requests, or fill logs and messages.
+BOOST_AUTO_TEST_CASE(names_with_control_characters_or_of_excessive_length_are_invalid)
+{
+    for (const auto &name : {std::string("a\r\nX: y"), std::string("a\0b", 3), std::string(100'000, 'x')}) {
+        BOOST_TEST(!platform::isTargetId(name));
+        for (const auto *member : {"service", "zone"}) {
+            auto entry = makeValidEntry();
+            entry[member] = name;
+            BOOST_CHECK_THROW(static_cast<void>(platform::parseTarget("i", entry)), core::InvalidDocument);
+        }
+    }
+    BOOST_TEST(!platform::isTargetId(""));
+    BOOST_TEST(!platform::isTargetId("a b"));
+    BOOST_TEST(platform::isTargetId("i-7f3a91c2"));
+}
+
+// Guards against a daemon that refuses all that a peer knows over one invalid address.
+BOOST_AUTO_TEST_CASE(an_invalid_address_in_a_peer_state_invalidates_only_its_own_entry)
+{
+    relay::PeerState state;
+    relay::TargetChange change;
+    change.entry = platform::parseTarget("i-1", makeValidEntry());
+    state.targets.assign(2, change);
+    state.targets.front().entry.address.host.clear();
+    const auto read = relay::readPeerState(relay::writePeerState(state));
+    BOOST_TEST_REQUIRE(read.targets.size() == 2U);
+    BOOST_TEST(!read.targets.front().fault.empty());
+    BOOST_TEST(read.targets.back().fault.empty());
+    BOOST_TEST(read.targets.back().entry.address.text() == "10.0.0.1:80");
+}
+
 BOOST_AUTO_TEST_CASE(a_missing_or_invalid_field_makes_an_entry_invalid)
 {
     const auto validEntry = makeValidEntry();
