--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -272,7 +272,9 @@
         {"more", 1},        {"more", "no"}, {"more", nullptr}, {"at", nullptr}, {"at", -7},          {"at", 1e30},
         {"at", UINT64_MAX}, {"at", "9"},    {"gone", "no"},    {"gone", 0},     {"events", nullptr}, {"items", 7},
     };
-    for (const auto &[member, value] : oddMembers) {
+    for (const auto &odd : oddMembers) {
+        const auto &member = odd.first;
+        const auto &value = odd.second;
         // Flags stay odd, as in events that are sent again and again; other answers are odd for some time only.
         const bool isFlag = member == "more" || member == "gone";
         RelayFleet fleet;
