--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -319,6 +319,45 @@
     playIdleCallers("model", chatRequest(), StreamHead, event, 200);
 }
 
+// Guards against heads of answers that take several times their size for each request.
+BOOST_AUTO_TEST_CASE(large_heads_of_answers_are_bounded)
+{
+    const auto head
+        = core::cat(RawHead, "X-Fill: ", std::string(60'000, 'x'), "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    playIdleCallers("app", {}, head, chunk(std::string(PartBytes, 'x')), 600);
+}
+
+// Guards against request bodies that exceed the memory together, while their target answers none of them.
+BOOST_AUTO_TEST_CASE(bodies_of_requests_that_wait_for_their_target_are_bounded)
+{
+    constexpr int Count = 700;
+    constexpr std::size_t BodyBytes = 99'000;
+    SmallVm vm;
+    vm.fleet.addTarget("app", Count).behaviour.fault = Behaviour::Fault::Hang;
+    int refused = 0;
+    vm.fleet.run([&]() -> net::Task<> {
+        co_await vm.waitUntilReady();
+        int ended = 0;
+        CallerRequest request;
+        request.body = std::string(BodyBytes, 'x');
+        for (int i = 0; i < Count; ++i) {
+            net::asio::co_spawn(
+                vm.fleet.loop,
+                [](SmallVm &vm, CallerRequest request, int &refused, int &ended) -> net::Task<> {
+                    const auto answer = co_await vm.fleet.sendTo(vm.settings.callerAddress, std::move(request));
+                    refused += answer.status == core::http_status::ServiceUnavailable ? 1 : 0;
+                    ++ended;
+                }(vm, request, refused, ended),
+                net::asio::detached);
+        }
+        while (ended < Count) {
+            co_await net::sleepFor(absl::Milliseconds(20));
+        }
+    });
+    BOOST_TEST(refused > 0);
+    vm.checkMemory();
+}
+
 // Guards against a stream event without an end, of which each new piece was searched from its beginning.
 BOOST_AUTO_TEST_CASE(a_stream_whose_event_never_ends_is_resumed_elsewhere)
 {
