--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -343,11 +343,11 @@
         for (int i = 0; i < Count; ++i) {
             net::asio::co_spawn(
                 vm.fleet.loop,
-                [](SmallVm &vm, CallerRequest request, int &refused, int &ended) -> net::Task<> {
-                    const auto answer = co_await vm.fleet.sendTo(vm.settings.callerAddress, std::move(request));
+                [&]() -> net::Task<> {
+                    const auto answer = co_await vm.fleet.sendTo(vm.settings.callerAddress, request);
                     refused += answer.status == core::http_status::ServiceUnavailable ? 1 : 0;
                     ++ended;
-                }(vm, request, refused, ended),
+                },
                 net::asio::detached);
         }
         while (ended < Count) {
