Soak: report a daemon that outlives its grace period, and choose ports that are free at all addresses

The soak waited without limit for the end of a stopped daemon, so that a daemon that hung ended the run without a result. The event of a last line that is no JSON, such as the abort message of the C library, is empty; before, the check of that line ended by an exception that nobody saw, and the run did not end.

Ports for daemons were checked at 127.0.0.1 only, while the daemons of the soak listen at 127.0.1.1 to 127.0.1.6. A port that is in use at 127.0.1.1 is free at 127.0.0.1 and not at the wildcard address, which is now checked.

--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -17,8 +17,8 @@
 namespace
 {
 
-/// Returns a port that is free now and below the kernel's ephemeral ports. An ephemeral port may become the local port
-/// of a connection before the daemon binds it.
+/// Returns a port that is free now at all addresses and below the kernel's ephemeral ports. An ephemeral port may
+/// become the local port of a connection before the daemon binds it.
 template<typename Protocol>
 std::uint16_t freePort(net::Loop &loop)
 {
@@ -29,7 +29,7 @@
         nextPort = nextPort == LastPort ? FirstPort : static_cast<std::uint16_t>(nextPort + 1);
         boost::system::error_code error;
         typename Protocol::socket socket(loop);
-        const typename Protocol::endpoint endpoint(net::asio::ip::make_address("127.0.0.1"), nextPort);
+        const typename Protocol::endpoint endpoint(Protocol::v4(), nextPort);
         socket.open(endpoint.protocol(), error);
         if (!error && !socket.bind(endpoint, error)) {
             return nextPort;
--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -107,7 +107,7 @@
     auto text = log();
     text.resize(text.find_last_not_of('\n') + 1);
     const auto line = nlohmann::json::parse(text.substr(text.rfind('\n') + 1), nullptr, false);
-    return line.value("event", "");
+    return line.is_object() ? line.value("event", "") : ""; // The runtime's last words are no JSON.
 }
 
 } // namespace spurlug::test
--- a/tests/platform/shutdown_soak_test.cpp
+++ b/tests/platform/shutdown_soak_test.cpp
@@ -218,6 +218,7 @@
         while (core::now() < m_startedAt[daemon] + absl::Seconds(1)) {
             co_await net::sleepFor(absl::Milliseconds(20));
         }
+        const auto signalledAt = core::now();
         process.signal(signal);
         if (signal == SIGKILL) {
             m_killed.emplace(daemon, m_starts[daemon]);
@@ -227,6 +228,14 @@
                 process.signal(draw(0, 1) == 0 ? SIGTERM : SIGHUP);
             }
         }
+        while (core::now() < signalledAt + Grace && !process.hasExited()) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+        const bool exitedInTime = process.hasExited();
+        BOOST_TEST(exitedInTime, process.settings().vm << " outlived its grace period");
+        if (!exitedInTime) {
+            process.signal(SIGKILL);
+        }
         const auto exitCode = co_await process.awaitExit();
         BOOST_TEST(exitCode == (signal == SIGKILL ? -SIGKILL : 0));
         BOOST_TEST((signal == SIGKILL || process.lastEvent() == "stopped"));
