Soak: report requests without an answer as their callers see them

The soak looked for requests that were read and not answered in the daemons' logs. A daemon that ends by a signal logs nothing about the requests that end with it, so that they did not show.

--- a/tests/platform/shutdown_soak_test.cpp
+++ b/tests/platform/shutdown_soak_test.cpp
@@ -37,6 +37,8 @@
 
 constexpr std::size_t DaemonCount = 6;
 constexpr int ClientCount = 60;
+/// A request that is sent at most this long before its connection ends may cross the close.
+constexpr auto MaxCrossing = absl::Milliseconds(200);
 constexpr int AppSlots = 6;
 constexpr int EngineSlots = 2; // Few, so that prompts wait.
 constexpr auto Grace = absl::Seconds(8);
@@ -55,6 +57,7 @@
     int start = 0; ///< Number of the daemon's start.
     bool isStream = false;
     int status = 0; ///< 0: no answer.
+    core::Duration timeToClose; ///< From sending it to the end of its connection, if there was no answer.
     bool isComplete = false;
 };
 
@@ -285,10 +288,12 @@
         seen.daemon = daemon;
         seen.start = m_starts[daemon];
         seen.isStream = request.promptTokens > 0;
+        const auto sentAt = core::now();
         connection.startSend(message);
         const auto deadline = core::now() + absl::Seconds(20);
         const auto head = co_await connection.readHead(deadline);
         if (!head) {
+            seen.timeToClose = core::now() - sentAt;
             co_return false;
         }
         seen.status = head->status;
@@ -335,13 +340,15 @@
         for (const auto &[id, seen] : m_observations) {
             ++statuses[seen.status];
             BOOST_TEST((seen.status != 503 || !runs.contains(id)), id << " was refused as not run, and ran");
+            const bool killed = m_killed.contains({seen.daemon, seen.start});
+            BOOST_TEST((seen.status != 0 || killed || seen.timeToClose <= MaxCrossing),
+                       id << " had no answer when its connection ended " << seen.timeToClose << " after it was sent");
             const auto end = ends.find(id);
             if (end == ends.end() || (seen.status != 0 && seen.isComplete)) {
                 continue; // The daemon has not read it, or its caller has an answer.
             }
             const bool brokenOff = seen.isStream && seen.status == 200;
             const bool callerLeft = end->second.value("reason", "") == "caller_gone";
-            const bool killed = m_killed.contains({seen.daemon, seen.start});
             BOOST_TEST((brokenOff || callerLeft || killed), id << " was read and not answered: " << end->second.dump());
         }
         BOOST_TEST(statuses[200] > 0);
