Hear a daemon at once that restarts while its time of day is set back

Peers rejected the heartbeats of such a daemon as those of an earlier incarnation for up to 70 s (ten timeouts), and schedulers ignored its reports of work until its clock had passed the time of the last start: both ordered incarnations by their number, the time of day at the start, which may jump by seconds either way.

MessageOrder remembers the incarnations that have ended and takes any other one for a restart, whatever its number. Late messages of an ended incarnation stay rejected. An incarnation that a late message of an unknown one displaced is heard again after 7 s without a message of the latter.

--- a/include/spurlug/control/messages.h
+++ b/include/spurlug/control/messages.h
@@ -42,7 +42,7 @@
 {
     std::string vm; ///< Sender.
     std::string failureDomain; ///< Of the sender.
-    std::uint64_t incarnation = 0; ///< Increases with each start of the daemon.
+    std::uint64_t incarnation = 0; ///< Differs between starts of the daemon.
     std::uint64_t sequence = 0; ///< Increases with each report of one incarnation.
     std::uint64_t newestGrant = 0; ///< Grants up to this number are included in `work` or were not used.
     std::vector<targets::TargetWork> work;
--- a/include/spurlug/control/scheduler.h
+++ b/include/spurlug/control/scheduler.h
@@ -6,6 +6,7 @@
 
 #include "spurlug/control/admission_control.h"
 #include "spurlug/control/messages.h"
+#include "spurlug/membership/message_order.h"
 #include "spurlug/overload/fair_queue.h"
 #include "spurlug/overload/grant_round.h"
 #include "spurlug/overload/load_view_publisher.h"
@@ -104,8 +105,7 @@
 
     struct ReportState
     {
-        std::uint64_t incarnation = 0;
-        std::uint64_t sequence = 0;
+        membership::MessageOrder order;
         core::Time receivedAt = absl::InfinitePast();
     };
 
--- a/include/spurlug/membership/peer_table.h
+++ b/include/spurlug/membership/peer_table.h
@@ -7,6 +7,7 @@
 #include "spurlug/core/address.h"
 #include "spurlug/core/enum_names.h"
 #include "spurlug/core/time.h"
+#include "spurlug/membership/message_order.h"
 #include "spurlug/objects/object_api.h"
 
 #include <cstdint>
@@ -33,7 +34,7 @@
     core::Address peerAddress; ///< Port 0 unless the heartbeat contains an introduction.
     core::Address rpcAddress; ///< Port 0 unless the heartbeat contains an introduction.
     double processorShare = 0; ///< In cores; 0 unless the heartbeat contains an introduction.
-    std::uint64_t incarnation = 0; ///< Increases with each start of the daemon.
+    std::uint64_t incarnation = 0; ///< Differs between starts of the daemon.
     std::uint64_t sequence = 0; ///< Increases with each heartbeat of an incarnation.
     DaemonState state = DaemonState::Starting;
     std::int64_t generation = 0;
@@ -46,6 +47,7 @@
     PeerReport report;
     core::Time lastHeartbeatAt = absl::InfinitePast();
     bool listedAsDraining = false; ///< Whether the VM list marks it as draining.
+    MessageOrder order; ///< Of its heartbeats.
 };
 
 /// \brief Result of recording a heartbeat.
@@ -54,7 +56,7 @@
     Accepted,
     New, ///< Accepted; the peer or its incarnation was unknown before.
     Duplicate, ///< Dropped: its sequence number is not higher than the last one.
-    Outdated, ///< Dropped: it is from an earlier incarnation.
+    Outdated, ///< Dropped: it is from an incarnation that has ended.
     Unknown, ///< Dropped: its sender or incarnation is unknown, and it has no introduction.
     Own, ///< Dropped: it has this daemon's own VM name.
 };
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -16,7 +16,6 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 #include <string_view>
-#include <tuple>
 
 namespace spurlug::control
 {
@@ -81,11 +80,12 @@
 void Scheduler::applyReport(const WorkReport &report, core::Time now)
 {
     auto &state = m_reportStates[report.vm];
-    const auto known = std::tie(state.incarnation, state.sequence);
-    if (std::tie(report.incarnation, report.sequence) <= known) {
+    const auto age = state.order.ageOf(report.incarnation, report.sequence, now);
+    if (age == membership::MessageAge::Repeated || age == membership::MessageAge::Outdated) {
         return;
     }
-    state = {report.incarnation, report.sequence, now};
+    state.order.record(report.incarnation, report.sequence, now);
+    state.receivedAt = now;
     m_admission.noteActivity(now);
     m_context.targets.setPeerWork(report.vm, report.work, now);
     m_context.metrics.count(metrics::Counter::WorkReportsReceived);
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -52,20 +52,24 @@
         if (!hasIntroduction(report)) {
             return HeartbeatResult::Unknown;
         }
-        m_peers[report.vm] = Peer{report, now, false};
+        auto &peer = m_peers[report.vm];
+        peer = Peer{report, now, false, {}};
+        peer.order.record(report.incarnation, report.sequence, now);
         return HeartbeatResult::New;
     }
     auto &peer = known->second;
-    if (report.incarnation < peer.report.incarnation) {
+    const auto age = peer.order.ageOf(report.incarnation, report.sequence, now);
+    if (age == MessageAge::Outdated) {
         return HeartbeatResult::Outdated;
     }
-    const bool restarted = report.incarnation > peer.report.incarnation;
+    if (age == MessageAge::Repeated) {
+        return HeartbeatResult::Duplicate;
+    }
+    const bool restarted = age == MessageAge::Restarted;
     if (restarted && !hasIntroduction(report)) {
         return HeartbeatResult::Unknown;
     }
-    if (!restarted && report.sequence <= peer.report.sequence) {
-        return HeartbeatResult::Duplicate;
-    }
+    peer.order.record(report.incarnation, report.sequence, now);
     peer.report = withKnownAddresses(report, peer.report);
     peer.lastHeartbeatAt = now;
     peer.listedAsDraining = peer.listedAsDraining && !restarted;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -295,6 +295,28 @@
     BOOST_TEST(load() == 0);
 }
 
+// Guards against ignoring the work of a daemon that restarts while its time of day is set back, until it has passed
+// the time of the last start.
+BOOST_AUTO_TEST_CASE(the_work_of_a_daemon_that_restarts_with_a_lower_incarnation_number_is_counted)
+{
+    SchedulerState state(1);
+    const auto engine = state.context.targets.find("engine-0");
+    auto report = workReport("a", 5, 0);
+    report.incarnation = 9;
+    state.scheduler.applyReport(report, at(0));
+    auto restarted = workReport("a", 1, 0);
+    restarted.incarnation = 4;
+    targets::TargetWork work;
+    work.target = engine->hash;
+    work.work.requests = 3;
+    restarted.work = {work};
+    state.scheduler.applyReport(restarted, at(300));
+    BOOST_TEST(engine->peerWork(at(300)).requests == 3);
+    report.sequence = 6; // A late one of the incarnation that has ended.
+    state.scheduler.applyReport(report, at(310));
+    BOOST_TEST(engine->peerWork(at(310)).requests == 3);
+}
+
 BOOST_AUTO_TEST_CASE(work_of_a_daemon_that_is_silent_is_forgotten)
 {
     SchedulerState state(1);
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -46,6 +46,30 @@
     BOOST_TEST((table.recordHeartbeat(peerReport("self", 1, 1), Start) == HeartbeatResult::Own));
 }
 
+// Guards against rejecting the heartbeats of a daemon that restarts while its time of day is set back: its incarnation
+// number is lower than the last one.
+BOOST_AUTO_TEST_CASE(a_daemon_that_restarts_with_a_lower_incarnation_number_is_heard_at_once)
+{
+    membership::PeerTable table("self", "a", Timeout);
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 9, 5), Start) == HeartbeatResult::New));
+    const auto restartAt = Start + absl::Milliseconds(300);
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 4, 1), restartAt) == HeartbeatResult::New));
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 9, 6), restartAt) == HeartbeatResult::Outdated));
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 4, 2), restartAt) == HeartbeatResult::Accepted));
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 4, 2), restartAt) == HeartbeatResult::Duplicate));
+    BOOST_TEST(table.find("b")->report.incarnation == 4U);
+}
+
+// Guards against rejecting a running daemon for good after a late message of an earlier, unknown incarnation.
+BOOST_AUTO_TEST_CASE(an_incarnation_that_a_late_message_replaced_is_heard_again)
+{
+    membership::PeerTable table("self", "a", Timeout);
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 9, 1), Start) == HeartbeatResult::New));
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 4, 7), Start) == HeartbeatResult::New));
+    const auto later = Start + absl::Seconds(8);
+    BOOST_TEST((table.recordHeartbeat(peerReport("b", 9, 30), later) == HeartbeatResult::New));
+}
+
 BOOST_AUTO_TEST_CASE(silence_ends_a_role_and_an_empty_list_does_not)
 {
     membership::PeerTable table("self", "a", Timeout);
