Notice a silent wait for targets by the revision that the wait for the configuration tells

If only the connection of the wait for targets fell silent, it was noticed after up to 5 s, and requests went to a draining target longer than contact_ms (3 s) allows. All waits were abandoned whenever the wait for the configuration failed, which doesn't help here and adds calls whenever answers of the store are lost now and then.

The answers for the configuration tell the store's revision. If it has risen beyond the position of the wait for targets, other than by the configuration alone, that wait must report the change at once if it is of targets. If it doesn't within 250 ms, or the last call failed, the waits are abandoned and repeated from the known position. An idle store costs no call more. A failed wait for the configuration alone no longer abandons the others; as those may then outlast an outage, two failures in a row, or a recovery after them, count as an outage for the targets too.

store_watches/a_draining_target_gets_no_requests_after_the_watch_of_targets_fell_silent failed before, for daemons that know each other and for those that don't (check draining.arrivals().empty() has failed, twice), and passes now. The whole of platform-tests was not run.

Also waits between repeated cuts of the wait for targets, as between other failed calls.

--- a/include/spurlug/relay/directory_watcher.h
+++ b/include/spurlug/relay/directory_watcher.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace spurlug::relay
 {
@@ -33,7 +34,8 @@
 
     /// \brief Records that a wait for changes was cut before it ended. This is an outage only if the next call fails
     /// too.
-    void noteCutWait(const std::string &detail);
+    /// \returns Time to wait before the next call.
+    [[nodiscard]] core::Duration recordCutWait(const std::string &detail);
 
     /// \brief Records the era given in an answer.
     /// \returns Whether the directory has lost a part of its history since the last answer. This counts as a recovery
@@ -158,6 +160,8 @@
     static constexpr auto RoleCheckInterval = absl::Milliseconds(50);
     static constexpr auto TargetsWatchTimeout = absl::Milliseconds(4000);
     static constexpr auto MinWatchTimeout = absl::Milliseconds(1);
+    /// Time that a change takes at most from the directory to this daemon over a connection that works.
+    static constexpr auto MaxChangeDelay = absl::Milliseconds(250);
     /// Changes that follow each other within `TargetsBatchWindow`, as in a release, are read as a batch after this
     /// pause; the first ones are read at once.
     static constexpr auto TargetsBatchDelay = absl::Milliseconds(150);
@@ -165,6 +169,8 @@
     /// Targets and evacuations are read only if the directory answered for the configuration within this time: one loop
     /// is enough to find out that the directory is available again.
     static constexpr auto MaxDirectorySilence = absl::Milliseconds(2500);
+    /// Consecutive failures that show an outage: a single one may be of its connection only.
+    static constexpr int FailedCallsInOutage = 2;
     static constexpr auto StartupCheckInterval
         = absl::Milliseconds(20); ///< Between checks for the first configuration.
 
@@ -177,6 +183,13 @@
     }
 
     [[nodiscard]] core::Duration configurationWatchTimeout() const;
+    /// Records the position of an answer for the configuration. The wait for targets, if it is older, must then report
+    /// the changes up to that position.
+    /// \param isFullRead Whether the configuration was read; it is then in the answer without a change.
+    void updateNewestPosition(const ConfigurationAnswer &answer, bool isFullRead, core::Time now);
+    /// Whether the directory has changes since the position of the wait for targets that it should have reported, if
+    /// they are of targets. The connection may have gone silent.
+    [[nodiscard]] bool targetsWaitLags() const;
     /// Reads the targets of a new era at once: a wait that was started in the old era may not be notified before it
     /// ends.
     [[nodiscard]] net::Task<> relistTargets();
@@ -195,6 +208,11 @@
     DirectoryAvailability m_targetsAvailability;
     DirectoryAvailability m_evacuationsAvailability;
     TargetListUpdater m_targetListUpdater;
+    DirectoryPosition m_newestPosition; ///< Of the directory, as of the answers for the configuration.
+    DirectoryPosition m_changedPosition; ///< Of the last change that may be of targets.
+    core::Time m_changeKnownAt = absl::InfinitePast(); ///< When that change became known.
+    int m_failedConfigurationCalls = 0; ///< Consecutive ones.
+    core::Time m_targetsWaitSince = absl::InfiniteFuture(); ///< Start of the wait for targets that is in progress.
 };
 
 template<Directory D>
@@ -204,6 +222,29 @@
     return servesOthers ? ReaderConfigurationWatchTimeout : ConfigurationWatchTimeout;
 }
 
+template<Directory D>
+void DirectoryWatcher<D>::updateNewestPosition(const ConfigurationAnswer &answer, bool isFullRead, core::Time now)
+{
+    if (answer.position <= m_newestPosition) {
+        return;
+    }
+    const auto known = std::max(m_newestPosition, m_context.targetsPosition);
+    const bool onlyConfigurationChanged = !isFullRead && answer.table != nullptr && answer.position.era == known.era
+        && answer.position.revision == known.revision + 1;
+    m_newestPosition = answer.position;
+    if (!onlyConfigurationChanged) {
+        m_changedPosition = answer.position;
+        m_changeKnownAt = now;
+    }
+}
+
+template<Directory D>
+bool DirectoryWatcher<D>::targetsWaitLags() const
+{
+    return m_targetsWaitSince < m_changeKnownAt && m_context.targetsPosition.era == m_changedPosition.era
+        && m_context.targetsPosition < m_changedPosition;
+}
+
 template<Directory D>
 void DirectoryWatcher<D>::updateDirectoryReaders()
 {
@@ -228,7 +269,10 @@
         if (!knownPosition.isKnown()) {
             answer = co_await m_directory.readConfiguration();
         } else {
-            answer = co_await m_directory.awaitConfiguration(knownPosition.revision, configurationWatchTimeout());
+            const auto watchTimeout = targetsWaitLags()
+                ? std::min(configurationWatchTimeout(), core::Duration(MaxChangeDelay))
+                : configurationWatchTimeout();
+            answer = co_await m_directory.awaitConfiguration(knownPosition.revision, watchTimeout);
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         const auto now = core::now();
@@ -241,14 +285,22 @@
             knownPosition = {};
             continue;
         }
-        if (answer.status == DirectoryStatus::Unreachable && !m_configurationAvailability.isUnavailable()) {
-            // What cut or silenced this connection may have silenced the others, whose waits are longer. Later failures
-            // are an outage of the directory, which those waits must notice themselves.
-            m_directory.abandonWaits();
-        }
         const bool answered = answer.status == DirectoryStatus::Ok || answer.status == DirectoryStatus::Missing;
         if (answered) {
             m_context.configurationAnsweredAt = now;
+            if (std::exchange(m_failedConfigurationCalls, 0) >= FailedCallsInOutage) {
+                m_targetsAvailability.noteRecovered(now);
+            }
+            updateNewestPosition(answer, !knownPosition.isKnown(), now);
+            // What cut or silenced the connection of a failed call may have silenced the others.
+            const bool mayBeSilent
+                = m_configurationAvailability.isUnavailable() || now - m_changeKnownAt >= MaxChangeDelay;
+            if (targetsWaitLags() && mayBeSilent) {
+                m_directory.abandonWaits();
+            }
+        } else if (answer.status != DirectoryStatus::HistoryGone
+                   && ++m_failedConfigurationCalls >= FailedCallsInOutage) {
+            m_targetsAvailability.noteRecovered(now); // Not before now: the wait for targets may outlast the outage.
         }
         if (answer.status == DirectoryStatus::Missing) {
             knownPosition = answer.position; // The next wait starts here.
@@ -392,7 +444,9 @@
             // are missing then may still return.
             const auto watchTimeout
                 = wasUnavailable ? core::Duration(MinWatchTimeout) : core::Duration(TargetsWatchTimeout);
+            m_targetsWaitSince = askedAt;
             answer = co_await m_directory.awaitTargets(knownPosition.revision, watchTimeout);
+            m_targetsWaitSince = absl::InfiniteFuture();
         }
         m_context.metrics.count(metrics::Counter::PlatformReads);
         if (answer.status == DirectoryStatus::Abandoned) {
@@ -406,7 +460,7 @@
         }
         const bool wasCut = answer.status == DirectoryStatus::Unreachable && now - askedAt < TargetsWatchTimeout;
         if (wasCut && !isFullList && !wasUnavailable) {
-            m_targetsAvailability.noteCutWait(answer.detail);
+            co_await net::sleepFor(m_targetsAvailability.recordCutWait(answer.detail));
             continue;
         }
         auto delay = m_targetsAvailability.recordResult(answer.status, answer.detail, now);
--- a/src/relay/directory_watcher.cpp
+++ b/src/relay/directory_watcher.cpp
@@ -76,11 +76,13 @@
     return std::max(retryDelay, spreadDelay(m_context.directoryReaders, uniform(m_context.random)));
 }
 
-void DirectoryAvailability::noteCutWait(const std::string &detail)
+core::Duration DirectoryAvailability::recordCutWait(const std::string &detail)
 {
     m_waitWasCut = true;
     m_context.metrics.count(metrics::Counter::PlatformFailures);
     core::log(core::LogLevel::Info, "directory_wait_cut", {{"what", m_dataName}, {"detail", detail}});
+    std::uniform_real_distribution<double> uniform(0, 1);
+    return m_backoff.nextDelay(uniform(m_context.random));
 }
 
 bool DirectoryAvailability::updateEra(std::int64_t era, core::Time now)
--- a/tests/platform/store_watches_test.cpp
+++ b/tests/platform/store_watches_test.cpp
@@ -76,6 +76,33 @@
     });
 }
 
+// Guards against requests to a draining target after only the connection of the wait for targets fell silent: it was
+// noticed after 5 s.
+BOOST_AUTO_TEST_CASE(a_draining_target_gets_no_requests_after_the_watch_of_targets_fell_silent)
+{
+    constexpr auto ContactTime = absl::Seconds(3); // Daemons count as in contact again this long after the silence.
+    constexpr std::size_t DaemonCount = 2;
+    for (const auto peers : {Peers::Isolated, Peers::Connected}) {
+        RelayFleet fleet(DaemonCount, peers);
+        auto &draining = fleet.addTarget("app");
+        fleet.addTarget("app");
+        fleet.run([&]() -> net::Task<> {
+            co_await fleet.waitUntilReady();
+            if (peers == Peers::Connected) {
+                co_await fleet.waitUntilConnected();
+            }
+            co_await net::sleepFor(PropagationTime);
+            fleet.store.silenceWatches("servers");
+            co_await net::sleepFor(absl::Milliseconds(100));
+            fleet.writeEntry(draining, "app", "draining");
+            co_await net::sleepFor(ContactTime - absl::Milliseconds(100));
+            const auto served = co_await countServed(fleet, DaemonCount);
+            BOOST_TEST(served == 20);
+            BOOST_TEST(draining.arrivals().empty());
+        });
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
