Close idle connections in order at the exit, so that the end of the last answer arrives

Found by the review of the keep-alive fix, not by callers: an answer whose head announced keep-alive may end as the last work of a stopping daemon. Its connection is idle then, and the exit reset it: what the kernel had not sent yet was dropped, and a slow caller lost the end of a complete answer.

Only connections whose answer is unfinished are reset now; idle ones are closed, and the kernel sends the rest.

shutdown/the_end_of_an_answer_to_a_slow_caller_arrives_after_the_exit failed on (check received.ends_with(...) has failed: neither the last event nor the last chunk arrived) and passes now.

--- a/include/spurlug/net/server_connection.h
+++ b/include/spurlug/net/server_connection.h
@@ -70,6 +70,8 @@
     [[nodiscard]] Task<ReadResult> read(ReadLimits limits);
     /// \brief Whether a part of a request has arrived that is not complete yet.
     [[nodiscard]] bool isReceiving() const noexcept;
+    /// \brief Whether a `read` is in progress and nothing has arrived: the last answer, if any, was written.
+    [[nodiscard]] bool isIdle() const noexcept;
     /// \brief Ends a `read` in progress as Interrupted, or as Idle if nothing has arrived. The connection stays open.
     void interruptRead();
 
--- a/include/spurlug/relay/relay_daemon_impl.h
+++ b/include/spurlug/relay/relay_daemon_impl.h
@@ -381,7 +381,9 @@
                    {"afterMs", core::toMs(now - request.arrivedAt)}});
     }
     for (const auto &link : m_callers) {
-        if (!link.isClosing) {
+        if (link.connection->isIdle()) {
+            link.connection->close(); // The end of the last answer may still be in the send buffer.
+        } else if (!link.isClosing) {
             link.connection->reset(); // No caller may take a part of an answer for the whole.
         }
     }
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -270,6 +270,11 @@
     return m_impl->readState == Impl::ReadState::Receiving;
 }
 
+bool ServerConnection::isIdle() const noexcept
+{
+    return m_impl->readState == Impl::ReadState::Idle;
+}
+
 void ServerConnection::interruptRead()
 {
     if (m_impl->readState != Impl::ReadState::None) {
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -352,6 +352,47 @@
     BOOST_TEST(!reusable[1]); // It says that the connection is closed.
 }
 
+// Guards against an exit that resets a connection whose last answer is written but has not reached its caller yet.
+BOOST_AUTO_TEST_CASE(the_end_of_an_answer_to_a_slow_caller_arrives_after_the_exit)
+{
+    constexpr int EventCount = 3000;
+    RelayFleet fleet;
+    allowLongWaits(fleet);
+    auto &engine = fleet.addTarget("model");
+    engine.behaviour.eventCount = EventCount;
+    engine.behaviour.eventInterval = absl::Milliseconds(1);
+    std::string received;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        net::asio::ip::tcp::socket socket(fleet.loop, net::asio::ip::tcp::v4());
+        socket.set_option(net::asio::socket_base::receive_buffer_size(4096));
+        const auto &address = fleet.callerAddress();
+        co_await socket.async_connect({net::asio::ip::make_address(address.host), address.port},
+                                      net::asio::use_awaitable);
+        const auto request = fleet.makeRequest(patientRequest());
+        auto bytes = core::cat(request.method, " ", request.target,
+                               " HTTP/1.1\r\nContent-Length: ", request.body.size(), "\r\n");
+        for (const auto &field : request.headers.fields()) {
+            core::append(bytes, field.name, ": ", field.value, "\r\n");
+        }
+        core::append(bytes, "\r\n", request.body);
+        co_await net::asio::async_write(socket, net::asio::buffer(bytes), net::asio::use_awaitable);
+        co_await net::sleepFor(SettleTime);
+        fleet.startShutdown();
+        while (!fleet.hasStopped()) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+        std::array<char, 4096> buffer{};
+        for (boost::system::error_code error; !error;) {
+            const auto [readError, size] = co_await socket.async_read_some(net::asio::buffer(buffer), net::Awaited);
+            received.append(buffer.data(), size);
+            error = readError;
+        }
+    });
+    BOOST_TEST(received.find(core::cat("id: ", EventCount - 1, "\n")) != std::string::npos);
+    BOOST_TEST(received.ends_with("\r\n0\r\n\r\n"));
+}
+
 // Guards against requests that a stopping scheduler keeps in its queue, or that are lost with it.
 BOOST_AUTO_TEST_CASE(a_request_queued_at_a_scheduler_that_stops_is_placed_by_another)
 {
