Read a list in place of changes that cannot be read

Found by review: a wait whose answer is malformed or larger than the limit of a collected response (4 MiB) was repeated from the same revision until the store forgot its history. Changes of targets were not seen meanwhile. Lists come in pages of a bounded size; the position is dropped now, as after lost history.

store_watches/changes_that_cannot_be_read_are_read_as_a_list failed on (check !added.arrivals().empty() has failed) and passes now.

--- a/include/spurlug/relay/directory_watcher.h
+++ b/include/spurlug/relay/directory_watcher.h
@@ -394,8 +394,8 @@
                 }
             }
             applyEvacuationList(current, relistAt, now);
-        } else if (answer.status == DirectoryStatus::HistoryGone) {
-            current = {}; // The full list covers the changes that the history no longer has.
+        } else if (answer.status == DirectoryStatus::HistoryGone || answer.status == DirectoryStatus::Malformed) {
+            current = {}; // The full list covers the changes that the history no longer has, or that cannot be read.
         }
         if (now >= relistAt) {
             current = {};
@@ -478,8 +478,8 @@
             } else {
                 m_targetListUpdater.applyChanges(answer.changes, knownPosition, "directory", now);
             }
-        } else if (answer.status == DirectoryStatus::HistoryGone) {
-            knownPosition = {};
+        } else if (answer.status == DirectoryStatus::HistoryGone || answer.status == DirectoryStatus::Malformed) {
+            knownPosition = {}; // Changes that cannot be read, or are too many for an answer, are read as a list.
         }
         if (delay > absl::ZeroDuration()) {
             co_await net::sleepFor(delay);
--- a/tests/platform/store_watches_test.cpp
+++ b/tests/platform/store_watches_test.cpp
@@ -57,6 +57,26 @@
     });
 }
 
+// Guards against repeating the same wait until the store forgets its history, because its answer cannot be read.
+BOOST_AUTO_TEST_CASE(changes_that_cannot_be_read_are_read_as_a_list)
+{
+    RelayFleet fleet;
+    fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        fleet.store.editAnswer = [](nlohmann::json &body) {
+            if (body.contains("events")) {
+                body["at"] = "unknown";
+            }
+        };
+        auto &added = fleet.addTarget("app");
+        co_await net::sleepFor(absl::Seconds(1));
+        const auto served = co_await countServed(fleet, 1);
+        BOOST_TEST(served == 20);
+        BOOST_TEST(!added.arrivals().empty());
+    });
+}
+
 // Guards against taking an outage that begins with a cut wait for a cut wait only: entries that expire in it are
 // written again.
 BOOST_AUTO_TEST_CASE(a_target_whose_entry_expires_in_an_outage_is_kept_until_it_can_be_written_again)
