Take a setting of zero below its range for a missing one

Found by review: since evacuateMs 0 was limited to 1 ms, which turns evacuations on. A deployment without a bound may write 0.

settings_template/a_bound_of_zero_counts_as_missing failed on (two checks) and passes now.

--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -66,12 +66,12 @@
 }
 
 /// \brief Reads an optional number and limits it to a range. A value outside the range is logged; a negative one is an
-/// error.
+/// error. Zero counts as missing where it is below the range.
 inline double readLimited(core::ObjectReader &reader, const std::string &key, double min, double max, double fallback)
 {
     constexpr double Missing = -1;
     const auto value = reader.number(key, 0, std::numeric_limits<double>::max(), Missing);
-    if (value == Missing) {
+    if (value == Missing || (value == 0 && min > 0)) {
         return fallback;
     }
     const auto limited = std::clamp(value, min, max);
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -106,6 +106,17 @@
     BOOST_TEST((settings.bounds.freeAfter == absl::Milliseconds(4000)));
 }
 
+// Guards against a bound of zero that is limited to 1 ms, which would turn evacuations on.
+BOOST_AUTO_TEST_CASE(a_bound_of_zero_counts_as_missing)
+{
+    auto values = exampleFields();
+    values["bounds.evacuate_ms"] = "0";
+    values["heartbeat_ms"] = "0";
+    const auto bounds = loadExpanded(values).bounds;
+    BOOST_TEST((bounds.evacuate == absl::ZeroDuration()));
+    BOOST_TEST((bounds.targetHeartbeat == settings::RelayBounds().targetHeartbeat));
+}
+
 BOOST_AUTO_TEST_CASE(a_deployment_with_evacuations_sets_their_bound)
 {
     auto values = exampleFields();
