Soak: signals from the first moment of a daemon's own code on, and its memory setting

The soak waited for a second after each start before it sent SIGTERM, and SIGHUP could hit the dynamic loader, in which a signal ends any process by its default action: three runs beside load ended with -1 and -15. It now waits until the process blocks or catches SIGHUP, and no longer.

--- a/tests/platform/relay_process.cpp
+++ b/tests/platform/relay_process.cpp
@@ -7,6 +7,7 @@
 
 #include "spurlug/core/text.h"
 
+#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <string_view>
@@ -88,6 +89,26 @@
     return m_settings;
 }
 
+net::Task<> RelayProcess::awaitSignalHandling()
+{
+    constexpr std::uint64_t Hangup = 1U << (SIGHUP - 1U);
+    while (!hasExited() && (signalMask("SigBlk:") & Hangup) == 0 && (signalMask("SigCgt:") & Hangup) == 0) {
+        co_await net::sleepFor(absl::Milliseconds(1));
+    }
+}
+
+std::uint64_t RelayProcess::signalMask(std::string_view field) const
+{
+    std::ifstream status(core::cat("/proc/", m_process->pid(), "/status"));
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field)) {
+            constexpr int Hexadecimal = 16;
+            return std::stoull(line.substr(field.size()), nullptr, Hexadecimal);
+        }
+    }
+    return 0;
+}
+
 std::string RelayProcess::log() const
 {
     return m_process->log();
--- a/tests/platform/relay_process.h
+++ b/tests/platform/relay_process.h
@@ -28,6 +28,9 @@
 
     /// \brief Sends a signal to the process.
     void signal(int number) const;
+    /// \brief Waits until the program's own code runs and no signal ends it by its default action. Until then, the
+    /// dynamic loader runs.
+    [[nodiscard]] net::Task<> awaitSignalHandling();
     /// \brief Waits until the process exits.
     /// \returns The exit code, or the negated number of the signal that ended the process.
     [[nodiscard]] net::Task<int> awaitExit();
@@ -44,6 +47,9 @@
     [[nodiscard]] std::string lastEvent() const;
 
 private:
+    /// A set of signals from the status of the process, as a bit mask; empty if it has exited.
+    [[nodiscard]] std::uint64_t signalMask(std::string_view field) const;
+
     const support::TemporaryDirectory &m_directory;
     const settings::RelaySettings m_settings;
     const std::string m_settingsFile;
--- a/tests/platform/shutdown_soak_test.cpp
+++ b/tests/platform/shutdown_soak_test.cpp
@@ -94,6 +94,9 @@
                 for (int i = 0; i < ClientCount; ++i) {
                     net::asio::co_spawn(m_fleet.loop, sendRequests(), net::asio::detached);
                 }
+                for (const auto &daemon : m_daemons) {
+                    co_await daemon->awaitSignalHandling();
+                }
                 while (core::now() < m_endsAt) {
                     co_await net::sleepFor(absl::Milliseconds(draw(100, 1500)));
                     disturb();
@@ -126,6 +129,7 @@
             }
             settings.peerAddress.port = all.empty() ? settings.peerAddress.port : all.front().peerAddress.port;
             settings.bounds.grace = Grace;
+            settings.memory = MaxMemory;
             all.push_back(std::move(settings));
         }
         for (auto &settings : all) {
@@ -217,10 +221,6 @@
     net::Task<> stopAndRestart(std::size_t daemon, int signal)
     {
         auto &process = *m_daemons[daemon];
-        // A start takes a few ms, during which a signal ends the process.
-        while (core::now() < m_startedAt[daemon] + absl::Seconds(1)) {
-            co_await net::sleepFor(absl::Milliseconds(20));
-        }
         const auto signalledAt = core::now();
         process.signal(signal);
         if (signal == SIGKILL) {
@@ -245,7 +245,7 @@
         co_await net::sleepFor(absl::Milliseconds(draw(0, 500)));
         process.restart();
         ++m_starts[daemon];
-        m_startedAt[daemon] = core::now();
+        co_await process.awaitSignalHandling();
         m_stopping.erase(daemon);
     }
 
@@ -380,7 +380,6 @@
     std::size_t m_activeClients = 0;
     std::set<std::size_t> m_stopping;
     std::array<int, DaemonCount> m_starts{};
-    std::array<core::Time, DaemonCount> m_startedAt{};
     std::set<std::pair<std::size_t, int>> m_killed; ///< Daemons and the numbers of their starts.
     std::set<std::size_t> m_draining; ///< Numbers of targets.
     std::int64_t m_peakMemory = 0; ///< Of any daemon, in bytes.
