--- a/include/spurlug/net/listener.h
+++ b/include/spurlug/net/listener.h
@@ -23,9 +23,9 @@
 class Listener
 {
 public:
-    /// \param address Port 0 lets the kernel choose. If the address is in use, as by a process that is about to exit,
-    /// or not configured yet, `run` binds it when it is available. \throws NetworkError when the address cannot be
-    /// bound for another reason.
+    /// \param address Port 0 lets the kernel choose. `run` binds an address that is not available yet, as while a
+    /// process that uses it exits.
+    /// \throws NetworkError when the address cannot be bound for another reason.
     Listener(Loop &loop, const core::Address &address);
 
     /// \brief Accepts connections until `stop`; pauses briefly after an error, such as a lack of descriptors.
--- a/include/spurlug/net/spawn.h
+++ b/include/spurlug/net/spawn.h
@@ -35,8 +35,8 @@
     });
 }
 
-/// \brief Starts a coroutine that runs as long as the process. It is started again after an exception, which is
-/// reported. \param task Constant name of the task, in snake_case.
+/// \brief Starts a coroutine that runs as long as the process, and again after an exception, which is reported.
+/// \param task Constant name of the task, in snake_case.
 void spawnService(Loop &loop, std::string_view task, std::function<Task<>()> start);
 
 } // namespace spurlug::net
--- a/include/spurlug/relay/peer_transport.h
+++ b/include/spurlug/relay/peer_transport.h
@@ -49,13 +49,12 @@
 
 private:
     void bind();
-
-    bool m_awaitsAddress = false; ///< Whether the address was not available.
     void sendHeartbeat(const core::Address &to, const std::string &datagram);
     void handleDatagram(const std::string &datagram, const core::Address &from, core::Time now);
 
     RelayContext &m_context;
     net::asio::ip::udp::socket m_socket;
+    bool m_awaitsAddress = false; ///< Whether the address was not available.
     MessageHandler m_messageHandler;
     FleetMembership m_membership;
 };
