Check twice whether an answer without framing ended with its target

Cause: the system closes the sockets of a killed process one by one, the listening one often last. The daemon's log shows the first check of a closed connection succeed (f9, 24.3112 s), and the others refused 0.6 ms later (f8 to f1). An accepted connection was taken for a live process.

--- a/include/spurlug/relay/request_handler_follow_impl.h
+++ b/include/spurlug/relay/request_handler_follow_impl.h
@@ -18,6 +18,8 @@
 /// A host whose process ended refuses a connection within one round trip, 1 to 3 ms; the request waits for that. If the
 /// own link does not answer, there is time to reach the target through a peer.
 inline constexpr auto CrashCheckTimeout = absl::Milliseconds(100);
+/// The system closes the sockets of a process that is killed one by one, the one that accepts connections often last.
+inline constexpr auto ProcessEndTime = absl::Milliseconds(50);
 /// Time after which a connection that only checks a target is not needed any more.
 inline constexpr auto CheckLifetime = absl::Seconds(1);
 
@@ -219,7 +221,12 @@
     if (m_head.framing != net::BodyFraming::UntilClose) {
         co_return false;
     }
-    const auto check = co_await checkAfterEnd(m_progress.target());
+    const auto target = m_progress.target();
+    auto check = co_await checkAfterEnd(target);
+    if (check == EndCheck::Unknown) {
+        co_await net::sleepFor(detail::ProcessEndTime);
+        check = co_await checkAfterEnd(target);
+    }
     co_return check == EndCheck::Ended;
 }
 
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -175,11 +175,16 @@
         }
     }
     co_await net::sleepFor(absl::Milliseconds(30)); // So that the bytes are read before the connection ends.
-    if (behaviour.crashesAfterRawAnswer) {
+    const auto listens = behaviour.listensAfterCrash;
+    if (behaviour.crashesAfterRawAnswer && listens == absl::ZeroDuration()) {
         crash();
     }
     boost::system::error_code ignored; // The other side may have closed the connection.
     socket.shutdown(net::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (behaviour.crashesAfterRawAnswer && listens > absl::ZeroDuration()) {
+        co_await net::sleepFor(listens);
+        crash();
+    }
 }
 
 net::Task<> FakeTarget::serve(net::asio::ip::tcp::socket socket)
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -51,6 +51,8 @@
     std::string rawAnswer;
     std::string endlessPart; ///< Sent again and again after `rawAnswer`, until the other side closes; empty: none.
     bool crashesAfterRawAnswer = false; ///< The process ends instead of closing the connection.
+    /// Time from the end of the connection until the process of such a crash stops to listen.
+    core::Duration listensAfterCrash = absl::ZeroDuration();
     std::string retryAfter; ///< Retry-After header of a 503; empty: none.
 };
 
--- a/tests/platform/unframed_answers_test.cpp
+++ b/tests/platform/unframed_answers_test.cpp
@@ -36,12 +36,14 @@
 /// Serves a request by a target that answers with raw bytes, and then by one that gives the whole answer. A target of
 /// the service "model" streams three events.
 CallerAnswer answerAfterRaw(const std::string &rawAnswer, bool crashes, const std::string &service = "model",
-                            const CallerRequest &request = chatRequest())
+                            const CallerRequest &request = chatRequest(),
+                            core::Duration listensAfterCrash = absl::ZeroDuration())
 {
     RelayFleet fleet;
     auto &raw = fleet.addTarget(service);
     raw.behaviour.rawAnswer = rawAnswer;
     raw.behaviour.crashesAfterRawAnswer = crashes;
+    raw.behaviour.listensAfterCrash = listensAfterCrash;
     CallerAnswer answer;
     fleet.run([&]() -> net::Task<> {
         co_await fleet.waitUntilReady();
@@ -109,6 +111,16 @@
     BOOST_TEST(answer.isComplete);
 }
 
+// Guards against streams that look complete because the killed target still listened when its connections ended.
+BOOST_AUTO_TEST_CASE(a_stream_whose_crashed_target_stops_to_listen_last_is_resumed)
+{
+    const auto answer
+        = answerAfterRaw(RawStreamHead + FirstEvents, true, "model", chatRequest(), absl::Milliseconds(10));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == FirstEvents + LastEvent);
+    BOOST_TEST(answer.isComplete);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_of_a_draining_target_that_goes_on_is_relayed)
 {
     const auto answer = answerAfterRaw(DrainingStreamHead + FirstEvents + LastEvent, false);
