--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -355,26 +355,42 @@
 class Store
 {
 public:
-    bool start()
+    /// One path from a machine to the store, with a port of its own, so that a case can cut it.
+    struct Path
     {
-        m_listener = listenOn(m_port);
-        if (m_listener < 0) {
-            return false;
+        int port = 0;
+        std::atomic<bool> cut = false; ///< Calls get no answer, as behind a silent partition.
+        std::atomic<long> calls = 0;
+        std::atomic<long> configAnsweredAt = 0; ///< When a watch of the configuration was last answered.
+    };
+
+    /// Opens a path; null if that fails.
+    Path *openPath()
+    {
+        auto *path = new Path; // Used by threads that are never joined.
+        const int listener = listenOn(path->port);
+        if (listener < 0) {
+            return nullptr;
         }
-        std::thread([this] {
+        std::thread([this, listener, path] {
             for (;;) {
-                const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+                const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
                 if (fd < 0) {
                     return;
                 }
-                std::thread([this, fd] { serve(fd); }).detach();
+                std::thread([this, fd, path] { serve(fd, *path); }).detach();
             }
         }).detach();
-        return true;
+        return path;
+    }
+    bool start()
+    {
+        m_path = openPath();
+        return m_path != nullptr;
     }
     int port() const
     {
-        return m_port;
+        return m_path->port;
     }
     /// Writes an object; returns when the store has acknowledged it.
     void put(const std::string &kind, const std::string &name, const std::string &spec)
@@ -423,7 +439,7 @@
         return rest.substr(from, rest.find('&', from) - from);
     }
 
-    void serve(int fd)
+    void serve(int fd, Path &path)
     {
         std::string rest;
         Message request;
@@ -439,6 +455,13 @@
                 body = answerRead(kind, target);
             }
             sleepMs(4);
+            ++path.calls;
+            while (path.cut) {
+                sleepMs(10);
+            }
+            if (target.find("config?watch") != std::string::npos) {
+                path.configAnsweredAt = nowMs();
+            }
             if (!sendAll(fd,
                          "HTTP/1.1 " + std::to_string(status) + " OK\r\nContent-Type: application/json\r\nContent-Length: "
                              + std::to_string(body.size()) + "\r\n\r\n" + body)) {
@@ -477,8 +500,7 @@
         }
     }
 
-    int m_listener = -1;
-    int m_port = 0;
+    Path *m_path = nullptr;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     long m_revision = 10;
@@ -574,10 +596,10 @@
 {
 public:
     /// \param zones The zone of each daemon.
-    Fleet(const std::vector<std::string> &zones, int storePort, std::string folder, Children &children)
+    Fleet(const std::vector<std::string> &zones, std::vector<int> storePorts, std::string folder, Children &children)
         : m_folder(std::move(folder))
         , m_children(children)
-        , m_storePort(storePort)
+        , m_storePorts(std::move(storePorts))
     {
         std::vector<std::string> hosts;
         const int net = 16 + static_cast<int>(::getpid() % 200);
@@ -611,6 +633,8 @@
         }
         const auto path = m_folder + "/" + daemon.name + ".json";
         const char *ip = daemon.host.c_str();
+        const auto index = std::min(static_cast<std::size_t>(&daemon - daemons.data()), m_storePorts.size() - 1);
+        const int storePort = m_storePorts[index];
         std::FILE *file = std::fopen(path.c_str(), "w");
         std::fprintf(file,
                      "{\"vm\":\"%s\",\"failureDomain\":\"%s\",\"failureDomains\":[%s],\"region\":\"coast-west\","
@@ -621,7 +645,7 @@
                      "\"graceSeconds\":\"8\",\"retryRatio\":\"0.2\",\"retryWindowSeconds\":\"10\","
                      "\"retrySlack\":\"100\",\"longestHoldMs\":\"20000\",\"evacuateMs\":\"\",\"freeAfterMs\":\"4000\"}}",
                      daemon.name.c_str(), daemon.zone.c_str(), zoneList.c_str(), ip, caller, ip, readiness, ip, control, ip,
-                     peer, ip, metrics, m_storePort, seeds.c_str());
+                     peer, ip, metrics, storePort, seeds.c_str());
         std::fclose(file);
         daemon.pid = m_children.start({"target/spurlugd", "--relay", "--settings", path},
                                       m_folder + "/" + daemon.name + ".log");
@@ -664,7 +688,7 @@
 private:
     const std::string m_folder;
     Children &m_children;
-    const int m_storePort;
+    const std::vector<int> m_storePorts; ///< Of each daemon; the last one serves the rest.
 };
 
 /// The body that a worker of these stand-ins gives to an attempt.
--- a/review/standins-2/slow_reader.cpp
+++ b/review/standins-2/slow_reader.cpp
@@ -34,7 +34,7 @@
                        folder + "/workers.log");
         store.put("servers", id, serverEntry("booking-app", port, i % 2 == 0 ? "hall-nanaimo" : "hall-horseshoe", 6));
     }
-    Fleet fleet({"hall-nanaimo", "hall-horseshoe"}, store.port(), folder, children);
+    Fleet fleet({"hall-nanaimo", "hall-horseshoe"}, {store.port()}, folder, children);
     const auto &daemons = fleet.daemons;
     if (!fleet.awaitReady(10000)) {
         record.line("the daemons did not get ready");
