--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -360,6 +360,7 @@
     {
         int port = 0;
         std::atomic<bool> cut = false; ///< Calls get no answer, as behind a silent partition.
+        std::atomic<bool> turnedAway = false; ///< Each call is answered with 503 at once.
         std::atomic<long> calls = 0;
         std::atomic<long> configAnsweredAt = 0; ///< When a watch of the configuration was last answered.
     };
@@ -403,6 +404,13 @@
         m_events.push_back({revision, kind, "{\"object\":" + object + ",\"gone\":false}"});
         m_changed.notify_all();
     }
+    /// Turns a machine away: its waiting watches and all further calls get 503.
+    void turnAway(Path &path, bool away)
+    {
+        const std::lock_guard lock(m_mutex);
+        path.turnedAway = away;
+        m_changed.notify_all();
+    }
     void remove(const std::string &kind, const std::string &name)
     {
         const std::lock_guard lock(m_mutex);
@@ -452,13 +460,17 @@
             if (request.start.rfind("GET ", 0) == 0 && target.rfind(prefix, 0) == 0) {
                 const auto kind = target.substr(prefix.size(), target.find('?') - prefix.size());
                 status = 200;
-                body = answerRead(kind, target);
+                body = answerRead(kind, target, path);
             }
             sleepMs(4);
             ++path.calls;
             while (path.cut) {
                 sleepMs(10);
             }
+            if (path.turnedAway) {
+                status = 503;
+                body = "{}";
+            }
             if (target.find("config?watch") != std::string::npos) {
                 path.configAnsweredAt = nowMs();
             }
@@ -471,7 +483,7 @@
         ::close(fd);
     }
 
-    std::string answerRead(const std::string &kind, const std::string &target)
+    std::string answerRead(const std::string &kind, const std::string &target, const Path &path)
     {
         std::unique_lock lock(m_mutex);
         const auto watch = query(target, "watch");
@@ -494,7 +506,7 @@
                     events += (events.empty() ? "" : ",") + event.text;
                 }
             }
-            if (!events.empty() || m_changed.wait_until(lock, until) == std::cv_status::timeout) {
+            if (path.turnedAway || !events.empty() || m_changed.wait_until(lock, until) == std::cv_status::timeout) {
                 return "{\"events\":[" + events + "],\"at\":" + std::to_string(m_revision) + "}";
             }
         }
