--- a/review/standins-2/late_drain.cpp
+++ b/review/standins-2/late_drain.cpp
@@ -79,8 +79,11 @@
     }
     sleepMs(1000);
     const long before = paths[reader]->configAnsweredAt;
-    while (paths[reader]->configAnsweredAt == before) {
-        sleepMs(1);
+    for (const long until = nowMs() + 5000; paths[reader]->configAnsweredAt == before; sleepMs(1)) {
+        if (nowMs() > until) {
+            record.line("the reader asks the store nothing");
+            return 2;
+        }
     }
     sleepMs(5 + phase);
     if (hasTrouble()) {
