--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -714,6 +714,23 @@
     return body;
 }
 
+/// The events of a stream.
+constexpr long EventCount = 20;
+
+inline std::string eventOf(const std::string &attempt, long number)
+{
+    return format("id: %ld\ndata: %s-%ld\n\n", number, attempt.c_str(), number);
+}
+
+inline std::string wholeStream(const std::string &attempt)
+{
+    std::string stream;
+    for (long number = 1; number <= EventCount; ++number) {
+        stream += eventOf(attempt, number);
+    }
+    return stream;
+}
+
 inline bool hasTrouble()
 {
     const char *value = std::getenv("TROUBLE");
--- a/review/standins-2/worker.cpp
+++ b/review/standins-2/worker.cpp
@@ -1,6 +1,7 @@
 // Stand-in of a worker of a plain service, as PROTOCOL.md describes it.
 // worker --port P --id ID --log FILE --bytes N --framing length|none --first BYTES --pause MS
-// It answers each request with `wholeBody`; the first BYTES at once and the rest after MS.
+// It answers each request with `wholeBody`; the first BYTES at once and the rest after MS. Under /lm/ it answers with a
+// stream of events without a length, whatever --framing says.
 #include "kit.h"
 
 int main(int count, char **values)
@@ -44,6 +45,17 @@
                 if (::write(log, line.data(), line.size()) < 0) {
                     return;
                 }
+                if (request.start.find("/lm/") != std::string::npos) {
+                    bool sent = kit::sendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nServer-Signature: 3e1b.07." + id
+                                                     + "\r\nVersions: 1\r\nContent-Type: text/event-stream\r\n"
+                                                       "Connection: close\r\n\r\n");
+                    const long after = std::atol(request.header("last-event-id").c_str());
+                    for (long event = after + 1; sent && event <= kit::EventCount; ++event) {
+                        kit::sleepMs(15);
+                        sent = kit::sendAll(fd, kit::eventOf(attempt, event));
+                    }
+                    break;
+                }
                 const auto body = kit::wholeBody(attempt, bytes);
                 const auto framing = framed ? kit::format("Content-Length: %zu\r\n", bytes)
                                             : std::string("Connection: close\r\n");
