--- a/review/standins-2/reused_address.cpp
+++ b/review/standins-2/reused_address.cpp
@@ -34,7 +34,8 @@
         store.put("servers", id, serverEntry(service, port, zone, 6));
         return pid;
     };
-    const std::vector<std::string> zones{"hall-nanaimo", "hall-horseshoe", "hall-swartz"};
+    const std::vector<std::string> zones{"hall-nanaimo", "hall-horseshoe", "hall-swartz",
+                                         "hall-nanaimo", "hall-horseshoe", "hall-swartz"};
     std::vector<pid_t> workers;
     std::vector<int> ports;
     for (std::size_t i = 0; i < zones.size(); ++i) {
@@ -68,10 +69,10 @@
         (success ? equal ? whole : wrong : other)++;
     };
     std::vector<std::thread> threads;
-    constexpr int Calls = 9; // Spread over the three workers.
+    constexpr int Calls = 18; // Spread over the six workers.
     for (int i = 0; i < Calls; ++i) {
         threads.emplace_back(call, i);
-        sleepMs(4);
+        sleepMs(2);
     }
     sleepMs(50); // All have their first half.
     if (hasTrouble()) {
