An unframed answer that is reset during the upload is not complete

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to whichever call comes first; after that, reads return the bytes that had arrived and then an ordinary end. ClientConnection writes the request while it reads the answer, and Asio performs a waiting write before a waiting read. The write took the error, its handler only noted it for the logs, and the read took the end of the connection for the end of the body.

Change: the end of the connection completes an unframed body only if the write of the request has not failed with the error of a broken connection. Through a tunnel the peer reports how the target's connection ended, so that the own write says nothing.

Why the order of events does not matter: the write that takes the error completes before a later read does, and the loop runs handlers in the order of completion. If the read comes first, it gets the error itself.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -9,6 +9,7 @@
 
 #include "spurlug/core/text.h"
 #include "spurlug/net/tunnel_stream.h"
+#include "spurlug/net/write_error.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -115,6 +116,12 @@
         co_return error;
     }
 
+    /// Whether the answer ended with the connection, which broke.
+    [[nodiscard]] bool endedByBreak() const
+    {
+        return parser->need_eof() && brokeWhileSending && !isTunnelled; // A proxy reports how the target's ended.
+    }
+
     tcp::socket socket;
     TunnelStream tunnel;
     bool isTunnelled = false; ///< Whether responses are read from `tunnel`.
@@ -129,6 +136,7 @@
     bool bodyTooLarge = false;
     bool refused = false;
     bool requestSent = false;
+    bool brokeWhileSending = false; ///< Whether the write of the request failed because the connection broke.
     bool serverKeepsAlive = false; ///< Whether the server keeps the connection open after this response.
 };
 
@@ -239,9 +247,11 @@
         message.content_length(bytes.size());
     }
     m_impl->requestSent = false;
+    m_impl->brokeWhileSending = false;
     m_impl->parser = nullptr;
     http::async_write(m_impl->socket, message, [impl = m_impl](const error_code &error, std::size_t) {
         impl->requestSent = !error;
+        impl->brokeWhileSending = showsBrokenConnection(error);
         if (error && error != asio::error::operation_aborted) {
             impl->lastError = core::cat("send: ", error.message());
         }
@@ -288,6 +298,9 @@
             error = {};
         }
         piece.bytes.assign(bytes.data(), bytes.size() - parser.get().body().size);
+        if (!error && parser.is_done() && impl->endedByBreak()) {
+            error = asio::error::connection_reset;
+        }
         if (error) {
             impl->bodyTooLarge = error == http::error::body_limit;
             impl->lastError = core::cat("body: ", error.message());
--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -45,17 +45,7 @@
 
     net::Task<> waitUntilReady()
     {
-        for (int status = 0; status != core::http_status::Ok;) {
-            co_await net::sleepFor(absl::Milliseconds(20));
-            net::Request request;
-            request.method = "GET";
-            request.target = "/v1/ready";
-            std::string error;
-            const auto deadline = core::now() + absl::Seconds(1);
-            const auto answer = co_await net::exchange(fleet.loop, settings.readinessAddress, request, deadline, error);
-            status = answer ? answer->head.status : 0;
-        }
-        co_await net::sleepFor(absl::Milliseconds(100)); // A separate call reads the target list.
+        co_await fleet.waitUntilReady(settings.readinessAddress);
     }
 
     /// \param receiveBufferBytes Size of the kernel's buffer for received bytes; 0: its default.
--- /dev/null
+++ b/tests/platform/early_answers_test.cpp
@@ -0,0 +1,193 @@
+//----------------------------------------------------------------------------------------------------------------------
+// spurlug: tests of answers that arrive while the request is still being written
+// SPDX-License-Identifier: MIT
+//----------------------------------------------------------------------------------------------------------------------
+//
+// The kernel reports a reset once, to whichever call comes first; a later read returns the bytes that had arrived and
+// then an ordinary end. The tests guard against the part of an answer without a length that a target sent before the
+// reset and that was passed on as complete, because the pending write of the request had taken the error.
+//
+//----------------------------------------------------------------------------------------------------------------------
+
+#include "relay_fleet.h"
+#include "relay_process.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace spurlug::test
+{
+
+namespace
+{
+
+using RawEnd = Behaviour::RawEnd;
+
+constexpr std::size_t UploadBytes = 8'000'000; ///< More than the buffers of a connection hold.
+constexpr int Plays = 3;
+constexpr auto Together = absl::ZeroDuration(); ///< The answer and the end of the connection arrive together.
+constexpr auto Apart = absl::Milliseconds(20); ///< The answer is read before the connection ends.
+const std::string RawHead = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: signed-raw\r\n";
+const std::string PlainAnswer = RawHead + "\r\nthe answer";
+const std::string Events = "id: 0\ndata: token 0\n\nid: 1\ndata: token 1\n\n";
+const std::string StreamAnswer = RawHead + "Content-Type: text/event-stream\r\n\r\n" + Events;
+const std::string WholeStream = Events + "id: 2\ndata: token 2\n\n";
+
+/// A target that answers with raw bytes while the write of the request waits, and then ends the connection.
+/// \param delay Time from the answer to the end.
+Behaviour answeringEarly(const std::string &rawAnswer, RawEnd end, core::Duration delay = Together)
+{
+    Behaviour behaviour;
+    behaviour.processingTime = absl::Milliseconds(50);
+    behaviour.rawAnswer = rawAnswer;
+    behaviour.rawEnd = end;
+    behaviour.rawEndDelay = delay;
+    return behaviour;
+}
+
+CallerRequest upload(const std::string &path)
+{
+    CallerRequest request;
+    request.path = path;
+    request.body = std::string(UploadBytes, 'u');
+    request.promptTokens = path.starts_with("/chat") ? 1000 : 0;
+    return request;
+}
+
+void allowUploads(RelayFleet &fleet)
+{
+    fleet.configuration["limits"]["max_body_bytes"] = 2 * UploadBytes;
+    fleet.writeConfiguration();
+}
+
+bool looksWhole(const CallerAnswer &answer)
+{
+    return answer.status == core::http_status::Ok && answer.isComplete;
+}
+
+/// Adds a sound target of a service once another one has got the request.
+net::Task<> addSoundTargetAfter(RelayFleet &fleet, const FakeTarget &first, std::string service)
+{
+    while (first.arrivals().empty()) {
+        co_await net::sleepFor(absl::Milliseconds(1));
+    }
+    fleet.addTarget(service).behaviour.eventCount = service == "model" ? 3 : 0;
+}
+
+/// Uploads to a target that ends its connection during the upload, while another target is sound.
+CallerAnswer answerDuringUpload(const Behaviour &behaviour, const std::string &service, const std::string &path)
+{
+    RelayFleet fleet;
+    allowUploads(fleet);
+    auto &target = fleet.addTarget(service);
+    target.behaviour = behaviour;
+    CallerAnswer answer;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        net::asio::co_spawn(fleet.loop, addSoundTargetAfter(fleet, target, service), net::asio::detached);
+        answer = co_await fleet.send(upload(path));
+    });
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(early_answers)
+
+BOOST_AUTO_TEST_CASE(a_plain_answer_that_is_reset_during_the_upload_is_repeated_or_fails)
+{
+    for (const auto delay : {Together, Apart}) {
+        for (int play = 0; play < Plays; ++play) {
+            const auto behaviour = answeringEarly(PlainAnswer, RawEnd::Reset, delay);
+            const auto failed = answerDuringUpload(behaviour, "app", "/plain/1");
+            BOOST_TEST(failed.status == 502); // It may have run, and may not be repeated.
+            const auto repeated = answerDuringUpload(behaviour, "app", "/safe/1");
+            BOOST_TEST(repeated.status == 200);
+            BOOST_TEST(repeated.head.headers.value("Server-Signature") == "signed-i-2");
+            BOOST_TEST(repeated.isComplete);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_reset_during_the_upload_is_resumed)
+{
+    for (const auto delay : {Together, Apart}) {
+        for (int play = 0; play < Plays; ++play) {
+            const auto behaviour = answeringEarly(StreamAnswer, RawEnd::Reset, delay);
+            const auto answer = answerDuringUpload(behaviour, "model", "/chat/1");
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body == WholeStream);
+            BOOST_TEST(answer.isComplete);
+        }
+    }
+}
+
+// A target may answer before it has read the whole request, and end a sound answer with its connection.
+BOOST_AUTO_TEST_CASE(a_plain_answer_that_ends_in_order_during_the_upload_is_relayed)
+{
+    for (const auto end : {RawEnd::Close, RawEnd::HalfClose}) {
+        for (const auto delay : {Together, Apart}) {
+            const auto answer = answerDuringUpload(answeringEarly(PlainAnswer, end, delay), "app", "/plain/1");
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body == "the answer");
+            BOOST_TEST(answer.isComplete);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_process_passes_no_answer_on_that_is_reset_during_the_upload)
+{
+    const support::TemporaryDirectory directory;
+    RelayFleet fleet(0);
+    allowUploads(fleet);
+    fleet.addTarget("app").behaviour = answeringEarly(PlainAnswer, RawEnd::Reset);
+    fleet.addTarget("model").behaviour = answeringEarly(StreamAnswer, RawEnd::Reset);
+    for (const auto &target : fleet.targets) {
+        target->behaviour.processingTime = absl::ZeroDuration(); // The daemon writes at the same time anyway.
+    }
+    RelayProcess daemon(directory, fleet.makeSettings());
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady(daemon.settings().readinessAddress);
+        for (int play = 0; play < Plays; ++play) {
+            for (const auto *path : {"/plain/1", "/safe/1", "/chat/1"}) {
+                auto sent = upload(path);
+                sent.deadlineMs = 500;
+                const auto answer = co_await fleet.sendTo(daemon.settings().callerAddress, std::move(sent));
+                BOOST_TEST(!looksWhole(answer), path << " got the part of an answer as a whole one");
+            }
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_collected_response_that_is_reset_while_the_request_is_written_fails)
+{
+    net::Loop loop;
+    FakeTarget target(loop, "i-1");
+    int received = 0;
+    net::asio::co_spawn(
+        loop,
+        [](FakeTarget &server, net::Loop &ofLoop, int &responses) -> net::Task<> {
+            net::Request request;
+            request.method = "POST";
+            request.target = "/";
+            request.headers.add("Attempt-Id", "request-1");
+            request.body = std::string(UploadBytes, 'u');
+            for (const auto end : {RawEnd::Reset, RawEnd::Close, RawEnd::HalfClose}) {
+                server.behaviour = answeringEarly(PlainAnswer, end);
+                std::string error;
+                const auto response
+                    = co_await net::exchange(ofLoop, server.address(), request, core::now() + absl::Seconds(2), error);
+                BOOST_TEST(response.has_value() == (end != RawEnd::Reset));
+                BOOST_TEST(error.empty() == response.has_value());
+                ++responses;
+            }
+            ofLoop.stop();
+        }(target, loop, received),
+        net::asio::detached);
+    loop.run_for(std::chrono::seconds(5));
+    BOOST_TEST(received == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace spurlug::test
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -19,6 +19,8 @@
 
 using Fault = Behaviour::Fault;
 
+constexpr std::size_t MaxBodyBytes = 16 << 20;
+
 core::Time writeDeadline()
 {
     return core::now() + absl::Seconds(2);
@@ -150,7 +152,7 @@
 {
     std::string request(16 << 10, '\0');
     const auto buffer = net::asio::buffer(request);
-    const auto [readError, size] = co_await socket.async_read_some(buffer, net::Awaited); // Requests are short.
+    const auto [readError, size] = co_await socket.async_read_some(buffer, net::Awaited);
     request.resize(size);
     constexpr std::string_view IdField = "Attempt-Id: ";
     const auto idAt = request.find(IdField);
@@ -161,10 +163,22 @@
     const auto id = request.substr(idFrom, request.find('\r', idFrom) - idFrom);
     auto raw = behaviour.rawAnswer;
     raw.replace(raw.find("{id}"), 4, id);
+    m_arrivals.push_back({core::now(), {}, {}});
+    if (behaviour.processingTime > absl::ZeroDuration()) {
+        co_await net::sleepFor(behaviour.processingTime);
+    }
     const auto answerBuffer = net::asio::buffer(raw);
-    const auto [writeError, written] = co_await net::asio::async_write(socket, answerBuffer, net::Awaited);
-    if (writeError) {
-        co_return;
+    if (behaviour.rawEndDelay == absl::ZeroDuration()) {
+        boost::system::error_code error;
+        net::asio::write(socket, answerBuffer, error); // Blocks, so that the bytes and the end arrive together.
+        if (error) {
+            co_return;
+        }
+    } else {
+        const auto [error, written] = co_await net::asio::async_write(socket, answerBuffer, net::Awaited);
+        if (error) {
+            co_return;
+        }
     }
     const auto endlessPart = behaviour.endlessPart;
     while (!endlessPart.empty()) {
@@ -174,7 +188,13 @@
             co_return;
         }
     }
-    co_await net::sleepFor(absl::Milliseconds(30)); // So that the bytes are read before the connection ends.
+    if (behaviour.rawEndDelay > absl::ZeroDuration()) {
+        co_await net::sleepFor(behaviour.rawEndDelay);
+    }
+    if (behaviour.rawEnd == Behaviour::RawEnd::Reset) {
+        socket.set_option(net::asio::socket_base::linger(true, 0));
+        co_return;
+    }
     const auto listens = behaviour.listensAfterCrash;
     if (behaviour.crashesAfterRawAnswer && listens == absl::ZeroDuration()) {
         crash();
@@ -185,6 +205,9 @@
         co_await net::sleepFor(listens);
         crash();
     }
+    while (behaviour.rawEnd == Behaviour::RawEnd::HalfClose) {
+        co_await net::sleepFor(absl::Milliseconds(20));
+    }
 }
 
 net::Task<> FakeTarget::serve(net::asio::ip::tcp::socket socket)
@@ -197,7 +220,9 @@
     m_connections.insert(connection);
     bool keepsConnection = true;
     while (keepsConnection) {
-        auto result = co_await connection->read({});
+        net::ReadLimits limits;
+        limits.maxBodyBytes = MaxBodyBytes;
+        auto result = co_await connection->read(limits);
         keepsConnection = result.request.has_value();
         if (keepsConnection) {
             keepsConnection = co_await answer(connection, std::move(*result.request));
--- a/tests/platform/fake_target.h
+++ b/tests/platform/fake_target.h
@@ -38,6 +38,14 @@
         AmbiguousBusy, ///< Answers 503 without stating whether the request ran.
     };
 
+    /// How the connection ends after `rawAnswer`.
+    enum class RawEnd
+    {
+        Close,
+        HalfClose, ///< The target sends nothing more, but neither reads the rest of the request nor closes.
+        Reset,
+    };
+
     Fault fault = Fault::None;
     int status = 200;
     core::Duration processingTime = absl::ZeroDuration(); ///< Time before the head of the answer is sent.
@@ -46,9 +54,11 @@
     core::Duration eventInterval = absl::Milliseconds(5); ///< Interval between events.
     int resetAtEvent = -1; ///< Resets the connection within the first event whose id is at least this; -1: never.
     int omittedEvent = -1; ///< Id of an event that is omitted; -1: none.
-    /// If not empty, the target answers with these bytes and then closes the connection; `{id}` stands for the
-    /// request's ID.
+    /// If not empty, the target answers with these bytes as soon as the first bytes of the request arrive, reads no
+    /// more, and ends the connection; `{id}` stands for the request's ID.
     std::string rawAnswer;
+    RawEnd rawEnd = RawEnd::Close;
+    core::Duration rawEndDelay = absl::Milliseconds(30); ///< Time from the last byte of `rawAnswer` to that end.
     std::string endlessPart; ///< Sent again and again after `rawAnswer`, until the other side closes; empty: none.
     bool crashesAfterRawAnswer = false; ///< The process ends instead of closing the connection.
     /// Time from the end of the connection until the process of such a crash stops to listen.
--- a/tests/platform/relay_fleet.cpp
+++ b/tests/platform/relay_fleet.cpp
@@ -370,4 +370,14 @@
     co_await net::sleepFor(absl::Milliseconds(50)); // A separate call reads the target list.
 }
 
+net::Task<> RelayFleet::waitUntilReady(core::Address readinessAddress)
+{
+    for (int status = 0; status != core::http_status::Ok;) {
+        co_await net::sleepFor(absl::Milliseconds(20));
+        const auto answer = co_await httpGet(readinessAddress, "/v1/ready");
+        status = answer ? answer->head.status : 0;
+    }
+    co_await net::sleepFor(absl::Milliseconds(100)); // A separate call reads the target list.
+}
+
 } // namespace spurlug::test
--- a/tests/platform/relay_fleet.h
+++ b/tests/platform/relay_fleet.h
@@ -98,6 +98,8 @@
     [[nodiscard]] net::Request makeRequest(const CallerRequest &callerRequest);
     /// \brief Waits until every daemon reports that it is ready.
     [[nodiscard]] net::Task<> waitUntilReady();
+    /// \brief Waits until a daemon in another process reports that it is ready.
+    [[nodiscard]] net::Task<> waitUntilReady(core::Address readinessAddress);
     /// \brief Waits until every daemon has received several heartbeats of the others.
     [[nodiscard]] net::Task<> waitUntilConnected();
     /// \brief Returns the value of a daemon's metric by its name without the prefix; 0 if the metric is missing.
