A tunnel reports a reset that its own write was told of

The part of an unframed answer that a target had sent before it reset the connection was passed on as complete (MIXED).

Cause: net::relayTunnel writes the request to the target and reads its answer at the same time. If the write took the error of the reset, the read found an ordinary end, and the peer sent TargetClosedMark, on which the daemon relies.

The orderly ends were right before.

Change: the tunnel reports an orderly end only if no write to the target has failed with the error of a broken connection.

--- a/src/net/tunnel.cpp
+++ b/src/net/tunnel.cpp
@@ -11,6 +11,7 @@
 #include "spurlug/core/text.h"
 #include "spurlug/net/spawn.h"
 #include "spurlug/net/tunnel_stream.h"
+#include "spurlug/net/write_error.h"
 
 #include <algorithm>
 #include <array>
@@ -61,6 +62,7 @@
 
     tcp::socket client;
     tcp::socket target;
+    bool targetBroke = false; ///< Whether a write showed that the target's connection broke.
     Timer expiry;
 };
 
@@ -78,6 +80,7 @@
             auto [writeError, sent]
                 = co_await asio::async_write(tunnel->target, asio::buffer(buffer.data(), received), Awaited);
             targetAccepts = !writeError;
+            tunnel->targetBroke = showsBrokenConnection(writeError);
         }
     }
     Tunnel::close(tunnel->target); // The client is gone: the target stops its work.
@@ -99,7 +102,8 @@
     for (;;) {
         auto [readError, received] = co_await tunnel->target.async_read_some(asio::buffer(buffer), Awaited);
         if (readError) {
-            const auto mark = framePrefix(readError == asio::error::eof ? TargetClosedMark : TargetBrokeMark);
+            const bool closedInOrder = readError == asio::error::eof && !tunnel->targetBroke;
+            const auto mark = framePrefix(closedInOrder ? TargetClosedMark : TargetBrokeMark);
             auto [writeError, sent] = co_await asio::async_write(tunnel->client, asio::buffer(mark), Awaited);
             if (!writeError) {
                 tunnel->client.shutdown(tcp::socket::shutdown_send, writeError);
--- a/tests/platform/early_answers_test.cpp
+++ b/tests/platform/early_answers_test.cpp
@@ -12,6 +12,12 @@
 #include "relay_fleet.h"
 #include "relay_process.h"
 
+#include "spurlug/net/tunnel.h"
+#include "spurlug/net/tunnel_stream.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -22,6 +28,7 @@
 {
 
 using RawEnd = Behaviour::RawEnd;
+using tcp = net::asio::ip::tcp;
 
 constexpr std::size_t UploadBytes = 8'000'000; ///< More than the buffers of a connection hold.
 constexpr int Plays = 3;
@@ -90,6 +97,73 @@
     return answer;
 }
 
+/// Two ends of a connection.
+struct ConnectedSockets
+{
+    explicit ConnectedSockets(net::Loop &loop)
+        : near(loop)
+        , far(loop)
+    {
+        tcp::acceptor acceptor(loop, tcp::endpoint(net::asio::ip::address_v4::loopback(), 0));
+        near.connect(acceptor.local_endpoint());
+        acceptor.accept(far);
+    }
+
+    tcp::socket near;
+    tcp::socket far;
+};
+
+/// Plays a target that ends its connection while the proxy of a tunnel writes to it.
+/// \returns The mark that ends the tunnel.
+net::FrameLength markAfter(RawEnd end)
+{
+    constexpr int SendBufferBytes = 64 << 10;
+    const std::string answer = "the answer";
+    net::Loop loop;
+    ConnectedSockets client(loop);
+    ConnectedSockets target(loop);
+    target.near.set_option(net::asio::socket_base::send_buffer_size(SendBufferBytes));
+    net::asio::co_spawn(loop, net::relayTunnel(std::move(client.far), std::move(target.near), absl::Seconds(5)),
+                        net::asio::detached);
+    const std::string request(UploadBytes, 'u');
+    net::asio::async_write(client.near, net::asio::buffer(request),
+                           [](const boost::system::error_code &, std::size_t) {}); // The tunnel may end before.
+    std::string received;
+    net::asio::co_spawn(
+        loop,
+        [](tcp::socket &caller, tcp::socket &server, const std::string &bytes, RawEnd howEnds,
+           std::string &frames) -> net::Task<> {
+            co_await net::sleepFor(absl::Milliseconds(50)); // Until the write of the proxy waits.
+            net::asio::write(server, net::asio::buffer(bytes)); // Blocks, so that the loop sees both at once.
+            if (howEnds == RawEnd::Reset) {
+                server.set_option(net::asio::socket_base::linger(true, 0));
+            } else {
+                server.shutdown(tcp::socket::shutdown_send);
+            }
+            if (howEnds != RawEnd::HalfClose) {
+                server.close();
+            }
+            const auto expected = 2 * sizeof(net::FrameLength) + bytes.size();
+            std::string buffer(expected, '\0');
+            while (frames.size() < expected) {
+                const auto [error, size] = co_await caller.async_read_some(net::asio::buffer(buffer), net::Awaited);
+                if (error) {
+                    break;
+                }
+                frames.append(buffer, 0, size);
+            }
+            caller.close();
+            server.close();
+        }(client.near, target.far, answer, end, received),
+        net::asio::detached);
+    loop.run_for(std::chrono::seconds(5));
+    BOOST_REQUIRE(received.size() == 2 * sizeof(net::FrameLength) + answer.size());
+    BOOST_TEST(received.substr(sizeof(net::FrameLength), answer.size()) == answer);
+    std::array<unsigned char, sizeof(net::FrameLength)> mark{};
+    std::copy_n(received.end() - mark.size(), mark.size(), mark.begin());
+    return boost::endian::load_big_u32(mark.data());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(early_answers)
@@ -159,6 +233,43 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_through_a_peer_is_relayed_only_if_it_ends_in_order)
+{
+    RelayFleet fleet(4, Peers::Connected);
+    allowUploads(fleet);
+    auto &target = fleet.addTarget("app");
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady();
+        co_await fleet.waitUntilConnected();
+        fleet.cutLinks(0, LinkCut::Refuse);
+        for (int play = 0; play < Plays; ++play) {
+            for (const auto end : {RawEnd::Reset, RawEnd::Close, RawEnd::HalfClose}) {
+                target.behaviour = answeringEarly(PlainAnswer, end);
+                const auto answer = co_await fleet.send(upload("/plain/1"));
+                BOOST_TEST(answer.status == (end == RawEnd::Reset ? 502 : 200));
+                BOOST_TEST(answer.isComplete);
+            }
+        }
+        const auto tunnels = co_await fleet.metric("tunnels_opened_total");
+        BOOST_TEST(tunnels >= 3 * Plays);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_tunnel_reports_a_reset_that_its_write_to_the_target_was_told_of)
+{
+    for (int play = 0; play < Plays; ++play) {
+        BOOST_TEST(markAfter(RawEnd::Reset) == net::TargetBrokeMark);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_tunnel_reports_an_orderly_end_whatever_becomes_of_its_write_to_the_target)
+{
+    for (int play = 0; play < Plays; ++play) {
+        BOOST_TEST(markAfter(RawEnd::Close) == net::TargetClosedMark);
+        BOOST_TEST(markAfter(RawEnd::HalfClose) == net::TargetClosedMark);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_collected_response_that_is_reset_while_the_request_is_written_fails)
 {
     net::Loop loop;
