A response with an invalid status is no interim response

What callers saw: a target that sent a head with the status 000, 001, 099 or 101, followed by bytes that look like an answer, had those bytes passed on as its answer with 200 (MIXED). A status 000 alone was answered with 502.

Cause: ClientConnection::readHead took every status below 200 for an interim response and read the next head.

Evidence: answer_heads/an_answer_with_an_invalid_status_is_not_passed_on failed for these four statuses, for three of four forms of the answer each; the other statuses of the test and the fourth form were refused before.

Change: 100 and 102 to 199 are interim responses. Statuses below 100, and a 101, which answers no request without an upgrade, fail the response. interim_responses_before_an_answer_are_skipped holds before and after.

Result: answer_heads, early_answers, unframed_answers, cut_answers and requests pass.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -30,11 +30,30 @@
 
 constexpr unsigned HttpVersion = 11;
 constexpr std::uint32_t MaxHeadBytes = 64 << 10;
-constexpr int FirstFinalStatus = 200;
 constexpr std::uint64_t MaxBodyBytes = 256 << 20; // Limit for targets' answers; real ones are far smaller.
 
 using Parser = http::response_parser<http::buffer_body>;
 
+enum class ResponseKind
+{
+    Interim, ///< Another response to the same request follows.
+    Final,
+    Invalid,
+};
+
+/// No request asks for an upgrade, so that a 101 answers none.
+ResponseKind kindOf(unsigned status) noexcept
+{
+    constexpr unsigned FirstInterimStatus = 100;
+    constexpr unsigned SwitchingProtocols = 101;
+    constexpr unsigned FirstFinalStatus = 200;
+    if (status >= FirstFinalStatus) {
+        return ResponseKind::Final;
+    }
+    const bool isInterim = status >= FirstInterimStatus && status != SwitchingProtocols;
+    return isInterim ? ResponseKind::Interim : ResponseKind::Invalid;
+}
+
 ResponseHead toHead(const Parser &parser)
 {
     const auto &message = parser.get();
@@ -275,9 +294,16 @@
             impl->close();
             co_return std::nullopt;
         }
-        if (parser.get().result_int() >= FirstFinalStatus) {
+        switch (kindOf(parser.get().result_int())) {
+        case ResponseKind::Interim:
+            break;
+        case ResponseKind::Final:
             impl->serverKeepsAlive = parser.keep_alive();
             co_return toHead(parser);
+        case ResponseKind::Invalid:
+            impl->lastError = core::cat("head: status ", parser.get().result_int());
+            impl->close();
+            co_return std::nullopt;
         }
     }
 }
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -162,7 +162,10 @@
     const auto idFrom = idAt + IdField.size();
     const auto id = request.substr(idFrom, request.find('\r', idFrom) - idFrom);
     auto raw = behaviour.rawAnswer;
-    raw.replace(raw.find("{id}"), 4, id);
+    constexpr std::string_view IdPlace = "{id}";
+    for (auto at = raw.find(IdPlace); at != std::string::npos; at = raw.find(IdPlace)) {
+        raw.replace(at, IdPlace.size(), id);
+    }
     m_arrivals.push_back({core::now(), {}, {}});
     if (behaviour.processingTime > absl::ZeroDuration()) {
         co_await net::sleepFor(behaviour.processingTime);
