A response with a folded line in its head is refused

What callers saw: a target sent a head in which a blank stood before the name of a field.

Cause: Beast takes a line that begins with a blank or a tab for the rest of the field before it, and does not say so.

Evidence: answer_heads/an_answer_with_an_invalid_field_name_is_not_passed_on failed for this head before the change. All other names of the test were refused with 502 already: a blank, a tab, a control byte, DEL, a bare CR or LF or any other byte that is not of a token, at any place tried; an empty name; a line without a colon; a blank before the first name.

Change: ClientConnection looks for folded lines while a head arrives, and fails the response. RFC 9112, 5.2 lets a gateway do that. It feeds the parser itself for that, as Beast's own read does, so that bytes that are no head are refused as early as before.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -6,6 +6,7 @@
 #include "spurlug/net/client_connection.h"
 
 #include "beast_convert.h"
+#include "folded_line_finder.h"
 
 #include "spurlug/core/text.h"
 #include "spurlug/net/tunnel_stream.h"
@@ -15,7 +16,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
+#include <string_view>
 
 namespace spurlug::net
 {
@@ -113,16 +116,52 @@
         co_return error;
     }
 
-    /// Reads the next bytes of a response through the tunnel, if there is one.
-    template<typename ResponseParser>
-    Task<error_code> readHeader(ResponseParser &parser)
+    /// What was received and not parsed yet.
+    [[nodiscard]] std::string_view bufferedBytes() const
+    {
+        const auto bytes = buffer.data();
+        return {static_cast<const char *>(bytes.data()), bytes.size()};
+    }
+
+    /// Reads a head; what follows it stays in the buffer.
+    template<typename Stream>
+    Task<error_code> readHeader(Stream &stream, Parser &parser)
+    {
+        FoldedLineFinder foldedLines;
+        bool isFolded = foldedLines.add(bufferedBytes());
+        for (;;) {
+            error_code error;
+            buffer.consume(parser.put(buffer.data(), error));
+            if (isFolded) {
+                co_return http::make_error_code(http::error::bad_obs_fold);
+            }
+            if (error && error != http::error::need_more) {
+                co_return error;
+            }
+            if (parser.is_header_done()) {
+                co_return error_code();
+            }
+            const auto known = buffer.size();
+            const auto room = beast::read_size(buffer, MaxHeadBytes);
+            if (room == 0) {
+                co_return http::make_error_code(http::error::buffer_overflow);
+            }
+            auto [readError, bytes] = co_await stream.async_read_some(buffer.prepare(room), Awaited);
+            buffer.commit(bytes);
+            if (readError) {
+                co_return readError;
+            }
+            isFolded = foldedLines.add(bufferedBytes().substr(known));
+        }
+    }
+
+    /// Reads a head through the tunnel, if there is one.
+    Task<error_code> readHeader(Parser &parser)
     {
         if (isTunnelled) {
-            auto [error, bytes] = co_await http::async_read_header(tunnel, buffer, parser, Awaited);
-            co_return error;
+            co_return co_await readHeader(tunnel, parser);
         }
-        auto [error, bytes] = co_await http::async_read_header(socket, buffer, parser, Awaited);
-        co_return error;
+        co_return co_await readHeader(socket, parser);
     }
 
     Task<error_code> readSome(Parser &parser)
--- a/tests/platform/answer_heads_test.cpp
+++ b/tests/platform/answer_heads_test.cpp
@@ -12,6 +12,7 @@
 #include "spurlug/core/text.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,14 @@
     return core::cat("HTTP/1.1 ", status, " Status\r\n");
 }
 
+/// Whether a byte may stand in the name of a header field (RFC 9110, 5.6.2).
+bool isTokenByte(unsigned char byte)
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    const bool isLetter = (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z');
+    return isLetter || (byte >= '0' && byte <= '9') || Marks.find(static_cast<char>(byte)) != std::string_view::npos;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(answer_heads)
@@ -81,6 +90,27 @@
     }
 }
 
+// Guards against lines that are passed on, or dropped together with the length of the body that they give.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_field_name_is_not_passed_on)
+{
+    std::vector<std::string> names{"Content-Length ", " Content-Length", "Content-Length\t", "Content-\rLength", ""};
+    for (unsigned byte = 0; byte <= std::numeric_limits<unsigned char>::max(); ++byte) {
+        if (byte != ':' && !isTokenByte(static_cast<unsigned char>(byte))) {
+            names.push_back(core::cat("X-", std::string(1, static_cast<char>(byte)), "Field"));
+        }
+    }
+    std::vector<std::string> rawAnswers;
+    for (const auto &name : names) {
+        rawAnswers.push_back(core::cat("HTTP/1.1 200 OK\r\n", Fields, name, ": 4\r\n\r\nthe answer"));
+    }
+    rawAnswers.push_back(core::cat("HTTP/1.1 200 OK\r\n", Fields, "No colon\r\n\r\nthe answer"));
+    rawAnswers.push_back(core::cat("HTTP/1.1 200 OK\r\n X-Field: 1\r\n", Fields, "\r\nthe answer"));
+    const auto answers = answersTo(rawAnswers);
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        BOOST_TEST(answers[i].status == 502, rawAnswers[i] << ": " << answers[i].status << " " << answers[i].body);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace spurlug::test
