The older interface reads targets' answers as the relay does

A blank, a control byte, DEL or NUL in the name of a field was passed on. A line with a bare CR or LF in the name, an empty name, a leading blank or no colon was dropped, together with the length of the body that it gave.

Cause: dispatch/target_client read answers with cpp-httplib, which checks neither status nor names, drops lines that it does not understand, and takes interim responses other than 100 for answers.

Change: attempts run over net::ClientConnection, on a loop of their own in the thread that they had before; it takes three more descriptors for each attempt. Header fields of callers whose name is no token or whose value holds a CR, LF or NUL are not sent to targets; cpp-httplib dropped most of them. An engine's error body is kept up to the 200 bytes that are shown. Paths are sent as the caller wrote them: cpp-httplib replaced some characters by escapes.

--- a/include/spurlug/core/text.h
+++ b/include/spurlug/core/text.h
@@ -6,6 +6,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <string_view>
@@ -70,4 +71,14 @@
     return absl::EqualsIgnoreCase(detail::toAbsl(left), detail::toAbsl(right));
 }
 
+/// \brief Whether a text is a token, such as the name of an HTTP header field (RFC 9110, 5.6.2).
+[[nodiscard]] inline bool isToken(std::string_view text) noexcept
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&Marks](char byte) {
+        const bool isLetter = (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z');
+        return isLetter || (byte >= '0' && byte <= '9') || Marks.find(byte) != std::string_view::npos;
+    });
+}
+
 } // namespace spurlug::core
--- a/src/dispatch/target_client.cpp
+++ b/src/dispatch/target_client.cpp
@@ -7,8 +7,13 @@
 
 #include "spurlug/core/text.h"
 #include "spurlug/dispatch/sse.h"
+#include "spurlug/net/client_connection.h"
+#include "spurlug/net/spawn.h"
 
-#include <httplib.h>
+#include <boost/asio/post.hpp>
+#include <cstdint>
+#include <limits>
+#include <string_view>
 #include <utility>
 
 namespace spurlug::dispatch
@@ -22,6 +27,7 @@
 
 constexpr int Ok = 200;
 constexpr int FirstServerError = 500;
+constexpr std::size_t MaxErrorBytes = 200; ///< What is kept of the body of an engine's error, for logs and callers.
 constexpr std::string_view RequestRanHeader
     = "Request-Ran"; // Sent by the target; "no" if it did not start the request.
 
@@ -35,54 +41,119 @@
     std::string errorBody;
 };
 
-httplib::Request makeRequest(const AttemptRequest &attempt, ResponseProgress &progress)
+/// How an exchange with a target ended.
+struct ExchangeEnd
 {
-    httplib::Request request;
+    bool connected = false;
+    std::string error = "the exchange was interrupted"; ///< Empty if the response is complete.
+};
+
+core::Address addressOf(const AttemptRequest &attempt)
+{
+    auto address = attempt.target;
+    if (address.host == "localhost") {
+        address.host = "127.0.0.1";
+    }
+    return address;
+}
+
+net::Request makeRequest(const AttemptRequest &attempt)
+{
+    net::Request request;
     request.method = attempt.method;
-    request.path = attempt.path;
+    request.target = attempt.path;
+    request.hasBody = attempt.method == "POST" || attempt.method == "PUT" || attempt.method == "PATCH";
+    request.headers.add("Host", attempt.target.text());
     for (const auto &[name, value] : attempt.headers) {
-        request.set_header(name.c_str(), value);
-    }
-    request.set_header("Connection", "close");
-    request.set_header("Request-Id", attempt.requestId);
-    request.set_header("Request-Attempt", std::to_string(attempt.attempt));
-    const auto *body = attempt.body;
-    if (body != nullptr && !body->empty()) {
-        request.content_length_ = body->size();
-        request.content_provider_ = [body](std::size_t offset, std::size_t length, httplib::DataSink &sink) {
-            return sink.write(body->data() + offset, length);
-        };
+        // The library that reads callers' requests decodes escapes, so that a value may contain any byte.
+        if (core::isToken(name) && value.find_first_of(std::string_view("\0\r\n", 3)) == std::string::npos) {
+            request.headers.add(name, value);
+        }
     }
-    request.response_handler = [&progress](const httplib::Response &response) {
-        progress.status = response.status;
-        progress.refusedBeforeStart = response.get_header_value(std::string(RequestRanHeader).c_str()) == "no";
-        [[maybe_unused]] const bool isNumber
-            = core::parseInteger(response.get_header_value("Retry-After"), progress.retryAfterSeconds);
-        return true;
-    };
+    request.headers.set("Connection", "close");
+    request.headers.set("Request-Id", attempt.requestId);
+    request.headers.set("Request-Attempt", core::cat(attempt.attempt));
     return request;
 }
 
-/// The request is sent as soon as the connection is established, so only a connection failure proves that nothing was
-/// sent.
-bool provesNothingSent(httplib::Error error)
+/// Sends a request on a new connection. The functions get the head and the body of the response as they arrive, and
+/// return whether the rest is wanted.
+template<typename OnHead, typename OnBytes>
+net::Task<> exchange(net::ClientConnection &connection, const AttemptRequest &attempt, const OnHead &onHead,
+                     const OnBytes &onBytes, ExchangeEnd &end)
+{
+    constexpr auto ConnectTimeout = absl::Seconds(1);
+    const auto connectError = co_await connection.connect(addressOf(attempt), ConnectTimeout);
+    if (!connectError.empty()) {
+        end.error = connectError;
+        co_return;
+    }
+    end.connected = true;
+    static const std::string emptyBody;
+    const auto *body = attempt.body != nullptr ? attempt.body : &emptyBody;
+    connection.startSend(makeRequest(attempt), net::SharedBody(net::SharedBody(), body)); // The attempt owns the body.
+    const auto head = co_await connection.readHead(core::now() + attempt.timeout);
+    if (!head) {
+        end.error = connection.lastError();
+        co_return;
+    }
+    for (bool isWanted = onHead(*head); isWanted;) {
+        auto piece = co_await connection.readBody(core::now() + attempt.timeout);
+        isWanted = piece.bytes.empty() || onBytes(piece.bytes);
+        if (piece.state == net::BodyPiece::State::Failed) {
+            end.error = connection.lastError();
+            co_return;
+        }
+        if (isWanted && piece.state == net::BodyPiece::State::Complete) {
+            end.error.clear();
+            co_return;
+        }
+    }
+}
+
+/// Runs an exchange on a loop of its own. Cancelling the channel closes the connection, by which the target notices
+/// that the answer is no longer wanted.
+template<typename OnHead, typename OnBytes>
+ExchangeEnd send(const AttemptRequest &attempt, EventChannel &events, const OnHead &onHead, const OnBytes &onBytes)
 {
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+    net::Loop loop;
+    net::ClientConnection connection(loop);
+    connection.limitBodies(std::numeric_limits<std::uint64_t>::max());
+    ExchangeEnd end;
+    net::spawn(loop, "target_exchange",
+               [](net::ClientConnection &to, const AttemptRequest &sent, const OnHead &headSink,
+                  const OnBytes &byteSink, ExchangeEnd &ended) -> net::Task<> {
+                   co_await exchange(to, sent, headSink, byteSink, ended);
+                   to.abort(); // The request may still be being written.
+               }(connection, attempt, onHead, onBytes, end));
+    events.setOnCancel([&loop, &connection] { net::asio::post(loop, [&connection] { connection.abort(); }); });
+    loop.run();
+    events.setOnCancel(nullptr);
+    return end;
 }
 
-AttemptResult resultOfError(httplib::Error error, const ResponseProgress &progress)
+void recordHead(const net::ResponseHead &head, ResponseProgress &progress)
+{
+    progress.status = head.status;
+    progress.refusedBeforeStart = head.headers.value(RequestRanHeader) == "no";
+    [[maybe_unused]] const bool isNumber
+        = core::parseInteger(head.headers.value("Retry-After"), progress.retryAfterSeconds);
+}
+
+/// The request is sent as soon as the connection is established, so only a connection failure proves that nothing was
+/// sent.
+AttemptResult resultOfError(const ExchangeEnd &end, const ResponseProgress &progress)
 {
-    const auto detail = httplib::to_string(error);
-    if (provesNothingSent(error)) {
-        return {Outcome::NotRun, Reason::ConnectFailed, 0, detail, true};
+    if (!end.connected) {
+        return {Outcome::NotRun, Reason::ConnectFailed, 0, end.error, true};
     }
     const auto reason = progress.status == 0 ? Reason::TargetFailed : Reason::StreamInterrupted;
-    return {Outcome::MayHaveRun, reason, progress.status, detail, true};
+    return {Outcome::MayHaveRun, reason, progress.status, end.error, true};
 }
 
 AttemptResult resultOfStatus(const ResponseProgress &progress)
 {
-    const auto detail = core::cat("status ", progress.status, " ", progress.errorBody.substr(0, 200));
+    const auto detail = core::cat("status ", progress.status, " ", progress.errorBody);
     if (progress.refusedBeforeStart) {
         return {Outcome::NotRun,
                 Reason::TargetRefused,
@@ -95,21 +166,6 @@
     return {Outcome::MayHaveRun, Reason::TargetFailed, progress.status, detail, progress.status >= FirstServerError};
 }
 
-/// Sends the request on a new connection. Cancelling the channel closes the connection, by which the target notices
-/// that the answer is no longer wanted.
-httplib::Result send(const AttemptRequest &attempt, const httplib::Request &request, EventChannel &events)
-{
-    httplib::Client client(attempt.target.host, attempt.target.port);
-    client.set_connection_timeout(absl::ToChronoMicroseconds(absl::Seconds(1)));
-    client.set_read_timeout(absl::ToChronoMicroseconds(attempt.timeout));
-    client.set_write_timeout(absl::ToChronoMicroseconds(attempt.timeout));
-    client.set_tcp_nodelay(true);
-    events.setOnCancel([&client] { client.stop(); });
-    auto result = client.send(request);
-    events.setOnCancel(nullptr);
-    return result;
-}
-
 bool pushEngineEvent(const SseEvent &event, EventChannel &events, ResponseProgress &progress)
 {
     std::int64_t offset = 0;
@@ -123,18 +179,17 @@
     return events.push(TokenEvent{offset, event.data});
 }
 
-HeadEvent toHeadEvent(const httplib::Response &response)
+HeadEvent toHeadEvent(const net::ResponseHead &head)
 {
-    HeadEvent head{response.status, {}};
-    for (const auto &[name, value] : response.headers) {
-        const bool isConnectionHeader = core::equalsIgnoreCase(name, "Connection")
-            || core::equalsIgnoreCase(name, "Keep-Alive") || core::equalsIgnoreCase(name, "Transfer-Encoding")
-            || core::equalsIgnoreCase(name, "Content-Length");
+    HeadEvent event{head.status, {}};
+    for (const auto &field : head.headers.fields()) {
+        const bool isConnectionHeader
+            = core::equalsIgnoreCase(field.name, "Connection") || core::equalsIgnoreCase(field.name, "Keep-Alive");
         if (!isConnectionHeader) {
-            head.headers.emplace_back(name, value);
+            event.headers.emplace_back(field.name, field.value);
         }
     }
-    return head;
+    return event;
 }
 
 } // namespace
@@ -143,13 +198,16 @@
 {
     ResponseProgress progress;
     SseParser parser;
-    auto request = makeRequest(attempt, progress);
-    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+    const auto onHead = [&progress](const net::ResponseHead &head) {
+        recordHead(head, progress);
+        return true;
+    };
+    const auto onBytes = [&](const std::string &bytes) {
         if (progress.status != Ok) {
-            progress.errorBody.append(data, size);
+            progress.errorBody.append(bytes, 0, MaxErrorBytes - progress.errorBody.size());
             return true;
         }
-        parser.feed({data, size});
+        parser.feed(bytes);
         while (const auto event = parser.next()) {
             if (!pushEngineEvent(*event, events, progress)) {
                 return false;
@@ -157,11 +215,11 @@
         }
         return true;
     };
-    const auto result = send(attempt, request, events);
+    const auto end = send(attempt, events, onHead, onBytes);
     if (progress.finished) {
         events.push(AttemptResult{Outcome::Completed, Reason::None, progress.status, {}, false});
-    } else if (!result) {
-        events.push(resultOfError(result.error(), progress));
+    } else if (!end.error.empty()) {
+        events.push(resultOfError(end, progress));
     } else if (progress.status == Ok) {
         events.push(AttemptResult{Outcome::MayHaveRun, Reason::StreamInterrupted, Ok, "the stream ended early", true});
     } else {
@@ -172,17 +230,15 @@
 void ServiceClient::run(const AttemptRequest &attempt, EventChannel &events) const
 {
     ResponseProgress progress;
-    auto request = makeRequest(attempt, progress);
-    request.response_handler = [&, recordHead = request.response_handler](const httplib::Response &response) {
-        recordHead(response);
-        return progress.refusedBeforeStart || events.push(toHeadEvent(response));
-    };
-    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return progress.refusedBeforeStart || events.push(BytesEvent{std::string(data, size)});
+    const auto onHead = [&](const net::ResponseHead &head) {
+        recordHead(head, progress);
+        return progress.refusedBeforeStart || events.push(toHeadEvent(head));
     };
-    const auto result = send(attempt, request, events);
-    if (!result) {
-        events.push(resultOfError(result.error(), progress));
+    const auto onBytes
+        = [&](const std::string &bytes) { return progress.refusedBeforeStart || events.push(BytesEvent{bytes}); };
+    const auto end = send(attempt, events, onHead, onBytes);
+    if (!end.error.empty()) {
+        events.push(resultOfError(end, progress));
     } else if (progress.refusedBeforeStart) {
         events.push(resultOfStatus(progress));
     } else {
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -196,6 +196,7 @@
     }
     if (behaviour.rawEnd == Behaviour::RawEnd::Reset) {
         socket.set_option(net::asio::socket_base::linger(true, 0));
+        socket.close(); // The destructor would close the connection in order.
         co_return;
     }
     const auto listens = behaviour.listensAfterCrash;
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -10,6 +10,7 @@
 #include "spurlug/core/json_reader.h"
 #include "spurlug/core/reason.h"
 #include "spurlug/core/rendezvous.h"
+#include "spurlug/core/text.h"
 #include "spurlug/core/worker_pool.h"
 #include "spurlug/net/io.h"
 
@@ -41,6 +42,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(tokens_have_no_blanks_separators_or_control_bytes)
+{
+    for (const auto *text : {"Content-Length", "x", "!#$%&'*+-.^_`|~09azAZ"}) {
+        BOOST_TEST(core::isToken(text));
+    }
+    for (const std::string text : {"", "a b", "a\t", "a:", "a\x7f", "a\r", "(a)", "a/b", "\xc3\xa4"}) {
+        BOOST_TEST(!core::isToken(text));
+    }
+    BOOST_TEST(!core::isToken(std::string_view("a\0b", 3)));
+}
+
 BOOST_AUTO_TEST_CASE(removing_a_node_moves_only_its_items)
 {
     const std::vector<std::string> nodes{"a", "b", "c", "d"};
