An event of an engine's stream is bounded at the older interface

What callers saw: an engine behind the older interface that sends a stream without the end of an event has all its bytes kept by the daemon, until the engine closes; the daemon runs out of memory, and the requests of other callers end with it.

Cause: SseParser keeps an incomplete event, whatever its size, and searches it again with each piece.

Change: an attempt whose incomplete event exceeds 256 KiB fails, as in the relay.

--- a/include/spurlug/dispatch/sse.h
+++ b/include/spurlug/dispatch/sse.h
@@ -4,6 +4,7 @@
 //----------------------------------------------------------------------------------------------------------------------
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
     /// \brief Returns the next complete event, or nullopt if there is none yet; comments are skipped.
     [[nodiscard]] std::optional<SseEvent> next();
 
+    /// \brief Number of bytes of the event that is incomplete.
+    [[nodiscard]] std::size_t pendingBytes() const noexcept;
+
 private:
     std::string m_buffer;
     std::size_t m_parsedBytes = 0;
--- a/src/dispatch/sse.cpp
+++ b/src/dispatch/sse.cpp
@@ -75,6 +75,11 @@
     }
 }
 
+std::size_t SseParser::pendingBytes() const noexcept
+{
+    return m_buffer.size() - m_parsedBytes;
+}
+
 std::string writeSse(std::string_view data)
 {
     return core::cat("data: ", data, "\n\n");
--- a/src/dispatch/target_client.cpp
+++ b/src/dispatch/target_client.cpp
@@ -27,6 +27,7 @@
 
 constexpr int Ok = 200;
 constexpr int FirstServerError = 500;
+constexpr std::size_t MaxEventBytes = 256 << 10; ///< Limit of an event of a stream.
 constexpr std::size_t MaxErrorBytes = 200; ///< What is kept of the body of an engine's error, for logs and callers.
 constexpr std::string_view RequestRanHeader
     = "Request-Ran"; // Sent by the target; "no" if it did not start the request.
@@ -213,9 +214,12 @@
                 return false;
             }
         }
-        return true;
+        return parser.pendingBytes() <= MaxEventBytes;
     };
-    const auto end = send(attempt, events, onHead, onBytes);
+    auto end = send(attempt, events, onHead, onBytes);
+    if (parser.pendingBytes() > MaxEventBytes) {
+        end.error = core::cat("a stream event exceeds ", MaxEventBytes, " bytes");
+    }
     if (progress.finished) {
         events.push(AttemptResult{Outcome::Completed, Reason::None, progress.status, {}, false});
     } else if (!end.error.empty()) {
--- a/tests/integration/broken_answers_test.cpp
+++ b/tests/integration/broken_answers_test.cpp
@@ -5,6 +5,10 @@
 
 #include "fleet.h"
 
+#include "spurlug/core/address.h"
+#include "spurlug/dispatch/event_channel.h"
+#include "spurlug/dispatch/target_client.h"
+
 #include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -15,6 +19,8 @@
 #include <boost/test/unit_test.hpp>
 #include <mutex>
 #include <thread>
+#include <variant>
+#include <vector>
 
 using support::Answer;
 using support::Fleet;
@@ -60,6 +66,21 @@
         m_resets = resets;
     }
 
+    /// Sends a part again and again after the answer, until the other side closes or \a MaxEndlessBytes are sent.
+    void setEndlessPart(std::string part)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_endlessPart = std::move(part);
+    }
+
+    /// Bytes of endless parts that were sent so far.
+    [[nodiscard]] std::size_t endlessBytes() const
+    {
+        return m_endlessBytes;
+    }
+
+    static constexpr std::size_t MaxEndlessBytes = 200'000'000;
+
 private:
     void run()
     {
@@ -76,6 +97,10 @@
             }
             const std::lock_guard lock(m_mutex);
             asio::write(socket, asio::buffer(m_answer), error);
+            m_endlessBytes = 0;
+            while (!m_endlessPart.empty() && !error && m_endlessBytes < MaxEndlessBytes) {
+                m_endlessBytes += asio::write(socket, asio::buffer(m_endlessPart), error);
+            }
             if (m_resets) {
                 socket.set_option(asio::socket_base::linger(true, 0), error);
             } else {
@@ -91,6 +116,8 @@
     std::mutex m_mutex;
     std::string m_answer;
     bool m_resets = false;
+    std::string m_endlessPart;
+    std::atomic<std::size_t> m_endlessBytes = 0;
     std::thread m_thread;
 };
 
@@ -184,4 +211,30 @@
     }
 }
 
+// Guards against bytes without end that are no answer, and are kept until the engine closes the connection.
+BOOST_AUTO_TEST_CASE(endless_bytes_of_an_engine_are_cut_off)
+{
+    constexpr std::size_t MaxTakenBytes = 32 << 20; // What the buffers of the connection hold counts too.
+    constexpr std::size_t PartBytes = 64 << 10;
+    RawService engine;
+    engine.setEndlessPart(std::string(PartBytes, 'x'));
+    for (const std::string head :
+         {"x", "HTTP/1.1 200 OK\r\nX-Fill: ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\ndata: "}) {
+        engine.setAnswer(head, false);
+        spurlug::dispatch::AttemptRequest attempt;
+        attempt.target = spurlug::core::parseAddress(engine.address());
+        attempt.path = "/";
+        attempt.timeout = absl::Seconds(5);
+        spurlug::dispatch::EventChannel events;
+        spurlug::dispatch::EngineClient().run(attempt, events);
+        const auto result = events.pop(absl::Seconds(1));
+        BOOST_REQUIRE(result.has_value());
+        const auto *end = std::get_if<spurlug::dispatch::AttemptResult>(&*result);
+        BOOST_REQUIRE(end != nullptr);
+        BOOST_TEST((end->outcome == spurlug::core::Outcome::MayHaveRun));
+        BOOST_TEST(end->targetFailed);
+        BOOST_TEST(engine.endlessBytes() < MaxTakenBytes, "'" << head << "': " << engine.endlessBytes() << " bytes");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
