Tests: endless bytes in place of a head, and late requests of a planned stop

- Bytes without end in place of a head, in its fields, in interim responses and after the last chunk are bounded: 502 or a failure at the deadline, and a peak below the 112 MiB of the smallest VM (answer_memory/endless_*, four cases).

--- a/tests/platform/answer_memory_test.cpp
+++ b/tests/platform/answer_memory_test.cpp
@@ -206,6 +206,16 @@
     return text.str();
 }
 
+/// A text as often as it fits into one part.
+std::string repeated(const std::string &text)
+{
+    std::string part;
+    while (part.size() + text.size() <= PartBytes) {
+        part += text;
+    }
+    return part;
+}
+
 std::string sized(std::size_t length)
 {
     return core::cat("Content-Length: ", length, "\r\n\r\n");
@@ -259,6 +269,41 @@
     BOOST_TEST(answer.isComplete);
 }
 
+// Guard against bytes that are no answer and are kept until the target closes the connection.
+BOOST_AUTO_TEST_CASE(endless_bytes_in_place_of_a_head_are_bounded)
+{
+    const auto bytes = std::string(PartBytes, 'x');
+    for (const auto &begin : {std::string("x"), std::string("HTTP/1.1 200 "), RawHead + "X-Fill: ", RawHead}) {
+        const auto answer = playEndless("app", {}, begin, bytes);
+        BOOST_TEST(answer.status == 502);
+        BOOST_TEST(answer.isComplete);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(endless_fields_of_a_head_are_bounded)
+{
+    const auto answer = playEndless("app", {}, RawHead, repeated("X-Fill: 1\r\n"));
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(answer.isComplete);
+}
+
+BOOST_AUTO_TEST_CASE(endless_interim_responses_are_bounded)
+{
+    const auto answer
+        = playEndless("app", {}, "HTTP/1.1 100 Continue\r\n\r\n", repeated("HTTP/1.1 100 Continue\r\n\r\n"));
+    BOOST_TEST(!isWholeSuccess(answer));
+    BOOST_TEST(answer.isComplete);
+}
+
+BOOST_AUTO_TEST_CASE(endless_fields_after_the_chunks_are_bounded)
+{
+    for (const auto &part : {repeated("X-Fill: 1\r\n"), std::string(PartBytes, 'x')}) {
+        const auto answer = playEndless("app", {}, ChunkedHead + chunk("the answer") + "0\r\n", part);
+        BOOST_TEST(answer.status == 502);
+        BOOST_TEST(answer.isComplete);
+    }
+}
+
 // Guards against the same growth by the requests of callers.
 BOOST_AUTO_TEST_CASE(an_endless_chunk_size_of_a_caller_is_refused)
 {
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -14,12 +14,16 @@
 
 #include "spurlug/core/text.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace spurlug::test
 {
@@ -142,10 +146,118 @@
     return received;
 }
 
+/// A request that is sent while its daemon shuts down.
+struct LateRequest
+{
+    std::string id;
+    CallerAnswer answer;
+    core::Duration duration; ///< Until the end of the answer or of the connection.
+    bool hasEnded = false;
+
+    /// \param connection Connects it first if it is not open.
+    net::Task<> send(RelayFleet &fleet, core::Address daemon, core::Ref<net::ClientConnection> connection)
+    {
+        const auto sentAt = core::now();
+        const auto message = fleet.makeRequest(plainRequest("/plain/1"));
+        id = message.headers.value("Attempt-Id");
+        std::string error;
+        if (!connection->isReusable()) {
+            error = co_await connection->connect(std::move(daemon), absl::Seconds(1));
+        }
+        if (error.empty()) {
+            connection->startSend(message);
+            answer = co_await fleet.readAnswer(*connection);
+        }
+        duration = core::now() - sentAt;
+        hasEnded = true;
+    }
+};
+
+/// Keeps connections to a daemon open and sends a request over one of them, or over a new one, every few ms from its
+/// stop signal to its exit. Checks that every request is answered unless it crosses the close and reached no target.
+/// \param processingTime Time that the target takes for each request.
+void checkLateRequests(core::Duration processingTime)
+{
+    constexpr int ConnectionCount = 60;
+    constexpr auto Interval = absl::Milliseconds(40);
+    constexpr auto MaxCrossing = absl::Milliseconds(200);
+    const support::TemporaryDirectory directory;
+    RelayFleet fleet(0);
+    allowLongWaits(fleet);
+    auto &target = fleet.addTarget("app", 2 * ConnectionCount);
+    RelayProcess daemon(directory, fleet.makeSettings());
+    std::vector<LateRequest> requests;
+    int exitCode = -1;
+    fleet.run([&]() -> net::Task<> {
+        co_await fleet.waitUntilReady(daemon.settings().readinessAddress);
+        std::vector<core::Ref<net::ClientConnection>> connections;
+        for (int i = 0; i < ConnectionCount; ++i) {
+            connections.push_back(core::makeRef<net::ClientConnection>(fleet.loop));
+            const auto error = co_await connections.back()->connect(daemon.settings().callerAddress, absl::Seconds(1));
+            connections.back()->startSend(fleet.makeRequest(plainRequest("/plain/1")));
+            const auto answer = co_await fleet.readAnswer(*connections.back());
+            BOOST_TEST(error.empty());
+            BOOST_TEST(answer.status == 200);
+        }
+        target.behaviour.processingTime = processingTime;
+        requests.reserve(4 * ConnectionCount);
+        daemon.signal(SIGTERM);
+        for (bool usesNew = false; !daemon.hasExited(); usesNew = !usesNew) {
+            core::Ref<net::ClientConnection> connection;
+            if (usesNew || connections.empty()) {
+                connection = core::makeRef<net::ClientConnection>(fleet.loop);
+            } else {
+                connection = connections.back();
+                connections.pop_back();
+            }
+            if (requests.size() < requests.capacity()) {
+                requests.emplace_back();
+                net::asio::co_spawn(fleet.loop,
+                                    requests.back().send(fleet, daemon.settings().callerAddress, connection),
+                                    net::asio::detached);
+            }
+            co_await net::sleepFor(Interval);
+        }
+        exitCode = co_await daemon.awaitExit();
+        while (std::any_of(requests.begin(), requests.end(), [](const auto &request) { return !request.hasEnded; })) {
+            co_await net::sleepFor(absl::Milliseconds(5));
+        }
+    });
+    BOOST_TEST(exitCode == 0);
+    std::set<std::string> started;
+    for (const auto &request : target.startedRequests()) {
+        started.insert(std::string(request.headers.value("Attempt-Id")));
+    }
+    std::map<int, int> statuses;
+    for (const auto &request : requests) {
+        ++statuses[request.answer.status];
+        const bool crossedClose = request.duration <= MaxCrossing && !started.contains(request.id);
+        BOOST_TEST((request.answer.isComplete || crossedClose),
+                   request.id << " has no answer after " << request.duration
+                              << ", reached its target: " << started.contains(request.id));
+        BOOST_TEST((request.answer.status != 503 || !started.contains(request.id)));
+    }
+    for (const auto &[status, count] : statuses) {
+        BOOST_TEST_MESSAGE("status " << status << ": " << count);
+    }
+    BOOST_TEST(statuses[503] > 0); // Of the requests that came too late.
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(shutdown)
 
+// Guard against requests that arrive late in the grace period, are sent to a target and have no answer at its end.
+BOOST_AUTO_TEST_CASE(requests_that_arrive_late_in_the_grace_period_are_answered)
+{
+    checkLateRequests(absl::Milliseconds(300));
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_outlast_the_grace_period_are_answered)
+{
+    checkLateRequests(absl::Seconds(3));
+}
+
 // Guards against coroutines that outlive the daemon to which they refer, which made the process end by SIGSEGV.
 BOOST_AUTO_TEST_CASE(whatever_waits_on_the_loop_is_destroyed_before_its_daemon)
 {
