--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -179,6 +179,7 @@
 void checkLateRequests(core::Duration processingTime)
 {
     constexpr int ConnectionCount = 60;
+    constexpr std::size_t MaxRequests = 240;
     constexpr auto Interval = absl::Milliseconds(40);
     constexpr auto MaxCrossing = absl::Milliseconds(200);
     const support::TemporaryDirectory directory;
@@ -200,7 +201,7 @@
             BOOST_TEST(answer.status == 200);
         }
         target.behaviour.processingTime = processingTime;
-        requests.reserve(4 * ConnectionCount);
+        requests.reserve(MaxRequests); // A request that is in progress must not move.
         daemon.signal(SIGTERM);
         for (bool usesNew = false; !daemon.hasExited(); usesNew = !usesNew) {
             core::Ref<net::ClientConnection> connection;
@@ -210,7 +211,7 @@
                 connection = connections.back();
                 connections.pop_back();
             }
-            if (requests.size() < requests.capacity()) {
+            if (requests.size() < MaxRequests) {
                 requests.emplace_back();
                 net::asio::co_spawn(fleet.loop,
                                     requests.back().send(fleet, daemon.settings().callerAddress, connection),
