Tests: answers to HEAD during an upload, escaped line breaks at the older interface; names and comments

A test name and some comments used figures of speech or lacked a subject.

Change: an_answer_to_head_is_complete_with_its_head covers heads with and without a length and three ends of the connection; a_header_value_with_escaped_line_breaks_adds_no_field looks at what the service got. No check is removed.

--- a/tests/integration/broken_answers_test.cpp
+++ b/tests/integration/broken_answers_test.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <atomic>
+#include <boost/asio/buffers_iterator.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -46,7 +47,7 @@
     ~RawService()
     {
         m_stopped = true;
-        boost::system::error_code ignored; // Only wakes the thread.
+        boost::system::error_code ignored; // The connection only wakes the thread.
         tcp::socket(m_context).connect(m_acceptor.local_endpoint(), ignored);
         m_thread.join();
     }
@@ -73,6 +74,13 @@
         m_endlessPart = std::move(part);
     }
 
+    /// Head of the last request, and what arrived with it.
+    [[nodiscard]] std::string lastRequest()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_lastRequest;
+    }
+
     /// Bytes of endless parts that were sent so far.
     [[nodiscard]] std::size_t endlessBytes() const
     {
@@ -93,9 +101,10 @@
                 asio::read_until(socket, request, "\r\n\r\n", error);
             }
             if (error) {
-                continue; // A check of the service.
+                continue; // Nothing was sent.
             }
             const std::lock_guard lock(m_mutex);
+            m_lastRequest.assign(asio::buffers_begin(request.data()), asio::buffers_end(request.data()));
             asio::write(socket, asio::buffer(m_answer), error);
             m_endlessBytes = 0;
             while (!m_endlessPart.empty() && !error && m_endlessBytes < MaxEndlessBytes) {
@@ -117,6 +126,7 @@
     std::string m_answer;
     bool m_resets = false;
     std::string m_endlessPart;
+    std::string m_lastRequest;
     std::atomic<std::size_t> m_endlessBytes = 0;
     std::thread m_thread;
 };
@@ -211,6 +221,19 @@
     }
 }
 
+// Guards against fields that a caller smuggles into the request to a target by escapes, which cpp-httplib decodes.
+BOOST_AUTO_TEST_CASE(a_header_value_with_escaped_line_breaks_adds_no_field)
+{
+    RawFleet fleet;
+    fleet.service.setAnswer(WholeAnswer, false);
+    const auto answer
+        = support::call(fleet.callerAddress("domain-a-1"), "PUT", "/services/service/x", "body",
+                        {{"Authorization", std::string("Bearer ") + Fleet::ApiKey}, {"X-Field", "a%0d%0aX-Added: 1"}});
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(fleet.service.lastRequest().starts_with("PUT /x "));
+    BOOST_TEST(fleet.service.lastRequest().find("\nX-Added") == std::string::npos);
+}
+
 // Guards against bytes without end that are no answer, and are kept until the engine closes the connection.
 BOOST_AUTO_TEST_CASE(endless_bytes_of_an_engine_are_cut_off)
 {
--- a/tests/platform/early_answers_test.cpp
+++ b/tests/platform/early_answers_test.cpp
@@ -5,7 +5,7 @@
 //
 // The kernel reports a reset once, to whichever call comes first; a later read returns the bytes that had arrived and
 // then an ordinary end. The tests guard against the part of an answer without a length that a target sent before the
-// reset and that was passed on as complete, because the pending write of the request had taken the error.
+// reset and that was passed on as complete, because the pending write of the request had received the error.
 //
 //----------------------------------------------------------------------------------------------------------------------
 
@@ -82,7 +82,8 @@
 }
 
 /// Uploads to a target that ends its connection during the upload, while another target is sound.
-CallerAnswer answerDuringUpload(const Behaviour &behaviour, const std::string &service, const std::string &path)
+CallerAnswer answerDuringUpload(const Behaviour &behaviour, const std::string &service, const std::string &path,
+                                const std::string &method = "POST")
 {
     RelayFleet fleet;
     allowUploads(fleet);
@@ -92,7 +93,9 @@
     fleet.run([&]() -> net::Task<> {
         co_await fleet.waitUntilReady();
         net::asio::co_spawn(fleet.loop, addSoundTargetAfter(fleet, target, service), net::asio::detached);
-        answer = co_await fleet.send(upload(path));
+        auto request = upload(path);
+        request.method = method;
+        answer = co_await fleet.send(std::move(request));
     });
     return answer;
 }
@@ -133,8 +136,8 @@
         loop,
         [](tcp::socket &caller, tcp::socket &server, const std::string &bytes, RawEnd howEnds,
            std::string &frames) -> net::Task<> {
-            co_await net::sleepFor(absl::Milliseconds(50)); // Until the write of the proxy waits.
-            net::asio::write(server, net::asio::buffer(bytes)); // Blocks, so that the loop sees both at once.
+            co_await net::sleepFor(absl::Milliseconds(50)); // The write of the proxy waits by then.
+            net::asio::write(server, net::asio::buffer(bytes)); // It blocks, so that the loop sees both at once.
             if (howEnds == RawEnd::Reset) {
                 server.set_option(net::asio::socket_base::linger(true, 0));
             } else {
@@ -209,6 +212,19 @@
     }
 }
 
+// No body follows the head of an answer to HEAD, so that the end of the connection says nothing about it.
+BOOST_AUTO_TEST_CASE(an_answer_to_head_is_complete_with_its_head)
+{
+    for (const auto end : {RawEnd::Reset, RawEnd::Close, RawEnd::HalfClose}) {
+        for (const auto &rawAnswer : {RawHead + "\r\n", RawHead + "Content-Length: 10\r\n\r\n"}) {
+            const auto answer = answerDuringUpload(answeringEarly(rawAnswer, end), "app", "/plain/1", "HEAD");
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body.empty());
+            BOOST_TEST(answer.isComplete);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_process_passes_no_answer_on_that_is_reset_during_the_upload)
 {
     const support::TemporaryDirectory directory;
@@ -255,7 +271,7 @@
     });
 }
 
-BOOST_AUTO_TEST_CASE(a_tunnel_reports_a_reset_that_its_write_to_the_target_was_told_of)
+BOOST_AUTO_TEST_CASE(a_tunnel_reports_a_reset_whose_error_its_write_received)
 {
     for (int play = 0; play < Plays; ++play) {
         BOOST_TEST(markAfter(RawEnd::Reset) == net::TargetBrokeMark);
--- a/tests/platform/fake_target.cpp
+++ b/tests/platform/fake_target.cpp
@@ -173,7 +173,7 @@
     const auto answerBuffer = net::asio::buffer(raw);
     if (behaviour.rawEndDelay == absl::ZeroDuration()) {
         boost::system::error_code error;
-        net::asio::write(socket, answerBuffer, error); // Blocks, so that the bytes and the end arrive together.
+        net::asio::write(socket, answerBuffer, error); // It blocks, so that the bytes and the end arrive together.
         if (error) {
             co_return;
         }
--- a/tests/platform/shutdown_test.cpp
+++ b/tests/platform/shutdown_test.cpp
@@ -241,7 +241,7 @@
     for (const auto &[status, count] : statuses) {
         BOOST_TEST_MESSAGE("status " << status << ": " << count);
     }
-    BOOST_TEST(statuses[503] > 0); // Of the requests that came too late.
+    BOOST_TEST(statuses[503] > 0); // Some requests came too late.
 }
 
 } // namespace
