--- a/include/spurlug/net/client_connection.h
+++ b/include/spurlug/net/client_connection.h
@@ -67,7 +67,7 @@
     /// \brief The same with a body that others hold too, in place of the request's own.
     void startSend(const Request &request, SharedBody body);
 
-    /// \brief Awaits the head of the response; interim responses (1xx) are skipped.
+    /// \brief Awaits the head of the response; interim responses (1xx but 101) are skipped.
     /// \returns Nothing when the connection failed, the response is malformed, or the deadline passed.
     [[nodiscard]] Task<std::optional<ResponseHead>> readHead(core::Time deadline);
 
--- a/src/dispatch/target_client.cpp
+++ b/src/dispatch/target_client.cpp
@@ -27,7 +27,7 @@
 
 constexpr int Ok = 200;
 constexpr int FirstServerError = 500;
-constexpr std::size_t MaxEventBytes = 256 << 10; ///< Limit of an event of a stream.
+constexpr std::size_t MaxEventBytes = 256 << 10; ///< Limit of a stream event, as in the relay.
 constexpr std::size_t MaxErrorBytes = 200; ///< What is kept of the body of an engine's error, for logs and callers.
 constexpr std::string_view RequestRanHeader
     = "Request-Ran"; // Sent by the target; "no" if it did not start the request.
